Lay the workspace with the typed messages between slices

Cause: the slices are to be built side by side, so their borders must stand first. Change: six crates, the schema with its generated code, checked settings and declarations, and the messages of agreement, ledger, control and scheduler with the round-robin baseline. Conclusion: a base to build on, no claim beyond that.

--- /dev/null
+++ b/agatetrestle/src/agreement/mod.rs
@@ -0,0 +1,187 @@
+//! The replicated log: a pure state machine without I/O or clock, and its durable storage.
+//!
+//! A driver feeds [`Input`] to a replica and carries out each [`Output`] in order. Why a log of our
+//! own, and why it is pure: docs/design/001-replicated-log-and-groups.md.
+
+pub mod message;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::agreement::message::Entry;
+use crate::agreement::message::Message;
+use crate::agreement::message::Position;
+use crate::ids::NodeId;
+
+/// Handle by which the driver recognises the outcome of a proposal.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Ticket(pub u64);
+
+/// What a replica must never forget between two terms.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HardState {
+    /// Newest term seen.
+    pub term: u64,
+    /// The node voted for in that term, if any.
+    pub vote: Option<NodeId>,
+}
+
+/// Who takes part in a group.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Replicas {
+    /// Nodes whose acknowledgement counts.
+    pub voters: BTreeSet<NodeId>,
+    /// Nodes that receive the log but don't count yet.
+    pub learners: BTreeSet<NodeId>,
+}
+
+/// A single-step change of the replicas; the next is refused until this one is committed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReplicaChange {
+    /// Add a node that receives the log.
+    AddLearner(NodeId),
+    /// Let a learner count; refused while it lags.
+    Promote(NodeId),
+    /// Remove a node.
+    Remove(NodeId),
+}
+
+/// Something that happened to a replica.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// Time passed.
+    Tick,
+    /// A message arrived.
+    Receive(Message),
+    /// The driver wants a command in the log.
+    Propose {
+        /// Handle for the outcome.
+        ticket: Ticket,
+        /// The coded command.
+        payload: Arc<[u8]>,
+    },
+    /// The driver wants to read the state machine as of now; answered once the lease or a round proves leadership.
+    Read(Ticket),
+    /// All writes up to this sequence number are synced.
+    Written(u64),
+    /// A write failed for want of space or by an I/O error; a leader steps down.
+    WriteFailed,
+    /// The driver has a snapshot of the state machine as of this position.
+    SnapshotTaken {
+        /// The last entry the snapshot covers.
+        position: Position,
+        /// The coded state machine.
+        data: Arc<[u8]>,
+    },
+    /// Change who takes part.
+    ChangeReplicas {
+        /// Handle for the outcome.
+        ticket: Ticket,
+        /// The change.
+        change: ReplicaChange,
+    },
+    /// This node is about to stop: hand leadership to a caught-up voter.
+    HandOver,
+}
+
+/// What must be made durable, in sequence, before [`Input::Written`] is said.
+#[derive(Clone, Debug, Default)]
+pub struct Write {
+    /// Sequence number; batches may be merged and acknowledged by the last one.
+    pub sequence: u64,
+    /// New term and vote.
+    pub hard_state: Option<HardState>,
+    /// Drop entries from this index on before appending.
+    pub truncate_from: Option<u64>,
+    /// Entries to append.
+    pub entries: Vec<Entry>,
+    /// Replace everything by this snapshot.
+    pub snapshot: Option<Snapshot>,
+}
+
+/// The state machine as of a position.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Snapshot {
+    /// The last entry it covers.
+    pub position: Position,
+    /// Who took part at that point.
+    pub replicas: Replicas,
+    /// The coded state machine.
+    pub data: Arc<[u8]>,
+}
+
+/// Why a proposal or read was turned away; in each case nothing entered the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Rejection {
+    /// This replica does not lead; the leader if known.
+    NotLeader(Option<NodeId>),
+    /// Too many proposals are under way.
+    Busy,
+    /// Another change of replicas is under way, or the learner lags.
+    ChangePending,
+}
+
+/// What the driver must do.
+#[derive(Clone, Debug)]
+pub enum Output {
+    /// Make this durable and answer [`Input::Written`].
+    Write(Write),
+    /// Send a message; losing it is harmless.
+    Send(Message),
+    /// Apply a committed command. The ticket is set on the replica that proposed it.
+    Apply {
+        /// Where it stands.
+        position: Position,
+        /// The coded command.
+        payload: Arc<[u8]>,
+        /// Handle of the proposal.
+        ticket: Option<Ticket>,
+    },
+    /// Replace the state machine by a snapshot.
+    Restore(Snapshot),
+    /// A read may be answered from the state machine as it is now.
+    ReadReady(Ticket),
+    /// The proposal, read or change did not enter the log.
+    Reject {
+        /// Handle of the proposal.
+        ticket: Ticket,
+        /// Why.
+        reason: Rejection,
+    },
+    /// The proposal entered the log but leadership was lost; it may yet be applied.
+    Unknown(Ticket),
+    /// Leadership, term or known leader changed.
+    Role {
+        /// The term.
+        term: u64,
+        /// The leader if known.
+        leader: Option<NodeId>,
+    },
+}
+
+/// What a replicated group computes.
+pub trait StateMachine {
+    /// Applies one committed command and returns the coded reply; must be deterministic.
+    fn apply(&mut self, position: Position, payload: &[u8]) -> Vec<u8>;
+
+    /// Codes the whole state.
+    fn snapshot(&self) -> Vec<u8>;
+
+    /// Replaces the state by a coded one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the snapshot can't be decoded, which a driver must treat as corruption.
+    fn restore(&mut self, data: &[u8]) -> Result<(), RestoreError>;
+}
+
+/// A snapshot that can't be decoded.
+#[derive(Debug, snafu::Snafu)]
+#[snafu(visibility(pub), display("the snapshot can't be decoded: {source}"))]
+pub struct RestoreError {
+    /// What the decoder said.
+    source: ciborium::de::Error<std::io::Error>,
+}
--- /dev/null
+++ b/agatetrestle/src/cli.rs
@@ -0,0 +1,1 @@
+//! Command line of the daemon.
--- /dev/null
+++ b/agatetrestle/src/health/mod.rs
@@ -0,0 +1,1 @@
+//! Silence, outliers and ejection of backend servers; see docs/design/008-health.md.
--- /dev/null
+++ b/agatetrestle/src/lib.rs
@@ -0,0 +1,25 @@
+//! Scheduler for agent programs: the slices of the daemon.
+//!
+//! Each folder is one duty with its own state, messages and tests. The slices that decide are pure:
+//! time and randomness come in as arguments. Start with docs/design/README.md.
+
+pub mod admission;
+pub mod agreement;
+pub mod attempts;
+pub mod cli;
+pub mod clock;
+pub mod control;
+pub mod entry;
+pub mod health;
+pub mod ids;
+pub mod logging;
+pub mod members;
+pub mod metrics;
+pub mod node;
+pub mod operator;
+pub mod placing;
+pub mod ports;
+pub mod programs;
+pub mod retention;
+pub mod scheduler;
+pub mod trace;
--- /dev/null
+++ b/agatetrestle/src/logging.rs
@@ -0,0 +1,1 @@
+//! Set-up of the logs.
--- /dev/null
+++ b/agatetrestle/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon of agatetrestle.
+
+fn main() {}
--- /dev/null
+++ b/agatetrestle/src/metrics/mod.rs
@@ -0,0 +1,1 @@
+//! Histograms and counters per partner and class, with the scrape endpoint.
--- /dev/null
+++ b/agatetrestle/src/node/mod.rs
@@ -0,0 +1,1 @@
+//! The struct that owns a node: its sockets, replicas and loops.
--- /dev/null
+++ b/agatetrestle/src/operator/mod.rs
@@ -0,0 +1,1 @@
+//! RPC for operators; see docs/operators/README.md.
--- /dev/null
+++ b/agatetrestle/src/programs/ledger.rs
@@ -0,0 +1,1 @@
+//! The ledger itself, a pure state machine.
--- /dev/null
+++ b/agatetrestle/src/trace/mod.rs
@@ -0,0 +1,1 @@
+//! Recorded arrivals and outcomes for replay; see docs/TRACE.md.
--- /dev/null
+++ b/agatetrestle_cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Command-line tool for operators.
+
+fn main() {}
--- /dev/null
+++ b/agatetrestle_config/src/units.rs
@@ -0,0 +1,87 @@
+//! Adapters that read and write values with their unit, such as `250ms` and `128MiB`.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Deserializer;
+use serde::Serializer;
+use serde::de::Error;
+use serde::de::Unexpected;
+use serde_with::DeserializeAs;
+use serde_with::SerializeAs;
+
+const DURATION_UNITS: [(&str, u64); 5] =
+    [("us", 1), ("ms", 1_000), ("s", 1_000_000), ("m", 60_000_000), ("h", 3_600_000_000)];
+const SIZE_UNITS: [(&str, u64); 4] = [("B", 1), ("KiB", 1 << 10), ("MiB", 1 << 20), ("GiB", 1 << 30)];
+
+/// Reads a duration such as `250ms`; a bare number is refused because its unit would be a guess.
+#[derive(Clone, Copy, Debug)]
+pub struct DurationText;
+
+/// Reads a size in bytes such as `128MiB`; a bare number is refused for the same reason.
+#[derive(Clone, Copy, Debug)]
+pub struct SizeText;
+
+fn parse_with_unit(text: &str, units: &[(&str, u64)]) -> Option<u64> {
+    let digits = text.find(|c: char| !c.is_ascii_digit())?;
+    let number: u64 = text[..digits].parse().ok()?;
+    let unit = text[digits..].trim_start();
+    let (_, factor) = units.iter().find(|(name, _)| *name == unit)?;
+    number.checked_mul(*factor)
+}
+
+fn format_with_unit(value: u64, units: &[(&str, u64)]) -> String {
+    let exact = units.iter().rev().find(|(_, factor)| value >= *factor && value.is_multiple_of(*factor));
+    let (name, factor) = exact.unwrap_or(&units[0]);
+    format!("{}{name}", value / factor)
+}
+
+struct Expected(&'static str);
+
+impl serde::de::Expected for Expected {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.0)
+    }
+}
+
+impl<'de> DeserializeAs<'de, Duration> for DurationText {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        let micros = parse_with_unit(&text, &DURATION_UNITS).ok_or_else(|| {
+            D::Error::invalid_value(
+                Unexpected::Str(&text),
+                &Expected("a whole number with us, ms, s, m or h"),
+            )
+        })?;
+        Ok(Duration::from_micros(micros))
+    }
+}
+
+impl SerializeAs<Duration> for DurationText {
+    fn serialize_as<S: Serializer>(source: &Duration, serializer: S) -> Result<S::Ok, S::Error> {
+        let micros = u64::try_from(source.as_micros()).unwrap_or(u64::MAX);
+        serializer.serialize_str(&format_with_unit(micros, &DURATION_UNITS))
+    }
+}
+
+impl<'de> DeserializeAs<'de, u64> for SizeText {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        parse_with_unit(&text, &SIZE_UNITS).ok_or_else(|| {
+            D::Error::invalid_value(
+                Unexpected::Str(&text),
+                &Expected("a whole number with B, KiB, MiB or GiB"),
+            )
+        })
+    }
+}
+
+impl SerializeAs<u64> for SizeText {
+    fn serialize_as<S: Serializer>(source: &u64, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&format_with_unit(*source, &SIZE_UNITS))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/agatetrestle_fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the systems that agatetrestle meets, for tests and examples.
--- /dev/null
+++ b/agatetrestle_replay/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replay of recorded traces in virtual time, with a small fake engine.
--- /dev/null
+++ b/agatetrestle_replay/src/main.rs
@@ -0,0 +1,3 @@
+//! Replays recorded traces against the decisions.
+
+fn main() {}
