Add the replica of the replicated log as a pure state machine

Cause: every promise that must survive a lost VM rests on an agreed log, and the driver needs its border before storage and failure tests exist.

Votes and acknowledgements wait for the write they depend on. Two variants are new at the border: Output::Replicas tells that a set of replicas is committed, Rejection::InvalidChange that a change makes no sense. Deliberate faults sit behind cfg(test) for the tests to come.

--- a/agatetrestle/src/agreement/mod.rs
+++ b/agatetrestle/src/agreement/mod.rs
@@ -3,7 +3,11 @@
 //! A driver feeds [`Input`] to a replica and carries out each [`Output`] in order. Why a log of our
 //! own, and why it is pure: docs/design/001-replicated-log-and-groups.md.
 
+pub mod coding;
 pub mod message;
+pub mod replica;
+#[cfg(test)]
+mod tests;
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -94,11 +98,11 @@
     pub sequence: u64,
     /// New term and vote.
     pub hard_state: Option<HardState>,
-    /// Drop entries from this index on before appending.
+    /// Drop entries from this index on, before the snapshot is stored and the entries are appended.
     pub truncate_from: Option<u64>,
     /// Entries to append.
     pub entries: Vec<Entry>,
-    /// Replace everything by this snapshot.
+    /// Replace all entries up to its position by this snapshot; later ones stay unless truncated.
     pub snapshot: Option<Snapshot>,
 }
 
@@ -122,6 +126,8 @@
     Busy,
     /// Another change of replicas is under way, or the learner lags.
     ChangePending,
+    /// The change makes no sense: it promotes a stranger or removes the last voter.
+    InvalidChange,
 }
 
 /// What the driver must do.
@@ -151,6 +157,13 @@
         /// Why.
         reason: Rejection,
     },
+    /// A set of replicas is committed; the ticket is set on the replica that proposed the change.
+    Replicas {
+        /// Handle of the change.
+        ticket: Option<Ticket>,
+        /// Who takes part from now on.
+        replicas: Replicas,
+    },
     /// The proposal entered the log but leadership was lost; it may yet be applied.
     Unknown(Ticket),
     /// Leadership, term or known leader changed.
--- /dev/null
+++ b/agatetrestle/src/agreement/replica/leader.rs
@@ -0,0 +1,122 @@
+//! What only a leader keeps: the progress of its peers, its rounds, and who waits for an outcome.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use crate::agreement::Ticket;
+use crate::agreement::message::Position;
+use crate::clock::Timestamp;
+use crate::ids::NodeId;
+
+/// Appends with entries that may be on their way to one peer; further entries gather into the next batch.
+pub(super) const APPENDS_UNDER_WAY: u32 = 4;
+
+/// How entries reach a peer.
+#[derive(Clone, Debug)]
+pub(super) enum Stage {
+    /// Its log is not known yet; one message at a time.
+    Probe {
+        /// Whether a message is on its way.
+        waiting: bool,
+    },
+    /// Its log matches; entries go out without waiting for each answer.
+    Replicate {
+        /// Appends with entries that have not been answered.
+        under_way: u32,
+    },
+    /// It needs a snapshot.
+    Snapshot {
+        /// The last entry that the snapshot covers.
+        position: Position,
+        /// Replica set and data.
+        bytes: Arc<[u8]>,
+        /// Bytes that the peer has.
+        offset: usize,
+    },
+}
+
+/// What the leader knows of one peer.
+#[derive(Clone, Debug)]
+pub(super) struct Progress {
+    /// Highest index known to be durable there.
+    pub(super) matched: u64,
+    /// Next index to send.
+    pub(super) next: u64,
+    /// How entries reach it.
+    pub(super) stage: Stage,
+    /// Highest round it answered, 0 for none.
+    pub(super) acked_round: u64,
+    /// When that round was sent.
+    pub(super) acked_at: Option<Timestamp>,
+}
+
+impl Progress {
+    pub(super) fn new(next: u64) -> Self {
+        Self { matched: 0, next, stage: Stage::Probe { waiting: false }, acked_round: 0, acked_at: None }
+    }
+}
+
+/// A read that waits for proof of leadership.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PendingRead {
+    pub(super) ticket: Ticket,
+    /// The round, begun after the read arrived, that a quorum must answer.
+    pub(super) round: u64,
+}
+
+/// A planned change of leader.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Transfer {
+    pub(super) to: NodeId,
+    pub(super) since: Timestamp,
+}
+
+/// State that ends with the leadership.
+#[derive(Clone, Debug)]
+pub(super) struct Leader {
+    pub(super) progress: BTreeMap<NodeId, Progress>,
+    /// When leadership began.
+    pub(super) since: Timestamp,
+    /// Index of the empty entry that began the term.
+    pub(super) first_index: u64,
+    /// Newest round.
+    pub(super) round: u64,
+    /// Send times of recent rounds, oldest first.
+    pub(super) rounds: VecDeque<(u64, Timestamp)>,
+    pub(super) next_heartbeat: Timestamp,
+    /// Outcomes owed, by index.
+    pub(super) tickets: BTreeMap<u64, Ticket>,
+    pub(super) reads: Vec<PendingRead>,
+    pub(super) transfer: Option<Transfer>,
+    /// Set once another node was asked to take over: it may be elected during what was the lease.
+    pub(super) lease_forfeited: bool,
+}
+
+impl Leader {
+    pub(super) fn new(since: Timestamp, first_index: u64) -> Self {
+        Self {
+            progress: BTreeMap::new(),
+            since,
+            first_index,
+            round: 0,
+            rounds: VecDeque::new(),
+            next_heartbeat: since,
+            tickets: BTreeMap::new(),
+            reads: Vec::new(),
+            transfer: None,
+            lease_forfeited: false,
+        }
+    }
+
+    /// When a round was sent, if that was recent.
+    pub(super) fn sent_at(&self, round: u64) -> Option<Timestamp> {
+        self.rounds.iter().find(|(number, _)| *number == round).map(|(_, at)| *at)
+    }
+}
+
+/// The highest value that a majority reaches; `None` for an empty set.
+pub(super) fn majority<T: Copy + Ord>(mut values: Vec<T>) -> Option<T> {
+    values.sort_unstable_by(|a, b| b.cmp(a));
+    values.get(values.len() / 2).copied()
+}
--- /dev/null
+++ b/agatetrestle/src/agreement/replica/snapshot.rs
@@ -0,0 +1,179 @@
+//! Snapshots: compaction of the own log, and sending one in chunks to a replica that lags too far.
+
+use std::sync::Arc;
+
+use crate::agreement::Output;
+use crate::agreement::Snapshot;
+use crate::agreement::coding;
+use crate::agreement::message::Body;
+use crate::agreement::message::Position;
+use crate::agreement::replica::Replica;
+use crate::agreement::replica::Role;
+use crate::agreement::replica::leader::Stage;
+use crate::clock::Timestamp;
+use crate::ids::NodeId;
+
+/// Entries kept before a snapshot, so that a replica that lags a little needs no snapshot.
+const KEPT_ENTRIES: u64 = 1_024;
+
+/// A snapshot that is being received.
+#[derive(Clone, Debug)]
+pub(super) struct Incoming {
+    position: Position,
+    bytes: Vec<u8>,
+}
+
+impl Replica {
+    /// Makes the driver's snapshot durable and drops the entries that it covers.
+    pub(super) fn take_snapshot(&mut self, position: Position, data: Arc<[u8]>) {
+        let known = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.position.index);
+        let held = self.log.term_at(position.index) == Some(position.term);
+        if position.index <= known || position.index > self.applied || !held {
+            return;
+        }
+        let replicas = self.sets.at(position.index).clone();
+        let snapshot = Snapshot { position, replicas, data };
+        self.write.snapshot = Some(snapshot.clone());
+        self.snapshot = Some(snapshot);
+        self.sets.compact(position.index);
+        self.log.compact(position.index.saturating_sub(KEPT_ENTRIES));
+    }
+
+    /// Begins to send the newest snapshot to a peer.
+    pub(super) fn begin_snapshot(&mut self, peer: NodeId) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = leader.progress.get_mut(&peer) else {
+            return;
+        };
+        let Some(snapshot) = &self.snapshot else {
+            return;
+        };
+        let bytes = coding::encode_snapshot(snapshot);
+        progress.stage = Stage::Snapshot { position: snapshot.position, bytes, offset: 0 };
+        self.send_chunk(peer);
+    }
+
+    pub(super) fn send_chunk(&mut self, peer: NodeId) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let Some(Stage::Snapshot { position, bytes, offset }) =
+            leader.progress.get(&peer).map(|progress| &progress.stage)
+        else {
+            return;
+        };
+        let end = bytes.len().min(offset + self.cfg.max_batch_bytes.max(1));
+        let body = Body::Snapshot {
+            position: *position,
+            offset: *offset as u64,
+            chunk: bytes[*offset..end].into(),
+            last: end == bytes.len(),
+            round: leader.round,
+        };
+        self.send(peer, body);
+    }
+
+    pub(super) fn receive_snapshot_reply(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        position: Position,
+        received: u64,
+        round: u64,
+    ) {
+        self.acknowledge_round(now, from, round);
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if let Some(progress) = leader.progress.get_mut(&from)
+            && let Stage::Snapshot { position: sent, bytes, offset } = &mut progress.stage
+            && *sent == position
+            && let Ok(received) = usize::try_from(received)
+            && received < bytes.len()
+            && received != *offset
+        {
+            *offset = received;
+            self.send_chunk(from);
+        }
+        self.advance_commit(now);
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "these are the fields of one message")]
+    pub(super) fn receive_snapshot(
+        &mut self,
+        now: Timestamp,
+        from: NodeId,
+        position: Position,
+        offset: u64,
+        chunk: &[u8],
+        last: bool,
+        round: u64,
+    ) {
+        self.follow(now, from);
+        if position.index <= self.commit {
+            self.accept_committed(from, round);
+            return;
+        }
+        let bytes = self.incoming_bytes(position);
+        if offset == bytes.len() as u64 {
+            bytes.extend_from_slice(chunk);
+            if last {
+                self.finish_snapshot(from, position, round);
+                return;
+            }
+        }
+        let received = self.incoming_bytes(position).len() as u64;
+        self.send_when_durable(from, Body::SnapshotReply { position, received, round });
+    }
+
+    /// Says that the log matches the leader's up to what is committed.
+    fn accept_committed(&mut self, from: NodeId, round: u64) {
+        let reply = Body::AppendReply { accepted: true, matched: self.commit, round };
+        self.send_when_durable(from, reply);
+    }
+
+    fn incoming_bytes(&mut self, position: Position) -> &mut Vec<u8> {
+        let fresh = || Incoming { position, bytes: Vec::new() };
+        let incoming = self.incoming.get_or_insert_with(fresh);
+        if incoming.position != position {
+            *incoming = fresh();
+        }
+        &mut incoming.bytes
+    }
+
+    fn finish_snapshot(&mut self, from: NodeId, position: Position, round: u64) {
+        let Some(incoming) = self.incoming.take() else {
+            return;
+        };
+        if let Ok(snapshot) = coding::decode_snapshot(position, &incoming.bytes) {
+            self.install(snapshot);
+            self.accept_committed(from, round);
+        }
+    }
+
+    /// Replaces the state; entries after the snapshot stay only if the log agrees with it.
+    fn install(&mut self, snapshot: Snapshot) {
+        let position = snapshot.position;
+        let agrees = self.log.term_at(position.index) == Some(position.term);
+        if agrees {
+            self.log.compact(position.index);
+        } else {
+            self.truncate_all_from(position.index);
+            self.log.reset(position);
+        }
+        self.sets.install(position.index, snapshot.replicas.clone());
+        self.commit = position.index;
+        self.applied = position.index;
+        self.write.snapshot = Some(snapshot.clone());
+        self.snapshot = Some(snapshot.clone());
+        self.out.push(Output::Restore(snapshot));
+    }
+
+    fn truncate_all_from(&mut self, index: u64) {
+        if self.log.last().index >= index {
+            self.truncate(index);
+        }
+    }
+}
--- /dev/null
+++ b/agatetrestle/src/agreement/tests/basics.rs
@@ -0,0 +1,247 @@
+//! Plain cases on a network that loses nothing.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::agreement::Input;
+use crate::agreement::Output;
+use crate::agreement::Rejection;
+use crate::agreement::ReplicaChange;
+use crate::agreement::Replicas;
+use crate::agreement::Ticket;
+use crate::agreement::replica::Replica;
+use crate::agreement::replica::ReplicaConfig;
+use crate::agreement::replica::Restored;
+use crate::clock::Timestamp;
+use crate::ids::GroupId;
+use crate::ids::NodeId;
+
+const STEP: Duration = Duration::from_millis(5);
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Replicas whose messages and writes are carried out at once.
+struct Network {
+    now: Timestamp,
+    replicas: BTreeMap<NodeId, Replica>,
+    outputs: Vec<(NodeId, Output)>,
+    next_ticket: u64,
+}
+
+impl Network {
+    fn new(voters: u64, others: u64) -> Self {
+        let initial = Replicas { voters: (1..=voters).map(NodeId).collect(), learners: BTreeSet::new() };
+        let start = |id| {
+            let cfg = ReplicaConfig {
+                group: GroupId(1),
+                node: NodeId(id),
+                leader_interval: Duration::from_millis(20),
+                election_timeout: ELECTION_TIMEOUT,
+                clock_drift: Duration::from_millis(5),
+                seed: 7,
+                max_in_flight: 4,
+                max_batch_bytes: 8,
+            };
+            (
+                NodeId(id),
+                Replica::new(cfg, initial.clone(), Restored::default(), Timestamp(0)).with_fault(None),
+            )
+        };
+        let replicas = (1..=voters + others).map(start).collect();
+        Self { now: Timestamp(0), replicas, outputs: Vec::new(), next_ticket: 0 }
+    }
+
+    fn input(&mut self, node: NodeId, input: Input) {
+        let mut inputs = std::collections::VecDeque::from([(node, input)]);
+        while let Some((node, input)) = inputs.pop_front() {
+            for output in self.replicas.get_mut(&node).unwrap().step(self.now, input) {
+                match &output {
+                    Output::Send(message) if self.replicas.contains_key(&message.to) => {
+                        inputs.push_back((message.to, Input::Receive(message.clone())));
+                    }
+                    Output::Write(write) => inputs.push_back((node, Input::Written(write.sequence))),
+                    _ => {}
+                }
+                self.outputs.push((node, output));
+            }
+        }
+    }
+
+    fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + STEP;
+            let nodes: Vec<NodeId> = self.replicas.keys().copied().collect();
+            for node in nodes {
+                self.input(node, Input::Tick);
+            }
+        }
+    }
+
+    fn leader(&self) -> NodeId {
+        let mut leaders = self.replicas.iter().filter(|(_, replica)| replica.is_leader());
+        *leaders.next().expect("a leader").0
+    }
+
+    fn ticket(&mut self) -> Ticket {
+        self.next_ticket += 1;
+        Ticket(self.next_ticket)
+    }
+
+    fn propose(&mut self, node: NodeId) -> Ticket {
+        let ticket = self.ticket();
+        let payload = Arc::from(ticket.0.to_le_bytes());
+        self.input(node, Input::Propose { ticket, payload });
+        ticket
+    }
+
+    fn change(&mut self, change: ReplicaChange) -> Ticket {
+        let (leader, ticket) = (self.leader(), self.ticket());
+        self.input(leader, Input::ChangeReplicas { ticket, change });
+        ticket
+    }
+
+    fn rejection(&self, wanted: Ticket) -> Option<Rejection> {
+        self.outputs.iter().find_map(|(_, output)| match output {
+            Output::Reject { ticket, reason } if *ticket == wanted => Some(*reason),
+            _ => None,
+        })
+    }
+
+    fn applied(&self, node: NodeId) -> Vec<u64> {
+        let payload = |(by, output): &(NodeId, Output)| match output {
+            Output::Apply { payload, .. } if *by == node => {
+                Some(u64::from_le_bytes(payload[..].try_into().unwrap()))
+            }
+            _ => None,
+        };
+        self.outputs.iter().filter_map(payload).collect()
+    }
+
+    fn was_read(&self, wanted: Ticket) -> bool {
+        self.outputs
+            .iter()
+            .any(|(_, output)| matches!(output, Output::ReadReady(ticket) if *ticket == wanted))
+    }
+}
+
+#[test]
+fn single_voter_commits_after_its_own_write() {
+    let mut network = Network::new(1, 0);
+    network.run(ELECTION_TIMEOUT * 3);
+    let node = network.leader();
+    network.propose(node);
+    assert_eq!(network.applied(node), [1]);
+    let ticket = network.ticket();
+    network.input(node, Input::Read(ticket));
+    assert!(network.was_read(ticket));
+}
+
+#[test]
+fn three_voters_elect_and_apply_in_order() {
+    let mut network = Network::new(3, 0);
+    network.run(ELECTION_TIMEOUT * 3);
+    let leader = network.leader();
+    (0..10).for_each(|_| {
+        network.propose(leader);
+    });
+    network.run(ELECTION_TIMEOUT);
+    let expected: Vec<u64> = (1..=10).collect();
+    for node in 1..=3 {
+        assert_eq!(network.applied(NodeId(node)), expected);
+    }
+    assert_eq!(network.leader(), leader, "a healthy leader stays");
+}
+
+#[test]
+fn leader_without_quorum_is_busy_then_steps_down() {
+    let mut network = Network::new(3, 0);
+    network.run(ELECTION_TIMEOUT * 3);
+    let leader = network.leader();
+    network.replicas.retain(|node, _| *node == leader);
+    let tickets: Vec<Ticket> = (0..5).map(|_| network.propose(leader)).collect();
+    assert_eq!(network.rejection(tickets[4]), Some(Rejection::Busy));
+    network.run(ELECTION_TIMEOUT * 2);
+    let unknown: Vec<Ticket> = network
+        .outputs
+        .iter()
+        .filter_map(|(_, output)| match output {
+            Output::Unknown(ticket) => Some(*ticket),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(unknown, tickets[..4]);
+    let ticket = network.propose(leader);
+    assert_eq!(network.rejection(ticket), Some(Rejection::NotLeader(None)));
+}
+
+#[test]
+fn paused_leader_proves_itself_before_it_answers_a_read() {
+    let mut network = Network::new(3, 0);
+    network.run(ELECTION_TIMEOUT * 3);
+    let leader = network.leader();
+    network.now = network.now + ELECTION_TIMEOUT;
+    assert!(!network.replicas[&leader].lease_valid(network.now));
+    let ticket = network.ticket();
+    let outputs = network.replicas.get_mut(&leader).unwrap().step(network.now, Input::Read(ticket));
+    assert!(!outputs.iter().any(|output| matches!(output, Output::ReadReady(_))));
+    assert!(outputs.iter().any(|output| matches!(output, Output::Send(_))));
+}
+
+#[test]
+fn learner_catches_up_by_snapshot_and_becomes_voter() {
+    let mut network = Network::new(3, 1);
+    network.run(ELECTION_TIMEOUT * 3);
+    let leader = network.leader();
+    (0..2_000).for_each(|_| {
+        network.propose(leader);
+    });
+    let position = network.replicas[&leader].last_position();
+    let data = Arc::from(vec![9_u8; 100]);
+    network.input(leader, Input::SnapshotTaken { position, data });
+    network.change(ReplicaChange::AddLearner(NodeId(4)));
+    let early = network.change(ReplicaChange::Promote(NodeId(9)));
+    assert_eq!(network.rejection(early), Some(Rejection::InvalidChange));
+    network.run(ELECTION_TIMEOUT);
+    let restored = network.outputs.iter().any(|(node, output)| match output {
+        Output::Restore(snapshot) => *node == NodeId(4) && snapshot.position == position,
+        _ => false,
+    });
+    assert!(restored);
+    network.change(ReplicaChange::Promote(NodeId(4)));
+    network.run(ELECTION_TIMEOUT);
+    assert!(network.replicas[&NodeId(4)].replicas().voters.contains(&NodeId(4)));
+}
+
+#[test]
+fn hand_over_moves_leadership_at_once() {
+    let mut network = Network::new(3, 0);
+    network.run(ELECTION_TIMEOUT * 3);
+    let leader = network.leader();
+    network.input(leader, Input::HandOver);
+    assert_ne!(network.leader(), leader);
+}
+
+#[test]
+fn removed_leader_steps_down() {
+    let mut network = Network::new(3, 0);
+    network.run(ELECTION_TIMEOUT * 3);
+    let leader = network.leader();
+    network.change(ReplicaChange::Remove(leader));
+    assert!(!network.replicas[&leader].is_leader());
+    network.run(ELECTION_TIMEOUT * 3);
+    assert_ne!(network.leader(), leader);
+}
+
+#[test]
+fn failed_write_ends_leadership_and_silences_the_replica() {
+    let mut network = Network::new(3, 0);
+    network.run(ELECTION_TIMEOUT * 3);
+    let leader = network.leader();
+    network.input(leader, Input::WriteFailed);
+    let ticket = network.propose(leader);
+    assert_eq!(network.rejection(ticket), Some(Rejection::NotLeader(None)));
+    network.run(ELECTION_TIMEOUT * 3);
+    assert_ne!(network.leader(), leader);
+}
