--- a/agatetrestle/src/cli.rs
+++ b/agatetrestle/src/cli.rs
@@ -1,1 +1,41 @@
 //! Command line of the daemon.
+
+use std::path::PathBuf;
+
+use bpaf::OptionParser;
+use bpaf::Parser;
+use bpaf::construct;
+use bpaf::long;
+
+/// What the daemon is told on its command line; everything else stands in the settings file.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Options {
+    /// The settings file.
+    pub config: PathBuf,
+    /// Whether to check the settings and exit.
+    pub check: bool,
+}
+
+impl Options {
+    /// The parser, from which the manual page is made too.
+    #[must_use]
+    pub fn parser() -> OptionParser<Self> {
+        let config = long("config")
+            .help("Settings of this process, in YAML; docs/operators/settings.md names every key")
+            .argument::<PathBuf>("FILE");
+        let check = long("check").help("Check the settings and exit: 0 if they can be used, else 1").switch();
+        construct!(Self { config, check })
+            .to_options()
+            .version(env!("CARGO_PKG_VERSION"))
+            .descr("scheduler for agent programs: the daemon")
+    }
+
+    /// Reads the process's own arguments; prints help, version or a usage error and exits where asked.
+    #[must_use]
+    pub fn from_args() -> Self {
+        Self::parser().run()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/agatetrestle/src/cli/tests.rs
@@ -0,0 +1,25 @@
+//! Tests of the daemon's command line.
+
+use super::*;
+
+fn parse(args: &[&str]) -> Result<Options, bpaf::ParseFailure> {
+    Options::parser().run_inner(args)
+}
+
+#[test]
+fn the_settings_file_is_required() {
+    assert!(parse(&["--check"]).is_err());
+    let options = parse(&["--config", "node.yaml", "--check"]).unwrap();
+    assert_eq!(options, Options { config: "node.yaml".into(), check: true });
+}
+
+#[test]
+fn an_unknown_option_is_refused() {
+    assert!(parse(&["--config", "node.yaml", "--chekc"]).is_err());
+}
+
+#[test]
+fn help_names_every_option() {
+    let help = parse(&["--help"]).unwrap_err().unwrap_stdout();
+    insta::assert_snapshot!(help);
+}
--- a/agatetrestle/src/metrics/mod.rs
+++ b/agatetrestle/src/metrics/mod.rs
@@ -1,1 +1,98 @@
 //! Histograms and counters per partner and class, with the scrape endpoint.
+//!
+//! [`Metrics`] takes in measures by the OpenTelemetry SDK; [`serve`] gives them out in the form that
+//! Prometheus scrapes. What each series means and what to do about it: docs/operators/metrics-and-logs.md.
+
+mod instruments;
+mod scrape;
+mod series;
+
+use std::cell::RefCell;
+
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::error::OTelSdkError;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use snafu::ResultExt;
+use snafu::Snafu;
+
+pub use self::scrape::serve;
+
+use crate::metrics::instruments::Instruments;
+use crate::metrics::series::SeriesTable;
+use crate::ports::Labels;
+use crate::ports::Measure;
+use crate::ports::Recorder;
+
+/// Why metrics could not be set up or written out.
+#[derive(Debug, Snafu)]
+pub enum MetricsError {
+    /// The exporter could not be registered.
+    #[snafu(display("metrics can't be set up: {source}"))]
+    SetUp {
+        /// What the library said.
+        source: OTelSdkError,
+    },
+    /// The series could not be written in the scrape format.
+    #[snafu(display("metrics can't be written: {source}"))]
+    Write {
+        /// What the library said.
+        source: prometheus::Error,
+    },
+}
+
+/// All measures of this process.
+pub struct Metrics {
+    registry: Registry,
+    instruments: Instruments,
+    series: RefCell<SeriesTable>,
+    /// Keeps the pipeline alive; the instruments refer to it weakly.
+    _provider: SdkMeterProvider,
+}
+
+impl Metrics {
+    /// Empty measures.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exporter can't be registered, which points at a fault in this build.
+    pub fn new() -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .scope_info_enabled(false)
+            .build()
+            .context(SetUpSnafu)?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let instruments = Instruments::new(&provider.meter("agatetrestle"));
+        Ok(Self { registry, instruments, series: RefCell::default(), _provider: provider })
+    }
+
+    /// All series in the text form that Prometheus scrapes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the encoder refuses a series.
+    pub fn render(&self) -> Result<Vec<u8>, MetricsError> {
+        let mut buf = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buf).context(WriteSnafu)?;
+        Ok(buf)
+    }
+}
+
+impl Recorder for Metrics {
+    fn record(&self, labels: &Labels, measure: &Measure) {
+        let mut series = self.series.borrow_mut();
+        self.instruments.record(series.of(labels), measure);
+    }
+
+    fn cache(&self, held: u64, wasted: u64) {
+        self.instruments.cache(held, wasted);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/agatetrestle/src/metrics/tests.rs
@@ -0,0 +1,130 @@
+//! Tests of the measures and of the scrape endpoint.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::AsyncReadExt;
+use futures::AsyncWriteExt;
+use smol::LocalExecutor;
+use smol::net::TcpListener;
+use smol::net::TcpStream;
+
+use super::*;
+use crate::metrics::series::MAX_LABELS;
+
+fn labels(partner: &str, class: &str) -> Labels {
+    Labels { partner: partner.into(), class: class.into() }
+}
+
+fn rendered(metrics: &Metrics) -> String {
+    String::from_utf8(metrics.render().unwrap()).unwrap()
+}
+
+fn lines_of(text: &str, name: &str) -> Vec<String> {
+    text.lines().filter(|line| line.starts_with(name)).map(str::to_owned).collect()
+}
+
+#[test]
+fn every_measure_has_a_series_with_partner_and_class() {
+    let metrics = Metrics::new().unwrap();
+    let one = labels("vrsta", "dawn");
+    let time = Duration::from_millis(48);
+    for measure in [
+        Measure::ProgramLatency(time),
+        Measure::FirstToken(time),
+        Measure::BetweenTokens(time),
+        Measure::QueueWait(time),
+        Measure::AddedTime(time),
+        Measure::Commit(time),
+        Measure::Refused("overload"),
+        Measure::Retried("timeout"),
+        Measure::Unknown,
+        Measure::Tokens(7),
+    ] {
+        metrics.record(&one, &measure);
+    }
+    metrics.cache(100, 3);
+    let text = rendered(&metrics);
+    let kept = text.lines().filter(|line| !line.contains("_bucket{"));
+    insta::assert_snapshot!(kept.collect::<Vec<_>>().join("\n"));
+}
+
+#[test]
+fn a_gap_at_the_target_falls_into_the_bucket_of_the_target() {
+    let metrics = Metrics::new().unwrap();
+    metrics.record(&labels("vrsta", "dawn"), &Measure::BetweenTokens(Duration::from_millis(48)));
+    let buckets = lines_of(&rendered(&metrics), "agatetrestle_between_tokens_seconds_bucket");
+    let count_at = |bound: &str| {
+        let bound = format!("le=\"{bound}\"");
+        buckets.iter().find(|line| line.contains(&bound)).unwrap().ends_with(" 1")
+    };
+    assert!(count_at("0.048"));
+    assert!(!count_at("0.04"));
+}
+
+#[test]
+fn labels_beyond_the_bound_share_one_series() {
+    let metrics = Metrics::new().unwrap();
+    for i in 0..MAX_LABELS + 50 {
+        metrics.record(&labels("lernwerk", &format!("class-{i}")), &Measure::Unknown);
+    }
+    let series = lines_of(&rendered(&metrics), "agatetrestle_unknown_total");
+    assert_eq!(series.len(), MAX_LABELS + 1);
+    let other = series.iter().find(|line| line.contains("class=\"other\"")).unwrap();
+    assert!(other.ends_with(" 50"), "{other}");
+}
+
+#[test]
+fn reasons_beyond_the_bound_share_one_series() {
+    const NAMES: [&str; 20] =
+        ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m", "n", "o", "p", "q", "r", "s", "t"];
+    let metrics = Metrics::new().unwrap();
+    for name in NAMES {
+        metrics.record(&labels("vrsta", "dawn"), &Measure::Refused(name));
+    }
+    let series = lines_of(&rendered(&metrics), "agatetrestle_refused_total");
+    assert_eq!(series.len(), series::MAX_REASONS + 1);
+    let other = series.iter().find(|line| line.contains("reason=\"other\"")).unwrap();
+    assert!(other.ends_with(" 4"), "{other}");
+}
+
+fn exchange(request: &[u8]) -> String {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(async {
+        let metrics = Rc::new(Metrics::new().unwrap());
+        metrics.record(&labels("vrsta", "dawn"), &Measure::Unknown);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        executor.spawn(serve(metrics, listener, Rc::clone(&executor))).detach();
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(request).await.ok();
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).await.ok();
+        String::from_utf8(answer).unwrap()
+    }))
+}
+
+#[test]
+fn a_scrape_gets_the_series_and_the_connection_is_closed() {
+    let answer = exchange(b"GET /metrics HTTP/1.1\r\nHost: node\r\n\r\n");
+    assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
+    assert!(answer.contains("text/plain; version=0.0.4"), "{answer}");
+    assert!(answer.contains("agatetrestle_unknown_total{"), "{answer}");
+}
+
+#[test]
+fn other_paths_and_methods_are_refused() {
+    assert!(exchange(b"GET / HTTP/1.1\r\nHost: node\r\n\r\n").starts_with("HTTP/1.1 404"));
+    assert!(exchange(b"DELETE /metrics HTTP/1.1\r\nHost: node\r\n\r\n").starts_with("HTTP/1.1 405"));
+}
+
+#[test]
+fn a_malformed_head_is_refused() {
+    assert!(exchange(b"no head at all\r\n\r\n").starts_with("HTTP/1.1 400"));
+}
+
+#[test]
+fn a_line_without_end_is_cut_off() {
+    let answer = exchange(&vec![b'a'; 64 << 10]);
+    assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 400"), "{answer}");
+}
--- /dev/null
+++ b/agatetrestle/src/operator/difference/tests.rs
@@ -0,0 +1,45 @@
+//! Tests of the line difference.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use super::*;
+
+#[test]
+fn only_changed_lines_are_told() {
+    let old = "format: 1\nclasses:\n  dawn: {priority: 9}\n  plan: {priority: 2}\n";
+    let new = "format: 1\nclasses:\n  dawn: {priority: 8}\n  plan: {priority: 2}\n  extra: {priority: 1}\n";
+    insta::assert_snapshot!(difference(old, new), @r"
+    -  dawn: {priority: 9}
+    +  dawn: {priority: 8}
+    +  extra: {priority: 1}
+    ");
+}
+
+#[test]
+fn texts_too_long_to_compare_are_told_whole() {
+    let old = "a\n".repeat(MAX_LINES + 1);
+    let told = difference(&old, "b\n");
+    assert_eq!(told.lines().filter(|line| *line == "-a").count(), MAX_LINES + 1);
+    assert_eq!(told.lines().filter(|line| *line == "+b").count(), 1);
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn applying_the_counts_gives_the_new_length(old in lines(), new in lines()) {
+        let told = difference(&old, &new);
+        let count = |sign| told.lines().filter(|line| line.starts_with(sign)).count();
+        prop_assert_eq!(old.lines().count() + count('+') - count('-'), new.lines().count());
+        prop_assert_eq!(told.is_empty(), old == new);
+    }
+}
+
+fn lines() -> impl Strategy<Value = String> {
+    prop::collection::vec("[abc]{1,2}\n", 0..12).prop_map(|lines| lines.concat())
+}
--- a/agatetrestle/src/operator/mod.rs
+++ b/agatetrestle/src/operator/mod.rs
@@ -1,1 +1,120 @@
 //! RPC for operators; see docs/operators/README.md.
+//!
+//! Any node answers. Changes go through the control group, so that two operators who race each
+//! other meet one compare-and-set; see docs/design/003-configuration-versions-and-lease.md.
+
+pub mod difference;
+
+mod rpc;
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use agatetrestle_schema::operator_capnp::operator;
+use capnp::message::ReaderOptions;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use smol::LocalExecutor;
+use smol::Timer;
+use smol::future::FutureExt;
+use smol::net::TcpListener;
+use smol::net::TcpStream;
+
+use crate::ids::NodeId;
+use crate::operator::rpc::Connection;
+use crate::ports::Backends;
+use crate::ports::Control;
+use crate::ports::Groups;
+use crate::ports::Ledger;
+use crate::ports::Members;
+use crate::ports::Traces;
+
+/// Connections open at once; operators are few, and each connection holds buffers.
+pub const MAX_CONNECTIONS: usize = 64;
+
+/// Largest message from an operator, in bytes; a document of declarations fits many times over.
+pub const MAX_MESSAGE: usize = 4 << 20;
+
+/// A connection is closed after this time, so that one gone silent does not hold its place.
+pub const MAX_CONNECTION_TIME: Duration = Duration::from_mins(10);
+
+const WORD: usize = 8;
+const NESTING: i32 = 16;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// What the RPC for operators draws on, all of it behind traits.
+pub struct OperatorServer {
+    /// The control group.
+    pub control: Rc<dyn Control>,
+    /// The known nodes.
+    pub members: Rc<dyn Members>,
+    /// The ledger of programs.
+    pub ledger: Rc<dyn Ledger>,
+    /// The backend servers.
+    pub backends: Rc<dyn Backends>,
+    /// The replicated groups of this node.
+    pub groups: Rc<dyn Groups>,
+    /// The newest trace lines.
+    pub traces: Rc<dyn Traces>,
+    /// This node.
+    pub node: NodeId,
+}
+
+/// Accepts operators' connections for as long as it is polled.
+pub async fn serve(server: Rc<OperatorServer>, listener: TcpListener, executor: Rc<LocalExecutor<'static>>) {
+    let open = Rc::new(Cell::new(0));
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                log::warn!("No connection could be accepted: {e}.");
+                Timer::after(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if open.get() >= MAX_CONNECTIONS {
+            log::warn!("A connection was closed because {MAX_CONNECTIONS} are open.");
+            continue;
+        }
+        let place = Place::take(&open);
+        let connection = Connection::new(Rc::clone(&server));
+        executor.spawn(converse(connection, stream, place)).detach();
+    }
+}
+
+/// One of the bounded number of connections; dropping it frees the place.
+struct Place(Rc<Cell<usize>>);
+
+impl Place {
+    fn take(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(Rc::clone(open))
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn converse(connection: Connection, stream: TcpStream, _place: Place) {
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_MESSAGE / WORD));
+    options.nesting_limit(NESTING);
+    let network = VatNetwork::new(stream.clone(), stream, Side::Server, options);
+    let client: operator::Client = capnp_rpc::new_client(connection);
+    let system = RpcSystem::new(Box::new(network), Some(client.client));
+    let limit = async {
+        Timer::after(MAX_CONNECTION_TIME).await;
+        Ok(())
+    };
+    if let Err(e) = system.or(limit).await {
+        log::debug!("A connection ended: {e}.");
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/agatetrestle_schema/schema/operator.capnp
+++ b/agatetrestle_schema/schema/operator.capnp
@@ -68,14 +68,24 @@
   text @2 :Text;
 }
 
+struct Failure {
+  # Why a call other than apply did nothing, told by kind so that tools need not read the text.
+  union {
+    none @0 :Void;
+    invalid @1 :Text;
+    unavailable @2 :Text;     # nothing was changed
+    unknown @3 :Text;         # the change may yet be applied
+  }
+}
+
 interface Operator {
   apply @0 (change :Change) -> (result :ApplyResult);
   plan @1 (scope :Text, text :Text) -> (currentVersion :UInt64, difference :Text, invalid :Text);
   status @2 () -> (node :UInt64, revision :UInt64, takingWork :Bool, reason :Text, nodes :List(NodeStatus), groups :List(GroupStatus));
-  programs @3 (partner :Text, limit :UInt32) -> (programs :List(ProgramStatus));
+  programs @3 (partner :Text, limit :UInt32) -> (programs :List(ProgramStatus), failure :Failure);
   backends @4 () -> (backends :List(BackendStatus));
-  drain @5 (name :Text) -> (incarnation :UInt64);
+  drain @5 (name :Text) -> (incarnation :UInt64, failure :Failure);
   config @6 () -> (revision :UInt64, documents :List(Document));
   trace @7 (limit :UInt32) -> (lines :List(Text));
-  resolve @8 (program :Text, call :UInt32, ran :Bool, note :Text) -> (error :Text);
+  resolve @8 (program :Text, call :UInt32, ran :Bool, note :Text) -> (failure :Failure);
 }
