Add the ledger of programs and the control state

Cause: order, history, budget and at-most-once must rest on one state machine, not on entry nodes. Change: compare-and-set commands on programs with reservations, stored answers, doubt and its resolution; documents by version with first results kept for each scope, leaving marks, fencing numbers.

--- a/agatetrestle/src/agreement/mod.rs
+++ b/agatetrestle/src/agreement/mod.rs
@@ -10,10 +10,12 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use snafu::Snafu;
 
 use crate::agreement::message::Entry;
 use crate::agreement::message::Message;
 use crate::agreement::message::Position;
+use crate::codec::DecodeError;
 use crate::ids::NodeId;
 
 /// Handle by which the driver recognises the outcome of a proposal.
@@ -179,9 +181,9 @@
 }
 
 /// A snapshot that can't be decoded.
-#[derive(Debug, snafu::Snafu)]
-#[snafu(visibility(pub), display("the snapshot can't be decoded: {source}"))]
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub), display("the snapshot can't be restored: {source}"))]
 pub struct RestoreError {
     /// What the decoder said.
-    source: ciborium::de::Error<std::io::Error>,
+    source: DecodeError,
 }
--- a/agatetrestle/src/control/mod.rs
+++ b/agatetrestle/src/control/mod.rs
@@ -4,3 +4,6 @@
 //! docs/design/003-configuration-versions-and-lease.md.
 
 pub mod command;
+pub mod state;
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/agatetrestle/src/control/state.rs
@@ -0,0 +1,136 @@
+//! State of the control group: documents by version, leaving marks and the fencing number.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+use snafu::ResultExt;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::agreement::RestoreError;
+use crate::agreement::RestoreSnafu;
+use crate::agreement::StateMachine;
+use crate::agreement::message::Position;
+use crate::codec::decode;
+use crate::codec::encode;
+use crate::control::command::Configuration;
+use crate::control::command::ControlCommand;
+use crate::control::command::ControlReply;
+use crate::control::command::Document;
+use crate::ids::NodeId;
+
+/// How many first results are kept for each scope. At 1,100 changes a day this covers days of
+/// resends, and one partner's changes never push out another's.
+const RESULTS_PER_SCOPE: usize = 2_048;
+
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct FirstResult {
+    change_id: Arc<str>,
+    digest: u64,
+    reply: ControlReply,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+struct Fence {
+    number: u64,
+    term: u64,
+    node: NodeId,
+}
+
+/// What the control replicas agree on.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ControlState {
+    configuration: Arc<Configuration>,
+    results: BTreeMap<Arc<str>, VecDeque<FirstResult>>,
+    fence: Fence,
+}
+
+impl ControlState {
+    /// Everything in force as of the last applied command.
+    #[must_use]
+    pub fn configuration(&self) -> Arc<Configuration> {
+        self.configuration.clone()
+    }
+
+    /// Applies a command; the reply is the same on every replica.
+    pub fn execute(&mut self, command: ControlCommand) -> ControlReply {
+        match command {
+            ControlCommand::Apply { scope, text, expected, change_id } => {
+                self.replace_document(scope, text, expected, change_id)
+            }
+            ControlCommand::Leave { name, incarnation } => self.mark_leaving(name, incarnation),
+            ControlCommand::Fence { node, term } => self.issue_fence(node, term),
+        }
+    }
+
+    fn replace_document(
+        &mut self,
+        scope: Arc<str>,
+        text: Arc<str>,
+        expected: u64,
+        change_id: Arc<str>,
+    ) -> ControlReply {
+        let digest = xxh3_64(text.as_bytes());
+        let results = self.results.entry(scope.clone()).or_default();
+        if let Some(first) = results.iter().rev().find(|result| result.change_id == change_id) {
+            return if first.digest == digest { first.reply.clone() } else { ControlReply::Refused };
+        }
+        let current = self.configuration.documents.get(&scope);
+        let version = current.map_or(0, |document| document.version);
+        if version != expected {
+            let text = current.map_or_else(|| "".into(), |document| document.text.clone());
+            return ControlReply::Conflict { version, text };
+        }
+        let configuration = Arc::make_mut(&mut self.configuration);
+        configuration.revision += 1;
+        configuration.documents.insert(scope, Document { version: version + 1, text });
+        let reply = ControlReply::Accepted { version: version + 1, revision: configuration.revision };
+        if results.len() == RESULTS_PER_SCOPE {
+            results.pop_front();
+        }
+        results.push_back(FirstResult { change_id, digest, reply: reply.clone() });
+        reply
+    }
+
+    fn mark_leaving(&mut self, name: Arc<str>, incarnation: u64) -> ControlReply {
+        let marked = self.configuration.leaving.get(&name).copied();
+        let highest = marked.map_or(incarnation, |marked| marked.max(incarnation));
+        if marked != Some(highest) {
+            let configuration = Arc::make_mut(&mut self.configuration);
+            configuration.revision += 1;
+            configuration.leaving.insert(name, highest);
+        }
+        ControlReply::Leaving { incarnation: highest }
+    }
+
+    fn issue_fence(&mut self, node: NodeId, term: u64) -> ControlReply {
+        if term < self.fence.term || (term == self.fence.term && node != self.fence.node) {
+            return ControlReply::Refused;
+        }
+        if term > self.fence.term {
+            self.fence = Fence { number: self.fence.number + 1, term, node };
+        }
+        ControlReply::Fenced(self.fence.number)
+    }
+}
+
+impl StateMachine for ControlState {
+    fn apply(&mut self, _position: Position, payload: &[u8]) -> Vec<u8> {
+        let reply = match decode::<ControlCommand>(payload) {
+            Ok(command) => self.execute(command),
+            Err(_) => ControlReply::Refused,
+        };
+        encode(&reply)
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        encode(self)
+    }
+
+    fn restore(&mut self, data: &[u8]) -> Result<(), RestoreError> {
+        *self = decode(data).context(RestoreSnafu)?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/agatetrestle/src/control/tests.rs
@@ -0,0 +1,69 @@
+//! Tests of the control group's state.
+
+use crate::agreement::StateMachine;
+use crate::control::command::ControlCommand;
+use crate::control::command::ControlReply;
+use crate::control::state::ControlState;
+use crate::ids::NodeId;
+
+fn apply(scope: &str, text: &str, expected: u64, change_id: &str) -> ControlCommand {
+    ControlCommand::Apply { scope: scope.into(), text: text.into(), expected, change_id: change_id.into() }
+}
+
+#[test]
+fn of_two_operators_with_equal_versions_exactly_one_wins() {
+    let mut state = ControlState::default();
+    let first = state.execute(apply("vrsta", "one", 0, "anna"));
+    assert_eq!(first, ControlReply::Accepted { version: 1, revision: 1 });
+    let second = state.execute(apply("vrsta", "two", 0, "boris"));
+    assert_eq!(second, ControlReply::Conflict { version: 1, text: "one".into() });
+}
+
+#[test]
+fn a_resend_returns_the_first_result_even_after_later_changes() {
+    let mut state = ControlState::default();
+    let first = state.execute(apply("vrsta", "one", 0, "anna"));
+    state.execute(apply("vrsta", "two", 1, "boris"));
+    assert_eq!(state.execute(apply("vrsta", "one", 0, "anna")), first);
+    assert_eq!(&*state.configuration().documents["vrsta"].text, "two");
+    assert_eq!(state.execute(apply("vrsta", "other", 0, "anna")), ControlReply::Refused);
+}
+
+#[test]
+fn partners_race_only_within_their_own_document() {
+    let mut state = ControlState::default();
+    state.execute(apply("vrsta", "one", 0, "same-id"));
+    let other = state.execute(apply("lernwerk", "two", 0, "same-id"));
+    assert_eq!(other, ControlReply::Accepted { version: 1, revision: 2 });
+}
+
+#[test]
+fn a_leaving_mark_never_falls_back() {
+    let mut state = ControlState::default();
+    let leave = |incarnation| ControlCommand::Leave { name: "vm-3".into(), incarnation };
+    assert_eq!(state.execute(leave(5)), ControlReply::Leaving { incarnation: 5 });
+    assert_eq!(state.execute(leave(4)), ControlReply::Leaving { incarnation: 5 });
+    assert_eq!(state.configuration().revision, 1, "a lagging sign changes nothing");
+}
+
+#[test]
+fn fencing_numbers_rise_with_the_term_and_old_leaders_get_none() {
+    let mut state = ControlState::default();
+    let fence = |node, term| ControlCommand::Fence { node: NodeId(node), term };
+    assert_eq!(state.execute(fence(1, 3)), ControlReply::Fenced(1));
+    assert_eq!(state.execute(fence(1, 3)), ControlReply::Fenced(1));
+    assert_eq!(state.execute(fence(2, 5)), ControlReply::Fenced(2));
+    assert_eq!(state.execute(fence(1, 3)), ControlReply::Refused);
+}
+
+#[test]
+fn five_hundred_changes_survive_a_snapshot() {
+    let mut state = ControlState::default();
+    for version in 0..500 {
+        state.execute(apply("vrsta", &format!("text {version}"), version, &format!("change-{version}")));
+    }
+    let mut restored = ControlState::default();
+    restored.restore(&state.snapshot()).unwrap();
+    assert_eq!(restored, state);
+    assert_eq!(restored.configuration().documents["vrsta"].version, 500);
+}
--- a/agatetrestle/src/lib.rs
+++ b/agatetrestle/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod attempts;
 pub mod cli;
 pub mod clock;
+pub mod codec;
 pub mod control;
 pub mod entry;
 pub mod health;
--- a/agatetrestle/src/programs/mod.rs
+++ b/agatetrestle/src/programs/mod.rs
@@ -5,3 +5,6 @@
 
 pub mod command;
 pub mod ledger;
+mod program;
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/agatetrestle/src/programs/program.rs
@@ -0,0 +1,376 @@
+//! One program of the ledger: its calls, budget and history.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::AttemptId;
+use crate::ids::CallNumber;
+use crate::ids::NodeId;
+use crate::ids::ProgramId;
+use crate::ids::RequestKey;
+use crate::programs::command::Answer;
+use crate::programs::command::CallState;
+use crate::programs::command::ProgramReply;
+use crate::programs::command::ProgramSpec;
+use crate::programs::command::ProgramView;
+use crate::programs::command::Refusal;
+use crate::programs::command::Repeatable;
+
+/// A call with everything that a resend may ask for.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(super) struct CallRecord {
+    key: RequestKey,
+    digest: u64,
+    attempt: AttemptId,
+    repeatable: Repeatable,
+    state: CallState,
+    reserve: u64,
+    charged: u64,
+    request: Arc<[u8]>,
+    answer: Option<Answer>,
+    note: Option<Arc<str>>,
+}
+
+/// What a `Begin` asks for.
+#[derive(Clone, Debug)]
+pub(super) struct NewCall {
+    pub(super) number: CallNumber,
+    pub(super) key: RequestKey,
+    pub(super) attempt: AttemptId,
+    pub(super) reserve: u64,
+    pub(super) repeatable: Repeatable,
+    pub(super) request: Arc<[u8]>,
+    pub(super) digest: u64,
+}
+
+/// State of one program. Calls are numbered from 1 in the order they were begun.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(super) struct Program {
+    pub(super) key: RequestKey,
+    pub(super) spec: ProgramSpec,
+    opened_at: u64,
+    calls: Vec<CallRecord>,
+    spent: u64,
+    reserved: u64,
+    children: u32,
+    ended: bool,
+    /// Highest attempt of each node that gave its call back, so that a late duplicate of its
+    /// `Begin` can't open the call again for an attempt that nobody makes any more.
+    released: BTreeMap<NodeId, (u64, u64)>,
+}
+
+impl Program {
+    pub(super) fn open(key: RequestKey, spec: ProgramSpec, opened_at: u64) -> Self {
+        Self {
+            key,
+            spec,
+            opened_at,
+            calls: Vec::new(),
+            spent: 0,
+            reserved: 0,
+            children: 0,
+            ended: false,
+            released: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn ended(&self) -> bool {
+        self.ended
+    }
+
+    pub(super) fn opened_at(&self) -> u64 {
+        self.opened_at
+    }
+
+    fn left(&self) -> u64 {
+        self.spec.budget - self.spent - self.reserved
+    }
+
+    /// Carves a sub-agent's budget out of this program's.
+    pub(super) fn adopt(&mut self, budget: u64) -> Result<(), Refusal> {
+        if self.ended {
+            return Err(Refusal::Ended);
+        }
+        if budget > self.left() {
+            return Err(Refusal::Budget { left: self.left() });
+        }
+        self.reserved += budget;
+        self.children += 1;
+        Ok(())
+    }
+
+    /// Takes back what an ended sub-agent left.
+    pub(super) fn settle_child(&mut self, budget: u64, spent: u64) {
+        self.reserved -= budget;
+        self.spent += spent;
+        self.children -= 1;
+    }
+
+    pub(super) fn begin(&mut self, new: NewCall) -> Result<Begun, Refusal> {
+        if let Some(index) = self.calls.iter().rposition(|call| call.key == new.key) {
+            return self.begin_again(index, &new);
+        }
+        if self.ended {
+            return Err(Refusal::Ended);
+        }
+        if self.was_released(new.attempt) {
+            return Err(Refusal::NotYourAttempt);
+        }
+        self.check_order(new.number)?;
+        if self.calls.len() >= self.spec.turns as usize {
+            return Err(Refusal::Turns);
+        }
+        self.reserve(new.reserve)?;
+        self.calls.push(CallRecord {
+            key: new.key,
+            digest: new.digest,
+            attempt: new.attempt,
+            repeatable: new.repeatable,
+            state: CallState::Open,
+            reserve: new.reserve,
+            charged: 0,
+            request: new.request,
+            answer: None,
+            note: None,
+        });
+        Ok(Begun::Now)
+    }
+
+    fn begin_again(&mut self, index: usize, new: &NewCall) -> Result<Begun, Refusal> {
+        let call = &self.calls[index];
+        if call.digest != new.digest {
+            return Err(Refusal::KeyReused);
+        }
+        match (call.state, &call.answer) {
+            (CallState::Finished, Some(answer)) => Ok(Begun::Earlier(ProgramReply::Stored(answer.clone()))),
+            (CallState::Finished, None) => Err(Refusal::WrongState),
+            (CallState::Open, _) if call.attempt == new.attempt => Ok(Begun::Now),
+            (CallState::Open, _) => Ok(Begun::Earlier(ProgramReply::InProgress(call.attempt))),
+            (CallState::Unknown, _) => self.reopen(index, new),
+        }
+    }
+
+    /// A repeatable call in doubt may be sent again; what the lost attempt may have cost stays charged.
+    fn reopen(&mut self, index: usize, new: &NewCall) -> Result<Begun, Refusal> {
+        let call = &self.calls[index];
+        let last = index + 1 == self.calls.len();
+        if call.repeatable == Repeatable::No || !last || self.ended {
+            return Ok(Begun::Earlier(ProgramReply::InDoubt(call.attempt)));
+        }
+        if self.was_released(new.attempt) {
+            return Err(Refusal::NotYourAttempt);
+        }
+        self.reserve(new.reserve)?;
+        let call = &mut self.calls[index];
+        call.state = CallState::Open;
+        call.attempt = new.attempt;
+        call.reserve = new.reserve;
+        Ok(Begun::Now)
+    }
+
+    fn check_order(&self, number: CallNumber) -> Result<(), Refusal> {
+        let next = self.next_call();
+        if number != next {
+            return Err(Refusal::OutOfOrder { next });
+        }
+        match self.calls.last() {
+            Some(last) if last.state == CallState::Open => {
+                Err(Refusal::CallOpen { call: CallNumber(next.0 - 1) })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn reserve(&mut self, tokens: u64) -> Result<(), Refusal> {
+        if tokens > self.left() {
+            return Err(Refusal::Budget { left: self.left() });
+        }
+        self.reserved += tokens;
+        Ok(())
+    }
+
+    fn was_released(&self, attempt: AttemptId) -> bool {
+        let released = self.released.get(&attempt.node);
+        released.is_some_and(|highest| (attempt.incarnation, attempt.sequence) <= *highest)
+    }
+
+    fn next_call(&self) -> CallNumber {
+        CallNumber(u32::try_from(self.calls.len()).unwrap_or(u32::MAX - 1) + 1)
+    }
+
+    fn call_mut(&mut self, number: CallNumber) -> Result<&mut CallRecord, Refusal> {
+        let index = (number.0 as usize).checked_sub(1).ok_or(Refusal::WrongState)?;
+        self.calls.get_mut(index).ok_or(Refusal::WrongState)
+    }
+
+    pub(super) fn take_over(
+        &mut self,
+        number: CallNumber,
+        previous: AttemptId,
+        attempt: AttemptId,
+    ) -> Result<(), Refusal> {
+        if self.was_released(attempt) {
+            return Err(Refusal::NotYourAttempt);
+        }
+        let call = self.call_mut(number)?;
+        if call.state != CallState::Open || call.repeatable == Repeatable::No {
+            return Err(Refusal::WrongState);
+        }
+        if call.attempt == attempt {
+            return Ok(());
+        }
+        if call.attempt != previous {
+            return Err(Refusal::NotYourAttempt);
+        }
+        call.attempt = attempt;
+        Ok(())
+    }
+
+    /// Stores an answer. A call in doubt accepts it too: the doubt is then over.
+    pub(super) fn finish(
+        &mut self,
+        number: CallNumber,
+        attempt: AttemptId,
+        answer: Answer,
+        spent: u64,
+    ) -> Result<(), Refusal> {
+        let call = self.call_mut(number)?;
+        if call.attempt != attempt {
+            return Err(Refusal::NotYourAttempt);
+        }
+        let spent = spent.min(call.reserve);
+        let reserve = call.reserve;
+        let before = call.state;
+        if before == CallState::Finished {
+            return Ok(());
+        }
+        call.state = CallState::Finished;
+        call.answer = Some(answer);
+        call.charged = match before {
+            CallState::Unknown => call.charged - reserve + spent,
+            CallState::Open | CallState::Finished => call.charged + spent,
+        };
+        match before {
+            CallState::Unknown => self.spent = self.spent - reserve + spent,
+            CallState::Open | CallState::Finished => self.settle(reserve, spent),
+        }
+        Ok(())
+    }
+
+    fn settle(&mut self, reserve: u64, spent: u64) {
+        self.reserved -= reserve;
+        self.spent += spent;
+    }
+
+    pub(super) fn not_run(&mut self, number: CallNumber, attempt: AttemptId) -> Result<(), Refusal> {
+        if self.was_released(attempt) {
+            return Ok(());
+        }
+        let call = self.call_mut(number)?;
+        if call.attempt != attempt {
+            return Err(Refusal::NotYourAttempt);
+        }
+        if call.state != CallState::Open {
+            return Err(Refusal::WrongState);
+        }
+        let reserve = call.reserve;
+        let charged = call.charged;
+        if charged > 0 {
+            // An earlier attempt of this call is in doubt, so only this attempt did not run.
+            call.state = CallState::Unknown;
+            call.reserve = 0;
+        } else {
+            self.calls.pop();
+        }
+        self.reserved -= reserve;
+        self.released.insert(attempt.node, (attempt.incarnation, attempt.sequence));
+        Ok(())
+    }
+
+    /// Nobody can tell whether the call ran, so the whole reservation counts as spent.
+    pub(super) fn doubt(&mut self, number: CallNumber, attempt: AttemptId) -> Result<(), Refusal> {
+        let call = self.call_mut(number)?;
+        if call.attempt != attempt {
+            return Err(Refusal::NotYourAttempt);
+        }
+        match call.state {
+            CallState::Unknown => return Ok(()),
+            CallState::Finished => return Err(Refusal::WrongState),
+            CallState::Open => {}
+        }
+        call.state = CallState::Unknown;
+        call.charged += call.reserve;
+        let reserve = call.reserve;
+        self.settle(reserve, reserve);
+        Ok(())
+    }
+
+    pub(super) fn resolve(&mut self, number: CallNumber, ran: bool, note: Arc<str>) -> Result<(), Refusal> {
+        let call = self.call_mut(number)?;
+        if call.state != CallState::Unknown || call.note.is_some() {
+            return Err(Refusal::WrongState);
+        }
+        call.note = Some(note);
+        if ran {
+            return Ok(());
+        }
+        let refund = std::mem::take(&mut call.charged);
+        call.reserve = 0;
+        self.spent -= refund;
+        Ok(())
+    }
+
+    /// Ends the program and returns what its parent must settle.
+    pub(super) fn end(&mut self) -> Result<Option<(ProgramId, u64, u64)>, Refusal> {
+        if self.ended {
+            return Ok(None);
+        }
+        if self.children > 0 {
+            return Err(Refusal::Children);
+        }
+        if let Some(last) = self.calls.last()
+            && last.state == CallState::Open
+        {
+            return Err(Refusal::CallOpen { call: CallNumber(self.next_call().0 - 1) });
+        }
+        self.ended = true;
+        Ok(self.spec.parent.clone().map(|parent| (parent, self.spec.budget, self.spent)))
+    }
+
+    pub(super) fn request(&self, key: &RequestKey) -> Option<ProgramReply> {
+        let call = self.calls.iter().rev().find(|call| call.key == *key)?;
+        Some(match (call.state, &call.answer) {
+            (CallState::Finished, Some(answer)) => ProgramReply::Stored(answer.clone()),
+            (CallState::Finished, None) => ProgramReply::Refused(Refusal::WrongState),
+            (CallState::Open, _) => ProgramReply::InProgress(call.attempt),
+            (CallState::Unknown, _) => ProgramReply::InDoubt(call.attempt),
+        })
+    }
+
+    pub(super) fn view(&self, program: &ProgramId) -> ProgramView {
+        let next_call = self.next_call();
+        let last = self.calls.last();
+        ProgramView {
+            program: program.clone(),
+            spec: self.spec.clone(),
+            next_call,
+            spent: self.spent,
+            reserved: self.reserved,
+            ended: self.ended,
+            last: last.map(|c| (CallNumber(next_call.0 - 1), c.state, c.attempt, c.repeatable)),
+            opened_at: self.opened_at,
+        }
+    }
+}
+
+/// Outcome of a `Begin` that was not refused.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Begun {
+    /// The call is open for the attempt that asked.
+    Now,
+    /// The request was begun earlier.
+    Earlier(ProgramReply),
+}
