--- a/agatetrestle/src/agreement/mod.rs
+++ b/agatetrestle/src/agreement/mod.rs
@@ -6,6 +6,7 @@
 pub mod coding;
 pub mod message;
 pub mod replica;
+pub mod storage;
 #[cfg(test)]
 mod tests;
 
--- /dev/null
+++ b/agatetrestle/src/agreement/storage/disk.rs
@@ -0,0 +1,164 @@
+//! The border to the file system, so that tests can fill a disk, tear a write and forget what was not synced.
+
+use std::fs;
+use std::fs::File;
+use std::fs::OpenOptions;
+use std::io;
+use std::io::Write as _;
+use std::path::Path;
+use std::path::PathBuf;
+
+/// One flat folder of files. Nothing lasts until it is synced, names included.
+pub trait Disk: Send {
+    /// Names of all files.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the file system does, as all methods here.
+    fn list(&self) -> io::Result<Vec<String>>;
+
+    /// Content of a file.
+    ///
+    /// # Errors
+    ///
+    /// As above.
+    fn read(&self, name: &str) -> io::Result<Vec<u8>>;
+
+    /// Creates an empty file, or empties the one there.
+    ///
+    /// # Errors
+    ///
+    /// As above.
+    fn create(&mut self, name: &str) -> io::Result<()>;
+
+    /// Appends to a file; on failure any part of the bytes may be there.
+    ///
+    /// # Errors
+    ///
+    /// As above.
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
+
+    /// Makes the content of a file durable.
+    ///
+    /// # Errors
+    ///
+    /// As above; the content that was not synced is then in doubt.
+    fn sync(&mut self, name: &str) -> io::Result<()>;
+
+    /// Cuts a file to a length; durable after the next sync of it.
+    ///
+    /// # Errors
+    ///
+    /// As above.
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()>;
+
+    /// Renames a file over another; durable after the next sync of the folder.
+    ///
+    /// # Errors
+    ///
+    /// As above.
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
+
+    /// Removes a file; durable after the next sync of the folder.
+    ///
+    /// # Errors
+    ///
+    /// As above.
+    fn remove(&mut self, name: &str) -> io::Result<()>;
+
+    /// Makes creations, renames and removals durable.
+    ///
+    /// # Errors
+    ///
+    /// As above.
+    fn sync_folder(&mut self) -> io::Result<()>;
+}
+
+/// Name of the file whose lock says that the folder is in use; the system frees it with the process.
+const LOCK_FILE: &str = "lock";
+
+/// A folder of the real file system. The file last written to stays open.
+#[derive(Debug)]
+pub struct FileDisk {
+    folder: PathBuf,
+    open: Option<(String, File)>,
+    _lock: File,
+}
+
+impl FileDisk {
+    /// Opens a folder and creates it where it is missing, durably. It is locked until this is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the file system does, and with [`io::ErrorKind::WouldBlock`] if it is in use.
+    pub fn open(folder: &Path) -> io::Result<Self> {
+        fs::create_dir_all(folder)?;
+        if let Some(parent) = folder.parent().filter(|parent| !parent.as_os_str().is_empty()) {
+            File::open(parent)?.sync_all()?;
+        }
+        let lock = File::create(folder.join(LOCK_FILE))?;
+        lock.try_lock()?;
+        Ok(Self { folder: folder.to_path_buf(), open: None, _lock: lock })
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.folder.join(name)
+    }
+
+    fn file(&mut self, name: &str) -> io::Result<&mut File> {
+        let held = self.open.take().filter(|(open, _)| open == name);
+        let held = match held {
+            Some(held) => held,
+            None => (name.to_owned(), OpenOptions::new().append(true).open(self.path(name))?),
+        };
+        Ok(&mut self.open.insert(held).1)
+    }
+}
+
+impl Disk for FileDisk {
+    fn list(&self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(&self.folder)? {
+            names.push(entry?.file_name().to_string_lossy().into_owned());
+        }
+        Ok(names)
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        fs::read(self.path(name))
+    }
+
+    fn create(&mut self, name: &str) -> io::Result<()> {
+        let file = File::create(self.path(name))?;
+        self.open = Some((name.to_owned(), file));
+        Ok(())
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.file(name)?.write_all(bytes)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.file(name)?.sync_data()
+    }
+
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.file(name)?.set_len(length)?;
+        self.open = None;
+        Ok(())
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.open = None;
+        fs::rename(self.path(from), self.path(to))
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.open = None;
+        fs::remove_file(self.path(name))
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        File::open(&self.folder)?.sync_all()
+    }
+}
--- /dev/null
+++ b/agatetrestle/src/agreement/storage/frame.rs
@@ -0,0 +1,222 @@
+//! Bytes of a segment: a header, then frames of records.
+//!
+//! One frame is what one call wrote and synced. The next frame is written only after that, so a bad
+//! frame with a valid one behind it was synced once and is corruption, while a bad one at the very
+//! end is a torn write of which nothing was acknowledged. The checksum of a frame covers its place
+//! too, so that bytes of a payload that look like a frame never pass for one.
+
+use std::sync::Arc;
+
+use crate::agreement::HardState;
+use crate::agreement::message::Entry;
+use crate::agreement::message::EntryKind;
+use crate::agreement::message::Position;
+use crate::agreement::storage::error::Damage;
+use crate::ids::GroupId;
+use crate::ids::NodeId;
+
+/// First bytes of a segment.
+const MAGIC: &[u8; 8] = b"AGTRLOG\n";
+
+/// Version of the format of segments.
+const VERSION: u32 = 1;
+
+/// Bytes of a segment's header: magic, version, group, number of the segment, checksum.
+pub(super) const HEADER_BYTES: usize = 8 + 4 + 4 + 8 + 4;
+
+/// Bytes before a frame's records: length and checksum.
+pub(super) const FRAME_HEADER_BYTES: usize = 4 + 4;
+
+/// Bytes of the frame that begins each segment: its header and one hard state.
+pub(super) const FIRST_FRAME_BYTES: usize = FRAME_HEADER_BYTES + 1 + 8 + 8;
+
+const HARD_STATE: u8 = 1;
+const TRUNCATE: u8 = 2;
+const ENTRY: u8 = 3;
+
+/// One record of a frame.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Record {
+    HardState(HardState),
+    Truncate(u64),
+    Entry(Entry),
+}
+
+/// The header of a segment.
+pub(super) fn encode_header(group: GroupId, sequence: u64) -> Vec<u8> {
+    let mut buf = Vec::with_capacity(HEADER_BYTES);
+    buf.extend_from_slice(MAGIC);
+    buf.extend_from_slice(&VERSION.to_le_bytes());
+    buf.extend_from_slice(&group.0.to_le_bytes());
+    buf.extend_from_slice(&sequence.to_le_bytes());
+    let checksum = crc32fast::hash(&buf);
+    buf.extend_from_slice(&checksum.to_le_bytes());
+    buf
+}
+
+/// Checks the header of a segment.
+pub(super) fn check_header(bytes: &[u8], group: GroupId, sequence: u64) -> Result<(), Damage> {
+    let mut reader = Reader { bytes };
+    let magic = reader.take(MAGIC.len()).ok_or(Damage::Short)?;
+    let version = reader.u32().ok_or(Damage::Short)?;
+    let found = GroupId(reader.u32().ok_or(Damage::Short)?);
+    let number = reader.u64().ok_or(Damage::Short)?;
+    let checksum = reader.u32().ok_or(Damage::Short)?;
+    if magic != MAGIC {
+        return Err(Damage::Magic);
+    }
+    if version != VERSION {
+        return Err(Damage::Version { version });
+    }
+    if checksum != crc32fast::hash(&bytes[..HEADER_BYTES - 4]) || number != sequence {
+        return Err(Damage::Checksum);
+    }
+    if found != group {
+        return Err(Damage::Group { group: found });
+    }
+    Ok(())
+}
+
+/// Gathers the records of one frame.
+#[derive(Debug)]
+pub(super) struct FrameBuffer {
+    bytes: Vec<u8>,
+}
+
+impl FrameBuffer {
+    pub(super) fn new() -> Self {
+        Self { bytes: vec![0; FRAME_HEADER_BYTES] }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.bytes.len() == FRAME_HEADER_BYTES
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    pub(super) fn hard_state(&mut self, state: HardState) {
+        self.bytes.push(HARD_STATE);
+        self.bytes.extend_from_slice(&state.term.to_le_bytes());
+        self.bytes.extend_from_slice(&state.vote.unwrap_or_default().0.to_le_bytes());
+    }
+
+    pub(super) fn truncate(&mut self, index: u64) {
+        self.bytes.push(TRUNCATE);
+        self.bytes.extend_from_slice(&index.to_le_bytes());
+    }
+
+    pub(super) fn entry(&mut self, entry: &Entry) {
+        self.bytes.push(ENTRY);
+        self.bytes.push(match entry.kind {
+            EntryKind::Command => 0,
+            EntryKind::NoOperation => 1,
+            EntryKind::Replicas => 2,
+        });
+        self.bytes.extend_from_slice(&entry.position.term.to_le_bytes());
+        self.bytes.extend_from_slice(&entry.position.index.to_le_bytes());
+        let length = u32::try_from(entry.payload.len()).expect("a payload is smaller than 4 GiB");
+        self.bytes.extend_from_slice(&length.to_le_bytes());
+        self.bytes.extend_from_slice(&entry.payload);
+    }
+
+    /// The frame for its place in the log.
+    pub(super) fn finish(mut self, sequence: u64, offset: usize) -> Vec<u8> {
+        let length =
+            u32::try_from(self.bytes.len() - FRAME_HEADER_BYTES).expect("a batch is smaller than 4 GiB");
+        let checksum = frame_checksum(sequence, offset, &self.bytes[FRAME_HEADER_BYTES..]);
+        self.bytes[..4].copy_from_slice(&length.to_le_bytes());
+        self.bytes[4..FRAME_HEADER_BYTES].copy_from_slice(&checksum.to_le_bytes());
+        self.bytes
+    }
+}
+
+/// The records of the frame at an offset, with the offset behind it; `None` if there is no valid frame.
+pub(super) fn frame_at(bytes: &[u8], sequence: u64, offset: usize) -> Option<(&[u8], usize)> {
+    let mut reader = Reader { bytes: bytes.get(offset..)? };
+    let length = usize::try_from(reader.u32()?).ok()?;
+    let checksum = reader.u32()?;
+    let records = reader.take(length)?;
+    let valid = length > 0 && checksum == frame_checksum(sequence, offset, records);
+    valid.then_some((records, offset + FRAME_HEADER_BYTES + length))
+}
+
+/// Whether any valid frame begins after an offset.
+pub(super) fn has_frame_after(bytes: &[u8], sequence: u64, offset: usize) -> bool {
+    (offset + 1..bytes.len()).any(|at| {
+        let kind = bytes.get(at + FRAME_HEADER_BYTES);
+        let plausible = kind.is_some_and(|kind| (HARD_STATE..=ENTRY).contains(kind));
+        plausible && frame_at(bytes, sequence, at).is_some()
+    })
+}
+
+/// Reads the records of a frame.
+pub(super) fn decode_records(bytes: &[u8]) -> Result<Vec<Record>, Damage> {
+    let mut reader = Reader { bytes };
+    let mut records = Vec::new();
+    while !reader.bytes.is_empty() {
+        records.push(reader.record().ok_or(Damage::Record)?);
+    }
+    Ok(records)
+}
+
+/// The checksum of a frame's records at their place.
+fn frame_checksum(sequence: u64, offset: usize, records: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&sequence.to_le_bytes());
+    hasher.update(&(offset as u64).to_le_bytes());
+    hasher.update(records);
+    hasher.finalize()
+}
+
+/// Takes numbers off the front of a run of bytes.
+pub(super) struct Reader<'a> {
+    pub(super) bytes: &'a [u8],
+}
+
+impl<'a> Reader<'a> {
+    pub(super) fn take(&mut self, length: usize) -> Option<&'a [u8]> {
+        let (taken, rest) = self.bytes.split_at_checked(length)?;
+        self.bytes = rest;
+        Some(taken)
+    }
+
+    pub(super) fn u32(&mut self) -> Option<u32> {
+        let (taken, rest) = self.bytes.split_first_chunk()?;
+        self.bytes = rest;
+        Some(u32::from_le_bytes(*taken))
+    }
+
+    pub(super) fn u64(&mut self) -> Option<u64> {
+        let (taken, rest) = self.bytes.split_first_chunk()?;
+        self.bytes = rest;
+        Some(u64::from_le_bytes(*taken))
+    }
+
+    fn record(&mut self) -> Option<Record> {
+        match self.take(1)?[0] {
+            HARD_STATE => {
+                let term = self.u64()?;
+                let vote = Some(NodeId(self.u64()?)).filter(|node| node.0 != 0);
+                Some(Record::HardState(HardState { term, vote }))
+            }
+            TRUNCATE => Some(Record::Truncate(self.u64()?)),
+            ENTRY => self.entry().map(Record::Entry),
+            _ => None,
+        }
+    }
+
+    fn entry(&mut self) -> Option<Entry> {
+        let kind = match self.take(1)?[0] {
+            0 => EntryKind::Command,
+            1 => EntryKind::NoOperation,
+            2 => EntryKind::Replicas,
+            _ => return None,
+        };
+        let position = Position { term: self.u64()?, index: self.u64()? };
+        let length = usize::try_from(self.u32()?).ok()?;
+        let payload = Arc::from(self.take(length)?);
+        Some(Entry { position, kind, payload })
+    }
+}
--- /dev/null
+++ b/agatetrestle/src/agreement/storage/tests/random.rs
@@ -0,0 +1,176 @@
+//! Random writes, snapshots, full disks and crashes at any operation, against a model of what must last.
+
+use proptest::prelude::*;
+
+use crate::agreement::HardState;
+use crate::agreement::Write;
+use crate::agreement::message::Entry;
+use crate::agreement::replica::Restored;
+use crate::agreement::storage::Storage;
+use crate::agreement::storage::tests::entry;
+use crate::agreement::storage::tests::memory::MemoryDisk;
+use crate::agreement::storage::tests::open;
+use crate::agreement::storage::tests::snapshot;
+use crate::agreement::tests::seeded;
+use crate::ids::NodeId;
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// Appends entries after dropping some from the end.
+    Append { dropped: u64, added: u64 },
+    /// A new term and vote.
+    Vote,
+    /// A snapshot of all but the last entries.
+    Snapshot { kept: u64 },
+    /// So much room is left on the disk.
+    Room(usize),
+    /// So many more operations work before the power goes.
+    Dying(usize),
+    /// The power goes.
+    Crash(u64),
+}
+
+/// What the storage must know.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Model {
+    state: HardState,
+    covered: u64,
+    entries: Vec<Entry>,
+}
+
+impl Model {
+    fn last(&self) -> u64 {
+        self.covered + self.entries.len() as u64
+    }
+
+    fn write(&mut self, write: &Write) {
+        self.state = write.hard_state.unwrap_or(self.state);
+        if let Some(from) = write.truncate_from {
+            self.entries.retain(|entry| entry.position.index < from);
+        }
+        self.entries.extend_from_slice(&write.entries);
+    }
+
+    fn cover(&mut self, index: u64) {
+        self.entries.retain(|entry| entry.position.index > index);
+        self.covered = index;
+    }
+}
+
+impl From<Restored> for Model {
+    fn from(restored: Restored) -> Self {
+        let covered = restored.snapshot.map_or(0, |snapshot| snapshot.position.index);
+        Self { state: restored.hard_state, covered, entries: restored.entries }
+    }
+}
+
+struct Run {
+    disk: MemoryDisk,
+    storage: Option<Storage>,
+    /// What was acknowledged.
+    model: Model,
+    /// What else may last, since a write failed.
+    attempted: Vec<Model>,
+}
+
+impl Run {
+    fn new() -> Self {
+        let disk = MemoryDisk::default();
+        let storage = open(&disk).ok().map(|(storage, _)| storage);
+        Self { disk, storage, model: Model::default(), attempted: Vec::new() }
+    }
+
+    fn step(&mut self, step: &Step) -> Result<(), TestCaseError> {
+        match step {
+            Step::Append { dropped, added } => {
+                let first = (self.model.last() + 1).saturating_sub(*dropped).max(self.model.covered + 1);
+                let term = self.model.state.term;
+                let entries = (first..first + added).map(|index| entry(term, index)).collect();
+                self.write(Write { truncate_from: Some(first), entries, ..Write::default() })?;
+            }
+            Step::Vote => {
+                let term = self.model.state.term + 1;
+                let hard_state = Some(HardState { term, vote: Some(NodeId(term % 3)).filter(|n| n.0 > 0) });
+                self.write(Write { hard_state, ..Write::default() })?;
+            }
+            Step::Snapshot { kept } => self.snapshot(*kept)?,
+            Step::Room(bytes) => self.disk.limit(self.disk.used() + bytes),
+            Step::Dying(operations) => self.disk.die_after(*operations),
+            Step::Crash(seed) => self.crash(*seed)?,
+        }
+        Ok(())
+    }
+
+    fn write(&mut self, write: Write) -> Result<(), TestCaseError> {
+        let mut after = self.model.clone();
+        after.write(&write);
+        let outcome = self.storage.as_mut().expect("open").write(&[write]);
+        self.settle(after, outcome.is_ok())
+    }
+
+    fn snapshot(&mut self, kept: u64) -> Result<(), TestCaseError> {
+        let index = self.model.last().saturating_sub(kept);
+        if index <= self.model.covered {
+            return Ok(());
+        }
+        let mut after = self.model.clone();
+        after.cover(index);
+        let outcome = self.storage.as_mut().expect("open").save_snapshot(&snapshot(1, index));
+        self.settle(after, outcome.is_ok())
+    }
+
+    fn settle(&mut self, after: Model, done: bool) -> Result<(), TestCaseError> {
+        if done {
+            self.model = after;
+            return Ok(());
+        }
+        let voted = Model { state: after.state, ..self.model.clone() };
+        self.attempted = vec![after, voted];
+        self.disk.limit(usize::MAX);
+        self.reopen()
+    }
+
+    fn crash(&mut self, seed: u64) -> Result<(), TestCaseError> {
+        self.storage = None;
+        self.disk.crash(seed);
+        self.reopen()
+    }
+
+    /// Opens the storage again, as the driver does after a failure and after a crash.
+    fn reopen(&mut self) -> Result<(), TestCaseError> {
+        self.storage = None;
+        self.disk.revive();
+        let (storage, restored) = open(&self.disk).map_err(|error| TestCaseError::fail(error.to_string()))?;
+        let found = Model::from(restored);
+        let allowed = found == self.model || self.attempted.contains(&found);
+        prop_assert!(allowed, "found {found:?}, acknowledged {:?}", self.model);
+        self.storage = Some(storage);
+        self.model = found;
+        self.attempted.clear();
+        Ok(())
+    }
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        6 => (0..4_u64, 1..6_u64).prop_map(|(dropped, added)| Step::Append { dropped, added }),
+        2 => Just(Step::Vote),
+        2 => (0..8_u64).prop_map(|kept| Step::Snapshot { kept }),
+        1 => (0..200_usize).prop_map(Step::Room),
+        2 => (0..12_usize).prop_map(Step::Dying),
+        2 => any::<u64>().prop_map(Step::Crash),
+    ];
+    prop::collection::vec(step, 1..60)
+}
+
+#[test]
+fn acknowledged_writes_survive_crashes_and_full_disks() {
+    let outcome = seeded("storage", 2_000).run(&steps(), |steps| {
+        let mut run = Run::new();
+        for step in &steps {
+            run.step(step)?;
+        }
+        run.crash(steps.len() as u64)
+    });
+    outcome.unwrap_or_else(|error| panic!("{error}"));
+}
