Give operators the tool, its manual pages and its completions

Cause: operators need plan, apply, status and the rest from a shell, with results that programs can read and exit codes by kind of failure. Change: the tool is a library with a thin binary. A call goes round the given addresses; reads and changes with a change id are sent again after a lost answer, resolve is not. The change id is derived from scope, expected version and text unless given, so that a plain rerun is the same change. Conclusion: the tool can be used against a node as soon as one serves the calls.

--- a/agatetrestle/src/cli/tests.rs
+++ b/agatetrestle/src/cli/tests.rs
@@ -23,3 +23,11 @@
     let help = parse(&["--help"]).unwrap_err().unwrap_stdout();
     insta::assert_snapshot!(help);
 }
+
+#[test]
+fn the_manual_page_is_up_to_date() {
+    let page =
+        Options::parser().render_manpage("agatetrestled", bpaf::doc::Section::Sysadmin, None, None, None);
+    let committed = include_str!("../../../extra/man/agatetrestled.8");
+    assert_eq!(page, committed, "remake it by cargo run -p agatetrestle --example manual");
+}
--- a/agatetrestle/src/operator/rpc.rs
+++ b/agatetrestle/src/operator/rpc.rs
@@ -41,6 +41,7 @@
 use crate::programs::command::ProgramReply;
 use crate::programs::command::ProgramView;
 use crate::programs::command::QueryReply;
+use crate::programs::command::Refusal;
 
 /// Calls that one connection may have under way at once.
 const MAX_CALLS: u32 = 16;
@@ -122,6 +123,15 @@
     }
 }
 
+/// Why a call could not be settled, for people; the ledger gives only these two reasons for it.
+fn refusal_text(refusal: &Refusal) -> String {
+    match refusal {
+        Refusal::NoProgram => "there is no such program".to_owned(),
+        Refusal::WrongState => "the call is not of unknown outcome".to_owned(),
+        other => format!("the ledger refused it: {other:?}"),
+    }
+}
+
 impl OperatorServer {
     fn document(&self, scope: &str) -> Document {
         let none = || Document { version: 0, text: "".into() };
@@ -169,6 +179,7 @@
         let command = ProgramCommand::Resolve { program, call: CallNumber(call), ran, note };
         match self.ledger.commit(command).await? {
             ProgramReply::Done(_) => Ok(()),
+            ProgramReply::Refused(refusal) => Err(Refused::Invalid(refusal_text(&refusal))),
             other => Err(Refused::Invalid(format!("the ledger answered {other:?}"))),
         }
     }
@@ -208,6 +219,7 @@
                 conflict.set_current_version(version);
                 conflict.set_difference(difference(&text, &offered).as_str());
             }
+            Ok(ControlReply::Refused) => result.set_invalid("the change id was used for another text"),
             Ok(other) => result.set_invalid(format!("the control group answered {other:?}").as_str()),
             Err(e @ GroupError::NotProposed { .. }) => result.set_unavailable(e.to_string().as_str()),
             Err(e @ GroupError::Unknown { .. }) => result.set_unknown(e.to_string().as_str()),
--- /dev/null
+++ b/agatetrestle_cli/examples/manual.rs
@@ -0,0 +1,8 @@
+//! Prints the manual page of the tool, made from its command line.
+
+use agatetrestle_cli::options::Options;
+use bpaf::doc::Section;
+
+fn main() {
+    print!("{}", Options::parser().render_manpage("agatetrestle", Section::General, None, None, None));
+}
--- /dev/null
+++ b/agatetrestle_cli/src/apply.rs
@@ -0,0 +1,75 @@
+//! Applying a change and waiting until it is in force; see docs/operators/changes.md.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use smol::Timer;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::calls;
+use crate::calls::Change;
+use crate::calls::Verdict;
+use crate::client::Client;
+use crate::error::ToolError;
+use crate::rows::AppliedRow;
+use crate::rows::NodeRow;
+
+/// Time between two looks at the nodes.
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The change id of a change that was given none: the same command run again is the same change.
+#[must_use]
+pub fn default_change_id(scope: &str, expected_version: u64, text: &str) -> Arc<str> {
+    let mut hash = Xxh3::new();
+    hash.update(scope.as_bytes());
+    hash.update(&[0]);
+    hash.update(&expected_version.to_le_bytes());
+    hash.update(text.as_bytes());
+    format!("{:032x}", hash.digest128()).into()
+}
+
+/// Applies a change.
+///
+/// # Errors
+///
+/// Fails as [`Client::call`] does, and as [`ToolError::Conflict`] if another change came first.
+pub async fn apply(client: &Client, change: &Change) -> Result<AppliedRow, ToolError> {
+    match calls::apply(client, change).await? {
+        Verdict::Accepted { version, revision } => Ok(AppliedRow {
+            scope: change.scope.clone(),
+            version,
+            revision,
+            change_id: change.change_id.clone(),
+        }),
+        Verdict::Conflict { current_version, difference } => {
+            Err(ToolError::Conflict { scope: change.scope.clone(), current_version, difference })
+        }
+    }
+}
+
+/// Waits until every known node that is not leaving has the change in force.
+///
+/// # Errors
+///
+/// Fails as [`ToolError::Lagging`] with the nodes that lack it once `limit` is over. A node that
+/// could not be asked for its view is asked again within that time.
+pub async fn wait(client: &Client, applied: &AppliedRow, limit: Duration) -> Result<(), ToolError> {
+    let start = Instant::now();
+    loop {
+        let nodes = calls::status(client).await.map(|status| lagging(status.nodes, applied.revision));
+        match nodes {
+            Ok(nodes) if nodes.is_empty() => return Ok(()),
+            Ok(nodes) if start.elapsed() >= limit => {
+                let AppliedRow { version, revision, .. } = *applied;
+                return Err(ToolError::Lagging { version, revision, nodes });
+            }
+            Err(e) if start.elapsed() >= limit => return Err(e),
+            _ => Timer::after(POLL_INTERVAL.min(limit)).await,
+        };
+    }
+}
+
+fn lagging(nodes: Vec<NodeRow>, revision: u64) -> Vec<NodeRow> {
+    nodes.into_iter().filter(|node| node.revision < revision && &*node.state != "leaving").collect()
+}
--- /dev/null
+++ b/agatetrestle_cli/src/calls.rs
@@ -0,0 +1,300 @@
+//! The calls of the schema as functions on typed rows.
+
+use std::sync::Arc;
+
+use agatetrestle_schema::operator_capnp::apply_result;
+use agatetrestle_schema::operator_capnp::failure;
+use agatetrestle_schema::operator_capnp::group_status;
+use agatetrestle_schema::operator_capnp::node_status;
+use agatetrestle_schema::operator_capnp::operator;
+
+use crate::client::Attempt;
+use crate::client::Client;
+use crate::client::Repeat;
+use crate::error::ToolError;
+use crate::rows::BackendRow;
+use crate::rows::DocumentRow;
+use crate::rows::DrainRow;
+use crate::rows::GroupRow;
+use crate::rows::InForce;
+use crate::rows::NodeRow;
+use crate::rows::Plan;
+use crate::rows::ProgramRow;
+use crate::rows::ResolvedRow;
+use crate::rows::Status;
+
+/// A change as it is offered.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Change {
+    /// The document.
+    pub scope: Arc<str>,
+    /// The declarations in YAML.
+    pub text: Arc<str>,
+    /// Version that the operator saw.
+    pub expected_version: u64,
+    /// Identity; a resend with it gives the first result.
+    pub change_id: Arc<str>,
+}
+
+/// What the control group made of a change that it took in.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// It is in force.
+    Accepted {
+        /// Version of the document.
+        version: u64,
+        /// Revision of the whole.
+        revision: u64,
+    },
+    /// Another came first.
+    Conflict {
+        /// Version in force.
+        current_version: u64,
+        /// Against the text in force.
+        difference: Arc<str>,
+    },
+}
+
+fn text(reader: capnp::text::Reader<'_>) -> Result<Arc<str>, capnp::Error> {
+    Ok(reader.to_str()?.into())
+}
+
+/// Reads the failure of a call; with none the result stands.
+fn unless_failed<T>(failure: failure::Reader<'_>, result: T) -> Result<Attempt<T>, capnp::Error> {
+    Ok(match failure.which()? {
+        failure::None(()) => Attempt::Done(result),
+        failure::Invalid(reason) => Attempt::Invalid(text(reason?)?),
+        failure::Unavailable(reason) => Attempt::Unavailable(text(reason?)?),
+        failure::Unknown(reason) => Attempt::Unknown(text(reason?)?),
+    })
+}
+
+fn verdict(result: apply_result::Reader<'_>) -> Result<Attempt<Verdict>, capnp::Error> {
+    Ok(match result.which()? {
+        apply_result::Accepted(accepted) => Attempt::Done(Verdict::Accepted {
+            version: accepted.get_version(),
+            revision: accepted.get_revision(),
+        }),
+        apply_result::Conflict(conflict) => Attempt::Done(Verdict::Conflict {
+            current_version: conflict.get_current_version(),
+            difference: text(conflict.get_difference()?)?,
+        }),
+        apply_result::Invalid(reason) => Attempt::Invalid(text(reason?)?),
+        apply_result::Unavailable(reason) => Attempt::Unavailable(text(reason?)?),
+        apply_result::Unknown(reason) => Attempt::Unknown(text(reason?)?),
+    })
+}
+
+fn node(row: node_status::Reader<'_>) -> Result<NodeRow, capnp::Error> {
+    Ok(NodeRow {
+        node: row.get_node(),
+        vm: text(row.get_vm()?)?,
+        failure_domain: text(row.get_failure_domain()?)?,
+        region: text(row.get_region()?)?,
+        state: text(row.get_state()?)?,
+        revision: row.get_revision(),
+        caller_address: text(row.get_caller_address()?)?,
+    })
+}
+
+fn group(row: group_status::Reader<'_>) -> Result<GroupRow, capnp::Error> {
+    let leader = row.get_leader();
+    Ok(GroupRow {
+        group: row.get_group(),
+        leader: (leader != 0).then_some(leader),
+        term: row.get_term(),
+        commit: row.get_commit(),
+        replicas: row.get_replicas()?.iter().collect(),
+    })
+}
+
+/// Offers a change; a lost answer is asked for again with the same change id.
+///
+/// # Errors
+///
+/// Fails as [`Client::call`] does.
+pub async fn apply(client: &Client, change: &Change) -> Result<Verdict, ToolError> {
+    let call = async |operator: operator::Client| {
+        let mut req = operator.apply_request();
+        let mut offered = req.get().init_change();
+        offered.set_scope(&*change.scope);
+        offered.set_text(&*change.text);
+        offered.set_expected_version(change.expected_version);
+        offered.set_change_id(&*change.change_id);
+        let response = req.send().promise.await?;
+        verdict(response.get()?.get_result()?)
+    };
+    client.call(Repeat::Idempotent, call).await
+}
+
+/// Asks what a change would do.
+///
+/// # Errors
+///
+/// Fails as [`Client::call`] does.
+pub async fn plan(client: &Client, scope: &str, offered: &str) -> Result<Plan, ToolError> {
+    let call = async |operator: operator::Client| {
+        let mut req = operator.plan_request();
+        req.get().set_scope(scope);
+        req.get().set_text(offered);
+        let response = req.send().promise.await?;
+        let result = response.get()?;
+        let invalid = text(result.get_invalid()?)?;
+        if !invalid.is_empty() {
+            return Ok(Attempt::Invalid(invalid));
+        }
+        let difference = text(result.get_difference()?)?;
+        Ok(Attempt::Done(Plan { current_version: result.get_current_version(), difference }))
+    };
+    client.call(Repeat::Read, call).await
+}
+
+/// Asks how a node sees the whole.
+///
+/// # Errors
+///
+/// Fails as [`Client::call`] does.
+pub async fn status(client: &Client) -> Result<Status, ToolError> {
+    let call = async |operator: operator::Client| {
+        let response = operator.status_request().send().promise.await?;
+        let result = response.get()?;
+        Ok(Attempt::Done(Status {
+            node: result.get_node(),
+            revision: result.get_revision(),
+            taking_work: result.get_taking_work(),
+            reason: text(result.get_reason()?)?,
+            nodes: result.get_nodes()?.iter().map(node).collect::<Result<_, _>>()?,
+            groups: result.get_groups()?.iter().map(group).collect::<Result<_, _>>()?,
+        }))
+    };
+    client.call(Repeat::Read, call).await
+}
+
+/// Lists programs of one partner, or of all where `partner` is empty.
+///
+/// # Errors
+///
+/// Fails as [`Client::call`] does.
+pub async fn programs(client: &Client, partner: &str, limit: u32) -> Result<Vec<ProgramRow>, ToolError> {
+    let call = async |operator: operator::Client| {
+        let mut req = operator.programs_request();
+        req.get().set_partner(partner);
+        req.get().set_limit(limit);
+        let response = req.send().promise.await?;
+        let result = response.get()?;
+        let mut rows = Vec::new();
+        for row in result.get_programs()? {
+            rows.push(ProgramRow {
+                program: text(row.get_program()?)?,
+                team: text(row.get_team()?)?,
+                class: text(row.get_class()?)?,
+                state: text(row.get_state()?)?,
+                calls: row.get_calls(),
+                spent: row.get_spent(),
+                budget: row.get_budget(),
+            });
+        }
+        unless_failed(result.get_failure()?, rows)
+    };
+    client.call(Repeat::Read, call).await
+}
+
+/// Lists the backend servers as one node sees them.
+///
+/// # Errors
+///
+/// Fails as [`Client::call`] does.
+pub async fn backends(client: &Client) -> Result<Vec<BackendRow>, ToolError> {
+    let call = async |operator: operator::Client| {
+        let response = operator.backends_request().send().promise.await?;
+        let mut rows = Vec::new();
+        for row in response.get()?.get_backends()? {
+            rows.push(BackendRow {
+                name: text(row.get_name()?)?,
+                kind: text(row.get_kind()?)?,
+                address: text(row.get_address()?)?,
+                state: text(row.get_state()?)?,
+                running: row.get_running(),
+                waiting: row.get_waiting(),
+            });
+        }
+        Ok(Attempt::Done(rows))
+    };
+    client.call(Repeat::Read, call).await
+}
+
+/// Marks a VM or backend server as leaving; doing so twice is harmless.
+///
+/// # Errors
+///
+/// Fails as [`Client::call`] does.
+pub async fn drain(client: &Client, name: &str) -> Result<DrainRow, ToolError> {
+    let call = async |operator: operator::Client| {
+        let mut req = operator.drain_request();
+        req.get().set_name(name);
+        let response = req.send().promise.await?;
+        let result = response.get()?;
+        let row = DrainRow { name: name.into(), incarnation: result.get_incarnation() };
+        unless_failed(result.get_failure()?, row)
+    };
+    client.call(Repeat::Idempotent, call).await
+}
+
+/// Everything in force on a node.
+///
+/// # Errors
+///
+/// Fails as [`Client::call`] does.
+pub async fn config(client: &Client) -> Result<InForce, ToolError> {
+    let call = async |operator: operator::Client| {
+        let response = operator.config_request().send().promise.await?;
+        let result = response.get()?;
+        let mut documents = Vec::new();
+        for row in result.get_documents()? {
+            documents.push(DocumentRow {
+                scope: text(row.get_scope()?)?,
+                version: row.get_version(),
+                text: text(row.get_text()?)?,
+            });
+        }
+        Ok(Attempt::Done(InForce { revision: result.get_revision(), documents }))
+    };
+    client.call(Repeat::Read, call).await
+}
+
+/// The newest trace lines of a node.
+///
+/// # Errors
+///
+/// Fails as [`Client::call`] does.
+pub async fn trace(client: &Client, limit: u32) -> Result<Vec<Arc<str>>, ToolError> {
+    let call = async |operator: operator::Client| {
+        let mut req = operator.trace_request();
+        req.get().set_limit(limit);
+        let response = req.send().promise.await?;
+        let mut lines = Vec::new();
+        for line in response.get()?.get_lines()? {
+            lines.push(text(line?)?);
+        }
+        Ok(Attempt::Done(lines))
+    };
+    client.call(Repeat::Read, call).await
+}
+
+/// Settles a call of unknown outcome; it is not sent again after a lost answer.
+///
+/// # Errors
+///
+/// Fails as [`Client::call`] does.
+pub async fn resolve(client: &Client, row: &ResolvedRow, note: &str) -> Result<(), ToolError> {
+    let call = async |operator: operator::Client| {
+        let mut req = operator.resolve_request();
+        req.get().set_program(&*row.program);
+        req.get().set_call(row.call);
+        req.get().set_ran(row.ran);
+        req.get().set_note(note);
+        let response = req.send().promise.await?;
+        unless_failed(response.get()?.get_failure()?, ())
+    };
+    client.call(Repeat::Once, call).await
+}
--- /dev/null
+++ b/agatetrestle_cli/src/commands.rs
@@ -0,0 +1,140 @@
+//! Carries out one command.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::apply;
+use crate::calls;
+use crate::calls::Change;
+use crate::client::Client;
+use crate::error::ToolError;
+use crate::options::Apply;
+use crate::options::Command;
+use crate::options::Format;
+use crate::options::Options;
+use crate::options::Resolve;
+use crate::options::Shell;
+use crate::report::Report;
+use crate::rows::InForce;
+use crate::rows::Plan;
+use crate::rows::ResolvedRow;
+use crate::rows::Status;
+use crate::table::table;
+
+const BASH: &str = include_str!("../../extra/completions/agatetrestle.bash");
+const FISH: &str = include_str!("../../extra/completions/agatetrestle.fish");
+const ZSH: &str = include_str!("../../extra/completions/_agatetrestle");
+
+/// Largest file of declarations, below the largest message that a node takes.
+const MAX_FILE: usize = 2 << 20;
+
+/// Carries out the command and tells what came of it.
+pub async fn run(options: &Options) -> Report {
+    let client = Client::new(options.addresses.clone());
+    run_with(&client, options.format, &options.command).await
+}
+
+/// As [`run`], with a client of the caller's own.
+pub async fn run_with(client: &Client, format: Format, command: &Command) -> Report {
+    perform(client, format, command).await.unwrap_or_else(|e| Report::failure(format, &e))
+}
+
+async fn perform(client: &Client, format: Format, command: &Command) -> Result<Report, ToolError> {
+    Ok(match command {
+        Command::Apply(args) => apply_change(client, format, args).await?,
+        Command::Plan { scope, file } => {
+            let plan = calls::plan(client, scope, &read(file)?).await?;
+            Report::result(format, &plan, show_plan)
+        }
+        Command::Status => Report::result(format, &calls::status(client).await?, show_status),
+        Command::Programs { partner, limit } => {
+            let rows = calls::programs(client, partner, *limit).await?;
+            Report::result(format, &rows, |rows| table(rows))
+        }
+        Command::Backends => Report::result(format, &calls::backends(client).await?, |rows| table(rows)),
+        Command::Drain { name } => {
+            let row = calls::drain(client, name).await?;
+            Report::result(format, &row, |row| table(std::slice::from_ref(row)))
+        }
+        Command::Config { scope } => show_config(client, format, scope.as_deref()).await?,
+        Command::Trace { limit } => {
+            let lines = calls::trace(client, *limit).await?;
+            Report::result(Format::Table, &lines, |lines| {
+                lines.join(
+                    "
+",
+                ) + "
+"
+            })
+        }
+        Command::Resolve(args) => settle(client, format, args).await?,
+        Command::Completions(shell) => {
+            Report::result(Format::Table, &(), |()| completions(*shell).to_owned())
+        }
+    })
+}
+
+fn read(file: &Path) -> Result<Arc<str>, ToolError> {
+    let refused = |reason| ToolError::File { file: file.into(), reason };
+    let text = std::fs::read_to_string(file).map_err(|e| refused(e.to_string().into()))?;
+    if text.len() > MAX_FILE {
+        return Err(refused(format!("larger than the {MAX_FILE} bytes that a node takes").into()));
+    }
+    Ok(text.into())
+}
+
+async fn apply_change(client: &Client, format: Format, args: &Apply) -> Result<Report, ToolError> {
+    let text = read(&args.file)?;
+    let expected_version = args.expected_version;
+    let derived = || apply::default_change_id(&args.scope, expected_version, &text);
+    let change_id = args.change_id.as_deref().map_or_else(derived, Into::into);
+    let change = Change { scope: args.scope.as_str().into(), text, expected_version, change_id };
+    let row = apply::apply(client, &change).await?;
+    if args.wait {
+        apply::wait(client, &row, Duration::from_secs(args.wait_seconds)).await?;
+    }
+    Ok(Report::result(format, &row, |row| table(std::slice::from_ref(row))))
+}
+
+async fn show_config(client: &Client, format: Format, scope: Option<&str>) -> Result<Report, ToolError> {
+    let InForce { revision, mut documents } = calls::config(client).await?;
+    let Some(scope) = scope else {
+        let in_force = InForce { revision, documents };
+        return Ok(Report::result(format, &in_force, |all| {
+            format!("revision {}\n\n{}", all.revision, table(&all.documents))
+        }));
+    };
+    documents.retain(|document| &*document.scope == scope);
+    match documents.pop() {
+        Some(document) => Ok(Report::result(format, &document, |document| document.text.to_string())),
+        None => Err(ToolError::Invalid { reason: format!("no document is named {scope}").into() }),
+    }
+}
+
+async fn settle(client: &Client, format: Format, args: &Resolve) -> Result<Report, ToolError> {
+    let row = ResolvedRow { program: args.program.as_str().into(), call: args.call, ran: args.ran };
+    calls::resolve(client, &row, &args.note).await?;
+    Ok(Report::result(format, &row, |row| table(std::slice::from_ref(row))))
+}
+
+fn show_plan(plan: &Plan) -> String {
+    format!("current version {}\n{}", plan.current_version, plan.difference)
+}
+
+fn show_status(status: &Status) -> String {
+    let work = if status.taking_work { "takes new work" } else { "takes no new work" };
+    let reason = if status.reason.is_empty() { String::new() } else { format!(": {}", status.reason) };
+    let head = format!("node {} at revision {} {work}{reason}", status.node, status.revision);
+    format!("{head}\n\n{}\n{}", table(&status.nodes), table(&status.groups))
+}
+
+/// The text that makes a shell ask the tool itself what may come next.
+#[must_use]
+pub fn completions(shell: Shell) -> &'static str {
+    match shell {
+        Shell::Bash => BASH,
+        Shell::Fish => FISH,
+        Shell::Zsh => ZSH,
+    }
+}
--- /dev/null
+++ b/agatetrestle_cli/tests/support/mod.rs
@@ -0,0 +1,244 @@
+//! Small fakes of the ports behind the operators' RPC. The state machines behind them are the real
+//! ones; only replication is left out.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use agatetrestle::control::command::Configuration;
+use agatetrestle::control::command::ControlCommand;
+use agatetrestle::control::command::ControlReply;
+use agatetrestle::control::state::ControlState;
+use agatetrestle::ids::CONTROL_GROUP;
+use agatetrestle::ids::NodeId;
+use agatetrestle::ids::ProgramId;
+use agatetrestle::operator;
+use agatetrestle::operator::OperatorServer;
+use agatetrestle::ports::BackendView;
+use agatetrestle::ports::Backends;
+use agatetrestle::ports::Control;
+use agatetrestle::ports::GroupError;
+use agatetrestle::ports::GroupView;
+use agatetrestle::ports::Groups;
+use agatetrestle::ports::Ledger;
+use agatetrestle::ports::MemberView;
+use agatetrestle::ports::Members;
+use agatetrestle::ports::NotTaking;
+use agatetrestle::ports::Traces;
+use agatetrestle::programs::command::ProgramCommand;
+use agatetrestle::programs::command::ProgramQuery;
+use agatetrestle::programs::command::ProgramReply;
+use agatetrestle::programs::command::QueryReply;
+use agatetrestle::programs::ledger::Ledger as LedgerState;
+use agatetrestle_cli::client::Client;
+use futures::future::LocalBoxFuture;
+use smol::LocalExecutor;
+use smol::channel::Receiver;
+use smol::channel::Sender;
+use smol::future::FutureExt;
+use smol::io;
+use smol::net::TcpListener;
+use smol::net::TcpStream;
+
+/// How a fake answers changes.
+#[derive(Clone)]
+pub enum Mood {
+    /// As it should.
+    Well,
+    /// Without a quorum.
+    NoQuorum,
+    /// With a quorum lost after the proposal; nothing was applied.
+    InDoubt,
+    /// It applies the change, tells this channel and never answers.
+    Silent(Sender<()>),
+}
+
+/// The control group, shared by all nodes of a test.
+#[derive(Default)]
+pub struct SharedControl(pub RefCell<ControlState>);
+
+struct FakeControl {
+    shared: Rc<SharedControl>,
+    mood: Mood,
+}
+
+impl Control for FakeControl {
+    fn commit(&self, command: ControlCommand) -> LocalBoxFuture<'_, Result<ControlReply, GroupError>> {
+        async move {
+            match &self.mood {
+                Mood::Well => Ok(self.shared.0.borrow_mut().execute(command)),
+                Mood::NoQuorum => Err(GroupError::NotProposed { reason: "no leader".into() }),
+                Mood::InDoubt => Err(GroupError::Unknown { reason: "the leader is gone".into() }),
+                Mood::Silent(applied) => {
+                    self.shared.0.borrow_mut().execute(command);
+                    applied.send(()).await.unwrap();
+                    std::future::pending().await
+                }
+            }
+        }
+        .boxed_local()
+    }
+
+    fn configuration(&self) -> Arc<Configuration> {
+        self.shared.0.borrow().configuration()
+    }
+
+    fn taking_work(&self) -> Result<(), NotTaking> {
+        match self.mood {
+            Mood::NoQuorum => Err(NotTaking::Isolated),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// Members of which one confirms a revision only when it has been looked at a few times.
+struct FakeMembers {
+    looks_until_current: Cell<u32>,
+}
+
+impl Members for FakeMembers {
+    fn members(&self) -> Vec<MemberView> {
+        let left = self.looks_until_current.get();
+        self.looks_until_current.set(left.saturating_sub(1));
+        let revision = if left == 0 { 9 } else { 0 };
+        vec![member(1, "live", 9), member(2, "live", revision), member(3, "leaving", 0)]
+    }
+
+    fn addresses(&self, _: Option<&ProgramId>) -> Vec<Arc<str>> {
+        Vec::new()
+    }
+}
+
+fn member(node: u64, state: &str, revision: u64) -> MemberView {
+    MemberView {
+        node: NodeId(node),
+        vm: format!("vm-{node}").into(),
+        failure_domain: format!("domain-{node}").into(),
+        region: "ljubljana".into(),
+        incarnation: 40 + node,
+        caller_address: format!("10.0.0.{node}:7400").into(),
+        live: state == "live",
+        state: state.into(),
+        revision,
+    }
+}
+
+/// The ledger, shared by all nodes of a test.
+#[derive(Default)]
+pub struct SharedLedger(pub RefCell<LedgerState>);
+
+impl Ledger for SharedLedger {
+    fn commit(&self, command: ProgramCommand) -> LocalBoxFuture<'_, Result<ProgramReply, GroupError>> {
+        async move { Ok(self.0.borrow_mut().execute(command)) }.boxed_local()
+    }
+
+    fn query(&self, query: ProgramQuery) -> LocalBoxFuture<'_, Result<QueryReply, GroupError>> {
+        async move { Ok(self.0.borrow().query(&query)) }.boxed_local()
+    }
+}
+
+struct FakeBackends;
+
+impl Backends for FakeBackends {
+    fn backends(&self) -> Vec<BackendView> {
+        vec![BackendView {
+            name: "engine-1".into(),
+            kind: "engine".into(),
+            address: "10.0.1.1:8000".into(),
+            state: "ready".into(),
+            running: 3,
+            waiting: 12,
+        }]
+    }
+}
+
+struct FakeGroups;
+
+impl Groups for FakeGroups {
+    fn groups(&self) -> Vec<GroupView> {
+        vec![GroupView {
+            group: CONTROL_GROUP,
+            leader: Some(NodeId(2)),
+            term: 5,
+            commit: 120,
+            replicas: vec![NodeId(1), NodeId(2), NodeId(3)],
+        }]
+    }
+}
+
+struct FakeTraces;
+
+impl Traces for FakeTraces {
+    fn recent(&self, limit: u32) -> Vec<Arc<str>> {
+        (0..limit.min(2)).map(|i| format!("{{\"line\":{i}}}").into()).collect()
+    }
+}
+
+/// Nodes in this process that share one control group and one ledger.
+pub struct World {
+    pub control: Rc<SharedControl>,
+    pub ledger: Rc<SharedLedger>,
+    executor: Rc<LocalExecutor<'static>>,
+}
+
+impl World {
+    /// Starts a node and returns its address for operators.
+    pub async fn node(&self, mood: Mood, looks_until_current: u32) -> SocketAddr {
+        let server = OperatorServer {
+            control: Rc::new(FakeControl { shared: Rc::clone(&self.control), mood }),
+            members: Rc::new(FakeMembers { looks_until_current: Cell::new(looks_until_current) }),
+            ledger: Rc::clone(&self.ledger) as Rc<dyn Ledger>,
+            backends: Rc::new(FakeBackends),
+            groups: Rc::new(FakeGroups),
+            traces: Rc::new(FakeTraces),
+            node: NodeId(1),
+        };
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let serve = operator::serve(Rc::new(server), listener, Rc::clone(&self.executor));
+        self.executor.spawn(serve).detach();
+        address
+    }
+
+    /// Starts a node that applies one change and whose connection is cut before it answers.
+    pub async fn node_that_loses_its_answer(&self) -> SocketAddr {
+        let (applied, signal) = smol::channel::bounded(1);
+        let node = self.node(Mood::Silent(applied), 0).await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        self.executor.spawn(forward_until(signal, listener, node)).detach();
+        address
+    }
+}
+
+/// Forwards one connection until the signal comes, then closes it and takes no other.
+async fn forward_until(signal: Receiver<()>, listener: TcpListener, node: SocketAddr) {
+    let (tool, _) = listener.accept().await.unwrap();
+    let node = TcpStream::connect(node).await.unwrap();
+    let there = io::copy(tool.clone(), node.clone());
+    let back = io::copy(node, tool);
+    let forward = async {
+        futures::future::join(there, back).await.0.ok();
+    };
+    let cut = async {
+        signal.recv().await.ok();
+    };
+    forward.or(cut).await;
+}
+
+/// Runs a test with a world of its own.
+pub fn in_world<F: Future<Output = ()>>(test: impl FnOnce(Rc<World>) -> F) {
+    let executor = Rc::new(LocalExecutor::new());
+    let world = World { control: Rc::default(), ledger: Rc::default(), executor: Rc::clone(&executor) };
+    smol::block_on(executor.run(test(Rc::new(world))));
+}
+
+/// A client that never gives up by time, so that no verdict depends on the speed of the machine.
+pub fn client(addresses: &[SocketAddr]) -> Client {
+    let day = Duration::from_hours(24);
+    Client { addresses: addresses.to_vec(), connect_time: day, answer_time: day }
+}
