Replay traces in virtual time against a fake engine

Cause: no policy can be judged before the same load can be put to each of them again and again. Change: the trace format, synthetic workloads of both partners, a fake engine with continuous batching and a prefix cache, the loop that drives a Scheduler in virtual time, and the commands run, compare and synth. Policies are chosen by name through scheduler::build; so far there is round_robin. Event::Paused is new and optional: it names the tool that the last answer asked for.

--- a/agatetrestle/src/scheduler/baseline.rs
+++ b/agatetrestle/src/scheduler/baseline.rs
@@ -174,6 +174,7 @@
             Event::FirstToken(_)
             | Event::Load { .. }
             | Event::Cache { .. }
+            | Event::Paused { .. }
             | Event::Ended(_)
             | Event::Tick => {}
         }
--- a/agatetrestle/src/scheduler/event.rs
+++ b/agatetrestle/src/scheduler/event.rs
@@ -192,6 +192,14 @@
         /// Whether it leaves.
         leaving: bool,
     },
+    /// The answer that a program just got asks for a tool, as far as the driver can tell. Telling
+    /// this is optional; it lets the expected length of the pause be learned by tool.
+    Paused {
+        /// The program.
+        program: ProgramId,
+        /// The tool.
+        tool: Arc<str>,
+    },
     /// A program has ended.
     Ended(ProgramId),
     /// Time passed.
--- a/agatetrestle/src/scheduler/mod.rs
+++ b/agatetrestle/src/scheduler/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod baseline;
 pub mod event;
+pub mod policy;
 
 use std::time::Duration;
 
@@ -13,6 +14,9 @@
 use crate::scheduler::event::BackendKey;
 use crate::scheduler::event::Decisions;
 use crate::scheduler::event::Event;
+pub use crate::scheduler::policy::Policy;
+pub use crate::scheduler::policy::SchedulerConfig;
+pub use crate::scheduler::policy::build;
 
 /// Everything that decides about calls. `now` never runs backwards.
 pub trait Scheduler {
--- /dev/null
+++ b/agatetrestle_replay/src/catalog.rs
@@ -0,0 +1,85 @@
+//! The declarations under which a trace is replayed.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use agatetrestle::scheduler::event::Backend;
+use agatetrestle::scheduler::event::Catalog;
+use agatetrestle::scheduler::event::ClassRule;
+use agatetrestle::trace::CallKind;
+use agatetrestle::trace::TraceCall;
+use agatetrestle_config::declarations::BackendKind;
+
+/// Size of the pool.
+#[derive(Clone, Copy, Debug)]
+pub struct Pool {
+    /// Engines for each model.
+    pub engines: usize,
+    /// Requests that an engine takes at once.
+    pub engine_slots: u32,
+    /// Prefix cache of an engine in tokens.
+    pub cache_tokens: u32,
+    /// Memory for exported cache of all engines of the pool, in tokens for each engine.
+    pub host_tokens: u32,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self { engines: 8, engine_slots: 16, cache_tokens: 400_000, host_tokens: 1_600_000 }
+    }
+}
+
+const SERVICE_REPLICAS: usize = 4;
+const SERVICE_SLOTS: u32 = 64;
+const FAILURE_DOMAINS: usize = 3;
+
+/// Declares what the calls of a trace need.
+#[must_use]
+pub fn declare(calls: &[TraceCall], pool: &Pool) -> Catalog {
+    let mut catalog = Catalog::default();
+    let mut served = BTreeSet::new();
+    for call in calls {
+        served.insert((call.kind == CallKind::Service, call.serves.clone()));
+        catalog.shares.insert(call.partner.clone(), 1);
+        catalog.teams.insert((call.partner.clone(), call.team.clone()), 1);
+        let class = (call.partner.clone(), call.class.clone());
+        catalog.classes.entry(class).or_insert_with(|| rule(&call.class));
+    }
+    for (service, serves) in served {
+        declare_replicas(&mut catalog, service, &serves, pool);
+    }
+    catalog
+}
+
+fn declare_replicas(catalog: &mut Catalog, service: bool, serves: &Arc<str>, pool: &Pool) {
+    let replicas = if service { SERVICE_REPLICAS } else { pool.engines };
+    for number in 0..replicas {
+        let name: Arc<str> = format!("{serves}-{number}").into();
+        catalog.backends.push(Backend {
+            vm: format!("vm-{name}").into(),
+            name,
+            kind: if service { BackendKind::Service } else { BackendKind::Engine },
+            serves: serves.clone(),
+            failure_domain: format!("domain-{}", number % FAILURE_DOMAINS).into(),
+            slots: if service { SERVICE_SLOTS } else { pool.engine_slots },
+            cache_tokens: if service { 0 } else { pool.cache_tokens.into() },
+        });
+    }
+}
+
+fn rule(class: &str) -> ClassRule {
+    let rules: BTreeMap<&str, (u8, u64, u64)> = BTreeMap::from([
+        ("replacement", (9, 600, 300)),
+        ("tutor", (8, 3600, 300)),
+        ("planning", (4, 3600, 120)),
+        ("assessment", (3, 7200, 120)),
+    ]);
+    let (priority, deadline, keepalive) = rules.get(class).copied().unwrap_or((5, 3600, 120));
+    ClassRule {
+        priority,
+        deadline: Some(Duration::from_secs(deadline)),
+        keepalive: Duration::from_secs(keepalive),
+    }
+}
--- /dev/null
+++ b/agatetrestle_replay/src/host.rs
@@ -0,0 +1,89 @@
+//! The memory beside the engines into which cache is exported and from which it is imported.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+/// A block that left engine memory but not the machine.
+#[derive(Clone, Copy, Debug)]
+pub struct Exported {
+    /// Hash of the block.
+    pub block: u64,
+    /// Whether a request read it while it was in engine memory.
+    pub read: bool,
+}
+
+#[derive(Debug)]
+struct Entry {
+    tick: u64,
+    read: bool,
+}
+
+/// Exported blocks under least-recently-used eviction.
+#[derive(Debug)]
+pub struct HostStore {
+    capacity: usize,
+    entries: HashMap<u64, Entry>,
+    oldest: BTreeMap<u64, u64>,
+    tick: u64,
+    unread: u64,
+}
+
+impl HostStore {
+    /// An empty store for so many blocks.
+    #[must_use]
+    pub fn new(capacity: usize) -> Self {
+        Self { capacity, entries: HashMap::new(), oldest: BTreeMap::new(), tick: 0, unread: 0 }
+    }
+
+    /// Blocks that were dropped here, or are still here, without ever having been read.
+    #[must_use]
+    pub fn unread(&self) -> u64 {
+        let held: u64 = self.entries.values().map(|entry| u64::from(!entry.read)).sum();
+        self.unread + held
+    }
+
+    /// How many leading blocks are here.
+    #[must_use]
+    pub fn matching(&self, blocks: &[u64]) -> usize {
+        blocks.iter().take_while(|block| self.entries.contains_key(block)).count()
+    }
+
+    /// Takes in blocks, the deepest first, so that a prefix outlives what hangs on it.
+    pub fn store(&mut self, blocks: &[Exported]) {
+        for exported in blocks.iter().rev() {
+            self.drop_block(exported.block);
+            while self.entries.len() >= self.capacity {
+                let Some((_, block)) = self.oldest.pop_first() else {
+                    return;
+                };
+                self.drop_block(block);
+            }
+            self.tick += 1;
+            self.oldest.insert(self.tick, exported.block);
+            self.entries.insert(exported.block, Entry { tick: self.tick, read: exported.read });
+        }
+    }
+
+    /// Hands blocks back to an engine.
+    pub fn take(&mut self, blocks: &[u64]) {
+        for block in blocks {
+            if let Some(entry) = self.entries.remove(block) {
+                self.oldest.remove(&entry.tick);
+            }
+        }
+    }
+
+    /// Drops blocks for good.
+    pub fn discard(&mut self, blocks: &[u64]) {
+        for block in blocks {
+            self.drop_block(*block);
+        }
+    }
+
+    fn drop_block(&mut self, block: u64) {
+        if let Some(entry) = self.entries.remove(&block) {
+            self.oldest.remove(&entry.tick);
+            self.unread += u64::from(!entry.read);
+        }
+    }
+}
