--- a/agatetrestle/src/agreement/mod.rs
+++ b/agatetrestle/src/agreement/mod.rs
@@ -3,17 +3,23 @@
 //! A driver feeds [`Input`] to a replica and carries out each [`Output`] in order. Why a log of our
 //! own, and why it is pure: docs/design/001-replicated-log-and-groups.md.
 
+pub mod coding;
 pub mod message;
+pub mod replica;
+#[cfg(test)]
+mod tests;
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
+use snafu::Snafu;
 
 use crate::agreement::message::Entry;
 use crate::agreement::message::Message;
 use crate::agreement::message::Position;
+use crate::codec::DecodeError;
 use crate::ids::NodeId;
 
 /// Handle by which the driver recognises the outcome of a proposal.
@@ -94,11 +100,11 @@
     pub sequence: u64,
     /// New term and vote.
     pub hard_state: Option<HardState>,
-    /// Drop entries from this index on before appending.
+    /// Drop entries from this index on, before the snapshot is stored and the entries are appended.
     pub truncate_from: Option<u64>,
     /// Entries to append.
     pub entries: Vec<Entry>,
-    /// Replace everything by this snapshot.
+    /// Replace all entries up to its position by this snapshot; later ones stay unless truncated.
     pub snapshot: Option<Snapshot>,
 }
 
@@ -122,6 +128,8 @@
     Busy,
     /// Another change of replicas is under way, or the learner lags.
     ChangePending,
+    /// The change makes no sense: it promotes a stranger or removes the last voter.
+    InvalidChange,
 }
 
 /// What the driver must do.
@@ -151,6 +159,13 @@
         /// Why.
         reason: Rejection,
     },
+    /// A set of replicas is committed; the ticket is set on the replica that proposed the change.
+    Replicas {
+        /// Handle of the change.
+        ticket: Option<Ticket>,
+        /// Who takes part from now on.
+        replicas: Replicas,
+    },
     /// The proposal entered the log but leadership was lost; it may yet be applied.
     Unknown(Ticket),
     /// Leadership, term or known leader changed.
@@ -179,9 +194,9 @@
 }
 
 /// A snapshot that can't be decoded.
-#[derive(Debug, snafu::Snafu)]
-#[snafu(visibility(pub), display("the snapshot can't be decoded: {source}"))]
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub), display("the snapshot can't be restored: {source}"))]
 pub struct RestoreError {
     /// What the decoder said.
-    source: ciborium::de::Error<std::io::Error>,
+    source: DecodeError,
 }
