--- a/agatetrestle_cli/src/commands.rs
+++ b/agatetrestle_cli/src/commands.rs
@@ -61,11 +61,7 @@
         Command::Trace { limit } => {
             let lines = calls::trace(client, *limit).await?;
             Report::result(Format::Table, &lines, |lines| {
-                lines.join(
-                    "
-",
-                ) + "
-"
+                lines.iter().flat_map(|line| [&**line, "\n"]).collect()
             })
         }
         Command::Resolve(args) => settle(client, format, args).await?,
--- a/agatetrestle_cli/tests/operator.rs
+++ b/agatetrestle_cli/tests/operator.rs
@@ -26,10 +26,11 @@
 use agatetrestle_cli::options::Resolve;
 use agatetrestle_cli::rows::AppliedRow;
 use futures::future::join_all;
-use support::Mood;
-use support::World;
-use support::client;
-use support::in_world;
+
+use crate::support::Mood;
+use crate::support::World;
+use crate::support::client;
+use crate::support::in_world;
 
 fn change(expected_version: u64, priority: usize) -> Change {
     let text = format!("format: 1\nclasses:\n  dawn: {{priority: {priority}, budget: 1000}}\n");
