--- /dev/null
+++ b/agatetrestle/src/attempts/http.rs
@@ -0,0 +1,321 @@
+//! Exchanges with backend servers over HTTP/1.1, one connection each.
+//!
+//! `async-h1` codes requests and decodes answers. This module bounds the head, the body and the time
+//! without progress around it, and tells a whole answer from one that was cut off, which the library
+//! does not; see docs/design/009-silent-connections.md.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use agatetrestle_config::declarations::BackendKind;
+use async_h1::client::Encoder;
+use futures::future::LocalBoxFuture;
+use http_types::Method;
+use http_types::Request;
+use http_types::Response;
+use http_types::Url;
+use smol::io::AsyncRead;
+use smol::io::AsyncReadExt;
+use smol::io::AsyncWriteExt;
+use smol::io::Cursor;
+use smol::net::TcpStream;
+
+use crate::attempts::Broken;
+use crate::attempts::CALL_HEADER;
+use crate::attempts::Engines;
+use crate::attempts::KEY_HEADER;
+use crate::attempts::OUTCOME_HEADER;
+use crate::attempts::Outgoing;
+use crate::attempts::PRIORITY_HEADER;
+use crate::attempts::PROGRAM_HEADER;
+use crate::attempts::Progress;
+use crate::attempts::Reply;
+use crate::attempts::Services;
+use crate::attempts::Timer;
+use crate::attempts::Usage;
+use crate::attempts::sse::Splitter;
+use crate::attempts::sse::usage_of;
+use crate::attempts::timer::within;
+use crate::programs::command::Answer;
+use crate::scheduler::event::Failure;
+
+/// Largest head of an answer; `async-h1` stops just below this.
+const HEAD_LIMIT: usize = 8 << 10;
+
+/// Largest answer, whole.
+const ANSWER_LIMIT: usize = 16 << 20;
+
+/// How often a silent answer is polled again within its patience, since the chunk decoder of
+/// `async-h1` forgets to ask for a wake-up where trailers come in parts.
+const POLLS: u32 = 8;
+
+const READ_SIZE: usize = 16 << 10;
+const HEAD_END: &[u8] = b"\r\n\r\n";
+const NOT_RUN: &str = "not_run";
+const OLD_VERSION: &[u8] = b"HTTP/1.0 ";
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Backend servers reached over HTTP.
+pub struct HttpBackends {
+    timer: Rc<dyn Timer>,
+    connect_within: Duration,
+}
+
+/// How the end of an answer is known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Framing {
+    Length(usize),
+    Chunked,
+    Close,
+}
+
+struct Exchange<'a> {
+    timer: &'a dyn Timer,
+    request: &'a Outgoing,
+    progress: &'a dyn Progress,
+}
+
+impl HttpBackends {
+    /// Backend servers to which a connection must be made within `connect_within`.
+    #[must_use]
+    pub fn new(timer: Rc<dyn Timer>, connect_within: Duration) -> Self {
+        Self { timer, connect_within }
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        kind: BackendKind,
+        priority: u8,
+        request: &Outgoing,
+        progress: &dyn Progress,
+    ) -> Result<Reply, Broken> {
+        let stream = self.connect(address).await?;
+        let exchange = Exchange { timer: &*self.timer, request, progress };
+        exchange.run(stream, address, kind, priority).await
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<TcpStream, Broken> {
+        let connecting = TcpStream::connect(address);
+        match within(&*self.timer, self.connect_within, connecting).await {
+            Some(Ok(stream)) => {
+                stream.set_nodelay(true).ok();
+                Ok(stream)
+            }
+            Some(Err(e)) => Err(broken(Failure::Connect, format!("{address}: {e}"))),
+            None => Err(broken(Failure::Connect, format!("{address}: no connection in time"))),
+        }
+    }
+}
+
+impl Engines for HttpBackends {
+    fn chat<'a>(
+        &'a self,
+        address: SocketAddr,
+        priority: u8,
+        request: &'a Outgoing,
+        progress: &'a dyn Progress,
+    ) -> LocalBoxFuture<'a, Result<Reply, Broken>> {
+        Box::pin(self.exchange(address, BackendKind::Engine, priority, request, progress))
+    }
+}
+
+impl Services for HttpBackends {
+    fn call<'a>(
+        &'a self,
+        address: SocketAddr,
+        request: &'a Outgoing,
+        progress: &'a dyn Progress,
+    ) -> LocalBoxFuture<'a, Result<Reply, Broken>> {
+        Box::pin(self.exchange(address, BackendKind::Service, 0, request, progress))
+    }
+}
+
+impl Exchange<'_> {
+    async fn run(
+        &self,
+        mut stream: TcpStream,
+        address: SocketAddr,
+        kind: BackendKind,
+        priority: u8,
+    ) -> Result<Reply, Broken> {
+        let request = self.encode(address, kind, priority)?;
+        self.progress.writing();
+        self.write(request, &mut stream).await?;
+        let (head, rest) = self.read_head(&mut stream).await?;
+        let (mut response, framing) = decode(&head, &rest, stream.clone()).await?;
+        let refused = response.header(OUTCOME_HEADER).is_some_and(|v| v.as_str() == NOT_RUN);
+        if refused {
+            return Err(broken(Failure::Refused, format!("{address} did not start the call")));
+        }
+        let reply = match framing {
+            Framing::Close => {
+                let mut body = Cursor::new(rest).chain(stream);
+                self.read_body(&mut body, &response, framing, kind).await?
+            }
+            Framing::Chunked | Framing::Length(_) => {
+                let mut body = response.take_body();
+                self.read_body(&mut body, &response, framing, kind).await?
+            }
+        };
+        judge(reply, kind)
+    }
+
+    fn encode(&self, address: SocketAddr, kind: BackendKind, priority: u8) -> Result<Request, Broken> {
+        let out = self.request;
+        let url = Url::parse(&format!("http://{address}{}", out.path))
+            .map_err(|e| broken(Failure::Connect, format!("no request for {}: {e}", out.path)))?;
+        let mut req = Request::new(Method::Post, url);
+        req.insert_header(PROGRAM_HEADER, out.program.to_string());
+        req.insert_header(CALL_HEADER, out.call.0.to_string());
+        req.insert_header(KEY_HEADER, &*out.key.0);
+        req.insert_header("Connection", "close");
+        if kind == BackendKind::Engine {
+            req.insert_header(PRIORITY_HEADER, priority.to_string());
+        }
+        req.set_body(out.body.to_vec());
+        req.insert_header("Content-Type", &*out.content_type);
+        Ok(req)
+    }
+
+    async fn write(&self, request: Request, stream: &mut TcpStream) -> Result<(), Broken> {
+        let mut encoder = Encoder::new(request);
+        let writing = async {
+            smol::io::copy(&mut encoder, &mut *stream).await?;
+            stream.flush().await
+        };
+        match within(self.timer, self.request.patience, writing).await {
+            Some(Ok(())) => Ok(()),
+            Some(Err(e)) => Err(broken(Failure::Lost, format!("while writing: {e}"))),
+            None => Err(broken(Failure::Lost, "no progress while writing")),
+        }
+    }
+
+    /// Reads up to the end of the head; what follows it is returned beside it.
+    async fn read_head(&self, stream: &mut TcpStream) -> Result<(Vec<u8>, Vec<u8>), Broken> {
+        let mut buf = Vec::new();
+        let mut part = [0; 2048];
+        loop {
+            if let Some(at) = buf.windows(HEAD_END.len()).position(|w| w == HEAD_END) {
+                let rest = buf.split_off(at + HEAD_END.len());
+                return Ok((buf, rest));
+            }
+            if buf.len() >= HEAD_LIMIT {
+                return Err(broken(Failure::Lost, "the head of the answer is too long"));
+            }
+            let count = self.read(stream, &mut part).await?;
+            if count == 0 {
+                return Err(broken(Failure::Lost, "the connection closed before an answer"));
+            }
+            buf.extend_from_slice(&part[..count]);
+        }
+    }
+
+    async fn read<R: AsyncRead + Unpin>(&self, reader: &mut R, buf: &mut [u8]) -> Result<usize, Broken> {
+        for _ in 0..POLLS {
+            match within(self.timer, self.request.patience / POLLS, reader.read(buf)).await {
+                Some(Ok(count)) => return Ok(count),
+                Some(Err(e)) => return Err(broken(Failure::Lost, format!("while reading: {e}"))),
+                None => {}
+            }
+        }
+        Err(broken(Failure::Lost, "no progress on the answer"))
+    }
+
+    async fn read_body<R: AsyncRead + Unpin>(
+        &self,
+        body: &mut R,
+        response: &Response,
+        framing: Framing,
+        kind: BackendKind,
+    ) -> Result<Reply, Broken> {
+        let content_type = response.header("Content-Type").map_or("", |v| v.last().as_str()).to_owned();
+        let events = kind == BackendKind::Engine && content_type.starts_with(EVENT_STREAM);
+        let mut splitter = Splitter::default();
+        let mut whole = Vec::new();
+        let mut buf = vec![0; READ_SIZE];
+        loop {
+            let count = self.read(body, &mut buf).await?;
+            if count == 0 {
+                break;
+            }
+            if whole.len() + count > ANSWER_LIMIT {
+                return Err(broken(Failure::Lost, "the answer is too long"));
+            }
+            if !events {
+                whole.extend_from_slice(&buf[..count]);
+                continue;
+            }
+            for piece in splitter.push(&buf[..count]) {
+                whole.extend_from_slice(&piece.bytes);
+                if !piece.last {
+                    self.progress.piece(&piece.bytes);
+                }
+            }
+            if splitter.ended() {
+                break;
+            }
+        }
+        let cut_off = match framing {
+            Framing::Length(length) => !splitter.ended() && whole.len() < length,
+            Framing::Chunked | Framing::Close => false,
+        };
+        if cut_off || (events && !splitter.ended()) {
+            return Err(broken(Failure::Lost, "the answer was cut off"));
+        }
+        let usage = if events { splitter.usage() } else { Usage::default() };
+        let status = u16::from(response.status());
+        let answer = Answer { status, content_type: content_type.into(), body: whole.into() };
+        Ok(Reply { answer, usage })
+    }
+}
+
+/// Decodes the head; the body is left to the returned response, or to the connection's end.
+async fn decode(head: &[u8], rest: &[u8], stream: TcpStream) -> Result<(Response, Framing), Broken> {
+    let mut known = head.to_vec();
+    if known.starts_with(OLD_VERSION) {
+        known[..OLD_VERSION.len()].copy_from_slice(b"HTTP/1.1 ");
+    }
+    known.extend_from_slice(rest);
+    let reader = Cursor::new(known).chain(stream);
+    let response = async_h1::client::decode(reader)
+        .await
+        .map_err(|e| broken(Failure::Lost, format!("malformed answer: {e}")))?;
+    let framing = match (response.header("Transfer-Encoding"), response.header("Content-Length")) {
+        (Some(_), _) => Framing::Chunked,
+        (None, Some(length)) => match length.last().as_str().trim().parse() {
+            Ok(length) => Framing::Length(length),
+            Err(_) => return Err(broken(Failure::Lost, "malformed length of the answer")),
+        },
+        (None, None) if u16::from(response.status()) == 204 => Framing::Length(0),
+        (None, None) => Framing::Close,
+    };
+    Ok((response, framing))
+}
+
+/// Tells a usable answer from one that reports an error or is not whole in itself.
+fn judge(mut reply: Reply, kind: BackendKind) -> Result<Reply, Broken> {
+    let status = reply.answer.status;
+    let events = reply.answer.content_type.starts_with(EVENT_STREAM);
+    if kind == BackendKind::Engine && status < 300 && !events {
+        let Ok(value) = serde_json::from_slice(&reply.answer.body) else {
+            return Err(broken(Failure::Lost, "the answer is no JSON"));
+        };
+        reply.usage = usage_of(&value).unwrap_or_default();
+    }
+    let busy = status == 429 || status == 503;
+    if kind == BackendKind::Engine && busy {
+        return Err(broken(Failure::Refused, format!("the engine answered {status}")));
+    }
+    if status >= 500 {
+        let detail = format!("the backend server answered {status}").into();
+        return Err(Broken { failure: Failure::Error, detail, reply: Some(reply) });
+    }
+    Ok(reply)
+}
+
+fn broken(failure: Failure, detail: impl Into<Arc<str>>) -> Broken {
+    Broken { failure, detail: detail.into(), reply: None }
+}
--- a/agatetrestle/src/attempts/mod.rs
+++ b/agatetrestle/src/attempts/mod.rs
@@ -1,1 +1,150 @@
-//! Attempts at calls: connections, timeouts, outcome; see docs/design/009-silent-connections.md.
+//! Attempts at calls: the scheduler's decisions carried out on connections to backend servers.
+//!
+//! A [`Dispatcher`] hands each call to the scheduler, sends it where the scheduler says and reports
+//! back. The pure [`machine`] alone decides what may be said about the outcome of a call. Why a call
+//! that may not be repeated gets a connection of its own, and what happens on silence, stands in
+//! docs/design/009-silent-connections.md.
+//!
+//! Engines receive a chat-completions request with the header `Agatetrestle-Priority` (a decimal
+//! number, higher first), and every backend server receives `Agatetrestle-Program`,
+//! `Agatetrestle-Call` and the caller's `Idempotency-Key`. A backend server that answers with
+//! `Agatetrestle-Outcome: not_run` says that it did not start the call.
+
+pub mod catalog;
+pub mod dispatcher;
+pub mod http;
+pub mod machine;
+pub mod prefix;
+pub mod sse;
+pub mod timer;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::LocalBoxFuture;
+use snafu::Snafu;
+
+use crate::ids::CallNumber;
+use crate::ids::NodeId;
+use crate::ids::ProgramId;
+use crate::ids::RequestKey;
+use crate::programs::command::Answer;
+use crate::programs::command::Repeatable;
+use crate::scheduler::event::Failure;
+
+pub use dispatcher::Caller;
+pub use dispatcher::Dispatcher;
+pub use dispatcher::Job;
+pub use dispatcher::Outcome;
+pub use dispatcher::Times;
+pub use machine::Ending;
+pub use timer::SystemTimer;
+pub use timer::Timer;
+
+/// Node of an attempt that nobody carries on: any node may take the call over at once. No real node
+/// has this number.
+pub const NOBODY: NodeId = NodeId(0);
+
+/// Header that tells an engine the priority of a request, higher first.
+pub const PRIORITY_HEADER: &str = "Agatetrestle-Priority";
+
+/// Header that names the program of a call.
+pub const PROGRAM_HEADER: &str = "Agatetrestle-Program";
+
+/// Header that holds the number of a call.
+pub const CALL_HEADER: &str = "Agatetrestle-Call";
+
+/// Header by which a backend server says that it did not start a call.
+pub const OUTCOME_HEADER: &str = "Agatetrestle-Outcome";
+
+/// Header of the request key.
+pub const KEY_HEADER: &str = "Idempotency-Key";
+
+/// A request as it goes to a backend server.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Outgoing {
+    /// The program that makes the call.
+    pub program: ProgramId,
+    /// Number of the call.
+    pub call: CallNumber,
+    /// The caller's key, for backend servers that recognise resends.
+    pub key: RequestKey,
+    /// Path and query on the backend server.
+    pub path: Arc<str>,
+    /// Media type of the body.
+    pub content_type: Arc<str>,
+    /// The body.
+    pub body: Arc<[u8]>,
+    /// Whether the request may be sent again.
+    pub repeatable: Repeatable,
+    /// Whether the answer is wanted as server-sent events.
+    pub stream: bool,
+    /// Time without progress after which the connection counts as silent.
+    pub patience: Duration,
+}
+
+/// What an exchange reports while it runs.
+pub trait Progress {
+    /// The first byte of the request is about to be written: from here on the call may have run.
+    fn writing(&self);
+
+    /// A further part of the answer came.
+    fn piece(&self, bytes: &[u8]);
+}
+
+/// A whole answer with what its sender said about tokens.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Reply {
+    /// The answer, whole.
+    pub answer: Answer,
+    /// Tokens generated and read.
+    pub usage: Usage,
+}
+
+/// Token counts of an answer; zeros for services.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// Tokens generated.
+    pub output: u64,
+    /// Prompt tokens that the engine found in its cache.
+    pub cached: u64,
+}
+
+/// An exchange that gave no usable answer.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(visibility(pub), display("{failure:?}: {detail}"))]
+pub struct Broken {
+    /// How it failed.
+    pub failure: Failure,
+    /// What happened, for logs and problem details.
+    pub detail: Arc<str>,
+    /// The whole answer, where the failure is [`Failure::Error`].
+    pub reply: Option<Reply>,
+}
+
+/// The model engines at the border of this slice.
+pub trait Engines {
+    /// Sends one chat-completions request. Dropping the future closes the connection, which cancels
+    /// the request at the engine.
+    fn chat<'a>(
+        &'a self,
+        address: SocketAddr,
+        priority: u8,
+        request: &'a Outgoing,
+        progress: &'a dyn Progress,
+    ) -> LocalBoxFuture<'a, Result<Reply, Broken>>;
+}
+
+/// The tool services and plain services at the border of this slice.
+pub trait Services {
+    /// Sends one request.
+    fn call<'a>(
+        &'a self,
+        address: SocketAddr,
+        request: &'a Outgoing,
+        progress: &'a dyn Progress,
+    ) -> LocalBoxFuture<'a, Result<Reply, Broken>>;
+}
--- /dev/null
+++ b/agatetrestle/src/attempts/sse.rs
@@ -0,0 +1,111 @@
+//! Server-sent events of a streamed chat completion, cut into whole events.
+
+use crate::attempts::Usage;
+
+const SEPARATOR: &[u8] = b"\n\n";
+const DATA: &str = "data:";
+const END: &str = "[DONE]";
+
+/// Cuts a stream into events and reads from them what the ledger and the scheduler need.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    buf: Vec<u8>,
+    scanned: usize,
+    ended: bool,
+    deltas: u64,
+    usage: Option<Usage>,
+}
+
+/// One event of a stream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Piece {
+    /// The event with its separator.
+    pub bytes: Vec<u8>,
+    /// Whether it is the last one.
+    pub last: bool,
+}
+
+impl Splitter {
+    /// Takes in bytes and returns the events that are now whole; nothing follows the last one.
+    pub fn push(&mut self, bytes: &[u8]) -> Vec<Piece> {
+        self.buf.extend(bytes.iter().filter(|b| **b != b'\r'));
+        let mut pieces = Vec::new();
+        while let Some(end) = self.next_end() {
+            let rest = self.buf.split_off(end);
+            let event = std::mem::replace(&mut self.buf, rest);
+            self.scanned = 0;
+            if self.ended {
+                continue;
+            }
+            let last = self.read(&event);
+            pieces.push(Piece { bytes: event, last });
+        }
+        pieces
+    }
+
+    /// Whether the last event came.
+    #[must_use]
+    pub fn ended(&self) -> bool {
+        self.ended
+    }
+
+    /// Token counts as the engine reported them, or else the number of deltas.
+    #[must_use]
+    pub fn usage(&self) -> Usage {
+        self.usage.unwrap_or(Usage { output: self.deltas, ..Usage::default() })
+    }
+
+    fn next_end(&mut self) -> Option<usize> {
+        let from = self.scanned.saturating_sub(1);
+        let found = self.buf[from..].windows(SEPARATOR.len()).position(|w| w == SEPARATOR);
+        self.scanned = self.buf.len();
+        found.map(|at| from + at + SEPARATOR.len())
+    }
+
+    fn read(&mut self, event: &[u8]) -> bool {
+        let text = String::from_utf8_lossy(event);
+        for line in text.lines() {
+            let Some(data) = line.strip_prefix(DATA) else {
+                continue;
+            };
+            let data = data.trim();
+            if data == END {
+                self.ended = true;
+                return true;
+            }
+            self.count(data);
+        }
+        false
+    }
+
+    fn count(&mut self, data: &str) {
+        if data.contains("\"delta\"") {
+            self.deltas += 1;
+        }
+        if !data.contains("\"usage\"") {
+            return;
+        }
+        if let Ok(value) = serde_json::from_str(data)
+            && let Some(usage) = usage_of(&value)
+        {
+            self.usage = Some(usage);
+        }
+    }
+}
+
+/// Reads the `usage` object of a chat completion.
+#[must_use]
+pub fn usage_of(value: &serde_json::Value) -> Option<Usage> {
+    let usage = value.get("usage")?.as_object()?;
+    let number = |name: &str| usage.get(name).and_then(serde_json::Value::as_u64).unwrap_or(0);
+    let details = usage.get("prompt_tokens_details");
+    let cached = details.and_then(|d| d.get("cached_tokens")).and_then(serde_json::Value::as_u64);
+    Some(Usage {
+        prompt: number("prompt_tokens"),
+        output: number("completion_tokens"),
+        cached: cached.unwrap_or(0),
+    })
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/agatetrestle/src/attempts/sse/tests.rs
@@ -0,0 +1,34 @@
+//! Tests of cutting streams into events.
+
+use super::*;
+
+const STREAM: &str = concat!(
+    "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\r\n\r\n",
+    "data: {\"choices\":[{\"delta\":{\"content\":\"b\"}}]}\n\n",
+    "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":7,\"completion_tokens\":2,",
+    "\"prompt_tokens_details\":{\"cached_tokens\":3}}}\n\n",
+    "data: [DONE]\n\n",
+    "data: after the end\n\n",
+);
+
+#[test]
+fn every_cut_gives_the_same_events() {
+    let whole = Splitter::default().push(STREAM.as_bytes());
+    assert_eq!(whole.iter().map(|p| p.last).collect::<Vec<_>>(), [false, false, false, true]);
+    for size in 1..40 {
+        let mut splitter = Splitter::default();
+        let pieces: Vec<Piece> = STREAM.as_bytes().chunks(size).flat_map(|c| splitter.push(c)).collect();
+        assert_eq!(pieces, whole, "in parts of {size}");
+        assert!(splitter.ended());
+        assert_eq!(splitter.usage(), Usage { prompt: 7, output: 2, cached: 3 });
+    }
+}
+
+#[test]
+fn a_stream_without_its_end_is_not_ended() {
+    let mut splitter = Splitter::default();
+    let pieces = splitter.push(&STREAM.as_bytes()[..60]);
+    assert_eq!(pieces.len(), 1);
+    assert!(!splitter.ended());
+    assert_eq!(splitter.usage(), Usage { output: 1, ..Usage::default() });
+}
--- /dev/null
+++ b/agatetrestle_fakes/src/engine.rs
@@ -0,0 +1,323 @@
+//! A model engine: chat completions, streamed or whole, with a prefix cache that it counts.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::TryStreamExt;
+use http_types::Body;
+use http_types::Request;
+use http_types::Response;
+use http_types::StatusCode;
+use serde::Serialize;
+use serde_json::Value;
+use serde_json::json;
+use smol::LocalExecutor;
+use smol::channel;
+use smol::channel::Receiver;
+use smol::channel::Sender;
+
+use crate::server;
+use crate::server::Server;
+use crate::server::header;
+
+const BLOCK_BYTES: usize = 256;
+const BLOCK_TOKENS: usize = 64;
+const BYTES_PER_TOKEN: usize = 4;
+
+/// How the engine behaves.
+#[derive(Clone, Debug)]
+pub struct EngineConfig {
+    /// Tokens of each answer, unless the request allows fewer.
+    pub tokens: u64,
+    /// Time before the first token.
+    pub first_token: Duration,
+    /// Time before each further token.
+    pub per_token: Duration,
+    /// Blocks of 64 tokens that the prefix cache holds.
+    pub cache_blocks: usize,
+    /// Each token waits for a permit from here, where it is set; a closed channel lets all pass.
+    pub gate: Option<Receiver<()>>,
+    /// The connection breaks after so many tokens, where it is set, as often as [`Engine::break_next`] says.
+    pub break_after: u64,
+}
+
+impl Default for EngineConfig {
+    fn default() -> Self {
+        Self {
+            tokens: 16,
+            first_token: Duration::ZERO,
+            per_token: Duration::ZERO,
+            cache_blocks: 4096,
+            gate: None,
+            break_after: 2,
+        }
+    }
+}
+
+/// One request as the engine saw it.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Seen {
+    /// Program of the call.
+    pub program: String,
+    /// Number of the call.
+    pub call: String,
+    /// Key of the request.
+    pub key: String,
+    /// Priority, higher first.
+    pub priority: String,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Those that were cached.
+    pub cached_tokens: u64,
+}
+
+#[derive(Debug)]
+struct State {
+    config: EngineConfig,
+    requests: RefCell<Vec<Seen>>,
+    running: Cell<u32>,
+    cancelled: Cell<u32>,
+    breaks: Cell<u32>,
+    refusals: Cell<u32>,
+    cache: RefCell<Cache>,
+}
+
+#[derive(Debug, Default)]
+struct Cache {
+    used: HashMap<u64, u64>,
+    clock: u64,
+}
+
+/// A running engine.
+#[derive(Debug)]
+pub struct Engine {
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Rc<State>,
+    _server: Server,
+}
+
+struct Answer {
+    id: String,
+    tokens: u64,
+    prompt: u64,
+    cached: u64,
+    breaks: bool,
+}
+
+impl Engine {
+    /// Starts an engine.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn start(executor: &Rc<LocalExecutor<'static>>, config: EngineConfig) -> io::Result<Self> {
+        let state = Rc::new(State {
+            config,
+            requests: RefCell::default(),
+            running: Cell::new(0),
+            cancelled: Cell::new(0),
+            breaks: Cell::new(0),
+            refusals: Cell::new(0),
+            cache: RefCell::default(),
+        });
+        let shared = Rc::clone(&state);
+        let spawner = Rc::clone(executor);
+        let answer = move |req| answer(Rc::clone(&shared), Rc::clone(&spawner), req);
+        let server = server::serve(executor, answer).await?;
+        Ok(Self { address: server.address, state, _server: server })
+    }
+
+    /// Stops it: the listener and all connections close.
+    pub fn stop(self) {
+        drop(self);
+    }
+
+    /// The requests it saw, in order of arrival.
+    #[must_use]
+    pub fn requests(&self) -> Vec<Seen> {
+        self.state.requests.borrow().clone()
+    }
+
+    /// Streams that ended because the other side closed the connection.
+    #[must_use]
+    pub fn cancelled(&self) -> u32 {
+        self.state.cancelled.get()
+    }
+
+    /// Requests being answered.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.state.running.get()
+    }
+
+    /// Lets the next `count` streams break off.
+    pub fn break_next(&self, count: u32) {
+        self.state.breaks.set(count);
+    }
+
+    /// Refuses the next `count` requests before they start.
+    pub fn refuse_next(&self, count: u32) {
+        self.state.refusals.set(count);
+    }
+}
+
+impl Cache {
+    /// Looks a prompt up and keeps it; returns how many leading blocks were there.
+    fn visit(&mut self, prompt: &[u8], capacity: usize) -> usize {
+        let mut chain = DefaultHasher::new();
+        let mut found = 0;
+        let mut hit = true;
+        for block in prompt.chunks_exact(BLOCK_BYTES) {
+            block.hash(&mut chain);
+            self.clock += 1;
+            hit &= self.used.insert(chain.finish(), self.clock).is_some();
+            found += usize::from(hit);
+        }
+        while self.used.len() > capacity {
+            let oldest = self.used.iter().min_by_key(|(_, used)| **used).map(|(key, _)| *key);
+            oldest.map(|key| self.used.remove(&key));
+        }
+        found
+    }
+}
+
+async fn answer(
+    state: Rc<State>,
+    executor: Rc<LocalExecutor<'static>>,
+    mut request: Request,
+) -> http_types::Result<Response> {
+    match request.url().path() {
+        "/v1/chat/completions" => {}
+        "/admin/load" => {
+            let load = json!({ "running": state.running.get(), "waiting": 0 });
+            return Ok(server::json(StatusCode::Ok, &load));
+        }
+        "/admin/requests" => return Ok(server::json(StatusCode::Ok, &*state.requests.borrow())),
+        _ => return Ok(Response::new(StatusCode::NotFound)),
+    }
+    let form: Value = request.body_json().await?;
+    if take_one(&state.refusals) {
+        return Ok(Response::new(StatusCode::ServiceUnavailable));
+    }
+    let answer = plan(&state, &request, &form);
+    state.running.set(state.running.get() + 1);
+    if form["stream"].as_bool().unwrap_or(false) {
+        return Ok(stream(state, &executor, answer));
+    }
+    let text = whole(&state, &answer).await;
+    state.running.set(state.running.get() - 1);
+    let message = json!({ "role": "assistant", "content": text });
+    let choice = json!({ "index": 0, "message": message, "finish_reason": "stop" });
+    let reply = json!({ "id": answer.id, "choices": [choice], "usage": answer.usage() });
+    Ok(server::json(StatusCode::Ok, &reply))
+}
+
+fn take_one(count: &Cell<u32>) -> bool {
+    let left = count.get();
+    count.set(left.saturating_sub(1));
+    left > 0
+}
+
+fn plan(state: &State, request: &Request, form: &Value) -> Answer {
+    let prompt = serde_json::to_vec(&form["messages"]).unwrap_or_default();
+    let found = state.cache.borrow_mut().visit(&prompt, state.config.cache_blocks);
+    let count = |value: usize| u64::try_from(value).unwrap_or(u64::MAX);
+    let seen = Seen {
+        program: header(request, "Agatetrestle-Program"),
+        call: header(request, "Agatetrestle-Call"),
+        key: header(request, "Idempotency-Key"),
+        priority: header(request, "Agatetrestle-Priority"),
+        prompt_tokens: count(prompt.len().div_ceil(BYTES_PER_TOKEN)),
+        cached_tokens: count(found * BLOCK_TOKENS),
+    };
+    let answer = Answer {
+        id: format!("{}#{}", seen.program, seen.call),
+        tokens: state.config.tokens.min(form["max_tokens"].as_u64().unwrap_or(u64::MAX)),
+        prompt: seen.prompt_tokens,
+        cached: seen.cached_tokens,
+        breaks: take_one(&state.breaks),
+    };
+    state.requests.borrow_mut().push(seen);
+    answer
+}
+
+impl Answer {
+    /// Each token names the call, so that a crossed answer shows.
+    fn token(&self, number: u64) -> String {
+        format!("{}:{number} ", self.id)
+    }
+
+    fn usage(&self) -> Value {
+        json!({
+            "prompt_tokens": self.prompt,
+            "completion_tokens": self.tokens,
+            "total_tokens": self.prompt + self.tokens,
+            "prompt_tokens_details": { "cached_tokens": self.cached },
+        })
+    }
+}
+
+async fn pace(state: &State, number: u64) {
+    if let Some(gate) = &state.config.gate {
+        gate.recv().await.ok();
+    }
+    let span = if number == 0 { state.config.first_token } else { state.config.per_token };
+    server::pause(span).await;
+}
+
+async fn whole(state: &State, answer: &Answer) -> String {
+    let mut text = String::new();
+    for number in 0..answer.tokens {
+        pace(state, number).await;
+        text.push_str(&answer.token(number));
+    }
+    text
+}
+
+fn stream(state: Rc<State>, executor: &LocalExecutor<'static>, answer: Answer) -> Response {
+    let (tx, rx) = channel::bounded(1);
+    executor
+        .spawn(async move {
+            let done = generate(&state, &answer, &tx).await;
+            state.running.set(state.running.get() - 1);
+            if done.is_none() {
+                state.cancelled.set(state.cancelled.get() + 1);
+            }
+        })
+        .detach();
+    let mut response = Response::new(StatusCode::Ok);
+    let reader = Box::pin(rx).map(|piece: io::Result<Vec<u8>>| piece).into_async_read();
+    response.set_body(Body::from_reader(reader, None));
+    response.insert_header("Content-Type", "text/event-stream");
+    response
+}
+
+/// Sends the events; none where the other side is gone.
+async fn generate(state: &State, answer: &Answer, tx: &Sender<io::Result<Vec<u8>>>) -> Option<()> {
+    for number in 0..answer.tokens {
+        pace(state, number).await;
+        if answer.breaks && number >= state.config.break_after {
+            tx.send(Err(io::ErrorKind::ConnectionReset.into())).await.ok();
+            return Some(());
+        }
+        let delta = json!({ "content": answer.token(number) });
+        let choice = json!({ "index": 0, "delta": delta, "finish_reason": null });
+        send(tx, &json!({ "id": answer.id, "choices": [choice] })).await?;
+    }
+    send(tx, &json!({ "id": answer.id, "choices": [], "usage": answer.usage() })).await?;
+    tx.send(Ok(b"data: [DONE]\n\n".to_vec())).await.ok()
+}
+
+async fn send(tx: &Sender<io::Result<Vec<u8>>>, value: &Value) -> Option<()> {
+    tx.send(Ok(format!("data: {value}\n\n").into_bytes())).await.ok()
+}
--- /dev/null
+++ b/agatetrestle_fakes/src/tool.rs
@@ -0,0 +1,58 @@
+//! A tool service: takes its time and answers with a result.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_types::StatusCode;
+use serde_json::json;
+use smol::LocalExecutor;
+
+use crate::server;
+use crate::server::Server;
+
+/// A running tool service.
+#[derive(Debug)]
+pub struct Tool {
+    /// Where it listens.
+    pub address: SocketAddr,
+    calls: Rc<Cell<u32>>,
+    _server: Server,
+}
+
+impl Tool {
+    /// Starts a tool service that takes `pause` for each call.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port can be bound.
+    pub async fn start(executor: &Rc<LocalExecutor<'static>>, pause: Duration) -> io::Result<Self> {
+        let calls = Rc::new(Cell::new(0));
+        let count = Rc::clone(&calls);
+        let answer = move |mut req: http_types::Request| {
+            let count = Rc::clone(&count);
+            async move {
+                let body = req.body_string().await?;
+                count.set(count.get() + 1);
+                server::pause(pause).await;
+                let result = json!({ "tool": req.url().path(), "result": "done", "input": body });
+                Ok(server::json(StatusCode::Ok, &result))
+            }
+        };
+        let server = server::serve(executor, answer).await?;
+        Ok(Self { address: server.address, calls, _server: server })
+    }
+
+    /// Stops it: the listener and all connections close.
+    pub fn stop(self) {
+        drop(self);
+    }
+
+    /// Calls taken so far.
+    #[must_use]
+    pub fn calls(&self) -> u32 {
+        self.calls.get()
+    }
+}
