Keep requests and answers in an append-only history beside the log

An answer that can't be read is told as unknown, never as not run. Nothing frees the histories of ended programs yet.

--- a/agatetrestle/src/agreement/mod.rs
+++ b/agatetrestle/src/agreement/mod.rs
@@ -21,6 +21,8 @@
 use crate::agreement::message::Message;
 use crate::agreement::message::Position;
 use crate::codec::DecodeError;
+use crate::history::History;
+use crate::history::HistoryError;
 use crate::ids::NodeId;
 
 /// Handle by which the driver recognises the outcome of a proposal.
@@ -192,12 +194,36 @@
     ///
     /// Fails if the snapshot can't be decoded, which a driver must treat as corruption.
     fn restore(&mut self, data: &[u8]) -> Result<(), RestoreError>;
+
+    /// The append-only bytes beside the log that a coded state refers to, if there are any.
+    fn history(&mut self) -> Option<&mut dyn History> {
+        None
+    }
+
+    /// How far a coded state reaches into the history.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the state can't be decoded.
+    fn history_end(&self, _data: &[u8]) -> Result<u64, RestoreError> {
+        Ok(0)
+    }
 }
 
-/// A snapshot that can't be decoded.
+/// A snapshot that can't be restored.
 #[derive(Debug, Snafu)]
-#[snafu(visibility(pub), display("the snapshot can't be restored: {source}"))]
-pub struct RestoreError {
-    /// What the decoder said.
-    source: DecodeError,
+#[snafu(visibility(pub))]
+pub enum RestoreError {
+    /// Its bytes can't be decoded.
+    #[snafu(display("the snapshot can't be decoded: {source}"))]
+    Coded {
+        /// What the decoder said.
+        source: DecodeError,
+    },
+    /// It refers to history that is not there.
+    #[snafu(display("the snapshot does not fit the history: {source}"))]
+    Unbacked {
+        /// What is missing.
+        source: HistoryError,
+    },
 }
--- a/agatetrestle/src/control/mod.rs
+++ b/agatetrestle/src/control/mod.rs
@@ -4,6 +4,7 @@
 //! docs/design/003-configuration-versions-and-lease.md.
 
 pub mod command;
+pub mod lease;
 pub mod state;
 #[cfg(test)]
 mod tests;
--- a/agatetrestle/src/control/state.rs
+++ b/agatetrestle/src/control/state.rs
@@ -9,8 +9,8 @@
 use snafu::ResultExt;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::agreement::CodedSnafu;
 use crate::agreement::RestoreError;
-use crate::agreement::RestoreSnafu;
 use crate::agreement::StateMachine;
 use crate::agreement::message::Position;
 use crate::codec::decode;
@@ -130,7 +130,7 @@
     }
 
     fn restore(&mut self, data: &[u8]) -> Result<(), RestoreError> {
-        *self = decode(data).context(RestoreSnafu)?;
+        *self = decode(data).context(CodedSnafu)?;
         Ok(())
     }
 }
--- a/agatetrestle/src/control/tests.rs
+++ b/agatetrestle/src/control/tests.rs
@@ -1,10 +1,16 @@
 //! Tests of the control group's state.
 
+use std::time::Duration;
+
 use crate::agreement::StateMachine;
+use crate::clock::Timestamp;
+use crate::control::command::Configuration;
 use crate::control::command::ControlCommand;
 use crate::control::command::ControlReply;
+use crate::control::lease::InForce;
 use crate::control::state::ControlState;
 use crate::ids::NodeId;
+use crate::ports::NotTaking;
 
 fn apply(scope: &str, text: &str, expected: u64, change_id: &str) -> ControlCommand {
     ControlCommand::Apply { scope: scope.into(), text: text.into(), expected, change_id: change_id.into() }
@@ -67,3 +73,37 @@
     assert_eq!(restored, state);
     assert_eq!(restored.configuration().documents["vrsta"].version, 500);
 }
+
+fn revision(revision: u64) -> Configuration {
+    Configuration { revision, ..Configuration::default() }
+}
+
+const LEASE: Duration = Duration::from_secs(4);
+const DRIFT: Duration = Duration::from_millis(30);
+
+#[test]
+fn a_node_takes_no_work_before_the_revision_is_confirmed() {
+    let mut in_force = InForce::default();
+    assert_eq!(in_force.taking(Timestamp(0)), Err(NotTaking::Starting));
+    in_force.renew(Timestamp(0), LEASE, DRIFT, 3);
+    assert_eq!(in_force.taking(Timestamp(1)), Err(NotTaking::Starting), "revision 3 is not here yet");
+    assert!(in_force.adopt(revision(3)));
+    in_force.renew(Timestamp(0), LEASE, DRIFT, 3);
+    assert_eq!(in_force.taking(Timestamp(1)), Ok(()));
+}
+
+#[test]
+fn an_isolated_node_stops_taking_work_when_its_lease_runs_out() {
+    let mut in_force = InForce::default();
+    in_force.renew(Timestamp(0), LEASE, DRIFT, 0);
+    assert_eq!(in_force.taking(Timestamp(3_969_999)), Ok(()));
+    assert_eq!(in_force.taking(Timestamp(3_970_000)), Err(NotTaking::Isolated));
+}
+
+#[test]
+fn a_configuration_never_reverts() {
+    let mut in_force = InForce::default();
+    assert!(in_force.adopt(revision(7)));
+    assert!(!in_force.adopt(revision(6)));
+    assert_eq!(in_force.configuration().revision, 7);
+}
--- a/agatetrestle/src/entry/problem.rs
+++ b/agatetrestle/src/entry/problem.rs
@@ -274,6 +274,11 @@
             Refusal::NotYourAttempt => (409, Reason::WrongState, "another attempt holds the call".into()),
             Refusal::WrongState => (409, Reason::WrongState, "the call does not allow this now".into()),
             Refusal::Children => (409, Reason::Children, "sub-agents are still live".into()),
+            // The call ran; only its answer can't be read here, so this is no "not run".
+            Refusal::HistoryUnreadable => {
+                let detail = "the stored answer can't be read on this replica";
+                return Self::unknown(503, Reason::WrongState, detail).retry_after(Duration::from_secs(1));
+            }
         };
         let next_call = match refusal {
             Refusal::OutOfOrder { next } => Some(next),
--- /dev/null
+++ b/agatetrestle/src/history/memory.rs
@@ -0,0 +1,56 @@
+//! A history in memory, for tests and for replays.
+
+use std::fs::File;
+use std::sync::Arc;
+
+use crate::history::History;
+use crate::history::HistoryError;
+use crate::history::Record;
+use crate::history::ShortSnafu;
+use crate::history::checked;
+use crate::history::record;
+
+/// All bytes in one buffer.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryHistory {
+    bytes: Vec<u8>,
+}
+
+impl History for MemoryHistory {
+    fn append(&mut self, bytes: &[u8]) -> Record {
+        let record = record(self.end(), bytes);
+        self.bytes.extend_from_slice(bytes);
+        record
+    }
+
+    fn read(&self, record: Record) -> Result<Arc<[u8]>, HistoryError> {
+        let bytes = self.copy(record.offset, record.length as usize)?;
+        let wanted = record.offset + u64::from(record.length);
+        snafu::ensure!(bytes.len() == record.length as usize, ShortSnafu { end: self.end(), wanted });
+        checked(record, &bytes)
+    }
+
+    fn end(&self) -> u64 {
+        self.bytes.len() as u64
+    }
+
+    fn copy(&self, offset: u64, limit: usize) -> Result<Vec<u8>, HistoryError> {
+        let start = usize::try_from(offset).unwrap_or(usize::MAX).min(self.bytes.len());
+        let end = start.saturating_add(limit).min(self.bytes.len());
+        Ok(self.bytes[start..end].to_vec())
+    }
+
+    fn extend(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    fn truncate(&mut self, end: u64) -> Result<(), HistoryError> {
+        snafu::ensure!(end <= self.end(), ShortSnafu { end: self.end(), wanted: end });
+        self.bytes.truncate(usize::try_from(end).unwrap_or(usize::MAX));
+        Ok(())
+    }
+
+    fn flush(&mut self) -> Result<Vec<File>, HistoryError> {
+        Ok(Vec::new())
+    }
+}
--- a/agatetrestle/src/lib.rs
+++ b/agatetrestle/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod control;
 pub mod entry;
 pub mod health;
+pub mod history;
 pub mod ids;
 pub mod logging;
 pub mod members;
--- a/agatetrestle/src/programs/command.rs
+++ b/agatetrestle/src/programs/command.rs
@@ -236,6 +236,8 @@
     WrongState,
     /// Sub-agents are still live.
     Children,
+    /// The stored answer is there but can't be read on this replica.
+    HistoryUnreadable,
 }
 
 /// A question about programs that changes nothing.
--- a/agatetrestle/src/programs/ledger.rs
+++ b/agatetrestle/src/programs/ledger.rs
@@ -3,16 +3,23 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use log::error;
+use serde::Deserialize;
+use serde::Serialize;
 use snafu::ResultExt;
 
+use crate::agreement::CodedSnafu;
 use crate::agreement::RestoreError;
-use crate::agreement::RestoreSnafu;
 use crate::agreement::StateMachine;
+use crate::agreement::UnbackedSnafu;
 use crate::agreement::message::Position;
 use crate::codec::decode;
 use crate::codec::encode;
+use crate::history::History;
+use crate::history::memory::MemoryHistory;
 use crate::ids::ProgramId;
 use crate::ids::RequestKey;
+use crate::programs::command::Answer;
 use crate::programs::command::ProgramCommand;
 use crate::programs::command::ProgramQuery;
 use crate::programs::command::ProgramReply;
@@ -21,16 +28,31 @@
 use crate::programs::command::QueryReply;
 use crate::programs::command::Refusal;
 use crate::programs::program::Begun;
+use crate::programs::program::Earlier;
 use crate::programs::program::NewCall;
 use crate::programs::program::Program;
+use crate::programs::program::StoredAnswer;
 
-/// Programs by identity; ordered, so that every replica codes the same snapshot.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+/// Programs by identity; ordered, so that every replica codes the same snapshot. The bodies of requests
+/// and answers stand in the history.
 pub struct Ledger {
     programs: BTreeMap<ProgramId, Program>,
+    history: Box<dyn History>,
+}
+
+impl Default for Ledger {
+    fn default() -> Self {
+        Self::new(Box::new(MemoryHistory::default()))
+    }
 }
 
 impl Ledger {
+    /// An empty ledger over a history.
+    #[must_use]
+    pub fn new(history: Box<dyn History>) -> Self {
+        Self { programs: BTreeMap::new(), history }
+    }
+
     /// Applies a command; the reply is the same on every replica.
     pub fn execute(&mut self, command: ProgramCommand) -> ProgramReply {
         let outcome = match command {
@@ -66,19 +88,20 @@
     fn change(&mut self, command: ProgramCommand) -> Result<ProgramReply, Refusal> {
         let id = command.program().clone();
         let program = self.programs.get_mut(&id).ok_or(Refusal::NoProgram)?;
+        let history = &mut self.history;
         match command {
             ProgramCommand::Open { .. } => return Err(Refusal::Exists),
             ProgramCommand::Begin { call, key, attempt, reserve, repeatable, request, digest, .. } => {
-                let new = NewCall { number: call, key, attempt, reserve, repeatable, request, digest };
-                if let Begun::Earlier(reply) = program.begin(new)? {
-                    return Ok(reply);
+                let new = NewCall { number: call, key, attempt, reserve, repeatable, digest };
+                if let Begun::Earlier(earlier) = program.begin(new, || history.append(&request))? {
+                    return Ok(self.tell(earlier));
                 }
             }
             ProgramCommand::TakeOver { call, previous, attempt, .. } => {
                 program.take_over(call, previous, attempt)?;
             }
             ProgramCommand::Finish { call, attempt, answer, spent, .. } => {
-                program.finish(call, attempt, answer, spent)?;
+                program.finish(call, attempt, spent, || store(history.as_mut(), answer))?;
             }
             ProgramCommand::NotRun { call, attempt, .. } => program.not_run(call, attempt)?,
             ProgramCommand::Unknown { call, attempt, .. } => program.doubt(call, attempt)?,
@@ -121,7 +144,21 @@
 
     fn request(&self, id: &ProgramId, key: &RequestKey) -> ProgramReply {
         let found = self.programs.get(id).and_then(|program| program.request(key));
-        found.unwrap_or(ProgramReply::Refused(Refusal::NoProgram))
+        found.map_or(ProgramReply::Refused(Refusal::NoProgram), |earlier| self.tell(earlier))
+    }
+
+    fn tell(&self, earlier: Earlier) -> ProgramReply {
+        match earlier {
+            Earlier::InProgress(attempt) => ProgramReply::InProgress(attempt),
+            Earlier::InDoubt(attempt) => ProgramReply::InDoubt(attempt),
+            Earlier::Stored(StoredAnswer { status, content_type, body }) => match self.history.read(body) {
+                Ok(body) => ProgramReply::Stored(Answer { status, content_type, body }),
+                Err(failure) => {
+                    error!("A stored answer can't be read: {failure}.");
+                    ProgramReply::Refused(Refusal::HistoryUnreadable)
+                }
+            },
+        }
     }
 
     fn list(&self, partner: &Arc<str>, limit: usize) -> Vec<ProgramView> {
@@ -151,13 +188,42 @@
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        let programs: Vec<(&ProgramId, &Program)> = self.programs.iter().collect();
-        encode(&programs)
+        let programs = self.programs.iter().collect();
+        encode(&Coded { history_end: self.history.end(), programs })
     }
 
     fn restore(&mut self, data: &[u8]) -> Result<(), RestoreError> {
-        let programs: Vec<(ProgramId, Program)> = decode(data).context(RestoreSnafu)?;
-        self.programs = programs.into_iter().collect();
+        let decoded: Decoded = decode(data).context(CodedSnafu)?;
+        self.history.truncate(decoded.history_end).context(UnbackedSnafu)?;
+        self.programs = decoded.programs.into_iter().collect();
         Ok(())
     }
+
+    fn history(&mut self) -> Option<&mut dyn History> {
+        Some(self.history.as_mut())
+    }
+
+    fn history_end(&self, data: &[u8]) -> Result<u64, RestoreError> {
+        let decoded: Decoded = decode(data).context(CodedSnafu)?;
+        Ok(decoded.history_end)
+    }
+}
+
+/// A snapshot as it is written.
+#[derive(Serialize)]
+struct Coded<'a> {
+    history_end: u64,
+    programs: Vec<(&'a ProgramId, &'a Program)>,
+}
+
+/// A snapshot as it is read.
+#[derive(Deserialize)]
+struct Decoded {
+    history_end: u64,
+    programs: Vec<(ProgramId, Program)>,
+}
+
+fn store(history: &mut dyn History, answer: Answer) -> StoredAnswer {
+    let Answer { status, content_type, body } = answer;
+    StoredAnswer { status, content_type, body: history.append(&body) }
 }
--- a/agatetrestle/src/programs/program.rs
+++ b/agatetrestle/src/programs/program.rs
@@ -6,14 +6,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::history::Record;
 use crate::ids::AttemptId;
 use crate::ids::CallNumber;
 use crate::ids::NodeId;
 use crate::ids::ProgramId;
 use crate::ids::RequestKey;
-use crate::programs::command::Answer;
 use crate::programs::command::CallState;
-use crate::programs::command::ProgramReply;
 use crate::programs::command::ProgramSpec;
 use crate::programs::command::ProgramView;
 use crate::programs::command::Refusal;
@@ -29,11 +28,19 @@
     state: CallState,
     reserve: u64,
     charged: u64,
-    request: Arc<[u8]>,
-    answer: Option<Answer>,
+    request: Record,
+    answer: Option<StoredAnswer>,
     note: Option<Arc<str>>,
 }
 
+/// An answer whose body stands in the history.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(super) struct StoredAnswer {
+    pub(super) status: u16,
+    pub(super) content_type: Arc<str>,
+    pub(super) body: Record,
+}
+
 /// What a `Begin` asks for.
 #[derive(Clone, Debug)]
 pub(super) struct NewCall {
@@ -42,7 +49,6 @@
     pub(super) attempt: AttemptId,
     pub(super) reserve: u64,
     pub(super) repeatable: Repeatable,
-    pub(super) request: Arc<[u8]>,
     pub(super) digest: u64,
 }
 
@@ -109,7 +115,8 @@
         self.children -= 1;
     }
 
-    pub(super) fn begin(&mut self, new: NewCall) -> Result<Begun, Refusal> {
+    /// Begins a call; `store` puts the request into the history and is called only for a new one.
+    pub(super) fn begin(&mut self, new: NewCall, store: impl FnOnce() -> Record) -> Result<Begun, Refusal> {
         if let Some(index) = self.calls.iter().rposition(|call| call.key == new.key) {
             return self.begin_again(index, &new);
         }
@@ -132,7 +139,7 @@
             state: CallState::Open,
             reserve: new.reserve,
             charged: 0,
-            request: new.request,
+            request: store(),
             answer: None,
             note: None,
         });
@@ -145,10 +152,10 @@
             return Err(Refusal::KeyReused);
         }
         match (call.state, &call.answer) {
-            (CallState::Finished, Some(answer)) => Ok(Begun::Earlier(ProgramReply::Stored(answer.clone()))),
+            (CallState::Finished, Some(answer)) => Ok(Begun::Earlier(Earlier::Stored(answer.clone()))),
             (CallState::Finished, None) => Err(Refusal::WrongState),
             (CallState::Open, _) if call.attempt == new.attempt => Ok(Begun::Now),
-            (CallState::Open, _) => Ok(Begun::Earlier(ProgramReply::InProgress(call.attempt))),
+            (CallState::Open, _) => Ok(Begun::Earlier(Earlier::InProgress(call.attempt))),
             (CallState::Unknown, _) => self.reopen(index, new),
         }
     }
@@ -158,7 +165,7 @@
         let call = &self.calls[index];
         let last = index + 1 == self.calls.len();
         if call.repeatable == Repeatable::No || !last || self.ended {
-            return Ok(Begun::Earlier(ProgramReply::InDoubt(call.attempt)));
+            return Ok(Begun::Earlier(Earlier::InDoubt(call.attempt)));
         }
         if self.was_released(new.attempt) {
             return Err(Refusal::NotYourAttempt);
@@ -234,8 +241,8 @@
         &mut self,
         number: CallNumber,
         attempt: AttemptId,
-        answer: Answer,
         spent: u64,
+        store: impl FnOnce() -> StoredAnswer,
     ) -> Result<(), Refusal> {
         let call = self.call_mut(number)?;
         if call.attempt != attempt {
@@ -248,7 +255,7 @@
             return Ok(());
         }
         call.state = CallState::Finished;
-        call.answer = Some(answer);
+        call.answer = Some(store());
         call.charged = match before {
             CallState::Unknown => call.charged - reserve + spent,
             CallState::Open | CallState::Finished => call.charged + spent,
@@ -340,14 +347,13 @@
         Ok(self.spec.parent.clone().map(|parent| (parent, self.spec.budget, self.spent)))
     }
 
-    pub(super) fn request(&self, key: &RequestKey) -> Option<ProgramReply> {
+    pub(super) fn request(&self, key: &RequestKey) -> Option<Earlier> {
         let call = self.calls.iter().rev().find(|call| call.key == *key)?;
-        Some(match (call.state, &call.answer) {
-            (CallState::Finished, Some(answer)) => ProgramReply::Stored(answer.clone()),
-            (CallState::Finished, None) => ProgramReply::Refused(Refusal::WrongState),
-            (CallState::Open, _) => ProgramReply::InProgress(call.attempt),
-            (CallState::Unknown, _) => ProgramReply::InDoubt(call.attempt),
-        })
+        match (call.state, &call.answer) {
+            (CallState::Finished, answer) => answer.clone().map(Earlier::Stored),
+            (CallState::Open, _) => Some(Earlier::InProgress(call.attempt)),
+            (CallState::Unknown, _) => Some(Earlier::InDoubt(call.attempt)),
+        }
     }
 
     pub(super) fn view(&self, program: &ProgramId) -> ProgramView {
@@ -372,5 +378,16 @@
     /// The call is open for the attempt that asked.
     Now,
     /// The request was begun earlier.
-    Earlier(ProgramReply),
+    Earlier(Earlier),
+}
+
+/// What became of a request that was begun earlier.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Earlier {
+    /// It has a stored answer.
+    Stored(StoredAnswer),
+    /// It is open for this attempt.
+    InProgress(AttemptId),
+    /// Nobody can tell whether this attempt ran.
+    InDoubt(AttemptId),
 }
--- a/agatetrestle/src/programs/tests.rs
+++ b/agatetrestle/src/programs/tests.rs
@@ -251,12 +251,37 @@
 }
 
 #[test]
-fn a_snapshot_restores_the_same_ledger() {
+fn a_snapshot_with_its_history_restores_the_same_ledger() {
     let mut ledger = ledger();
     done(ledger.execute(begin("vrsta/a", 1, attempt(1, 1), Repeatable::No)));
     done(ledger.execute(finish("vrsta/a", 1, attempt(1, 1), 10)));
+    let snapshot = ledger.snapshot();
     let mut restored = Ledger::default();
-    restored.restore(&ledger.snapshot()).unwrap();
-    assert_eq!(restored, ledger);
+    assert!(restored.restore(&snapshot).is_err(), "the history is missing");
+    let end = restored.history_end(&snapshot).unwrap();
+    let bytes = ledger.history().unwrap().copy(0, usize::try_from(end).unwrap()).unwrap();
+    restored.history().unwrap().extend(&bytes);
+    restored.restore(&snapshot).unwrap();
+    assert_eq!(restored.snapshot(), snapshot);
+    let stored = restored.query(&ProgramQuery::Request(id("vrsta/a"), key("key-1")));
+    assert_eq!(stored, QueryReply::One(ProgramReply::Stored(answer("vrsta/a 1"))));
     assert!(restored.restore(b"torn").is_err());
 }
+
+#[test]
+fn a_snapshot_does_not_hold_the_history() {
+    let mut ledger = Ledger::default();
+    done(ledger.execute(open("vrsta/a", BUDGET, None)));
+    done(ledger.execute(begin("vrsta/a", 1, attempt(1, 1), Repeatable::No)));
+    let body: Arc<[u8]> = vec![b'x'; 1 << 20].into();
+    let answer = Answer { status: 200, content_type: "text/plain".into(), body };
+    let finish = ProgramCommand::Finish {
+        program: id("vrsta/a"),
+        call: CallNumber(1),
+        attempt: attempt(1, 1),
+        answer,
+        spent: 1,
+    };
+    done(ledger.execute(finish));
+    assert!(ledger.snapshot().len() < 1_024);
+}
