--- a/agatetrestle/src/members/mod.rs
+++ b/agatetrestle/src/members/mod.rs
@@ -1,1 +1,11 @@
 //! Heartbeats, the platform's VM list and leaving; see docs/design/004-members-and-leaving.md.
+//!
+//! Every node sends a heartbeat to the control replicas and gets back a digest of all nodes. Any
+//! sign that a VM or backend server is leaving only ever adds, until a newer incarnation shows.
+
+pub mod message;
+pub mod roster;
+pub mod signs;
+pub mod table;
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/agatetrestle/src/members/roster.rs
@@ -0,0 +1,137 @@
+//! A node's picture of the others, from the digests it gets, and the choice of caller addresses.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ids::NodeId;
+use crate::ids::ProgramId;
+use crate::members::message::Digest;
+use crate::members::message::Heartbeat;
+use crate::members::message::Member;
+use crate::members::message::MemberState;
+use crate::members::message::Sign;
+use crate::members::signs::Signs;
+use crate::ports::MemberView;
+
+/// Addresses in one answer: the first to use and two to fall back on, in other failure domains.
+const ADDRESSES: usize = 3;
+
+/// Newest word on every node.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    members: BTreeMap<NodeId, Member>,
+    signs: Signs,
+    answers: u64,
+}
+
+impl Roster {
+    /// Takes in a digest. One that a control leader confirmed replaces the picture, others only add
+    /// what is newer, because a replica that is cut off hears from few nodes.
+    pub fn take_in(&mut self, digest: &Digest) -> Vec<Sign> {
+        if !digest.lease.is_zero() {
+            self.members.clear();
+        }
+        for member in &digest.members {
+            self.add(member);
+        }
+        let news = digest.leaving.iter().filter(|sign| self.signs.add(sign));
+        news.cloned().collect()
+    }
+
+    fn add(&mut self, member: &Member) {
+        let known = self.members.get(&member.beat.node);
+        if known.is_none_or(|known| known.beat.incarnation <= member.beat.incarnation) {
+            self.members.insert(member.beat.node, member.clone());
+        }
+    }
+
+    /// Adds a sign that this node saw itself; returns whether it was news.
+    pub fn mark(&mut self, sign: &Sign) -> bool {
+        self.signs.add(sign)
+    }
+
+    /// All signs known here.
+    #[must_use]
+    pub fn signs(&self) -> Vec<Sign> {
+        self.signs.list()
+    }
+
+    /// The incarnation last seen of a node, and whether it is silent.
+    #[must_use]
+    pub fn incarnation(&self, node: NodeId) -> Option<(u64, bool)> {
+        let member = self.members.get(&node)?;
+        Some((member.beat.incarnation, member.state == MemberState::Silent))
+    }
+
+    /// All nodes for listings.
+    #[must_use]
+    pub fn views(&self) -> Vec<MemberView> {
+        self.members.values().map(|member| self.view(member)).collect()
+    }
+
+    fn state(&self, member: &Member) -> MemberState {
+        let beat = &member.beat;
+        match member.state {
+            MemberState::Live if self.signs.covers(&beat.vm, beat.incarnation) => MemberState::Leaving,
+            state => state,
+        }
+    }
+
+    fn view(&self, member: &Member) -> MemberView {
+        let state = self.state(member);
+        let name = match state {
+            MemberState::Live => "live",
+            MemberState::Stopping => "stopping",
+            MemberState::Silent => "silent",
+            MemberState::Leaving => "leaving",
+        };
+        let beat = &member.beat;
+        MemberView {
+            node: beat.node,
+            vm: beat.vm.clone(),
+            failure_domain: beat.failure_domain.clone(),
+            region: beat.region.clone(),
+            incarnation: beat.incarnation,
+            caller_address: beat.caller_address.clone(),
+            live: state == MemberState::Live,
+            state: name.into(),
+            revision: beat.revision,
+        }
+    }
+
+    /// A key that differs each time, so that new programs spread over all nodes.
+    fn next_new_key(&mut self) -> String {
+        self.answers += 1;
+        format!("new {}", self.answers)
+    }
+
+    /// Addresses for a program, the same on every node, or for a new one, each time others.
+    pub fn addresses(&mut self, program: Option<&ProgramId>) -> Vec<Arc<str>> {
+        let key = program.map_or_else(|| self.next_new_key(), ToString::to_string);
+        let live = self.members.values().filter(|member| self.state(member) == MemberState::Live);
+        let mut ranked: Vec<&Heartbeat> = live.map(|member| &member.beat).collect();
+        // Rendezvous hashing moves only the programs of a node that left.
+        ranked.sort_by_key(|beat| std::cmp::Reverse(xxh3_64_with_seed(key.as_bytes(), beat.node.0)));
+        spread(&ranked).into_iter().map(|beat| beat.caller_address.clone()).collect()
+    }
+}
+
+/// Takes the first nodes in order, one of each failure domain before a second of any.
+fn spread<'a>(ranked: &[&'a Heartbeat]) -> Vec<&'a Heartbeat> {
+    let mut chosen: Vec<&Heartbeat> = Vec::new();
+    for beat in ranked {
+        let domain_taken = chosen.iter().any(|other| other.failure_domain == beat.failure_domain);
+        if !domain_taken && chosen.len() < ADDRESSES {
+            chosen.push(beat);
+        }
+    }
+    for beat in ranked {
+        let taken = chosen.iter().any(|other| other.node == beat.node);
+        if !taken && chosen.len() < ADDRESSES {
+            chosen.push(beat);
+        }
+    }
+    chosen
+}
--- /dev/null
+++ b/agatetrestle/src/members/tests.rs
@@ -0,0 +1,123 @@
+//! Tests of heartbeats, leaving and caller addresses.
+
+use std::time::Duration;
+
+use crate::clock::Timestamp;
+use crate::ids::NodeId;
+use crate::ids::ProgramId;
+use crate::members::message::Digest;
+use crate::members::message::Heartbeat;
+use crate::members::message::MemberState;
+use crate::members::message::Sign;
+use crate::members::roster::Roster;
+use crate::members::table::Table;
+
+const INTERVAL: Duration = Duration::from_secs(1);
+
+fn beat(node: u64, incarnation: u64) -> Heartbeat {
+    Heartbeat {
+        node: NodeId(node),
+        vm: format!("vm-{node}").into(),
+        failure_domain: format!("domain-{}", node % 3).into(),
+        incarnation,
+        caller_address: format!("10.0.0.{node}:7400").into(),
+        ..Heartbeat::default()
+    }
+}
+
+fn seconds(count: u64) -> Timestamp {
+    Timestamp(count * 1_000_000)
+}
+
+fn table() -> Table {
+    let mut table = Table::new(INTERVAL);
+    for node in 1..=9 {
+        table.record(seconds(0), beat(node, 5));
+    }
+    table
+}
+
+fn state(table: &mut Table, now: u64, node: u64) -> MemberState {
+    let members = table.members(seconds(now));
+    members.iter().find(|member| member.beat.node == NodeId(node)).unwrap().state
+}
+
+fn digest(table: &mut Table, now: u64, lease: Duration) -> Digest {
+    Digest { revision: 1, lease, members: table.members(seconds(now)), leaving: table.signs() }
+}
+
+fn sign(name: &str, incarnation: u64) -> Sign {
+    Sign { name: name.into(), incarnation }
+}
+
+#[test]
+fn a_node_is_silent_after_three_missed_heartbeats() {
+    let mut table = table();
+    table.record(seconds(4), beat(2, 5));
+    assert_eq!(state(&mut table, 4, 1), MemberState::Silent);
+    assert_eq!(state(&mut table, 4, 2), MemberState::Live);
+}
+
+#[test]
+fn a_late_heartbeat_of_an_older_incarnation_changes_nothing() {
+    let mut table = table();
+    table.record(seconds(1), beat(1, 6));
+    table.record(seconds(2), Heartbeat { stopping: true, ..beat(1, 5) });
+    assert_eq!(state(&mut table, 2, 1), MemberState::Live);
+}
+
+#[test]
+fn a_lagging_list_does_not_bring_back_what_another_sign_removed() {
+    let mut table = table();
+    table.mark(&sign("vm-4", 5));
+    table.mark(&sign("vm-4", 3));
+    table.record(seconds(1), beat(4, 5));
+    assert_eq!(state(&mut table, 1, 4), MemberState::Leaving);
+    table.record(seconds(2), beat(4, 6));
+    assert_eq!(state(&mut table, 2, 4), MemberState::Live, "a newer incarnation is live again");
+}
+
+#[test]
+fn addresses_spread_over_failure_domains_and_are_the_same_everywhere() {
+    let mut table = table();
+    let digest = digest(&mut table, 1, INTERVAL);
+    let program = ProgramId::parse("vrsta/dawn-17").unwrap();
+    let mut first = Roster::default();
+    first.take_in(&digest);
+    let mut second = Roster::default();
+    second.take_in(&digest);
+    let addresses = first.addresses(Some(&program));
+    assert_eq!(second.addresses(Some(&program)), addresses);
+    insta::assert_json_snapshot!(addresses);
+    let domains: std::collections::BTreeSet<_> = first
+        .views()
+        .into_iter()
+        .filter(|view| addresses.contains(&view.caller_address))
+        .map(|view| view.failure_domain)
+        .collect();
+    assert_eq!(domains.len(), 3);
+}
+
+#[test]
+fn a_leaving_vm_is_in_no_answer_as_soon_as_any_sign_is_seen() {
+    let mut table = table();
+    let digest = digest(&mut table, 1, INTERVAL);
+    let mut roster = Roster::default();
+    roster.take_in(&digest);
+    assert!(roster.mark(&sign("vm-7", 5)));
+    roster.take_in(&digest);
+    for _ in 0..100 {
+        assert!(!roster.addresses(None).iter().any(|address| &**address == "10.0.0.7:7400"));
+    }
+}
+
+#[test]
+fn a_replica_that_was_cut_off_does_not_shrink_the_picture() {
+    let mut full = table();
+    let mut roster = Roster::default();
+    roster.take_in(&digest(&mut full, 1, INTERVAL));
+    let mut cut_off = Table::new(INTERVAL);
+    cut_off.record(seconds(1), beat(1, 5));
+    roster.take_in(&digest(&mut cut_off, 1, Duration::ZERO));
+    assert_eq!(roster.views().len(), 9);
+}
--- /dev/null
+++ b/agatetrestle/src/node/group.rs
@@ -0,0 +1,482 @@
+//! The driver of one replica: it feeds the pure state machine of [`crate::agreement`] and carries
+//! out what it asks for. Writes go to a blocking thread, many to one sync.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::fs::File;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::channel::oneshot;
+use futures::future::LocalBoxFuture;
+use log::error;
+use log::info;
+use log::warn;
+use smol::Timer;
+use smol::channel::Receiver;
+use smol::channel::Sender;
+use snafu::Snafu;
+
+use crate::agreement::Input;
+use crate::agreement::Output;
+use crate::agreement::Rejection;
+use crate::agreement::ReplicaChange;
+use crate::agreement::Replicas;
+use crate::agreement::Snapshot;
+use crate::agreement::StateMachine;
+use crate::agreement::Ticket;
+use crate::agreement::Write;
+use crate::agreement::message::Message;
+use crate::agreement::message::Position;
+use crate::agreement::replica::Replica;
+use crate::agreement::storage::Storage;
+use crate::agreement::storage::error::StorageError;
+use crate::clock::Clock;
+use crate::clock::Timestamp;
+use crate::history::History;
+use crate::ids::GroupId;
+use crate::ids::NodeId;
+use crate::ports::GroupView;
+
+/// Pause before history is asked for again.
+const FETCH_PAUSE: Duration = Duration::from_millis(100);
+/// Most history bytes in one answer to another replica.
+const HISTORY_PIECE: usize = 1 << 20;
+
+/// What became of a proposal or read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The command was applied; this is the coded reply.
+    Applied(Vec<u8>),
+    /// The state machine may be read now.
+    Ready,
+    /// The change of replicas is committed.
+    Changed,
+    /// It did not enter the log.
+    Rejected(Rejection),
+    /// It may yet be applied.
+    Unknown,
+}
+
+enum Job {
+    Write(Write),
+    Snapshot { snapshot: Snapshot, relies_on: Vec<File> },
+}
+
+/// A committed command that waits until a received snapshot is in place.
+struct Held {
+    position: Position,
+    payload: Arc<[u8]>,
+    ticket: Option<Ticket>,
+}
+
+/// Fetches history from another replica, from an offset on; none where no replica has it.
+pub type HistorySource = Rc<dyn Fn(u64) -> LocalBoxFuture<'static, Option<Vec<u8>>>>;
+
+/// Sends a message to another node; losing it is harmless.
+pub type Outbox = Rc<dyn Fn(Message)>;
+
+/// One replica with its state machine, storage and waiting proposals.
+pub struct Group<M: StateMachine> {
+    id: GroupId,
+    clock: Clock,
+    replica: RefCell<Replica>,
+    machine: RefCell<M>,
+    waiting: RefCell<HashMap<Ticket, oneshot::Sender<Verdict>>>,
+    next_ticket: Cell<u64>,
+    jobs: Sender<Job>,
+    outbox: Outbox,
+    /// The committed set, for snapshots; the replica itself already acts on one that is not committed.
+    replicas: RefCell<Replicas>,
+    applied: Cell<Position>,
+    bytes_since_snapshot: Cell<u64>,
+    snapshot_after: u64,
+    snapshot_running: Cell<bool>,
+    history_source: HistorySource,
+    /// Commands that came after a snapshot whose history is still being fetched.
+    held: RefCell<Option<VecDeque<Held>>>,
+}
+
+/// What a group is made of.
+pub struct GroupParts<M: StateMachine> {
+    /// The group.
+    pub id: GroupId,
+    /// The process's clock.
+    pub clock: Clock,
+    /// The replica as restored from storage.
+    pub replica: Replica,
+    /// The state machine as restored from the snapshot.
+    pub machine: M,
+    /// Where messages go.
+    pub outbox: Outbox,
+    /// The committed set as of the restored snapshot.
+    pub replicas: Replicas,
+    /// The last entry that the restored snapshot covers.
+    pub applied: Position,
+    /// A snapshot is taken after this many bytes of commands.
+    pub snapshot_after: u64,
+    /// Where history comes from that a received snapshot relies on.
+    pub history_source: HistorySource,
+}
+
+impl<M: StateMachine + 'static> Group<M> {
+    /// Puts a group together; [`Group::run`] then drives it.
+    #[must_use]
+    pub fn new(parts: GroupParts<M>) -> (Rc<Self>, Jobs) {
+        let (jobs, inbox) = smol::channel::unbounded();
+        let group = Rc::new(Self {
+            id: parts.id,
+            clock: parts.clock,
+            replica: RefCell::new(parts.replica),
+            machine: RefCell::new(parts.machine),
+            waiting: RefCell::default(),
+            next_ticket: Cell::new(1),
+            jobs,
+            outbox: parts.outbox,
+            replicas: RefCell::new(parts.replicas),
+            applied: Cell::new(parts.applied),
+            bytes_since_snapshot: Cell::new(0),
+            snapshot_after: parts.snapshot_after,
+            snapshot_running: Cell::new(false),
+            history_source: parts.history_source,
+            held: RefCell::new(None),
+        });
+        (group, Jobs(inbox))
+    }
+
+    /// Drives the replica's clock and storage until the task is dropped.
+    pub async fn run(self: Rc<Self>, storage: Storage, jobs: Jobs, tick: Duration) {
+        let ticking = self.clone().tick_forever(tick);
+        let writing = self.write_forever(storage, jobs);
+        futures::future::join(ticking, writing).await;
+    }
+
+    async fn tick_forever(self: Rc<Self>, tick: Duration) {
+        loop {
+            Timer::after(tick).await;
+            self.feed(Input::Tick);
+        }
+    }
+
+    async fn write_forever(self: Rc<Self>, mut storage: Storage, jobs: Jobs) {
+        while let Ok(first) = jobs.0.recv().await {
+            let mut batch = vec![first];
+            while let Ok(job) = jobs.0.try_recv() {
+                batch.push(job);
+            }
+            for job in &batch {
+                if let Job::Write(Write { snapshot: Some(snapshot), .. }) = job {
+                    self.put_in_place(snapshot).await;
+                }
+            }
+            let (returned, done) = smol::unblock(move || {
+                let done = carry_out(&mut storage, batch);
+                (storage, done)
+            })
+            .await;
+            storage = returned;
+            self.report(done);
+        }
+    }
+
+    /// Fetches the history that a received snapshot relies on, then restores it. Nothing about the snapshot
+    /// is acknowledged before that, so a replica that can't fetch counts as down.
+    async fn put_in_place(&self, snapshot: &Snapshot) {
+        let wanted = match self.machine.borrow().history_end(&snapshot.data) {
+            Ok(wanted) => wanted,
+            Err(failure) => {
+                error!("Group {} received a snapshot it can't read: {failure}.", self.id.0);
+                return;
+            }
+        };
+        while let Some(offset) = self.history_gap(wanted) {
+            match (self.history_source)(offset).await {
+                Some(bytes) if !bytes.is_empty() => self.extend_history(&bytes, wanted),
+                _ => {
+                    warn!("Group {} waits for history from byte {offset} on.", self.id.0);
+                    Timer::after(FETCH_PAUSE).await;
+                }
+            }
+        }
+        self.restore(snapshot);
+    }
+
+    fn history_gap(&self, wanted: u64) -> Option<u64> {
+        let mut machine = self.machine.borrow_mut();
+        let end = machine.history()?.end();
+        (end < wanted).then_some(end)
+    }
+
+    fn extend_history(&self, bytes: &[u8], wanted: u64) {
+        let mut machine = self.machine.borrow_mut();
+        let Some(history) = machine.history() else {
+            return;
+        };
+        let lacking = usize::try_from(wanted - history.end()).unwrap_or(usize::MAX);
+        history.extend(&bytes[..bytes.len().min(lacking)]);
+    }
+
+    /// Raw history for another replica.
+    pub fn copy_history(&self, offset: u64) -> Vec<u8> {
+        let mut machine = self.machine.borrow_mut();
+        let copied = machine.history().map(|history| history.copy(offset, HISTORY_PIECE));
+        match copied {
+            Some(Ok(bytes)) => bytes,
+            Some(Err(failure)) => {
+                error!("Group {} can't read its history: {failure}.", self.id.0);
+                Vec::new()
+            }
+            None => Vec::new(),
+        }
+    }
+
+    fn report(self: &Rc<Self>, done: Done) {
+        if let Some(failure) = done.failure {
+            error!("Group {} could not write its log: {failure}.", self.id.0);
+            self.feed(Input::WriteFailed);
+            return;
+        }
+        if let Some(sequence) = done.written {
+            self.feed(Input::Written(sequence));
+        }
+        if let Some(failure) = done.snapshot_failure {
+            // The log is whole without the snapshot, so the replica goes on.
+            error!("Group {} could not save a snapshot: {failure}.", self.id.0);
+            self.snapshot_running.set(false);
+        }
+        if let Some(snapshot) = done.snapshot {
+            self.snapshot_running.set(false);
+            let Snapshot { position, data, .. } = snapshot;
+            self.feed(Input::SnapshotTaken { position, data });
+        }
+    }
+
+    /// Hands a message from another node to the replica.
+    pub fn receive(&self, message: Message) {
+        self.feed(Input::Receive(message));
+    }
+
+    /// Commits a command and returns its coded reply.
+    pub async fn submit(&self, payload: Arc<[u8]>) -> Verdict {
+        self.ask(|ticket| Input::Propose { ticket, payload }).await
+    }
+
+    /// Waits until the state machine may be read as of now; only the leader's may.
+    pub async fn ready(&self) -> Verdict {
+        self.ask(Input::Read).await
+    }
+
+    /// Changes who takes part.
+    pub async fn change_replicas(&self, change: ReplicaChange) -> Verdict {
+        self.ask(|ticket| Input::ChangeReplicas { ticket, change }).await
+    }
+
+    /// Hands leadership to another replica before a planned stop.
+    pub fn hand_over(&self) {
+        self.feed(Input::HandOver);
+    }
+
+    async fn ask(&self, input: impl FnOnce(Ticket) -> Input) -> Verdict {
+        let ticket = Ticket(self.next_ticket.get());
+        self.next_ticket.set(ticket.0 + 1);
+        let (tx, rx) = oneshot::channel();
+        self.waiting.borrow_mut().insert(ticket, tx);
+        self.feed(input(ticket));
+        rx.await.unwrap_or(Verdict::Unknown)
+    }
+
+    /// Reads the state machine as it is on this replica, which may lag.
+    pub fn machine<T>(&self, read: impl FnOnce(&M) -> T) -> T {
+        read(&self.machine.borrow())
+    }
+
+    /// Whether this replica leads and its lease holds.
+    pub fn leads(&self) -> bool {
+        self.replica.borrow().lease_valid(self.clock.now())
+    }
+
+    /// The leader, if known.
+    pub fn leader(&self) -> Option<NodeId> {
+        self.replica.borrow().leader()
+    }
+
+    /// The term, for fencing.
+    pub fn term(&self) -> u64 {
+        self.replica.borrow().term()
+    }
+
+    /// The group as operators see it.
+    pub fn view(&self) -> GroupView {
+        let replica = self.replica.borrow();
+        GroupView {
+            group: self.id,
+            leader: replica.leader(),
+            term: replica.term(),
+            commit: replica.commit(),
+            replicas: replica.replicas().voters.iter().copied().collect(),
+        }
+    }
+
+    fn feed(&self, input: Input) {
+        let now: Timestamp = self.clock.now();
+        let outputs = self.replica.borrow_mut().step(now, input);
+        for output in outputs {
+            self.carry_out(output);
+        }
+        self.snapshot_if_due();
+    }
+
+    fn carry_out(&self, output: Output) {
+        match output {
+            Output::Write(write) => self.enqueue(Job::Write(write)),
+            Output::Send(message) => (self.outbox)(message),
+            Output::Apply { position, payload, ticket } => self.apply_or_hold(position, payload, ticket),
+            // The write of the same snapshot puts it in place once its history is here.
+            Output::Restore(_) => {
+                self.held.replace(Some(VecDeque::new()));
+            }
+            Output::ReadReady(ticket) => self.answer(ticket, Verdict::Ready),
+            Output::Reject { ticket, reason } => self.answer(ticket, Verdict::Rejected(reason)),
+            Output::Replicas { ticket, replicas } => {
+                self.replicas.replace(replicas);
+                if let Some(ticket) = ticket {
+                    self.answer(ticket, Verdict::Changed);
+                }
+            }
+            Output::Unknown(ticket) => self.answer(ticket, Verdict::Unknown),
+            Output::Role { term, leader } => {
+                let leader = leader.map_or(0, |node| node.0);
+                info!("Group {} is in term {term} with leader {leader}.", self.id.0);
+            }
+        }
+    }
+
+    fn enqueue(&self, job: Job) {
+        if self.jobs.try_send(job).is_err() {
+            warn!("Group {} is stopping and takes no more writes.", self.id.0);
+        }
+    }
+
+    fn apply_or_hold(&self, position: Position, payload: Arc<[u8]>, ticket: Option<Ticket>) {
+        if let Some(held) = &mut *self.held.borrow_mut() {
+            held.push_back(Held { position, payload, ticket });
+            return;
+        }
+        self.apply(position, &payload, ticket);
+    }
+
+    fn apply(&self, position: Position, payload: &Arc<[u8]>, ticket: Option<Ticket>) {
+        let reply = self.machine.borrow_mut().apply(position, payload);
+        self.applied.set(position);
+        let grown = self.bytes_since_snapshot.get() + payload.len() as u64;
+        self.bytes_since_snapshot.set(grown);
+        if let Some(ticket) = ticket {
+            self.answer(ticket, Verdict::Applied(reply));
+        }
+    }
+
+    fn restore(&self, snapshot: &Snapshot) {
+        if let Err(failure) = self.machine.borrow_mut().restore(&snapshot.data) {
+            error!("Group {} received a snapshot it can't use: {failure}.", self.id.0);
+            return;
+        }
+        self.applied.set(snapshot.position);
+        self.replicas.replace(snapshot.replicas.clone());
+        let held = self.held.take().unwrap_or_default();
+        for Held { position, payload, ticket } in held {
+            if position.index > snapshot.position.index {
+                self.apply(position, &payload, ticket);
+            }
+        }
+    }
+
+    fn snapshot_if_due(&self) {
+        let due = self.bytes_since_snapshot.get() >= self.snapshot_after;
+        if !due || self.snapshot_running.get() || self.held.borrow().is_some() {
+            return;
+        }
+        self.bytes_since_snapshot.set(0);
+        let relies_on = match self.machine.borrow_mut().history().map_or(Ok(Vec::new()), History::flush) {
+            Ok(files) => files,
+            Err(failure) => {
+                error!("Group {} could not write its history: {failure}.", self.id.0);
+                return;
+            }
+        };
+        self.snapshot_running.set(true);
+        let data = self.machine.borrow().snapshot();
+        let replicas = self.replicas.borrow().clone();
+        let snapshot = Snapshot { position: self.applied.get(), replicas, data: data.into() };
+        self.enqueue(Job::Snapshot { snapshot, relies_on });
+    }
+
+    fn answer(&self, ticket: Ticket, verdict: Verdict) {
+        if let Some(tx) = self.waiting.borrow_mut().remove(&ticket) {
+            // A caller that gave up has dropped its end, which is no failure.
+            let _ = tx.send(verdict);
+        }
+    }
+}
+
+/// The queue of writes between a group and its storage.
+pub struct Jobs(Receiver<Job>);
+
+/// What could not be made durable.
+#[derive(Debug, Snafu)]
+enum WriteError {
+    /// The log or a snapshot.
+    #[snafu(display("{source}"))]
+    Log {
+        /// What the storage said.
+        source: StorageError,
+    },
+    /// The history that a snapshot relies on, so that no snapshot is taken.
+    #[snafu(display("the history can't be synced: {source}"))]
+    History {
+        /// What the operating system said.
+        source: std::io::Error,
+    },
+}
+
+struct Done {
+    written: Option<u64>,
+    snapshot: Option<Snapshot>,
+    snapshot_failure: Option<WriteError>,
+    failure: Option<WriteError>,
+}
+
+fn carry_out(storage: &mut Storage, batch: Vec<Job>) -> Done {
+    let mut done = Done { written: None, snapshot: None, snapshot_failure: None, failure: None };
+    let mut writes = Vec::new();
+    let mut snapshots = Vec::new();
+    for job in batch {
+        match job {
+            Job::Write(write) => writes.push(write),
+            Job::Snapshot { snapshot, relies_on } => snapshots.push((snapshot, relies_on)),
+        }
+    }
+    if !writes.is_empty() {
+        match storage.write(&writes) {
+            Ok(()) => done.written = writes.last().map(|write| write.sequence),
+            Err(source) => done.failure = Some(WriteError::Log { source }),
+        }
+    }
+    for (snapshot, relies_on) in snapshots {
+        if let Err(failure) = sync_all(&relies_on) {
+            done.snapshot_failure = Some(WriteError::History { source: failure });
+            continue;
+        }
+        match storage.save_snapshot(&snapshot) {
+            Ok(()) => done.snapshot = Some(snapshot),
+            Err(source) => done.snapshot_failure = Some(WriteError::Log { source }),
+        }
+    }
+    done
+}
+
+fn sync_all(files: &[File]) -> std::io::Result<()> {
+    files.iter().try_for_each(File::sync_all)
+}
--- /dev/null
+++ b/agatetrestle/src/node/heartbeats.rs
@@ -0,0 +1,192 @@
+//! The loop that tells the control replicas of this node and learns what is in force.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use agatetrestle_schema::peer_capnp::peer;
+use futures::future::join_all;
+use log::debug;
+use log::info;
+use smol::Timer;
+
+use crate::attempts::Dispatcher;
+use crate::clock::Clock;
+use crate::clock::Timestamp;
+use crate::control::command::Configuration;
+use crate::control::command::Document;
+use crate::ids::NodeId;
+use crate::ids::ProgramId;
+use crate::members::message::Digest;
+use crate::members::message::Heartbeat;
+use crate::members::message::Sign;
+use crate::members::roster::Roster;
+use crate::node::control_port::ControlPort;
+use crate::node::peer_link::LinkError;
+use crate::node::peer_link::PeerLink;
+use crate::node::registry::Registry;
+use crate::node::wire_members::read_digest;
+use crate::node::wire_members::write_heartbeat;
+use crate::ports::Control;
+use crate::ports::MemberView;
+use crate::ports::Members;
+
+/// This node's place among the members.
+pub struct Heartbeats {
+    /// What every heartbeat says; revision, stopping and signs are filled in when it is sent.
+    pub identity: Heartbeat,
+    /// Time between two heartbeats.
+    pub interval: Duration,
+    /// The control replicas elsewhere.
+    pub replicas: BTreeMap<NodeId, Rc<PeerLink>>,
+    /// The control replica here, if any.
+    pub registry: Option<Rc<Registry>>,
+    /// What is in force here.
+    pub control: Rc<ControlPort>,
+    /// Told of new configurations and leaving signs.
+    pub calls: Rc<Dispatcher>,
+    /// This node's picture of the others.
+    pub roster: RefCell<Roster>,
+    /// Whether a planned stop is under way.
+    pub stopping: Rc<Cell<bool>>,
+    /// The process's clock.
+    pub clock: Clock,
+}
+
+impl Heartbeats {
+    /// Sends heartbeats until the task is dropped.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            self.beat_once().await;
+            Timer::after(self.interval).await;
+        }
+    }
+
+    /// Sends one heartbeat to every control replica and takes in their digests.
+    pub async fn beat_once(&self) {
+        let beat = self.beat();
+        let remote = self.replicas.values().map(|link| self.beat_remotely(link, &beat));
+        futures::future::join(join_all(remote), self.beat_locally(&beat)).await;
+    }
+
+    fn beat(&self) -> Heartbeat {
+        Heartbeat {
+            revision: self.control.configuration().revision,
+            stopping: self.stopping.get(),
+            leaving: self.roster.borrow().signs(),
+            ..self.identity.clone()
+        }
+    }
+
+    async fn beat_locally(&self, beat: &Heartbeat) {
+        let Some(registry) = &self.registry else {
+            return;
+        };
+        let sent = self.clock.now();
+        let digest = registry.heartbeat(beat.clone()).await;
+        if digest.revision > self.control.configuration().revision {
+            self.adopt(Configuration::clone(&registry.configuration()));
+        }
+        self.take_in(sent, &digest);
+    }
+
+    async fn beat_remotely(&self, link: &PeerLink, beat: &Heartbeat) {
+        let sent = self.clock.now();
+        let digest = match exchange(link, beat).await {
+            Ok(digest) => digest,
+            Err(failure) => {
+                debug!("A control replica did not answer a heartbeat: {failure}.");
+                return;
+            }
+        };
+        let known = self.control.configuration().revision;
+        if digest.revision > known {
+            match fetch(link, known).await {
+                Ok(configuration) => self.adopt(configuration),
+                Err(failure) => debug!("The configuration could not be fetched: {failure}."),
+            }
+        }
+        self.take_in(sent, &digest);
+    }
+
+    fn adopt(&self, configuration: Configuration) {
+        // Leaving marks travel as signs in the digests, which also come from other sources.
+        let configuration = Configuration { leaving: BTreeMap::new(), ..configuration };
+        let revision = configuration.revision;
+        if self.control.adopt(configuration) {
+            info!("Configuration revision {revision} is in force.");
+            self.calls.configure(&self.control.configuration());
+        }
+    }
+
+    fn take_in(&self, sent: Timestamp, digest: &Digest) {
+        if !digest.lease.is_zero() {
+            self.control.renew(sent, digest.lease, digest.revision);
+        }
+        let news = self.roster.borrow_mut().take_in(digest);
+        for sign in news {
+            self.announce(&sign);
+        }
+    }
+
+    fn announce(&self, sign: &Sign) {
+        info!("{} is leaving as of incarnation {}.", sign.name, sign.incarnation);
+        self.calls.step(crate::scheduler::event::Event::Leaving { name: sign.name.clone(), leaving: true });
+    }
+
+    /// Adds a sign that this node saw itself; the next heartbeat spreads it.
+    pub fn mark(&self, sign: &Sign) {
+        let news = self.roster.borrow_mut().mark(sign);
+        if news {
+            self.announce(sign);
+        }
+    }
+}
+
+async fn exchange(link: &PeerLink, beat: &Heartbeat) -> Result<Digest, LinkError> {
+    link.call(|client: &peer::Client| {
+        let mut request = client.heartbeat_request();
+        write_heartbeat(request.get().init_beat(), beat);
+        let sent = request.send();
+        async move {
+            let response = sent.promise.await?;
+            let digest = response.get()?.get_digest()?;
+            read_digest(digest).map_err(|failure| capnp::Error::failed(failure.to_string()))
+        }
+    })
+    .await
+}
+
+async fn fetch(link: &PeerLink, known: u64) -> Result<Configuration, LinkError> {
+    link.call(|client: &peer::Client| {
+        let mut request = client.configuration_request();
+        request.get().set_known(known);
+        let sent = request.send();
+        async move {
+            let response = sent.promise.await?;
+            let answer = response.get()?;
+            let mut configuration = Configuration { revision: answer.get_revision(), ..Default::default() };
+            for document in answer.get_documents()? {
+                let text = document.get_text()?.to_str()?.into();
+                let scope: Arc<str> = document.get_scope()?.to_str()?.into();
+                let document = Document { version: document.get_version(), text };
+                configuration.documents.insert(scope, document);
+            }
+            Ok(configuration)
+        }
+    })
+    .await
+}
+
+impl Members for Heartbeats {
+    fn members(&self) -> Vec<MemberView> {
+        self.roster.borrow().views()
+    }
+
+    fn addresses(&self, program: Option<&ProgramId>) -> Vec<Arc<str>> {
+        self.roster.borrow_mut().addresses(program)
+    }
+}
--- /dev/null
+++ b/agatetrestle/src/node/listeners.rs
@@ -0,0 +1,60 @@
+//! The listening sockets of a node, bound before anything is told of their addresses.
+
+use std::net::SocketAddr;
+
+use agatetrestle_config::settings::Listen;
+use smol::net::TcpListener;
+use snafu::ResultExt;
+
+use crate::node::NodeError;
+use crate::node::error::BindSnafu;
+
+/// All listening sockets.
+#[derive(Debug)]
+pub struct Listeners {
+    /// HTTP for callers.
+    pub callers: TcpListener,
+    /// RPC between our own processes.
+    pub peers: TcpListener,
+    /// RPC for operators.
+    pub operators: TcpListener,
+    /// HTTP for the metrics scrape.
+    pub metrics: TcpListener,
+}
+
+impl Listeners {
+    /// Binds all sockets; port 0 lets the operating system choose.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address is taken or not this VM's.
+    pub async fn bind(listen: &Listen) -> Result<Self, NodeError> {
+        Ok(Self {
+            callers: bind_one(listen.callers).await?,
+            peers: bind_one(listen.peers).await?,
+            operators: bind_one(listen.operators).await?,
+            metrics: bind_one(listen.metrics).await?,
+        })
+    }
+
+    /// The addresses as bound.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the operating system does not tell them.
+    pub fn addresses(&self) -> Result<Listen, NodeError> {
+        let address = |listener: &TcpListener| {
+            listener.local_addr().context(BindSnafu { address: SocketAddr::from(([0, 0, 0, 0], 0)) })
+        };
+        Ok(Listen {
+            callers: address(&self.callers)?,
+            peers: address(&self.peers)?,
+            operators: address(&self.operators)?,
+            metrics: address(&self.metrics)?,
+        })
+    }
+}
+
+async fn bind_one(address: SocketAddr) -> Result<TcpListener, NodeError> {
+    TcpListener::bind(address).await.context(BindSnafu { address })
+}
--- a/agatetrestle/src/node/mod.rs
+++ b/agatetrestle/src/node/mod.rs
@@ -1,1 +1,423 @@
 //! The struct that owns a node: its sockets, replicas and loops.
+
+pub mod control_port;
+mod error;
+pub mod group;
+pub mod heartbeats;
+pub mod ledger_port;
+pub mod listeners;
+pub mod listings;
+pub mod peer_link;
+pub mod peer_server;
+pub mod registry;
+pub mod replicas;
+pub mod router;
+pub mod service;
+pub mod wire;
+pub mod wire_members;
+
+pub use self::error::NodeError;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use agatetrestle_config::Settings;
+use agatetrestle_config::settings::Listen;
+use log::info;
+use log::warn;
+use smol::LocalExecutor;
+use smol::Task;
+use smol::Timer;
+use snafu::ResultExt;
+
+use crate::attempts::Dispatcher;
+use crate::attempts::SystemTimer;
+use crate::attempts::http::HttpBackends;
+use crate::clock::Clock;
+use crate::clock::micros;
+use crate::control::state::ControlState;
+use crate::entry;
+use crate::entry::Entry;
+use crate::history::file::FileHistory;
+use crate::ids::CONTROL_GROUP;
+use crate::ids::FIRST_STATE_GROUP;
+use crate::ids::GroupId;
+use crate::ids::NodeId;
+use crate::members::message::Heartbeat;
+use crate::members::roster::Roster;
+use crate::metrics;
+use crate::metrics::Metrics;
+use crate::node::control_port::ControlPort;
+use crate::node::error::MetricsSnafu;
+use crate::node::error::OpenHistorySnafu;
+use crate::node::group::Group;
+use crate::node::heartbeats::Heartbeats;
+use crate::node::ledger_port::LedgerPort;
+use crate::node::listeners::Listeners;
+use crate::node::listings::BackendListing;
+use crate::node::listings::GroupListing;
+use crate::node::peer_link::PeerLink;
+use crate::node::peer_server::PeerServer;
+use crate::node::registry::Registry;
+use crate::node::replicas::Opener;
+use crate::node::router::Router;
+use crate::node::service::ControlService;
+use crate::node::service::GroupService;
+use crate::node::service::LedgerService;
+use crate::operator;
+use crate::operator::OperatorServer;
+use crate::ports::Control;
+use crate::programs::ledger::Ledger;
+use crate::scheduler::Scheduler;
+use crate::scheduler::baseline::Baseline;
+
+/// How often a planned stop looks whether the last request is done.
+const STOP_POLL: Duration = Duration::from_millis(20);
+/// How long a planned stop waits for another replica to lead.
+const HAND_OVER_WITHIN: Duration = Duration::from_secs(2);
+/// Tries of a request to a group are given up after this many call deadlines.
+const ROUTER_DEADLINES: u32 = 2;
+
+/// A running node.
+pub struct Node {
+    settings: Settings,
+    addresses: Listen,
+    stopping: Rc<Cell<bool>>,
+    entry: Rc<Entry>,
+    heartbeats: Rc<Heartbeats>,
+    control: Option<Rc<Group<ControlState>>>,
+    state: Option<Rc<Group<Ledger>>>,
+    tasks: RefCell<Vec<Task<()>>>,
+}
+
+/// The replicas that the node holds, with what other nodes may ask of them.
+struct Replicas {
+    control: Option<Rc<Group<ControlState>>>,
+    state: Option<Rc<Group<Ledger>>>,
+    tasks: Vec<Task<()>>,
+}
+
+impl Node {
+    /// Opens the replicas, then serves peers, operators and callers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the durable state can't be used or the settings contradict each other.
+    pub async fn start(
+        settings: Settings,
+        listeners: Listeners,
+        executor: Rc<LocalExecutor<'static>>,
+    ) -> Result<Rc<Self>, NodeError> {
+        let clock = Clock::start();
+        let addresses = listeners.addresses()?;
+        let links = connect(&settings, &executor);
+        let opener = Opener { settings: &settings, clock, links: &links, executor: &executor };
+        let mut replicas = Replicas::open(&opener).await?;
+        let assembly = Assembly::new(&settings, &addresses, clock, &links, &replicas);
+        let metrics = Rc::new(Metrics::new().context(MetricsSnafu)?);
+        let entry = Rc::new(assembly.entry(&metrics));
+        let mut tasks = std::mem::take(&mut replicas.tasks);
+        let peers = assembly.peer_server(&replicas);
+        let operators = assembly.operator_server(&replicas);
+        let calls = assembly.calls.clone();
+        tasks.push(executor.spawn(peer_server::serve(peers, listeners.peers, Rc::downgrade(&executor))));
+        tasks.push(executor.spawn(operator::serve(operators, listeners.operators, executor.clone())));
+        tasks.push(executor.spawn(metrics::serve(metrics, listeners.metrics, executor.clone())));
+        tasks.push(executor.spawn(entry::serve(entry.clone(), listeners.callers, executor.clone())));
+        tasks.push(executor.spawn(async move { calls.run_ticks().await }));
+        tasks.push(executor.spawn(assembly.heartbeats.clone().run()));
+        info!("Node {} serves callers on {}.", settings.node.id, addresses.callers);
+        Ok(Rc::new(Self {
+            addresses,
+            stopping: assembly.stopping,
+            entry,
+            heartbeats: assembly.heartbeats,
+            control: replicas.control,
+            state: replicas.state,
+            tasks: RefCell::new(tasks),
+            settings,
+        }))
+    }
+
+    /// The addresses as bound.
+    #[must_use]
+    pub fn addresses(&self) -> &Listen {
+        &self.addresses
+    }
+
+    /// What is in force here and whether new work is taken.
+    #[must_use]
+    pub fn control(&self) -> Rc<dyn Control> {
+        self.heartbeats.control.clone()
+    }
+
+    /// Whether this node leads its state group.
+    #[must_use]
+    pub fn leads_state_group(&self) -> bool {
+        self.state.as_ref().is_some_and(|group| group.leads())
+    }
+
+    /// A planned stop: leaves the address answers, takes no new work, finishes what is in flight and
+    /// hands over leadership. Returns whether everything in flight was finished.
+    pub async fn stop(&self) -> bool {
+        info!("Node {} is stopping.", self.settings.node.id);
+        self.stopping.set(true);
+        self.heartbeats.beat_once().await;
+        let finished = self.drain().await;
+        self.hand_over().await;
+        self.kill().await;
+        finished
+    }
+
+    async fn drain(&self) -> bool {
+        let deadline = self.settings.timing.stop_grace;
+        let started = self.entry.clock.now();
+        while self.entry.in_flight() > 0 {
+            if self.entry.clock.now().since(started) >= deadline {
+                warn!("{} requests were cut off after the grace period.", self.entry.in_flight());
+                return false;
+            }
+            Timer::after(STOP_POLL).await;
+        }
+        true
+    }
+
+    async fn hand_over(&self) {
+        let started = self.entry.clock.now();
+        if let Some(group) = &self.control {
+            group.hand_over();
+        }
+        if let Some(group) = &self.state {
+            group.hand_over();
+        }
+        while self.leads_anything() && self.entry.clock.now().since(started) < HAND_OVER_WITHIN {
+            Timer::after(STOP_POLL).await;
+        }
+    }
+
+    fn leads_anything(&self) -> bool {
+        let control = self.control.as_ref().is_some_and(|group| group.leads());
+        control || self.leads_state_group()
+    }
+
+    /// Drops every loop and listening socket without a word to anyone, as a crash would.
+    pub async fn kill(&self) {
+        let tasks = std::mem::take(&mut *self.tasks.borrow_mut());
+        for task in tasks {
+            task.cancel().await;
+        }
+    }
+}
+
+fn connect(settings: &Settings, executor: &Rc<LocalExecutor<'static>>) -> BTreeMap<NodeId, Rc<PeerLink>> {
+    let others = settings.peers.iter().filter(|peer| peer.id != settings.node.id);
+    let link = |peer: &agatetrestle_config::settings::PeerSeed| {
+        PeerLink::new(peer.address, settings.timing.peer_call, executor.clone())
+    };
+    others.map(|peer| (NodeId(peer.id), link(peer))).collect()
+}
+
+impl Replicas {
+    async fn open(opener: &Opener<'_>) -> Result<Self, NodeError> {
+        let control = opener.open(CONTROL_GROUP, ControlState::default()).await?;
+        let state = opener.open(FIRST_STATE_GROUP, open_ledger(opener.settings)?).await?;
+        let mut replicas = Self { control: None, state: None, tasks: Vec::new() };
+        if let Some(opened) = control {
+            replicas.control = Some(opened.group);
+            replicas.tasks.push(opened.driver);
+        }
+        if let Some(opened) = state {
+            replicas.state = Some(opened.group);
+            replicas.tasks.push(opened.driver);
+        }
+        Ok(replicas)
+    }
+
+    fn control_service(&self) -> Option<Rc<dyn GroupService>> {
+        let group = self.control.clone()?;
+        Some(Rc::new(ControlService(group)))
+    }
+
+    fn state_service(&self) -> Option<Rc<dyn GroupService>> {
+        let group = self.state.clone()?;
+        Some(Rc::new(LedgerService(group)))
+    }
+}
+
+/// A ledger over its history; one in memory where the node holds no replica, since it is never used.
+fn open_ledger(settings: &Settings) -> Result<Ledger, NodeError> {
+    let Some(folder) = &settings.storage.data_folder else {
+        return Ok(Ledger::default());
+    };
+    let folder = folder.join(format!("history-{}", FIRST_STATE_GROUP.0));
+    let history = FileHistory::open(&folder, settings.storage.segment);
+    Ok(Ledger::new(Box::new(history.context(OpenHistorySnafu { folder })?)))
+}
+
+/// The slices of a node, put together.
+struct Assembly {
+    node: NodeId,
+    incarnation: u64,
+    clock: Clock,
+    settings: Settings,
+    stopping: Rc<Cell<bool>>,
+    scheduler: Rc<RefCell<Box<dyn Scheduler>>>,
+    calls: Rc<Dispatcher>,
+    control: Rc<ControlPort>,
+    ledger: Rc<LedgerPort>,
+    registry: Option<Rc<Registry>>,
+    heartbeats: Rc<Heartbeats>,
+}
+
+impl Assembly {
+    fn new(
+        settings: &Settings,
+        addresses: &Listen,
+        clock: Clock,
+        links: &BTreeMap<NodeId, Rc<PeerLink>>,
+        replicas: &Replicas,
+    ) -> Self {
+        let node = NodeId(settings.node.id);
+        let timing = &settings.timing;
+        let incarnation = incarnation();
+        let stopping = Rc::new(Cell::new(false));
+        let router = |group, local| {
+            let peers = select(links, &replicas::holders(settings, group));
+            let deadline = timing.peer_call * ROUTER_DEADLINES;
+            Rc::new(Router::new(group, node, local, peers, clock, deadline))
+        };
+        let control_router = router(CONTROL_GROUP, replicas.control_service());
+        let control = Rc::new(ControlPort::new(control_router, clock, timing.clock_drift, stopping.clone()));
+        let ledger = Rc::new(LedgerPort::new(router(FIRST_STATE_GROUP, replicas.state_service())));
+        let scheduler: Rc<RefCell<Box<dyn Scheduler>>> = Rc::new(RefCell::new(Box::new(Baseline::default())));
+        let calls = dispatcher(&scheduler, timing.peer_call, clock);
+        let registry = replicas.control.clone().map(|group| {
+            let lease = timing.configuration_lease;
+            Rc::new(Registry::new(group, clock, timing.heartbeat, lease))
+        });
+        let heartbeats = Rc::new(Heartbeats {
+            identity: identity(settings, addresses, incarnation),
+            interval: timing.heartbeat,
+            replicas: select(links, &replicas::holders(settings, CONTROL_GROUP)),
+            registry: registry.clone(),
+            control: control.clone(),
+            calls: calls.clone(),
+            roster: RefCell::new(Roster::default()),
+            stopping: stopping.clone(),
+            clock,
+        });
+        let settings = settings.clone();
+        Self {
+            node,
+            incarnation,
+            clock,
+            settings,
+            stopping,
+            scheduler,
+            calls,
+            control,
+            ledger,
+            registry,
+            heartbeats,
+        }
+    }
+
+    fn entry(&self, metrics: &Rc<Metrics>) -> Entry {
+        Entry {
+            ledger: self.ledger.clone(),
+            control: self.control.clone(),
+            members: self.heartbeats.clone(),
+            calls: self.calls.clone(),
+            recorder: metrics.clone(),
+            timer: Rc::new(SystemTimer),
+            clock: self.clock,
+            node: self.node,
+            incarnation: self.incarnation,
+            limits: self.settings.callers.clone(),
+            stopping: self.stopping.clone(),
+            state: entry::State::default(),
+        }
+    }
+
+    fn peer_server(&self, replicas: &Replicas) -> Rc<PeerServer> {
+        let mut server = PeerServer { registry: self.registry.clone(), ..PeerServer::default() };
+        if let Some(group) = replicas.control.clone() {
+            server.receivers.insert(CONTROL_GROUP, Rc::new(move |message| group.receive(message)));
+        }
+        if let Some(group) = replicas.state.clone() {
+            server.receivers.insert(FIRST_STATE_GROUP, Rc::new(move |message| group.receive(message)));
+        }
+        let services =
+            [(CONTROL_GROUP, replicas.control_service()), (FIRST_STATE_GROUP, replicas.state_service())];
+        let held = services.into_iter().filter_map(|(id, service): (GroupId, _)| Some((id, service?)));
+        server.services = held.collect();
+        Rc::new(server)
+    }
+
+    fn operator_server(&self, replicas: &Replicas) -> Rc<OperatorServer> {
+        let mut groups = GroupListing::default();
+        if let Some(group) = replicas.control.clone() {
+            groups.0.push(group);
+        }
+        if let Some(group) = replicas.state.clone() {
+            groups.0.push(group);
+        }
+        let backends = BackendListing { scheduler: self.scheduler.clone(), control: self.control.clone() };
+        Rc::new(OperatorServer {
+            control: self.control.clone(),
+            members: self.heartbeats.clone(),
+            ledger: self.ledger.clone(),
+            backends: Rc::new(backends),
+            groups: Rc::new(groups),
+            traces: Rc::new(NoTraces),
+            node: self.node,
+        })
+    }
+}
+
+fn dispatcher(
+    scheduler: &Rc<RefCell<Box<dyn Scheduler>>>,
+    connect_within: Duration,
+    clock: Clock,
+) -> Rc<Dispatcher> {
+    let timer: Rc<SystemTimer> = Rc::new(SystemTimer);
+    let backends = Rc::new(HttpBackends::new(timer.clone(), connect_within));
+    Rc::new(Dispatcher::new(scheduler.clone(), backends.clone(), backends, timer, clock))
+}
+
+fn select(links: &BTreeMap<NodeId, Rc<PeerLink>>, nodes: &[NodeId]) -> BTreeMap<NodeId, Rc<PeerLink>> {
+    let chosen = nodes.iter().filter_map(|node| Some((*node, links.get(node)?.clone())));
+    chosen.collect()
+}
+
+fn identity(settings: &Settings, addresses: &Listen, incarnation: u64) -> Heartbeat {
+    Heartbeat {
+        node: NodeId(settings.node.id),
+        vm: settings.node.vm.clone(),
+        failure_domain: settings.node.failure_domain.clone(),
+        region: settings.node.region.clone(),
+        incarnation,
+        caller_address: addresses.callers.to_string().into(),
+        ..Heartbeat::default()
+    }
+}
+
+/// The wall clock at start, in microseconds since 1970: higher after each restart as long as that
+/// clock is not set back by more than the process was down.
+fn incarnation() -> u64 {
+    micros(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default())
+}
+
+/// Traces are off until the recording scheduler is in place.
+struct NoTraces;
+
+impl crate::ports::Traces for NoTraces {
+    fn recent(&self, _limit: u32) -> Vec<std::sync::Arc<str>> {
+        Vec::new()
+    }
+}
--- /dev/null
+++ b/agatetrestle/src/node/peer_link.rs
@@ -0,0 +1,211 @@
+//! Connections to the other processes, one to each peer.
+//!
+//! Every call has a deadline, and a connection on which a call missed it is replaced instead of
+//! being waited on, because something between the two ends may have lost track of it.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use agatetrestle_schema::peer_capnp::peer;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use futures::AsyncReadExt;
+use futures::future::Either;
+use futures::future::select;
+use log::debug;
+use smol::LocalExecutor;
+use smol::Task;
+use smol::Timer;
+use smol::channel::Receiver;
+use smol::channel::Sender;
+use smol::net::TcpStream;
+use snafu::ResultExt;
+use snafu::Snafu;
+
+use crate::agreement::message::Message;
+use crate::node::wire::write_message;
+
+/// Messages that may wait for a slow peer; agreement survives the loss of any, so the rest is dropped.
+const QUEUE: usize = 1_024;
+/// Deliveries that may be unanswered at once.
+const WINDOW: usize = 64;
+/// Pause before a new connection after a failed one.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Why a call to a peer has no answer.
+#[derive(Debug, Snafu)]
+pub enum LinkError {
+    /// No connection could be made, so the call was not sent.
+    #[snafu(display("can't connect: {source}"))]
+    Connect {
+        /// What the operating system said.
+        source: std::io::Error,
+    },
+    /// No connection was made in time, so the call was not sent.
+    #[snafu(display("can't connect in time"))]
+    ConnectTimeout,
+    /// The call was sent and may have been carried out.
+    #[snafu(display("the call broke: {source}"))]
+    Broken {
+        /// What the library found.
+        source: capnp::Error,
+    },
+    /// The call was sent and may have been carried out.
+    #[snafu(display("no answer in time"))]
+    Timeout,
+}
+
+impl LinkError {
+    /// Whether the peer can't have seen the call.
+    #[must_use]
+    pub fn unsent(&self) -> bool {
+        matches!(self, Self::Connect { .. } | Self::ConnectTimeout)
+    }
+}
+
+/// Bounds a future by a deadline.
+pub async fn within<F: Future>(deadline: Duration, future: F) -> Option<F::Output> {
+    let future = std::pin::pin!(future);
+    match select(future, Timer::after(deadline)).await {
+        Either::Left((output, _)) => Some(output),
+        Either::Right(_) => None,
+    }
+}
+
+struct Connection {
+    client: peer::Client,
+    generation: u64,
+    _system: Task<()>,
+}
+
+/// The way to one peer.
+pub struct PeerLink {
+    address: SocketAddr,
+    deadline: Duration,
+    executor: Rc<LocalExecutor<'static>>,
+    connection: RefCell<Option<Connection>>,
+    generation: RefCell<u64>,
+    outbox: Sender<Message>,
+    delivery: RefCell<Option<Task<()>>>,
+}
+
+impl PeerLink {
+    /// A link that connects on first use. `deadline` bounds connecting and each call.
+    #[must_use]
+    pub fn new(address: SocketAddr, deadline: Duration, executor: Rc<LocalExecutor<'static>>) -> Rc<Self> {
+        let (outbox, inbox) = smol::channel::bounded(QUEUE);
+        let link = Rc::new(Self {
+            address,
+            deadline,
+            executor,
+            connection: RefCell::new(None),
+            generation: RefCell::new(0),
+            outbox,
+            delivery: RefCell::new(None),
+        });
+        let weak = Rc::downgrade(&link);
+        let delivery = link.executor.spawn(deliver_all(weak, inbox));
+        link.delivery.replace(Some(delivery));
+        link
+    }
+
+    /// Queues a message; it is dropped where the peer is too slow or away.
+    pub fn deliver(&self, message: Message) {
+        if self.outbox.try_send(message).is_err() {
+            debug!("A message to {} was dropped because the queue is full.", self.address);
+        }
+    }
+
+    /// Makes a call within the deadline. `call` starts it on the client it is given.
+    ///
+    /// # Errors
+    ///
+    /// Fails without an answer; [`LinkError::unsent`] tells whether the peer can have seen the call.
+    pub async fn call<T, F>(&self, call: impl FnOnce(&peer::Client) -> F) -> Result<T, LinkError>
+    where
+        F: Future<Output = Result<T, capnp::Error>>,
+    {
+        let (client, generation) = self.client().await?;
+        let outcome = within(self.deadline, call(&client)).await;
+        let error = match outcome {
+            Some(Ok(answer)) => return Ok(answer),
+            Some(Err(source)) => LinkError::Broken { source },
+            None => LinkError::Timeout,
+        };
+        self.discard(generation);
+        Err(error)
+    }
+
+    async fn client(&self) -> Result<(peer::Client, u64), LinkError> {
+        if let Some(connection) = &*self.connection.borrow() {
+            return Ok((connection.client.clone(), connection.generation));
+        }
+        let connecting = within(self.deadline, TcpStream::connect(self.address)).await;
+        let stream = connecting.ok_or(LinkError::ConnectTimeout)?.context(ConnectSnafu)?;
+        stream.set_nodelay(true).context(ConnectSnafu)?;
+        Ok(self.install(stream))
+    }
+
+    fn install(&self, stream: TcpStream) -> (peer::Client, u64) {
+        let (reader, writer) = stream.split();
+        let network = VatNetwork::new(reader, writer, Side::Client, capnp::message::ReaderOptions::new());
+        let mut system = RpcSystem::new(Box::new(network), None);
+        let client: peer::Client = system.bootstrap(Side::Server);
+        let running = self.executor.spawn(async move {
+            if let Err(error) = system.await {
+                debug!("A connection to a peer ended: {error}.");
+            }
+        });
+        let generation = *self.generation.borrow() + 1;
+        *self.generation.borrow_mut() = generation;
+        let connection = Connection { client: client.clone(), generation, _system: running };
+        self.connection.replace(Some(connection));
+        (client, generation)
+    }
+
+    fn discard(&self, generation: u64) {
+        let mut connection = self.connection.borrow_mut();
+        if connection.as_ref().is_some_and(|connection| connection.generation == generation) {
+            *connection = None;
+        }
+    }
+
+    async fn deliver_one(&self, message: &Message) -> Result<(), LinkError> {
+        self.call(|client| {
+            let mut request = client.deliver_request();
+            write_message(request.get().init_message(), message);
+            let sent = request.send();
+            async move { sent.promise.await.map(|_| ()) }
+        })
+        .await
+    }
+}
+
+async fn deliver_all(link: std::rc::Weak<PeerLink>, inbox: Receiver<Message>) {
+    let mut window: VecDeque<Task<Result<(), LinkError>>> = VecDeque::new();
+    while let Ok(message) = inbox.recv().await {
+        let Some(link) = link.upgrade() else {
+            return;
+        };
+        if let Err(error) = link.client().await {
+            debug!("No connection to peer {}: {error}.", link.address);
+            // What waited for the peer is old by the time it answers again.
+            while inbox.try_recv().is_ok() {}
+            Timer::after(RECONNECT_PAUSE).await;
+            continue;
+        }
+        let sender = link.clone();
+        window.push_back(link.executor.spawn(async move { sender.deliver_one(&message).await }));
+        if window.len() < WINDOW {
+            continue;
+        }
+        if let Some(oldest) = window.pop_front() {
+            // A failure has already discarded the connection, and agreement sends again by itself.
+            let _ = oldest.await;
+        }
+    }
+}
--- /dev/null
+++ b/agatetrestle/src/node/peer_server.rs
@@ -0,0 +1,178 @@
+//! The serving side of calls between our own processes.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use agatetrestle_schema::peer_capnp::peer;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use futures::AsyncReadExt;
+use log::debug;
+use log::warn;
+use smol::LocalExecutor;
+use smol::net::TcpListener;
+use smol::net::TcpStream;
+
+use crate::agreement::message::Message;
+use crate::ids::GroupId;
+use crate::node::registry::Registry;
+use crate::node::router::write_submission;
+use crate::node::service::GroupService;
+use crate::node::service::Submission;
+use crate::node::wire::read_message;
+use crate::node::wire_members::read_heartbeat;
+use crate::node::wire_members::write_digest;
+
+/// Connections that may be open at once; 400 nodes with a reconnect each stay well below.
+const CONNECTIONS: usize = 2_048;
+/// Largest call in 8-byte words: 64 MiB, above the largest batch and snapshot piece.
+const CALL_WORDS: usize = 8 << 20;
+
+/// Everything that other nodes may reach here.
+#[derive(Default)]
+pub struct PeerServer {
+    /// Takes messages of a group.
+    pub receivers: BTreeMap<GroupId, Rc<dyn Fn(Message)>>,
+    /// Takes requests to a group.
+    pub services: BTreeMap<GroupId, Rc<dyn GroupService>>,
+    /// Answers heartbeats, where this node is a control replica.
+    pub registry: Option<Rc<Registry>>,
+}
+
+#[derive(Clone)]
+struct Handle(Rc<PeerServer>);
+
+impl peer::Server for Handle {
+    async fn deliver(
+        self: Rc<Self>,
+        params: peer::DeliverParams,
+        _results: peer::DeliverResults,
+    ) -> Result<(), capnp::Error> {
+        let message = read_message(params.get()?.get_message()?)
+            .map_err(|failure| capnp::Error::failed(failure.to_string()))?;
+        match self.0.receivers.get(&message.group) {
+            Some(receive) => receive(message),
+            None => debug!("A message for group {}, which is not here, was dropped.", message.group.0),
+        }
+        Ok(())
+    }
+
+    async fn submit(
+        self: Rc<Self>,
+        params: peer::SubmitParams,
+        mut results: peer::SubmitResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let service = self.0.services.get(&GroupId(params.get_group())).cloned();
+        let submission = match service {
+            Some(service) => service.submit(params.get_command()?.to_vec()).await,
+            None => Submission::NotLeader(None),
+        };
+        write_submission(results.get().init_submission(), &submission);
+        Ok(())
+    }
+
+    async fn heartbeat(
+        self: Rc<Self>,
+        params: peer::HeartbeatParams,
+        mut results: peer::HeartbeatResults,
+    ) -> Result<(), capnp::Error> {
+        let beat = read_heartbeat(params.get()?.get_beat()?)
+            .map_err(|failure| capnp::Error::failed(failure.to_string()))?;
+        let digest = match &self.0.registry {
+            Some(registry) => registry.heartbeat(beat).await,
+            None => return Err(capnp::Error::unimplemented("this node is no control replica".into())),
+        };
+        write_digest(results.get().init_digest(), &digest);
+        Ok(())
+    }
+
+    async fn history(
+        self: Rc<Self>,
+        params: peer::HistoryParams,
+        mut results: peer::HistoryResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        if let Some(service) = self.0.services.get(&GroupId(params.get_group())) {
+            results.get().set_bytes(&service.history(params.get_offset()));
+        }
+        Ok(())
+    }
+
+    async fn configuration(
+        self: Rc<Self>,
+        params: peer::ConfigurationParams,
+        mut results: peer::ConfigurationResults,
+    ) -> Result<(), capnp::Error> {
+        let Some(registry) = &self.0.registry else {
+            return Err(capnp::Error::unimplemented("this node is no control replica".into()));
+        };
+        let configuration = registry.configuration();
+        let mut results = results.get();
+        results.set_revision(configuration.revision);
+        if configuration.revision <= params.get()?.get_known() {
+            return Ok(());
+        }
+        let count = u32::try_from(configuration.documents.len()).unwrap_or(u32::MAX);
+        let mut list = results.init_documents(count);
+        for (index, (scope, document)) in (0..count).zip(&configuration.documents) {
+            let mut builder = list.reborrow().get(index);
+            builder.set_scope(&**scope);
+            builder.set_version(document.version);
+            builder.set_text(&*document.text);
+        }
+        Ok(())
+    }
+}
+
+/// Accepts connections of other nodes until the task is dropped.
+pub async fn serve(
+    server: Rc<PeerServer>,
+    listener: TcpListener,
+    executor: std::rc::Weak<LocalExecutor<'static>>,
+) {
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(failure) => {
+                warn!("A connection of a peer could not be accepted: {failure}.");
+                continue;
+            }
+        };
+        let Some(executor) = executor.upgrade() else {
+            return;
+        };
+        if open.get() >= CONNECTIONS {
+            warn!("A connection of a peer was closed because {CONNECTIONS} are open.");
+            continue;
+        }
+        open.set(open.get() + 1);
+        let open = open.clone();
+        let handle = Handle(server.clone());
+        executor
+            .spawn(async move {
+                serve_connection(handle, stream).await;
+                open.set(open.get() - 1);
+            })
+            .detach();
+    }
+}
+
+async fn serve_connection(handle: Handle, stream: TcpStream) {
+    if let Err(failure) = stream.set_nodelay(true) {
+        debug!("A connection of a peer could not be set up: {failure}.");
+        return;
+    }
+    let (reader, writer) = stream.split();
+    let mut options = capnp::message::ReaderOptions::new();
+    options.traversal_limit_in_words(Some(CALL_WORDS));
+    let network = VatNetwork::new(reader, writer, Side::Server, options);
+    let client: peer::Client = capnp_rpc::new_client(handle);
+    let system = RpcSystem::new(Box::new(network), Some(client.client));
+    if let Err(failure) = system.await {
+        debug!("A connection of a peer ended: {failure}.");
+    }
+}
--- /dev/null
+++ b/agatetrestle/src/node/registry.rs
@@ -0,0 +1,55 @@
+//! What a control replica answers to heartbeats: the member table beside the control group.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::Clock;
+use crate::control::command::Configuration;
+use crate::control::state::ControlState;
+use crate::members::message::Digest;
+use crate::members::message::Heartbeat;
+use crate::members::message::Sign;
+use crate::members::table::Table;
+use crate::node::group::Group;
+use crate::node::group::Verdict;
+
+/// The control replica's side of heartbeats.
+pub struct Registry {
+    group: Rc<Group<ControlState>>,
+    table: RefCell<Table>,
+    clock: Clock,
+    lease: Duration,
+}
+
+impl Registry {
+    /// A registry for heartbeats of an interval; it grants leases of the given length.
+    #[must_use]
+    pub fn new(group: Rc<Group<ControlState>>, clock: Clock, interval: Duration, lease: Duration) -> Self {
+        Self { group, table: RefCell::new(Table::new(interval)), clock, lease }
+    }
+
+    /// Takes in a heartbeat. Only a leader that proved itself after the heartbeat came grants a lease.
+    pub async fn heartbeat(&self, beat: Heartbeat) -> Digest {
+        self.table.borrow_mut().record(self.clock.now(), beat);
+        let confirmed = self.group.leads() && self.group.ready().await == Verdict::Ready;
+        let configuration = self.configuration();
+        let mut table = self.table.borrow_mut();
+        for (name, incarnation) in &configuration.leaving {
+            table.mark(&Sign { name: name.clone(), incarnation: *incarnation });
+        }
+        Digest {
+            revision: configuration.revision,
+            lease: if confirmed { self.lease } else { Duration::ZERO },
+            members: table.members(self.clock.now()),
+            leaving: table.signs(),
+        }
+    }
+
+    /// The configuration on this replica, which may lag.
+    #[must_use]
+    pub fn configuration(&self) -> Arc<Configuration> {
+        self.group.machine(ControlState::configuration)
+    }
+}
--- /dev/null
+++ b/agatetrestle/src/node/router.rs
@@ -0,0 +1,151 @@
+//! Finds the leader of a group and hands it requests, from any node.
+//!
+//! Every command is safe to hand over again: the ledger knows its attempts and the control state
+//! its change ids. So a lost answer is followed by another try until the deadline, and only then
+//! told as unknown.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use agatetrestle_schema::peer_capnp::submission;
+use smol::Timer;
+
+use crate::clock::Clock;
+use crate::ids::GroupId;
+use crate::ids::NodeId;
+use crate::node::peer_link::LinkError;
+use crate::node::peer_link::PeerLink;
+use crate::node::service::GroupService;
+use crate::node::service::Submission;
+use crate::ports::GroupError;
+
+/// Pause after a try that found no leader; an election takes longer than this.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// The way to one group.
+pub struct Router {
+    group: GroupId,
+    node: NodeId,
+    local: Option<Rc<dyn GroupService>>,
+    peers: BTreeMap<NodeId, Rc<PeerLink>>,
+    order: Vec<NodeId>,
+    hint: Cell<Option<NodeId>>,
+    clock: Clock,
+    deadline: Duration,
+}
+
+impl Router {
+    /// A way to a group by its replicas; `peers` leaves out this node, which is `local` if it holds one.
+    #[must_use]
+    pub fn new(
+        group: GroupId,
+        node: NodeId,
+        local: Option<Rc<dyn GroupService>>,
+        peers: BTreeMap<NodeId, Rc<PeerLink>>,
+        clock: Clock,
+        deadline: Duration,
+    ) -> Self {
+        let mut order: Vec<NodeId> = peers.keys().copied().collect();
+        if local.is_some() {
+            order.insert(0, node);
+        }
+        Self { group, node, local, peers, order, hint: Cell::new(None), clock, deadline }
+    }
+
+    /// Hands over a coded request and returns the coded reply.
+    ///
+    /// # Errors
+    ///
+    /// [`GroupError::NotProposed`] if no replica can have let it into the log, else
+    /// [`GroupError::Unknown`].
+    pub async fn submit(&self, request: Vec<u8>) -> Result<Vec<u8>, GroupError> {
+        let start = self.clock.now();
+        let mut ambiguous = false;
+        let mut reason: Arc<str> = "the group has no replica".into();
+        let mut turn = 0;
+        while self.clock.now().since(start) < self.deadline && !self.order.is_empty() {
+            let target = self.hint.get().unwrap_or(self.order[turn % self.order.len()]);
+            match self.try_once(target, &request).await {
+                Submission::Applied(reply) => {
+                    self.hint.set(Some(target));
+                    return Ok(reply);
+                }
+                Submission::NotLeader(leader) => {
+                    let hint = leader.filter(|leader| *leader != target && self.order.contains(leader));
+                    self.hint.set(hint);
+                    reason = "the group has no leader".into();
+                    if hint.is_some() {
+                        continue;
+                    }
+                }
+                Submission::Refused(text) => {
+                    self.hint.set(None);
+                    reason = text;
+                }
+                Submission::Unknown(text) => {
+                    self.hint.set(None);
+                    ambiguous = true;
+                    reason = text;
+                }
+            }
+            turn += 1;
+            Timer::after(PAUSE).await;
+        }
+        if ambiguous {
+            return Err(GroupError::Unknown { reason });
+        }
+        Err(GroupError::NotProposed { reason })
+    }
+
+    async fn try_once(&self, target: NodeId, request: &[u8]) -> Submission {
+        if target == self.node
+            && let Some(local) = &self.local
+        {
+            return local.submit(request.to_vec()).await;
+        }
+        let Some(link) = self.peers.get(&target) else {
+            return Submission::NotLeader(None);
+        };
+        match submit_remotely(link, self.group, request).await {
+            Ok(submission) => submission,
+            Err(failure) if failure.unsent() => Submission::Refused(failure.to_string().into()),
+            Err(failure) => Submission::Unknown(failure.to_string().into()),
+        }
+    }
+}
+
+async fn submit_remotely(link: &PeerLink, group: GroupId, command: &[u8]) -> Result<Submission, LinkError> {
+    link.call(|client| {
+        let mut request = client.submit_request();
+        request.get().set_group(group.0);
+        request.get().set_command(command);
+        let sent = request.send();
+        async move {
+            let response = sent.promise.await?;
+            read_submission(response.get()?.get_submission()?)
+        }
+    })
+    .await
+}
+
+fn read_submission(reader: submission::Reader<'_>) -> Result<Submission, capnp::Error> {
+    Ok(match reader.which()? {
+        submission::Applied(reply) => Submission::Applied(reply?.to_vec()),
+        submission::NotLeader(leader) => Submission::NotLeader((leader != 0).then_some(NodeId(leader))),
+        submission::Refused(text) => Submission::Refused(text?.to_str()?.into()),
+        submission::Unknown(text) => Submission::Unknown(text?.to_str()?.into()),
+    })
+}
+
+/// Writes what became of a request that came from another node.
+pub fn write_submission(mut builder: submission::Builder<'_>, submission: &Submission) {
+    match submission {
+        Submission::Applied(reply) => builder.set_applied(reply),
+        Submission::NotLeader(leader) => builder.set_not_leader(leader.map_or(0, |node| node.0)),
+        Submission::Refused(text) => builder.set_refused(&**text),
+        Submission::Unknown(text) => builder.set_unknown(&**text),
+    }
+}
--- /dev/null
+++ b/agatetrestle/src/node/service.rs
@@ -0,0 +1,103 @@
+//! What a replica of a group offers to other nodes: the typed side of `submit`.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use futures::future::LocalBoxFuture;
+
+use crate::agreement::Rejection;
+use crate::agreement::StateMachine;
+use crate::codec::decode;
+use crate::codec::encode;
+use crate::control::state::ControlState;
+use crate::ids::NodeId;
+use crate::node::group::Group;
+use crate::node::group::Verdict;
+use crate::programs::command::ProgramQuery;
+use crate::programs::command::ProgramRequest;
+use crate::programs::ledger::Ledger;
+
+/// What became of a request to a group.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Submission {
+    /// The coded reply.
+    Applied(Vec<u8>),
+    /// Nothing entered the log; the leader if known.
+    NotLeader(Option<NodeId>),
+    /// Nothing entered the log, for another reason.
+    Refused(Arc<str>),
+    /// The command may yet be applied.
+    Unknown(Arc<str>),
+}
+
+/// A replica that takes coded requests.
+pub trait GroupService {
+    /// Commits or answers one coded request.
+    fn submit(&self, request: Vec<u8>) -> LocalBoxFuture<'_, Submission>;
+
+    /// Raw history from an offset on, for a replica that lacks it; empty where there is none.
+    fn history(&self, offset: u64) -> Vec<u8>;
+}
+
+fn outcome(verdict: Verdict) -> Submission {
+    match verdict {
+        Verdict::Applied(reply) => Submission::Applied(reply),
+        Verdict::Rejected(Rejection::NotLeader(leader)) => Submission::NotLeader(leader),
+        Verdict::Rejected(Rejection::Busy) => Submission::Refused("too many commands are under way".into()),
+        Verdict::Rejected(Rejection::ChangePending) => {
+            Submission::Refused("a change of replicas is under way".into())
+        }
+        Verdict::Rejected(Rejection::InvalidChange) => {
+            Submission::Refused("the change makes no sense".into())
+        }
+        Verdict::Ready | Verdict::Changed => Submission::Refused("a read was taken for a command".into()),
+        Verdict::Unknown => Submission::Unknown("leadership was lost".into()),
+    }
+}
+
+async fn commit<M: StateMachine + 'static>(group: &Group<M>, payload: Vec<u8>) -> Submission {
+    outcome(group.submit(payload.into()).await)
+}
+
+/// A state group's replica.
+pub struct LedgerService(pub Rc<Group<Ledger>>);
+
+impl LedgerService {
+    async fn query(&self, query: ProgramQuery) -> Submission {
+        match self.0.ready().await {
+            Verdict::Ready => Submission::Applied(encode(&self.0.machine(|ledger| ledger.query(&query)))),
+            verdict => outcome(verdict),
+        }
+    }
+
+    async fn serve(&self, request: Vec<u8>) -> Submission {
+        match decode::<ProgramRequest>(&request) {
+            Ok(ProgramRequest::Command(command)) => commit(&self.0, encode(&command)).await,
+            Ok(ProgramRequest::Query(query)) => self.query(query).await,
+            Err(failure) => Submission::Refused(failure.to_string().into()),
+        }
+    }
+}
+
+impl GroupService for LedgerService {
+    fn submit(&self, request: Vec<u8>) -> LocalBoxFuture<'_, Submission> {
+        Box::pin(self.serve(request))
+    }
+
+    fn history(&self, offset: u64) -> Vec<u8> {
+        self.0.copy_history(offset)
+    }
+}
+
+/// A control replica.
+pub struct ControlService(pub Rc<Group<ControlState>>);
+
+impl GroupService for ControlService {
+    fn submit(&self, request: Vec<u8>) -> LocalBoxFuture<'_, Submission> {
+        Box::pin(commit(&self.0, request))
+    }
+
+    fn history(&self, offset: u64) -> Vec<u8> {
+        self.0.copy_history(offset)
+    }
+}
--- /dev/null
+++ b/agatetrestle/src/node/wire_members.rs
@@ -0,0 +1,137 @@
+//! Reading and writing of heartbeats and digests as in the schema.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use agatetrestle_schema::peer_capnp::digest;
+use agatetrestle_schema::peer_capnp::heartbeat;
+use agatetrestle_schema::peer_capnp::member;
+use agatetrestle_schema::peer_capnp::sign;
+use capnp::struct_list;
+
+use crate::ids::NodeId;
+use crate::members::message::Digest;
+use crate::members::message::Heartbeat;
+use crate::members::message::Member;
+use crate::members::message::MemberState;
+use crate::members::message::Sign;
+use crate::node::wire::WireError;
+
+fn text(reader: capnp::text::Reader<'_>) -> Result<Arc<str>, WireError> {
+    let text = reader.to_str().map_err(capnp::Error::from)?;
+    Ok(text.into())
+}
+
+fn count(length: usize) -> u32 {
+    u32::try_from(length).unwrap_or(u32::MAX)
+}
+
+fn write_signs(mut list: struct_list::Builder<'_, sign::Owned>, signs: &[Sign]) {
+    for (index, sign) in (0..list.len()).zip(signs) {
+        let mut builder = list.reborrow().get(index);
+        builder.set_name(&*sign.name);
+        builder.set_incarnation(sign.incarnation);
+    }
+}
+
+fn read_signs(list: struct_list::Reader<'_, sign::Owned>) -> Result<Vec<Sign>, WireError> {
+    let read = |sign: sign::Reader<'_>| -> Result<Sign, WireError> {
+        Ok(Sign { name: text(sign.get_name()?)?, incarnation: sign.get_incarnation() })
+    };
+    list.iter().map(read).collect()
+}
+
+/// Writes a heartbeat.
+pub fn write_heartbeat(mut builder: heartbeat::Builder<'_>, beat: &Heartbeat) {
+    builder.set_node(beat.node.0);
+    builder.set_vm(&*beat.vm);
+    builder.set_failure_domain(&*beat.failure_domain);
+    builder.set_region(&*beat.region);
+    builder.set_incarnation(beat.incarnation);
+    builder.set_caller_address(&*beat.caller_address);
+    builder.set_revision(beat.revision);
+    builder.set_stopping(beat.stopping);
+    write_signs(builder.init_leaving(count(beat.leaving.len())), &beat.leaving);
+}
+
+/// Reads a heartbeat.
+///
+/// # Errors
+///
+/// Fails if it is malformed.
+pub fn read_heartbeat(reader: heartbeat::Reader<'_>) -> Result<Heartbeat, WireError> {
+    Ok(Heartbeat {
+        node: NodeId(reader.get_node()),
+        vm: text(reader.get_vm()?)?,
+        failure_domain: text(reader.get_failure_domain()?)?,
+        region: text(reader.get_region()?)?,
+        incarnation: reader.get_incarnation(),
+        caller_address: text(reader.get_caller_address()?)?,
+        revision: reader.get_revision(),
+        stopping: reader.get_stopping(),
+        leaving: read_signs(reader.get_leaving()?)?,
+    })
+}
+
+fn write_member(mut builder: member::Builder<'_>, member: &Member) {
+    let beat = &member.beat;
+    builder.set_node(beat.node.0);
+    builder.set_vm(&*beat.vm);
+    builder.set_failure_domain(&*beat.failure_domain);
+    builder.set_region(&*beat.region);
+    builder.set_incarnation(beat.incarnation);
+    builder.set_caller_address(&*beat.caller_address);
+    builder.set_revision(beat.revision);
+    builder.set_state(match member.state {
+        MemberState::Live => member::State::Live,
+        MemberState::Stopping => member::State::Stopping,
+        MemberState::Silent => member::State::Silent,
+        MemberState::Leaving => member::State::Leaving,
+    });
+}
+
+fn read_member(reader: member::Reader<'_>) -> Result<Member, WireError> {
+    let state = match reader.get_state()? {
+        member::State::Live => MemberState::Live,
+        member::State::Stopping => MemberState::Stopping,
+        member::State::Silent => MemberState::Silent,
+        member::State::Leaving => MemberState::Leaving,
+    };
+    let beat = Heartbeat {
+        node: NodeId(reader.get_node()),
+        vm: text(reader.get_vm()?)?,
+        failure_domain: text(reader.get_failure_domain()?)?,
+        region: text(reader.get_region()?)?,
+        incarnation: reader.get_incarnation(),
+        caller_address: text(reader.get_caller_address()?)?,
+        revision: reader.get_revision(),
+        stopping: state == MemberState::Stopping,
+        leaving: Vec::new(),
+    };
+    Ok(Member { beat, state })
+}
+
+/// Writes a digest.
+pub fn write_digest(mut builder: digest::Builder<'_>, digest: &Digest) {
+    builder.set_revision(digest.revision);
+    builder.set_lease_millis(u32::try_from(digest.lease.as_millis()).unwrap_or(u32::MAX));
+    write_signs(builder.reborrow().init_leaving(count(digest.leaving.len())), &digest.leaving);
+    let mut members = builder.init_members(count(digest.members.len()));
+    for (index, member) in (0..members.len()).zip(&digest.members) {
+        write_member(members.reborrow().get(index), member);
+    }
+}
+
+/// Reads a digest.
+///
+/// # Errors
+///
+/// Fails if it is malformed.
+pub fn read_digest(reader: digest::Reader<'_>) -> Result<Digest, WireError> {
+    Ok(Digest {
+        revision: reader.get_revision(),
+        lease: Duration::from_millis(reader.get_lease_millis().into()),
+        members: reader.get_members()?.iter().map(read_member).collect::<Result<_, _>>()?,
+        leaving: read_signs(reader.get_leaving()?)?,
+    })
+}
--- a/agatetrestle_schema/schema/peer.capnp
+++ b/agatetrestle_schema/schema/peer.capnp
@@ -131,6 +131,7 @@
   submit @1 (group :UInt32, command :Data) -> (submission :Submission);
   heartbeat @2 (beat :Heartbeat) -> (digest :Digest);
   configuration @3 (known :UInt64) -> (revision :UInt64, documents :List(Document));
+  history @4 (group :UInt32, offset :UInt64) -> (bytes :Data);
 
   struct Document {
     scope @0 :Text;
