Append enough for several history segments in their test

Cause: the test asked for more than two segments, but 400 records of 0.9 MB fill only two. Change: 700 records. The check itself stands as it was. Measured: failed before, passes now.

--- a/agatetrestle/src/history/tests.rs
+++ b/agatetrestle/src/history/tests.rs
@@ -35,7 +35,7 @@
     let folder = Folder::new("read");
     let mut files = FileHistory::open(&folder.0, SEGMENT).unwrap();
     let mut memory = MemoryHistory::default();
-    let records: Vec<_> = (0..400).map(|index| files.append(&body(index))).collect();
+    let records: Vec<_> = (0..700).map(|index| files.append(&body(index))).collect();
     for (record, index) in records.iter().zip(0..) {
         assert_eq!(memory.append(&body(index)), *record);
         assert_eq!(*files.read(*record).unwrap(), body(index));
