Refuse to start over lost files, and let a replaced VM join as a learner

Cause: a replica whose files were lost would have started afresh under its old number, voted and acknowledged, and could have elected a leader without what was committed. A settings file with a new holder would also have changed the voters of a running group. Addresses of replaced VMs are learnt from heartbeats.

--- a/agatetrestle/src/agreement/message.rs
+++ b/agatetrestle/src/agreement/message.rs
@@ -86,6 +86,8 @@
         round: u64,
         /// The entries, in order.
         entries: Vec<Entry>,
+        /// Whether the sender counts the receiver as a learner, which lets a new replica join.
+        learner: bool,
     },
     /// Answer to entries, given only after they are synced.
     AppendReply {
@@ -107,6 +109,8 @@
         /// Whether it is the last piece.
         last: bool,
         /// As in [`Body::Append`].
+        learner: bool,
+        /// As in [`Body::Append`].
         round: u64,
     },
     /// Answer to a piece of a snapshot.
--- a/agatetrestle/src/agreement/replica/election.rs
+++ b/agatetrestle/src/agreement/replica/election.rs
@@ -196,6 +196,10 @@
         self.replicas().voters.contains(&node)
     }
 
+    pub(super) fn is_learner(&self, node: NodeId) -> bool {
+        self.replicas().learners.contains(&node)
+    }
+
     pub(super) fn other_voters(&self) -> Vec<NodeId> {
         let voters = self.replicas().voters.iter().copied();
         voters.filter(|voter| *voter != self.cfg.node).collect()
--- a/agatetrestle/src/agreement/replica/mod.rs
+++ b/agatetrestle/src/agreement/replica/mod.rs
@@ -119,6 +119,8 @@
     election_deadline: Timestamp,
     random: u64,
     failed: bool,
+    /// Set on a replica that may once have voted and forgot it, until a leader counts it as a learner.
+    joining: bool,
     /// The write that the present step gathers.
     write: Write,
     sequence: u64,
@@ -168,6 +170,7 @@
             election_deadline: now,
             random: cfg.seed ^ cfg.node.0.rotate_left(32) ^ hard_state.term,
             failed,
+            joining: false,
             write: Write::default(),
             sequence: 0,
             written: 0,
@@ -183,6 +186,30 @@
         replica
     }
 
+    /// A replica that starts without what it once stored, if anything, and so must not be counted on.
+    ///
+    /// It ignores every message until a leader addresses it as a learner. A leader that still counts
+    /// it as a voter, from before it lost its files, thus finds it silent, and its forgotten votes do no harm.
+    #[must_use]
+    pub fn joining(cfg: ReplicaConfig, now: Timestamp) -> Self {
+        let mut replica = Self::new(cfg, Replicas::default(), Restored::default(), now);
+        replica.joining = true;
+        replica
+    }
+
+    /// Whether the replica waits to be counted as a learner.
+    #[must_use]
+    pub fn is_joining(&self) -> bool {
+        self.joining
+    }
+
+    fn admits(&mut self, body: &Body) -> bool {
+        if let Body::Append { learner: true, .. } | Body::Snapshot { learner: true, .. } = body {
+            self.joining = false;
+        }
+        !self.joining
+    }
+
     /// Takes one input and says what to do, in order.
     ///
     /// `now` must be read after the input was received, else a pause between the two could make an
@@ -249,6 +276,9 @@
             return;
         }
         let Message { from, term, body, .. } = message;
+        if !self.admits(&body) {
+            return;
+        }
         if term < self.term {
             self.answer_older_term(from, &body);
             return;
@@ -261,13 +291,13 @@
             Body::PreVoteReply { granted } => self.receive_pre_vote_reply(now, from, term, granted),
             Body::Vote { last, transfer } => self.receive_vote(now, from, last, transfer),
             Body::VoteReply { granted } => self.receive_vote_reply(now, from, granted),
-            Body::Append { previous, commit, round, entries } => {
+            Body::Append { previous, commit, round, entries, learner: _ } => {
                 self.receive_append(now, from, previous, commit, round, entries);
             }
             Body::AppendReply { accepted, matched, round } => {
                 self.receive_append_reply(now, from, accepted, matched, round);
             }
-            Body::Snapshot { position, offset, chunk, last, round } => {
+            Body::Snapshot { position, offset, chunk, last, round, learner: _ } => {
                 self.receive_snapshot(now, from, position, offset, &chunk, last, round);
             }
             Body::SnapshotReply { position, received, round } => {
--- a/agatetrestle/src/agreement/replica/replication.rs
+++ b/agatetrestle/src/agreement/replica/replication.rs
@@ -149,7 +149,9 @@
             progress.next += entries.len() as u64;
         }
         let previous = Position { term, index: previous };
-        let body = Body::Append { previous, commit: self.commit, round: leader.round, entries };
+        let round = leader.round;
+        let learner = self.is_learner(peer);
+        let body = Body::Append { previous, commit: self.commit, round, entries, learner };
         self.send(peer, body);
     }
 
--- a/agatetrestle/src/agreement/tests.rs
+++ b/agatetrestle/src/agreement/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the replicated log: plain cases first, then random schedules under failures.
 
 mod basics;
+mod joining;
 
 use proptest::test_runner::Config;
 use proptest::test_runner::FileFailurePersistence;
--- a/agatetrestle/src/cli.rs
+++ b/agatetrestle/src/cli.rs
@@ -7,6 +7,8 @@
 use bpaf::construct;
 use bpaf::long;
 
+use crate::node::replicas::Missing;
+
 /// What the daemon is told on its command line; everything else stands in the settings file.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Options {
@@ -14,6 +16,10 @@
     pub config: PathBuf,
     /// Whether to check the settings and exit.
     pub check: bool,
+    /// Whether to form new groups where their files are missing.
+    pub bootstrap: bool,
+    /// Whether to join existing groups where their files are missing.
+    pub join: bool,
 }
 
 impl Options {
@@ -24,12 +30,29 @@
             .help("Settings of this process, in YAML; docs/operators/settings.md names every key")
             .argument::<PathBuf>("FILE");
         let check = long("check").help("Check the settings and exit: 0 if they can be used, else 1").switch();
-        construct!(Self { config, check })
+        let bootstrap = long("bootstrap")
+            .help("Form new groups if their files are missing; only for a new system")
+            .switch();
+        let join = long("join")
+            .help("Join existing groups if their files are missing, as a learner until promoted")
+            .switch();
+        construct!(Self { config, check, bootstrap, join })
             .to_options()
             .version(env!("CARGO_PKG_VERSION"))
             .descr("scheduler for agent programs: the daemon")
     }
 
+    /// What to do where a group's files are missing; both flags together are taken for joining, which
+    /// can do no harm.
+    #[must_use]
+    pub fn missing(&self) -> Missing {
+        match (self.bootstrap, self.join) {
+            (_, true) => Missing::Join,
+            (true, false) => Missing::Bootstrap,
+            (false, false) => Missing::Refuse,
+        }
+    }
+
     /// Reads the process's own arguments; prints help, version or a usage error and exits where asked.
     #[must_use]
     pub fn from_args() -> Self {
--- a/agatetrestle/src/cli/tests.rs
+++ b/agatetrestle/src/cli/tests.rs
@@ -10,7 +10,16 @@
 fn the_settings_file_is_required() {
     assert!(parse(&["--check"]).is_err());
     let options = parse(&["--config", "node.yaml", "--check"]).unwrap();
-    assert_eq!(options, Options { config: "node.yaml".into(), check: true });
+    let expected = Options { config: "node.yaml".into(), check: true, bootstrap: false, join: false };
+    assert_eq!(options, expected);
+}
+
+#[test]
+fn missing_files_are_refused_unless_a_flag_says_otherwise() {
+    let missing = |flags: &[&str]| parse(&[&["--config", "node.yaml"], flags].concat()).unwrap().missing();
+    assert_eq!(missing(&[]), Missing::Refuse);
+    assert_eq!(missing(&["--bootstrap"]), Missing::Bootstrap);
+    assert_eq!(missing(&["--bootstrap", "--join"]), Missing::Join);
 }
 
 #[test]
--- a/agatetrestle/src/main.rs
+++ b/agatetrestle/src/main.rs
@@ -9,6 +9,7 @@
 use agatetrestle::node::Node;
 use agatetrestle::node::NodeError;
 use agatetrestle::node::listeners::Listeners;
+use agatetrestle::node::replicas::Missing;
 use agatetrestle_config::Settings;
 use async_signal::Signal;
 use async_signal::Signals;
@@ -30,7 +31,7 @@
         Err(failure) => return refuse(&failure),
     };
     let executor = Rc::new(LocalExecutor::new());
-    match smol::block_on(executor.run(run(settings, executor.clone()))) {
+    match smol::block_on(executor.run(run(settings, executor.clone(), options.missing()))) {
         Ok(code) => code,
         Err(failure) => refuse(&failure),
     }
@@ -42,13 +43,17 @@
 }
 
 /// Runs the node until a signal asks it to stop; a second signal stops it at once.
-async fn run(settings: Settings, executor: Rc<LocalExecutor<'static>>) -> Result<ExitCode, NodeError> {
+async fn run(
+    settings: Settings,
+    executor: Rc<LocalExecutor<'static>>,
+    missing: Missing,
+) -> Result<ExitCode, NodeError> {
     let listeners = Listeners::bind(&settings.listen).await?;
     let mut signals = match Signals::new([Signal::Term, Signal::Int]) {
         Ok(signals) => signals,
         Err(failure) => return Ok(refuse(&failure)),
     };
-    let node = Node::start(settings, listeners, executor).await?;
+    let node = Node::start(settings, listeners, executor, missing).await?;
     signals.next().await;
     let finished = Rc::new(Cell::new(false));
     let outcome = finished.clone();
--- a/agatetrestle/src/members/message.rs
+++ b/agatetrestle/src/members/message.rs
@@ -29,6 +29,8 @@
     pub incarnation: u64,
     /// Where callers reach it.
     pub caller_address: Arc<str>,
+    /// Where other nodes reach it.
+    pub peer_address: Arc<str>,
     /// Newest control revision in force on it.
     pub revision: u64,
     /// Whether a planned stop is under way.
--- a/agatetrestle/src/members/table.rs
+++ b/agatetrestle/src/members/table.rs
@@ -37,16 +37,18 @@
         Self { interval, rows: BTreeMap::new(), signs: Signs::default() }
     }
 
-    /// Takes in a heartbeat; one of an older incarnation is a late message and changes nothing.
-    pub fn record(&mut self, now: Timestamp, mut beat: Heartbeat) {
+    /// Takes in a heartbeat; one of an older incarnation is a late message and changes nothing. Returns
+    /// whether it was of the newest incarnation.
+    pub fn record(&mut self, now: Timestamp, mut beat: Heartbeat) -> bool {
         for sign in beat.leaving.drain(..) {
             self.signs.add(&sign);
         }
         let known = self.rows.get(&beat.node);
         if known.is_some_and(|row| row.beat.incarnation > beat.incarnation) {
-            return;
+            return false;
         }
         self.rows.insert(beat.node, Row { beat, heard: now });
+        true
     }
 
     /// Adds a sign that came from elsewhere, such as an operator.
--- a/agatetrestle/src/node/error.rs
+++ b/agatetrestle/src/node/error.rs
@@ -29,6 +29,19 @@
         /// The group.
         group: GroupId,
     },
+    /// The files of a group are not there.
+    #[snafu(display(
+        "group {} has no files under {}: start a new system with --bootstrap, or replace a VM that lost \
+         its disk as docs/operators/replace-vm.md tells",
+        group.0,
+        folder.display()
+    ))]
+    Missing {
+        /// The group.
+        group: GroupId,
+        /// The data folder.
+        folder: PathBuf,
+    },
     /// The log of a group can't be opened.
     #[snafu(display("the log in {} can't be opened: {source}", folder.display()))]
     Open {
--- a/agatetrestle/src/node/heartbeats.rs
+++ b/agatetrestle/src/node/heartbeats.rs
@@ -25,6 +25,7 @@
 use crate::members::message::Sign;
 use crate::members::roster::Roster;
 use crate::node::control_port::ControlPort;
+use crate::node::links::Links;
 use crate::node::peer_link::LinkError;
 use crate::node::peer_link::PeerLink;
 use crate::node::registry::Registry;
@@ -40,8 +41,10 @@
     pub identity: Heartbeat,
     /// Time between two heartbeats.
     pub interval: Duration,
-    /// The control replicas elsewhere.
-    pub replicas: BTreeMap<NodeId, Rc<PeerLink>>,
+    /// The nodes with a control replica, by the settings.
+    pub replicas: Vec<NodeId>,
+    /// The ways to all nodes.
+    pub links: Rc<Links>,
     /// The control replica here, if any.
     pub registry: Option<Rc<Registry>>,
     /// What is in force here.
@@ -68,7 +71,9 @@
     /// Sends one heartbeat to every control replica and takes in their digests.
     pub async fn beat_once(&self) {
         let beat = self.beat();
-        let remote = self.replicas.values().map(|link| self.beat_remotely(link, &beat));
+        let links: Vec<Rc<PeerLink>> =
+            self.replicas.iter().filter_map(|node| self.links.get(*node)).collect();
+        let remote = links.iter().map(|link| self.beat_remotely(link, &beat));
         futures::future::join(join_all(remote), self.beat_locally(&beat)).await;
     }
 
@@ -125,6 +130,7 @@
     fn take_in(&self, sent: Timestamp, digest: &Digest) {
         if !digest.lease.is_zero() {
             self.control.renew(sent, digest.lease, digest.revision);
+            self.learn_addresses(digest);
         }
         let news = self.roster.borrow_mut().take_in(digest);
         for sign in news {
@@ -132,6 +138,14 @@
         }
     }
 
+    fn learn_addresses(&self, digest: &Digest) {
+        for member in &digest.members {
+            if let Ok(address) = member.beat.peer_address.parse() {
+                self.links.learn(member.beat.node, address);
+            }
+        }
+    }
+
     fn announce(&self, sign: &Sign) {
         info!("{} is leaving as of incarnation {}.", sign.name, sign.incarnation);
         self.calls.step(crate::scheduler::event::Event::Leaving { name: sign.name.clone(), leaving: true });
--- a/agatetrestle/src/node/listings.rs
+++ b/agatetrestle/src/node/listings.rs
@@ -6,13 +6,19 @@
 use std::sync::Arc;
 
 use agatetrestle_config::declarations::BackendKind;
+use futures::future::LocalBoxFuture;
 
+use crate::agreement::Rejection;
+use crate::agreement::ReplicaChange;
 use crate::agreement::StateMachine;
 use crate::attempts::catalog;
+use crate::ids::GroupId;
 use crate::node::control_port::ControlPort;
 use crate::node::group::Group;
+use crate::node::group::Verdict;
 use crate::ports::BackendView;
 use crate::ports::Backends;
+use crate::ports::ChangeError;
 use crate::ports::Control;
 use crate::ports::GroupView;
 use crate::ports::Groups;
@@ -23,12 +29,19 @@
 pub trait Viewed {
     /// The group as operators see it.
     fn view(&self) -> GroupView;
+
+    /// Changes who takes part.
+    fn change(&self, change: ReplicaChange) -> LocalBoxFuture<'_, Verdict>;
 }
 
 impl<M: StateMachine + 'static> Viewed for Group<M> {
     fn view(&self) -> GroupView {
         Group::view(self)
     }
+
+    fn change(&self, change: ReplicaChange) -> LocalBoxFuture<'_, Verdict> {
+        Box::pin(self.change_replicas(change))
+    }
 }
 
 /// The groups of which this node holds a replica.
@@ -39,6 +52,24 @@
     fn groups(&self) -> Vec<GroupView> {
         self.0.iter().map(|group| group.view()).collect()
     }
+
+    fn change(&self, id: GroupId, change: ReplicaChange) -> LocalBoxFuture<'_, Result<(), ChangeError>> {
+        Box::pin(async move {
+            let group = self.0.iter().find(|group| group.view().group == id);
+            let group = group.ok_or(ChangeError::NoReplica { group: id })?;
+            outcome(&group.change(change).await)
+        })
+    }
+}
+
+fn outcome(verdict: &Verdict) -> Result<(), ChangeError> {
+    match verdict {
+        Verdict::Changed => Ok(()),
+        Verdict::Rejected(Rejection::NotLeader(leader)) => Err(ChangeError::NotLeader { leader: *leader }),
+        Verdict::Rejected(Rejection::Busy | Rejection::ChangePending) => Err(ChangeError::Pending),
+        Verdict::Rejected(Rejection::InvalidChange) => Err(ChangeError::Invalid),
+        Verdict::Applied(_) | Verdict::Ready | Verdict::Unknown => Err(ChangeError::Undecided),
+    }
 }
 
 /// The declared backend servers with this node's load on them.
--- a/agatetrestle/src/node/mod.rs
+++ b/agatetrestle/src/node/mod.rs
@@ -5,6 +5,7 @@
 pub mod group;
 pub mod heartbeats;
 pub mod ledger_port;
+pub mod links;
 pub mod listeners;
 pub mod listings;
 pub mod peer_link;
@@ -20,7 +21,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -58,12 +58,13 @@
 use crate::node::group::Group;
 use crate::node::heartbeats::Heartbeats;
 use crate::node::ledger_port::LedgerPort;
+use crate::node::links::Links;
 use crate::node::listeners::Listeners;
 use crate::node::listings::BackendListing;
 use crate::node::listings::GroupListing;
-use crate::node::peer_link::PeerLink;
 use crate::node::peer_server::PeerServer;
 use crate::node::registry::Registry;
+use crate::node::replicas::Missing;
 use crate::node::replicas::Opener;
 use crate::node::router::Router;
 use crate::node::service::ControlService;
@@ -71,7 +72,10 @@
 use crate::node::service::LedgerService;
 use crate::operator;
 use crate::operator::OperatorServer;
+use crate::ports;
 use crate::ports::Control;
+use crate::ports::Groups;
+use crate::ports::Members;
 use crate::programs::ledger::Ledger;
 use crate::scheduler::Scheduler;
 use crate::scheduler::baseline::Baseline;
@@ -92,6 +96,8 @@
     heartbeats: Rc<Heartbeats>,
     control: Option<Rc<Group<ControlState>>>,
     state: Option<Rc<Group<Ledger>>>,
+    groups: Rc<dyn Groups>,
+    ledger: Rc<dyn ports::Ledger>,
     tasks: RefCell<Vec<Task<()>>>,
 }
 
@@ -112,18 +118,20 @@
         settings: Settings,
         listeners: Listeners,
         executor: Rc<LocalExecutor<'static>>,
+        missing: Missing,
     ) -> Result<Rc<Self>, NodeError> {
         let clock = Clock::start();
         let addresses = listeners.addresses()?;
-        let links = connect(&settings, &executor);
-        let opener = Opener { settings: &settings, clock, links: &links, executor: &executor };
+        let links = Links::new(&settings, &executor);
+        let opener = Opener { settings: &settings, clock, links: &links, missing, executor: &executor };
         let mut replicas = Replicas::open(&opener).await?;
         let assembly = Assembly::new(&settings, &addresses, clock, &links, &replicas);
         let metrics = Rc::new(Metrics::new().context(MetricsSnafu)?);
         let entry = Rc::new(assembly.entry(&metrics));
         let mut tasks = std::mem::take(&mut replicas.tasks);
         let peers = assembly.peer_server(&replicas);
-        let operators = assembly.operator_server(&replicas);
+        let groups: Rc<dyn Groups> = Rc::new(replicas.listing());
+        let operators = assembly.operator_server(&groups);
         let calls = assembly.calls.clone();
         tasks.push(executor.spawn(peer_server::serve(peers, listeners.peers, Rc::downgrade(&executor))));
         tasks.push(executor.spawn(operator::serve(operators, listeners.operators, executor.clone())));
@@ -137,6 +145,8 @@
             stopping: assembly.stopping,
             entry,
             heartbeats: assembly.heartbeats,
+            groups,
+            ledger: assembly.ledger,
             control: replicas.control,
             state: replicas.state,
             tasks: RefCell::new(tasks),
@@ -156,6 +166,24 @@
         self.heartbeats.control.clone()
     }
 
+    /// The groups of which this node holds a replica.
+    #[must_use]
+    pub fn groups(&self) -> Rc<dyn Groups> {
+        self.groups.clone()
+    }
+
+    /// The ledger, as any slice of this node reaches it.
+    #[must_use]
+    pub fn ledger(&self) -> Rc<dyn ports::Ledger> {
+        self.ledger.clone()
+    }
+
+    /// The members as this node sees them.
+    #[must_use]
+    pub fn members(&self) -> Rc<dyn Members> {
+        self.heartbeats.clone()
+    }
+
     /// Whether this node leads its state group.
     #[must_use]
     pub fn leads_state_group(&self) -> bool {
@@ -214,14 +242,6 @@
     }
 }
 
-fn connect(settings: &Settings, executor: &Rc<LocalExecutor<'static>>) -> BTreeMap<NodeId, Rc<PeerLink>> {
-    let others = settings.peers.iter().filter(|peer| peer.id != settings.node.id);
-    let link = |peer: &agatetrestle_config::settings::PeerSeed| {
-        PeerLink::new(peer.address, settings.timing.peer_call, executor.clone())
-    };
-    others.map(|peer| (NodeId(peer.id), link(peer))).collect()
-}
-
 impl Replicas {
     async fn open(opener: &Opener<'_>) -> Result<Self, NodeError> {
         let control = opener.open(CONTROL_GROUP, ControlState::default()).await?;
@@ -238,6 +258,17 @@
         Ok(replicas)
     }
 
+    fn listing(&self) -> GroupListing {
+        let mut listing = GroupListing::default();
+        if let Some(group) = self.control.clone() {
+            listing.0.push(group);
+        }
+        if let Some(group) = self.state.clone() {
+            listing.0.push(group);
+        }
+        listing
+    }
+
     fn control_service(&self) -> Option<Rc<dyn GroupService>> {
         let group = self.control.clone()?;
         Some(Rc::new(ControlService(group)))
@@ -279,7 +310,7 @@
         settings: &Settings,
         addresses: &Listen,
         clock: Clock,
-        links: &BTreeMap<NodeId, Rc<PeerLink>>,
+        links: &Rc<Links>,
         replicas: &Replicas,
     ) -> Self {
         let node = NodeId(settings.node.id);
@@ -287,9 +318,9 @@
         let incarnation = incarnation();
         let stopping = Rc::new(Cell::new(false));
         let router = |group, local| {
-            let peers = select(links, &replicas::holders(settings, group));
+            let holders = replicas::holders(settings, group);
             let deadline = timing.peer_call * ROUTER_DEADLINES;
-            Rc::new(Router::new(group, node, local, peers, clock, deadline))
+            Rc::new(Router::new(group, node, local, links.clone(), &holders, clock, deadline))
         };
         let control_router = router(CONTROL_GROUP, replicas.control_service());
         let control = Rc::new(ControlPort::new(control_router, clock, timing.clock_drift, stopping.clone()));
@@ -298,12 +329,13 @@
         let calls = dispatcher(&scheduler, timing.peer_call, clock);
         let registry = replicas.control.clone().map(|group| {
             let lease = timing.configuration_lease;
-            Rc::new(Registry::new(group, clock, timing.heartbeat, lease))
+            Rc::new(Registry::new(group, links.clone(), clock, timing.heartbeat, lease))
         });
         let heartbeats = Rc::new(Heartbeats {
             identity: identity(settings, addresses, incarnation),
             interval: timing.heartbeat,
-            replicas: select(links, &replicas::holders(settings, CONTROL_GROUP)),
+            replicas: replicas::holders(settings, CONTROL_GROUP),
+            links: links.clone(),
             registry: registry.clone(),
             control: control.clone(),
             calls: calls.clone(),
@@ -359,21 +391,14 @@
         Rc::new(server)
     }
 
-    fn operator_server(&self, replicas: &Replicas) -> Rc<OperatorServer> {
-        let mut groups = GroupListing::default();
-        if let Some(group) = replicas.control.clone() {
-            groups.0.push(group);
-        }
-        if let Some(group) = replicas.state.clone() {
-            groups.0.push(group);
-        }
+    fn operator_server(&self, groups: &Rc<dyn Groups>) -> Rc<OperatorServer> {
         let backends = BackendListing { scheduler: self.scheduler.clone(), control: self.control.clone() };
         Rc::new(OperatorServer {
             control: self.control.clone(),
             members: self.heartbeats.clone(),
             ledger: self.ledger.clone(),
             backends: Rc::new(backends),
-            groups: Rc::new(groups),
+            groups: groups.clone(),
             traces: Rc::new(NoTraces),
             node: self.node,
         })
@@ -390,11 +415,6 @@
     Rc::new(Dispatcher::new(scheduler.clone(), backends.clone(), backends, timer, clock))
 }
 
-fn select(links: &BTreeMap<NodeId, Rc<PeerLink>>, nodes: &[NodeId]) -> BTreeMap<NodeId, Rc<PeerLink>> {
-    let chosen = nodes.iter().filter_map(|node| Some((*node, links.get(node)?.clone())));
-    chosen.collect()
-}
-
 fn identity(settings: &Settings, addresses: &Listen, incarnation: u64) -> Heartbeat {
     Heartbeat {
         node: NodeId(settings.node.id),
@@ -403,6 +423,7 @@
         region: settings.node.region.clone(),
         incarnation,
         caller_address: addresses.callers.to_string().into(),
+        peer_address: addresses.peers.to_string().into(),
         ..Heartbeat::default()
     }
 }
--- a/agatetrestle/src/node/peer_link.rs
+++ b/agatetrestle/src/node/peer_link.rs
@@ -113,6 +113,12 @@
         link
     }
 
+    /// Where the peer listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Queues a message; it is dropped where the peer is too slow or away.
     pub fn deliver(&self, message: Message) {
         if self.outbox.try_send(message).is_err() {
--- a/agatetrestle/src/node/registry.rs
+++ b/agatetrestle/src/node/registry.rs
@@ -14,11 +14,13 @@
 use crate::members::table::Table;
 use crate::node::group::Group;
 use crate::node::group::Verdict;
+use crate::node::links::Links;
 
 /// The control replica's side of heartbeats.
 pub struct Registry {
     group: Rc<Group<ControlState>>,
     table: RefCell<Table>,
+    links: Rc<Links>,
     clock: Clock,
     lease: Duration,
 }
@@ -26,13 +28,24 @@
 impl Registry {
     /// A registry for heartbeats of an interval; it grants leases of the given length.
     #[must_use]
-    pub fn new(group: Rc<Group<ControlState>>, clock: Clock, interval: Duration, lease: Duration) -> Self {
-        Self { group, table: RefCell::new(Table::new(interval)), clock, lease }
+    pub fn new(
+        group: Rc<Group<ControlState>>,
+        links: Rc<Links>,
+        clock: Clock,
+        interval: Duration,
+        lease: Duration,
+    ) -> Self {
+        Self { group, table: RefCell::new(Table::new(interval)), links, clock, lease }
     }
 
     /// Takes in a heartbeat. Only a leader that proved itself after the heartbeat came grants a lease.
     pub async fn heartbeat(&self, beat: Heartbeat) -> Digest {
-        self.table.borrow_mut().record(self.clock.now(), beat);
+        let (node, address) = (beat.node, beat.peer_address.parse());
+        let newest = self.table.borrow_mut().record(self.clock.now(), beat);
+        if let (true, Ok(address)) = (newest, address) {
+            // Learnt first hand, because without a leader no digest tells where a replaced VM now is.
+            self.links.learn(node, address);
+        }
         let confirmed = self.group.leads() && self.group.ready().await == Verdict::Ready;
         let configuration = self.configuration();
         let mut table = self.table.borrow_mut();
--- a/agatetrestle/src/node/replicas.rs
+++ b/agatetrestle/src/node/replicas.rs
@@ -1,7 +1,6 @@
 //! Opening of the replicas that a node holds.
 
-use std::collections::BTreeMap;
-use std::path::PathBuf;
+use std::path::Path;
 use std::rc::Rc;
 
 use agatetrestle_config::Settings;
@@ -10,8 +9,11 @@
 use smol::Task;
 use snafu::OptionExt;
 use snafu::ResultExt;
+use snafu::ensure;
 
+use crate::agreement::HardState;
 use crate::agreement::Replicas;
+use crate::agreement::Snapshot;
 use crate::agreement::StateMachine;
 use crate::agreement::message::Message;
 use crate::agreement::message::Position;
@@ -25,6 +27,7 @@
 use crate::ids::GroupId;
 use crate::ids::NodeId;
 use crate::node::NodeError;
+use crate::node::error::MissingSnafu;
 use crate::node::error::NoDataFolderSnafu;
 use crate::node::error::OpenSnafu;
 use crate::node::error::RestoreSnafu;
@@ -32,6 +35,7 @@
 use crate::node::group::GroupParts;
 use crate::node::group::HistorySource;
 use crate::node::group::Outbox;
+use crate::node::links::Links;
 use crate::node::peer_link::LinkError;
 use crate::node::peer_link::PeerLink;
 
@@ -42,6 +46,21 @@
 /// Ticks within a leader interval: fine enough that a heartbeat is never late by much.
 const TICKS_PER_INTERVAL: u32 = 4;
 
+/// What to do where a group's files are missing.
+///
+/// A replica that lost its files may have voted and acknowledged before, so it must not quietly
+/// start afresh: that could elect a leader without what was committed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Missing {
+    /// Refuse to start.
+    #[default]
+    Refuse,
+    /// The whole system is new: form the group from the holders in the settings.
+    Bootstrap,
+    /// Join an existing group, and count for nothing until its leader added this node as a learner.
+    Join,
+}
+
 /// What every replica of a node is opened with.
 pub struct Opener<'a> {
     /// The settings of the process.
@@ -49,7 +68,9 @@
     /// The process's clock.
     pub clock: Clock,
     /// The ways to the other nodes.
-    pub links: &'a BTreeMap<NodeId, Rc<PeerLink>>,
+    pub links: &'a Rc<Links>,
+    /// What to do where a group's files are missing.
+    pub missing: Missing,
     /// Where the replica runs.
     pub executor: &'a LocalExecutor<'static>,
 }
@@ -87,8 +108,15 @@
             return Ok(None);
         }
         let folder = self.settings.storage.data_folder.clone().context(NoDataFolderSnafu { group: id })?;
-        let (storage, restored) = open_storage(folder, id, self.settings.storage.segment).await?;
-        let opened = self.assemble(id, machine, holders, storage, restored)?;
+        let (mut storage, mut restored) = open_storage(&folder, id, self.settings.storage.segment).await?;
+        let joining = is_empty(&restored) && self.missing == Missing::Join;
+        if is_empty(&restored) && !joining {
+            ensure!(self.missing == Missing::Bootstrap, MissingSnafu { group: id, folder: &folder });
+            let founding = founding_snapshot(&machine, holders);
+            storage = save(storage, founding.clone(), &folder).await?;
+            restored.snapshot = Some(founding);
+        }
+        let opened = self.assemble(id, machine, joining, storage, restored)?;
         Ok(Some(opened))
     }
 
@@ -96,22 +124,27 @@
         &self,
         id: GroupId,
         mut machine: M,
-        holders: Vec<NodeId>,
+        joining: bool,
         storage: Storage,
         restored: Restored,
     ) -> Result<Opened<M>, NodeError>
     where
         M: StateMachine + 'static,
     {
-        let initial = Replicas { voters: holders.into_iter().collect(), ..Replicas::default() };
-        let mut replicas = initial.clone();
+        let mut replicas = Replicas::default();
         let mut applied = Position::default();
         if let Some(snapshot) = &restored.snapshot {
             machine.restore(&snapshot.data).context(RestoreSnafu { group: id })?;
             applied = snapshot.position;
             replicas = snapshot.replicas.clone();
         }
-        let replica = Replica::new(self.replica_config(id), initial, restored, self.clock.now());
+        let cfg = self.replica_config(id);
+        let now = self.clock.now();
+        let replica = if joining {
+            Replica::joining(cfg, now)
+        } else {
+            Replica::new(cfg, Replicas::default(), restored, now)
+        };
         let (group, jobs) = Group::new(GroupParts {
             id,
             clock: self.clock,
@@ -145,13 +178,14 @@
 
     /// Asks the other holders of a group in turn.
     fn history_source(&self, group: GroupId) -> HistorySource {
-        let holders = holders(self.settings, group);
-        let links: Vec<Rc<PeerLink>> =
-            holders.iter().filter_map(|node| self.links.get(node).cloned()).collect();
+        let own = NodeId(self.settings.node.id);
+        let mut others = holders(self.settings, group);
+        others.retain(|holder| *holder != own);
+        let links = self.links.clone();
         Rc::new(move |offset| {
-            let links = links.clone();
+            let ways: Vec<Rc<PeerLink>> = others.iter().filter_map(|node| links.get(*node)).collect();
             Box::pin(async move {
-                for link in links {
+                for link in ways {
                     match fetch_history(&link, group, offset).await {
                         Ok(bytes) if !bytes.is_empty() => return Some(bytes),
                         Ok(_) => {}
@@ -166,21 +200,33 @@
     fn outbox(&self) -> Outbox {
         let links = self.links.clone();
         Rc::new(move |message: Message| {
-            if let Some(link) = links.get(&message.to) {
+            if let Some(link) = links.get(message.to) {
                 link.deliver(message);
             }
         })
     }
 }
 
-async fn open_storage(
-    folder: PathBuf,
-    group: GroupId,
-    segment: u64,
-) -> Result<(Storage, Restored), NodeError> {
+fn is_empty(restored: &Restored) -> bool {
+    let no_log = restored.snapshot.is_none() && restored.entries.is_empty();
+    no_log && restored.hard_state == HardState::default()
+}
+
+/// The snapshot before the first entry. It fixes the founding voters, whatever the settings say later.
+fn founding_snapshot<M: StateMachine>(machine: &M, holders: Vec<NodeId>) -> Snapshot {
+    let replicas = Replicas { voters: holders.into_iter().collect(), ..Replicas::default() };
+    Snapshot { position: Position::default(), replicas, data: machine.snapshot().into() }
+}
+
+async fn save(mut storage: Storage, snapshot: Snapshot, folder: &Path) -> Result<Storage, NodeError> {
+    let saved = smol::unblock(move || storage.save_snapshot(&snapshot).map(|()| storage)).await;
+    saved.context(OpenSnafu { folder })
+}
+
+async fn open_storage(folder: &Path, group: GroupId, segment: u64) -> Result<(Storage, Restored), NodeError> {
     let segment_bytes = usize::try_from(segment).unwrap_or(usize::MAX);
     let cfg = StorageConfig { group, segment_bytes };
-    let path = folder.clone();
+    let path = folder.to_path_buf();
     let opened = smol::unblock(move || Storage::open(&path, cfg)).await;
     opened.context(OpenSnafu { folder })
 }
--- a/agatetrestle/src/node/router.rs
+++ b/agatetrestle/src/node/router.rs
@@ -5,7 +5,6 @@
 //! told as unknown.
 
 use std::cell::Cell;
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +15,7 @@
 use crate::clock::Clock;
 use crate::ids::GroupId;
 use crate::ids::NodeId;
+use crate::node::links::Links;
 use crate::node::peer_link::LinkError;
 use crate::node::peer_link::PeerLink;
 use crate::node::service::GroupService;
@@ -30,7 +30,7 @@
     group: GroupId,
     node: NodeId,
     local: Option<Rc<dyn GroupService>>,
-    peers: BTreeMap<NodeId, Rc<PeerLink>>,
+    links: Rc<Links>,
     order: Vec<NodeId>,
     hint: Cell<Option<NodeId>>,
     clock: Clock,
@@ -38,21 +38,20 @@
 }
 
 impl Router {
-    /// A way to a group by its replicas; `peers` leaves out this node, which is `local` if it holds one.
+    /// A way to a group by its holders; `local` is this node's replica if it is one of them.
     #[must_use]
     pub fn new(
         group: GroupId,
         node: NodeId,
         local: Option<Rc<dyn GroupService>>,
-        peers: BTreeMap<NodeId, Rc<PeerLink>>,
+        links: Rc<Links>,
+        holders: &[NodeId],
         clock: Clock,
         deadline: Duration,
     ) -> Self {
-        let mut order: Vec<NodeId> = peers.keys().copied().collect();
-        if local.is_some() {
-            order.insert(0, node);
-        }
-        Self { group, node, local, peers, order, hint: Cell::new(None), clock, deadline }
+        let mut order = holders.to_vec();
+        order.sort_by_key(|holder| *holder != node);
+        Self { group, node, local, links, order, hint: Cell::new(None), clock, deadline }
     }
 
     /// Hands over a coded request and returns the coded reply.
@@ -74,7 +73,7 @@
                     return Ok(reply);
                 }
                 Submission::NotLeader(leader) => {
-                    let hint = leader.filter(|leader| *leader != target && self.order.contains(leader));
+                    let hint = leader.filter(|leader| *leader != target);
                     self.hint.set(hint);
                     reason = "the group has no leader".into();
                     if hint.is_some() {
@@ -106,10 +105,10 @@
         {
             return local.submit(request.to_vec()).await;
         }
-        let Some(link) = self.peers.get(&target) else {
+        let Some(link) = self.links.get(target) else {
             return Submission::NotLeader(None);
         };
-        match submit_remotely(link, self.group, request).await {
+        match submit_remotely(&link, self.group, request).await {
             Ok(submission) => submission,
             Err(failure) if failure.unsent() => Submission::Refused(failure.to_string().into()),
             Err(failure) => Submission::Unknown(failure.to_string().into()),
--- a/agatetrestle/src/node/wire.rs
+++ b/agatetrestle/src/node/wire.rs
@@ -80,10 +80,11 @@
             write_position(vote.init_last(), *last);
         }
         Body::VoteReply { granted } => body.set_vote_reply(*granted),
-        Body::Append { previous, commit, round, entries } => {
+        Body::Append { previous, commit, round, entries, learner } => {
             let mut append = body.init_append();
             append.set_commit(*commit);
             append.set_round(*round);
+            append.set_learner(*learner);
             write_position(append.reborrow().init_previous(), *previous);
             let count = u32::try_from(entries.len()).expect("a batch holds far fewer entries");
             let mut list = append.init_entries(count);
@@ -97,12 +98,13 @@
             reply.set_matched(*matched);
             reply.set_round(*round);
         }
-        Body::Snapshot { position, offset, chunk, last, round } => {
+        Body::Snapshot { position, offset, chunk, last, round, learner } => {
             let mut snapshot = body.init_snapshot();
             snapshot.set_offset(*offset);
             snapshot.set_chunk(chunk);
             snapshot.set_last(*last);
             snapshot.set_round(*round);
+            snapshot.set_learner(*learner);
             write_position(snapshot.init_position(), *position);
         }
         Body::SnapshotReply { position, received, round } => {
@@ -134,6 +136,7 @@
             previous: read_position(append.get_previous()?),
             commit: append.get_commit(),
             round: append.get_round(),
+            learner: append.get_learner(),
             entries: append.get_entries()?.iter().map(read_entry).collect::<Result<_, _>>()?,
         },
         Which::AppendReply(reply) => Body::AppendReply {
@@ -147,6 +150,7 @@
             chunk: Arc::from(snapshot.get_chunk()?),
             last: snapshot.get_last(),
             round: snapshot.get_round(),
+            learner: snapshot.get_learner(),
         },
         Which::SnapshotReply(reply) => Body::SnapshotReply {
             position: read_position(reply.get_position()?),
--- a/agatetrestle/src/node/wire/tests.rs
+++ b/agatetrestle/src/node/wire/tests.rs
@@ -27,6 +27,7 @@
             previous: POSITION,
             commit: 8,
             round: 77,
+            learner: true,
             entries: vec![
                 entry(EntryKind::Command, b"x"),
                 entry(EntryKind::NoOperation, b""),
@@ -34,7 +35,14 @@
             ],
         },
         Body::AppendReply { accepted: true, matched: 9, round: 77 },
-        Body::Snapshot { position: POSITION, offset: 5, chunk: Arc::from(&b"abc"[..]), last: true, round: 6 },
+        Body::Snapshot {
+            position: POSITION,
+            offset: 5,
+            chunk: Arc::from(&b"abc"[..]),
+            last: true,
+            round: 6,
+            learner: true,
+        },
         Body::SnapshotReply { position: POSITION, received: 8, round: 6 },
         Body::TakeOver,
     ]
--- a/agatetrestle/src/node/wire_members.rs
+++ b/agatetrestle/src/node/wire_members.rs
@@ -49,6 +49,7 @@
     builder.set_region(&*beat.region);
     builder.set_incarnation(beat.incarnation);
     builder.set_caller_address(&*beat.caller_address);
+    builder.set_peer_address(&*beat.peer_address);
     builder.set_revision(beat.revision);
     builder.set_stopping(beat.stopping);
     write_signs(builder.init_leaving(count(beat.leaving.len())), &beat.leaving);
@@ -67,6 +68,7 @@
         region: text(reader.get_region()?)?,
         incarnation: reader.get_incarnation(),
         caller_address: text(reader.get_caller_address()?)?,
+        peer_address: text(reader.get_peer_address()?)?,
         revision: reader.get_revision(),
         stopping: reader.get_stopping(),
         leaving: read_signs(reader.get_leaving()?)?,
@@ -81,6 +83,7 @@
     builder.set_region(&*beat.region);
     builder.set_incarnation(beat.incarnation);
     builder.set_caller_address(&*beat.caller_address);
+    builder.set_peer_address(&*beat.peer_address);
     builder.set_revision(beat.revision);
     builder.set_state(match member.state {
         MemberState::Live => member::State::Live,
@@ -104,6 +107,7 @@
         region: text(reader.get_region()?)?,
         incarnation: reader.get_incarnation(),
         caller_address: text(reader.get_caller_address()?)?,
+        peer_address: text(reader.get_peer_address()?)?,
         revision: reader.get_revision(),
         stopping: state == MemberState::Stopping,
         leaving: Vec::new(),
--- a/agatetrestle/src/ports.rs
+++ b/agatetrestle/src/ports.rs
@@ -6,6 +6,7 @@
 use futures::future::LocalBoxFuture;
 use snafu::Snafu;
 
+use crate::agreement::ReplicaChange;
 use crate::control::command::Configuration;
 use crate::control::command::ControlCommand;
 use crate::control::command::ControlReply;
@@ -148,6 +149,38 @@
 pub trait Groups {
     /// All of them.
     fn groups(&self) -> Vec<GroupView>;
+
+    /// Changes who takes part in a group, one change at a time; only its leader can.
+    fn change(&self, group: GroupId, _change: ReplicaChange) -> LocalBoxFuture<'_, Result<(), ChangeError>> {
+        Box::pin(async move { Err(ChangeError::NoReplica { group }) })
+    }
+}
+
+/// Why the replicas of a group were not changed.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(visibility(pub))]
+pub enum ChangeError {
+    /// This node holds no replica of the group.
+    #[snafu(display("this node holds no replica of group {}", group.0))]
+    NoReplica {
+        /// The group.
+        group: GroupId,
+    },
+    /// Another node leads the group; nothing was changed.
+    #[snafu(display("node {} leads the group", leader.map_or(0, |node| node.0)))]
+    NotLeader {
+        /// The leader if known.
+        leader: Option<NodeId>,
+    },
+    /// Another change is under way or the learner lags; nothing was changed.
+    #[snafu(display("another change is under way, or the learner has not caught up"))]
+    Pending,
+    /// The change makes no sense; nothing was changed.
+    #[snafu(display("the change makes no sense for the present replicas"))]
+    Invalid,
+    /// The change may yet be committed; look at the replicas before trying again.
+    #[snafu(display("the change may yet be committed"))]
+    Undecided,
 }
 
 /// The newest recorded trace lines; see docs/TRACE.md.
--- /dev/null
+++ b/agatetrestle/tests/replacement.rs
@@ -0,0 +1,139 @@
+//! A VM that lost its disk is replaced, and a second one is lost right after.
+
+mod support;
+
+use agatetrestle::agreement::ReplicaChange;
+use agatetrestle::ids::CONTROL_GROUP;
+use agatetrestle::ids::FIRST_STATE_GROUP;
+use agatetrestle::ids::GroupId;
+use agatetrestle::ids::NodeId;
+use agatetrestle::ids::ProgramId;
+use agatetrestle::ids::RequestKey;
+use agatetrestle::node::NodeError;
+use agatetrestle::node::replicas::Missing;
+use agatetrestle::ports::ChangeError;
+use agatetrestle::programs::command::ProgramCommand;
+use agatetrestle::programs::command::ProgramQuery;
+use agatetrestle::programs::command::ProgramReply;
+use agatetrestle::programs::command::ProgramSpec;
+use agatetrestle::programs::command::QueryReply;
+
+use crate::support::Cluster;
+
+const GROUPS: [GroupId; 2] = [CONTROL_GROUP, FIRST_STATE_GROUP];
+
+fn program(number: u32) -> ProgramId {
+    ProgramId { partner: "vrsta".into(), name: format!("dawn-{number}").into() }
+}
+
+async fn open(cluster: &Cluster, number: u32) {
+    let spec =
+        ProgramSpec { team: "dawn".into(), class: "replacement".into(), budget: 10, turns: 2, parent: None };
+    let command = ProgramCommand::Open { program: program(number), key: RequestKey("k".into()), spec, at: 0 };
+    loop {
+        let ledger = cluster.nodes()[0].ledger();
+        match ledger.commit(command.clone()).await {
+            Ok(ProgramReply::Done(_)) => return,
+            Ok(reply) => panic!("opening a program was answered by {reply:?}"),
+            // An election may take longer than one try.
+            Err(_) => {}
+        }
+    }
+}
+
+async fn is_known(cluster: &Cluster, number: u32) -> bool {
+    loop {
+        let ledger = cluster.nodes()[0].ledger();
+        match ledger.query(ProgramQuery::Program(program(number))).await {
+            Ok(QueryReply::One(reply)) => return matches!(reply, ProgramReply::Done(_)),
+            Ok(QueryReply::Many(_)) => panic!("a query for one program was answered by a list"),
+            Err(_) => {}
+        }
+    }
+}
+
+/// Asks every node until the leader has made the change.
+async fn change(cluster: &Cluster, change: ReplicaChange) {
+    for group in GROUPS {
+        let mut asked = 0;
+        loop {
+            let nodes = cluster.nodes();
+            match nodes[asked % nodes.len()].groups().change(group, change).await {
+                Ok(()) => break,
+                Err(ChangeError::Invalid) => panic!("{change:?} makes no sense"),
+                Err(_) => asked += 1,
+            }
+            smol::Timer::after(std::time::Duration::from_millis(20)).await;
+        }
+    }
+}
+
+fn voters(cluster: &Cluster, node: u64) -> Vec<Vec<NodeId>> {
+    let views = cluster.node(node).groups().groups();
+    views.into_iter().map(|view| view.replicas).collect()
+}
+
+#[test]
+fn a_second_loss_right_after_a_repair_finds_a_full_quorum() {
+    support::run(|executor| async move {
+        let cluster = Cluster::new(&executor, "replacement");
+        cluster.found(3).await;
+        cluster.until_taking_work().await;
+        open(&cluster, 1).await;
+
+        cluster.lose(3).await;
+        cluster.lose_files(3);
+        open(&cluster, 2).await;
+        cluster.start(4, Missing::Join).await.unwrap();
+        change(&cluster, ReplicaChange::AddLearner(NodeId(4))).await;
+        change(&cluster, ReplicaChange::Promote(NodeId(4))).await;
+        change(&cluster, ReplicaChange::Remove(NodeId(3))).await;
+        let expected = vec![vec![NodeId(1), NodeId(2), NodeId(4)]; 2];
+        cluster.until("the new replica knows the set", || voters(&cluster, 4) == expected).await;
+
+        cluster.lose(1).await;
+        open(&cluster, 3).await;
+        for number in 1..=3 {
+            assert!(is_known(&cluster, number).await, "program {number} was lost");
+        }
+    });
+}
+
+#[test]
+fn a_replica_without_its_files_is_refused_and_as_a_joiner_counts_for_nothing() {
+    support::run(|executor| async move {
+        let cluster = Cluster::new(&executor, "lost-disk");
+        cluster.found(3).await;
+        cluster.until_taking_work().await;
+        open(&cluster, 1).await;
+
+        cluster.lose(3).await;
+        cluster.lose_files(3);
+        let refused = cluster.start(3, Missing::Refuse).await;
+        assert!(matches!(refused, Err(NodeError::Missing { .. })));
+
+        // Its number is still a voter's, so it must stay silent, and with it alone there is no quorum.
+        cluster.start(3, Missing::Join).await.unwrap();
+        cluster.lose(2).await;
+        let spec = ProgramSpec {
+            team: "dawn".into(),
+            class: "replacement".into(),
+            budget: 10,
+            turns: 2,
+            parent: None,
+        };
+        let command = ProgramCommand::Open { program: program(2), key: RequestKey("k".into()), spec, at: 0 };
+        assert!(cluster.node(1).ledger().commit(command).await.is_err());
+        assert!(!cluster.node(3).groups().groups().iter().any(|group| group.commit > 0));
+
+        cluster.start(2, Missing::Refuse).await.unwrap();
+        change(&cluster, ReplicaChange::Remove(NodeId(3))).await;
+        change(&cluster, ReplicaChange::AddLearner(NodeId(3))).await;
+        change(&cluster, ReplicaChange::Promote(NodeId(3))).await;
+        cluster
+            .until("the replica has caught up", || voters(&cluster, 3).iter().all(|set| set.len() == 3))
+            .await;
+        cluster.lose(1).await;
+        assert!(is_known(&cluster, 1).await);
+    });
+}
--- a/agatetrestle_schema/schema/peer.capnp
+++ b/agatetrestle_schema/schema/peer.capnp
@@ -37,6 +37,7 @@
       commit @10 :UInt64;
       round @11 :UInt64;
       entries @12 :List(Entry);
+      learner @25 :Bool;
     }
     appendReply :group {
       accepted @13 :Bool;
@@ -49,6 +50,7 @@
       chunk @18 :Data;
       last @19 :Bool;
       round @22 :UInt64;
+      learner @26 :Bool;
     }
     snapshotReply :group {
       position @20 :Position;
