Serve callers by HTTP and send their calls with true outcomes

Change: `attempts` carries out the scheduler's actions on connections of their own, with a pure machine that alone decides about outcomes; `entry` reads each request whole within bounds before `async-h1` decodes it, commits `Begin` before and `Finish` after, and holds back the last event of a stream until the answer is stored. `agatetrestle_fakes` holds engine, services, VM list, forwarder and client. Conclusion: a thin but whole path for callers; connections are not reused yet, and refusals by the scheduler still cost two commits.

--- /dev/null
+++ b/agatetrestle/tests/callers.rs
@@ -0,0 +1,338 @@
+//! The caller's side end to end: model calls, service calls, resends and the outcomes told.
+
+mod support;
+
+use std::time::Duration;
+
+use agatetrestle::ports::NotTaking;
+use agatetrestle::programs::command::CallState;
+use agatetrestle_fakes::Engine;
+use agatetrestle_fakes::EngineConfig;
+use agatetrestle_fakes::Forwarder;
+use agatetrestle_fakes::Service;
+use agatetrestle_fakes::service::Behaviour;
+use serde_json::json;
+use smol::channel;
+
+use crate::support::Fault;
+use crate::support::PROGRAM;
+use crate::support::Rig;
+use crate::support::call;
+use crate::support::chat;
+use crate::support::run;
+
+#[test]
+fn a_program_runs_from_open_to_end() {
+    run(async |executor| {
+        let engine = Engine::start(&executor, EngineConfig::default()).await.unwrap();
+        let service = Service::start(&executor).await.unwrap();
+        let rig = Rig::new(&executor, &[engine.address], &[service.address]);
+        let node = rig.node(1).await;
+        assert_eq!(node.client.addresses(None).await.unwrap(), [node.client.address]);
+        rig.open(&node).await;
+
+        let reply = node.client.chat(&call(1, "k1"), &chat()).await.unwrap();
+        assert_eq!(reply.status, 200);
+        assert!(reply.is_done());
+        assert!(reply.text().starts_with("vrsta/dawn#1:0 vrsta/dawn#1:1 "));
+        let booked = node.client.service(&call(2, "k2"), "rota", "book?day=1", "ward 3", true).await.unwrap();
+        assert_eq!(booked.json()["body"], "ward 3");
+        assert_eq!(service.runs()["k2"], 1);
+        let ended = node.client.end(PROGRAM).await.unwrap();
+        let spent = 8 + engine.requests()[0].prompt_tokens;
+        assert_eq!(ended.json()["spent"], spent);
+        assert_eq!(ended.json()["reserved"], 0);
+        assert_eq!(rig.ledger.take_commands(), ["Open", "Begin", "Finish", "Begin", "Finish", "End"]);
+        assert_eq!(node.entry.in_flight(), 0);
+    });
+}
+
+#[test]
+fn a_resend_on_another_node_gets_the_stored_answer() {
+    run(async |executor| {
+        let engine = Engine::start(&executor, EngineConfig::default()).await.unwrap();
+        let rig = Rig::new(&executor, &[engine.address], &[]);
+        let (first, second) = (rig.node(1).await, rig.node(2).await);
+        rig.open(&first).await;
+        let reply = first.client.chat(&call(1, "k1"), &chat()).await.unwrap();
+        let again = second.client.chat(&call(1, "k1"), &chat()).await.unwrap();
+        let fetched = second.client.answer(PROGRAM, "k1").await.unwrap();
+        assert_eq!(again.body, reply.body);
+        assert_eq!(fetched.body, reply.body);
+        assert_eq!(fetched.content_type, "text/event-stream");
+        assert_eq!(engine.requests().len(), 1);
+
+        let other = json!({ "model": "small", "messages": [] });
+        let reused = second.client.chat(&call(1, "k1"), &other).await.unwrap();
+        assert_eq!((reused.status, &reused.json()["reason"]), (422, &json!("key_reused")));
+    });
+}
+
+#[test]
+fn the_end_of_a_stream_comes_only_after_the_answer_is_stored() {
+    run(async |executor| {
+        let engine = Engine::start(&executor, EngineConfig::default()).await.unwrap();
+        let rig = Rig::new(&executor, &[engine.address], &[]);
+        let node = rig.node(1).await;
+        rig.open(&node).await;
+        let ledger = rig.ledger.clone();
+        let mut open_at_done = None;
+        let watch = |bytes: &[u8]| {
+            if bytes.windows(6).any(|w| w == b"[DONE]") {
+                open_at_done = ledger.program(PROGRAM).last.map(|last| last.1);
+            }
+        };
+        node.client.chat_watched(&call(1, "k1"), &chat(), watch).await.unwrap();
+        assert_eq!(open_at_done, Some(CallState::Finished));
+    });
+}
+
+#[test]
+fn a_call_that_may_not_be_repeated_runs_once_when_its_answer_is_lost() {
+    run(async |executor| {
+        let service = Service::start(&executor).await.unwrap();
+        let rig = Rig::new(&executor, &[], &[service.address]);
+        let (first, second) = (rig.node(1).await, rig.node(2).await);
+        rig.open(&first).await;
+        service.behave(Behaviour::RunAndClose);
+        let reply = first.client.service(&call(1, "k1"), "rota", "book", "", true).await.unwrap();
+        assert_eq!((reply.status, &reply.json()["outcome"]), (502, &json!("unknown")));
+        service.behave(Behaviour::Answer);
+        let again = second.client.service(&call(1, "k1"), "rota", "book", "", true).await.unwrap();
+        assert_eq!((again.status, &again.json()["reason"]), (409, &json!("in_doubt")));
+        assert_eq!(service.runs()["k1"], 1);
+    });
+}
+
+#[test]
+fn the_caller_may_only_ask_for_the_stricter_rule() {
+    run(async |executor| {
+        let service = Service::start(&executor).await.unwrap();
+        let rig = Rig::new(&executor, &[], &[service.address]);
+        let node = rig.node(1).await;
+        rig.open(&node).await;
+        service.behave(Behaviour::RunAndClose);
+        node.client.service(&call(1, "loose"), "search", "find", "", true).await.unwrap();
+        assert_eq!(service.runs()["loose"], 3, "the baseline makes three attempts");
+        service.behave(Behaviour::Answer);
+        node.client.service(&call(1, "loose"), "search", "find", "", true).await.unwrap();
+        service.behave(Behaviour::RunAndClose);
+        node.client.service(&call(2, "strict"), "search", "find", "", false).await.unwrap();
+        assert_eq!(service.runs()["strict"], 1);
+    });
+}
+
+#[test]
+fn not_run_is_told_only_where_nothing_was_started() {
+    run(async |executor| {
+        let service = Service::start(&executor).await.unwrap();
+        let gone = Service::start(&executor).await.unwrap();
+        let rig = Rig::new(&executor, &[], &[gone.address]);
+        let node = rig.node(1).await;
+        rig.open(&node).await;
+        gone.behave(Behaviour::NotRun);
+        let refused = node.client.service(&call(1, "k1"), "rota", "book", "", true).await.unwrap();
+        assert_eq!((refused.status, &refused.json()["outcome"]), (503, &json!("not_run")));
+        assert!(refused.retry_after.is_some());
+        gone.stop();
+        let unreachable = node.client.service(&call(1, "k2"), "rota", "book", "", true).await.unwrap();
+        assert_eq!((unreachable.status, &unreachable.json()["outcome"]), (503, &json!("not_run")));
+        let view = rig.ledger.program(PROGRAM);
+        assert_eq!((view.next_call.0, view.reserved), (1, 0));
+        drop(service);
+    });
+}
+
+#[test]
+fn a_broken_stream_is_told_and_its_retry_is_given_whole() {
+    run(async |executor| {
+        let engine = Engine::start(&executor, EngineConfig::default()).await.unwrap();
+        let rig = Rig::new(&executor, &[engine.address], &[]);
+        let node = rig.node(1).await;
+        rig.open(&node).await;
+        engine.break_next(1);
+        let broken = node.client.chat(&call(1, "k1"), &chat()).await.unwrap();
+        assert!(!broken.is_done());
+        assert!(broken.events().last().unwrap().contains("broke_off"));
+        while node.entry.in_flight() > 0 {
+            smol::future::yield_now().await;
+        }
+        let again = node.client.chat(&call(1, "k1"), &chat()).await.unwrap();
+        assert!(again.is_done());
+        assert_eq!(again.text().matches("vrsta/dawn#1:").count(), 8);
+        assert_eq!(engine.requests().len(), 2);
+    });
+}
+
+#[test]
+fn a_caller_that_goes_away_cancels_its_model_call_and_can_come_back() {
+    run(async |executor| {
+        let (permits, gate) = channel::unbounded();
+        let config = EngineConfig { gate: Some(gate), ..EngineConfig::default() };
+        let engine = Engine::start(&executor, config).await.unwrap();
+        let rig = Rig::new(&executor, &[engine.address], &[]);
+        let (first, second) = (rig.node(1).await, rig.node(2).await);
+        rig.open(&first).await;
+        permits.send(()).await.unwrap();
+        let (seen_tx, seen) = channel::unbounded();
+        let client = first.client;
+        let chatting = executor.spawn(async move {
+            let watch = |_: &[u8]| seen_tx.try_send(()).unwrap_or_default();
+            client.chat_watched(&call(1, "k1"), &chat(), watch).await.map(|_| ())
+        });
+        seen.recv().await.unwrap();
+        drop(chatting);
+        while first.entry.in_flight() > 0 {
+            smol::future::yield_now().await;
+        }
+        permits.close();
+        let reply = second.client.chat(&call(1, "k1"), &chat()).await.unwrap();
+        assert!(reply.is_done());
+        while engine.running() > 0 {
+            smol::future::yield_now().await;
+        }
+        assert_eq!(engine.cancelled(), 1);
+    });
+}
+
+#[test]
+fn a_booking_goes_on_when_its_caller_goes_away() {
+    run(async |executor| {
+        let service = Service::start(&executor).await.unwrap();
+        let rig = Rig::new(&executor, &[], &[service.address]);
+        let node = rig.node(1).await;
+        rig.open(&node).await;
+        service.behave(Behaviour::Hang);
+        let client = node.client;
+        let booking = executor
+            .spawn(async move { client.service(&call(1, "k1"), "rota", "book", "", true).await.map(|_| ()) });
+        service.arrival().await;
+        drop(booking);
+        while node.entry.in_flight() > 1 {
+            smol::future::yield_now().await;
+        }
+        let busy = node.client.answer(PROGRAM, "k1").await.unwrap();
+        assert_eq!((busy.status, &busy.json()["reason"]), (409, &json!("in_progress")));
+        service.release();
+        while node.entry.in_flight() > 0 {
+            smol::future::yield_now().await;
+        }
+        let stored = node.client.answer(PROGRAM, "k1").await.unwrap();
+        assert_eq!((stored.status, &stored.json()["path"]), (200, &json!("/book")));
+        assert_eq!(service.runs()["k1"], 1);
+    });
+}
+
+#[test]
+fn a_silent_connection_is_unknown_to_a_booking_and_retried_for_a_search() {
+    run(async |executor| {
+        let service = Service::start(&executor).await.unwrap();
+        let forwarder = Forwarder::start(&executor, service.address).await.unwrap();
+        let rig = Rig::new(&executor, &[], &[forwarder.address]);
+        let node = rig.node(1).await;
+        rig.open(&node).await;
+        let patience = Duration::from_secs(10);
+        for (number, key, name) in [(1, "k1", "search"), (2, "k2", "rota")] {
+            forwarder.swallow_new(true);
+            let before = forwarder.swallowed();
+            let client = node.client;
+            let calling =
+                executor.spawn(async move { client.service(&call(number, key), name, "x", "", true).await });
+            while forwarder.swallowed() == before {
+                smol::future::yield_now().await;
+            }
+            forwarder.swallow_new(false);
+            for _ in 0..8 {
+                rig.timer.armed(patience / 8).await;
+                rig.timer.advance(patience / 8);
+            }
+            let reply = calling.await.unwrap();
+            let outcome = if name == "search" { (200, json!(null)) } else { (502, json!("unknown")) };
+            assert_eq!((reply.status, reply.json()["outcome"].clone()), outcome);
+        }
+        assert_eq!(service.runs().get("k1"), Some(&1));
+        assert_eq!(service.runs().get("k2"), None, "nobody could know that");
+    });
+}
+
+#[test]
+fn faults_of_the_ledger_are_told_truly() {
+    run(async |executor| {
+        let service = Service::start(&executor).await.unwrap();
+        let rig = Rig::new(&executor, &[], &[service.address]);
+        let node = rig.node(1).await;
+        rig.open(&node).await;
+        rig.ledger.fail(&[Fault::NotProposed]);
+        let refused = node.client.service(&call(1, "k1"), "rota", "book", "", true).await.unwrap();
+        assert_eq!((refused.status, &refused.json()["outcome"]), (503, &json!("not_run")));
+        rig.ledger.fail(&[Fault::ReplyLost]);
+        let unsent = node.client.service(&call(1, "k2"), "rota", "book", "", true).await.unwrap();
+        assert_eq!((unsent.status, &unsent.json()["outcome"]), (503, &json!("not_run")));
+        while node.entry.in_flight() > 0 {
+            smol::future::yield_now().await;
+        }
+        assert!(service.runs().is_empty());
+        rig.ledger.take_commands();
+        let booked = node.client.service(&call(1, "k3"), "rota", "book", "", true).await.unwrap();
+        assert_eq!(booked.status, 200, "{}", booked.json());
+        assert_eq!(rig.ledger.take_commands(), ["Begin", "Finish"]);
+    });
+}
+
+#[test]
+fn a_stopping_node_refuses_new_work_and_finishes_its_streams() {
+    run(async |executor| {
+        let (permits, gate) = channel::unbounded();
+        let config = EngineConfig { gate: Some(gate), ..EngineConfig::default() };
+        let engine = Engine::start(&executor, config).await.unwrap();
+        let rig = Rig::new(&executor, &[engine.address], &[]);
+        let node = rig.node(1).await;
+        rig.open(&node).await;
+        permits.send(()).await.unwrap();
+        let (seen_tx, seen) = channel::unbounded();
+        let client = node.client;
+        let chatting = executor.spawn(async move {
+            let watch = |_: &[u8]| seen_tx.try_send(()).unwrap_or_default();
+            client.chat_watched(&call(1, "k1"), &chat(), watch).await
+        });
+        seen.recv().await.unwrap();
+        node.entry.stopping.set(true);
+        let refused = node.client.chat(&call(2, "k2"), &chat()).await.unwrap();
+        assert_eq!((refused.status, &refused.json()["reason"]), (503, &json!("stopping")));
+        assert_eq!(refused.json()["outcome"], "not_run");
+        permits.close();
+        assert!(chatting.await.unwrap().is_done());
+        let stored = node.client.answer(PROGRAM, "k1").await.unwrap();
+        assert_eq!(stored.status, 200, "stored answers are still given");
+    });
+}
+
+#[test]
+fn an_isolated_node_refuses_with_its_reason() {
+    run(async |executor| {
+        let rig = Rig::new(&executor, &[], &[]);
+        let node = rig.node(1).await;
+        rig.control.taking.set(Err(NotTaking::Isolated));
+        let form = json!({ "partner": "vrsta", "team": "dawn", "class": "assistant" });
+        let refused = node.client.open("k", &form).await.unwrap();
+        assert_eq!((refused.status, &refused.json()["reason"]), (503, &json!("isolated")));
+        assert_eq!(*rig.recorder.refused.borrow(), ["isolated"]);
+    });
+}
+
+#[test]
+fn a_leaving_backend_server_gets_no_new_call() {
+    run(async |executor| {
+        let (one, two) = (Service::start(&executor).await.unwrap(), Service::start(&executor).await.unwrap());
+        let rig = Rig::new(&executor, &[], &[one.address, two.address]);
+        let node = rig.node(1).await;
+        rig.open(&node).await;
+        rig.control.leave("rota-0");
+        for number in 1..=6 {
+            let key = format!("k{number}");
+            let reply = node.client.service(&call(number, &key), "rota", "book", "", true).await.unwrap();
+            assert_eq!(reply.status, 200);
+        }
+        assert_eq!((one.runs().len(), two.runs().len()), (0, 6));
+    });
+}
--- /dev/null
+++ b/agatetrestle/tests/support/mod.rs
@@ -0,0 +1,356 @@
+//! A node's caller side over loopback, with the real ledger in memory and fakes for the rest.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use agatetrestle::attempts::Dispatcher;
+use agatetrestle::attempts::Timer;
+use agatetrestle::attempts::http::HttpBackends;
+use agatetrestle::clock::Clock;
+use agatetrestle::control::command::Configuration;
+use agatetrestle::control::command::ControlCommand;
+use agatetrestle::control::command::ControlReply;
+use agatetrestle::control::command::Document;
+use agatetrestle::entry;
+use agatetrestle::entry::Entry;
+use agatetrestle::ids::NodeId;
+use agatetrestle::ids::ProgramId;
+use agatetrestle::ports;
+use agatetrestle::ports::Control;
+use agatetrestle::ports::GroupError;
+use agatetrestle::ports::Labels;
+use agatetrestle::ports::Measure;
+use agatetrestle::ports::MemberView;
+use agatetrestle::ports::Members;
+use agatetrestle::ports::NotTaking;
+use agatetrestle::ports::Recorder;
+use agatetrestle::programs::command::ProgramCommand;
+use agatetrestle::programs::command::ProgramQuery;
+use agatetrestle::programs::command::ProgramReply;
+use agatetrestle::programs::command::ProgramView;
+use agatetrestle::programs::command::QueryReply;
+use agatetrestle::programs::ledger::Ledger;
+use agatetrestle::scheduler::Scheduler;
+use agatetrestle::scheduler::baseline::Baseline;
+use agatetrestle_config::settings::Callers;
+use agatetrestle_fakes::Client;
+use agatetrestle_fakes::client::Call;
+use futures::future::LocalBoxFuture;
+use serde_json::Value;
+use serde_json::json;
+use smol::LocalExecutor;
+use smol::Task;
+use smol::channel;
+use smol::channel::Sender;
+use smol::net::TcpListener;
+
+pub const PROGRAM: &str = "vrsta/dawn";
+
+/// What the ledger does with the next commands.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Fault {
+    #[default]
+    None,
+    /// The command is not applied.
+    NotProposed,
+    /// The command is applied and its reply is lost.
+    ReplyLost,
+}
+
+/// The ledger of all nodes of a test.
+#[derive(Default)]
+pub struct SharedLedger {
+    ledger: RefCell<Ledger>,
+    faults: RefCell<Vec<Fault>>,
+    pub commands: RefCell<Vec<String>>,
+}
+
+impl SharedLedger {
+    /// Faults of the next commands, in order.
+    pub fn fail(&self, faults: &[Fault]) {
+        self.faults.borrow_mut().extend(faults.iter().rev());
+    }
+
+    pub fn program(&self, id: &str) -> ProgramView {
+        let id = ProgramId::parse(id).unwrap();
+        match self.ledger.borrow().query(&ProgramQuery::Program(id)) {
+            QueryReply::One(ProgramReply::Done(view)) => view,
+            other => panic!("no program: {other:?}"),
+        }
+    }
+
+    /// Names of the commands since the last look.
+    pub fn take_commands(&self) -> Vec<String> {
+        std::mem::take(&mut self.commands.borrow_mut())
+    }
+}
+
+impl ports::Ledger for SharedLedger {
+    fn commit(&self, command: ProgramCommand) -> LocalBoxFuture<'_, Result<ProgramReply, GroupError>> {
+        Box::pin(async move {
+            smol::future::yield_now().await;
+            let fault = self.faults.borrow_mut().pop().unwrap_or_default();
+            if fault == Fault::NotProposed {
+                return Err(GroupError::NotProposed { reason: "no quorum".into() });
+            }
+            let name = format!("{command:?}").split([' ', '{']).next().unwrap_or_default().to_owned();
+            self.commands.borrow_mut().push(name);
+            let reply = self.ledger.borrow_mut().execute(command);
+            if fault == Fault::ReplyLost {
+                return Err(GroupError::Unknown { reason: "the reply was lost".into() });
+            }
+            Ok(reply)
+        })
+    }
+
+    fn query(&self, query: ProgramQuery) -> LocalBoxFuture<'_, Result<QueryReply, GroupError>> {
+        Box::pin(async move { Ok(self.ledger.borrow().query(&query)) })
+    }
+}
+
+pub struct FakeControl {
+    configuration: RefCell<Arc<Configuration>>,
+    pub taking: Cell<Result<(), NotTaking>>,
+}
+
+impl FakeControl {
+    fn new(documents: &[(&str, String)]) -> Self {
+        let document = |text: &String| Document { version: 1, text: text.as_str().into() };
+        let documents = documents.iter().map(|(scope, text)| (Arc::from(*scope), document(text))).collect();
+        let configuration = Configuration { revision: 1, documents, leaving: BTreeMap::new() };
+        Self { configuration: RefCell::new(Arc::new(configuration)), taking: Cell::new(Ok(())) }
+    }
+
+    /// Marks a VM or backend server as leaving, as a new revision.
+    pub fn leave(&self, name: &str) {
+        let mut next = Configuration::clone(&self.configuration.borrow());
+        next.revision += 1;
+        next.leaving.insert(name.into(), 1);
+        *self.configuration.borrow_mut() = Arc::new(next);
+    }
+}
+
+impl Control for FakeControl {
+    fn commit(&self, _: ControlCommand) -> LocalBoxFuture<'_, Result<ControlReply, GroupError>> {
+        Box::pin(async { Ok(ControlReply::Refused) })
+    }
+
+    fn configuration(&self) -> Arc<Configuration> {
+        self.configuration.borrow().clone()
+    }
+
+    fn taking_work(&self) -> Result<(), NotTaking> {
+        self.taking.get()
+    }
+}
+
+#[derive(Default)]
+pub struct FakeMembers {
+    pub members: RefCell<Vec<MemberView>>,
+}
+
+impl Members for FakeMembers {
+    fn members(&self) -> Vec<MemberView> {
+        self.members.borrow().clone()
+    }
+
+    fn addresses(&self, _: Option<&ProgramId>) -> Vec<Arc<str>> {
+        self.members.borrow().iter().filter(|m| m.live).map(|m| m.caller_address.clone()).collect()
+    }
+}
+
+#[derive(Default)]
+pub struct FakeRecorder {
+    pub refused: RefCell<Vec<&'static str>>,
+}
+
+impl Recorder for FakeRecorder {
+    fn record(&self, _: &Labels, measure: &Measure) {
+        if let Measure::Refused(reason) = measure {
+            self.refused.borrow_mut().push(reason);
+        }
+    }
+
+    fn cache(&self, _: u64, _: u64) {}
+}
+
+/// A timer that only the test moves.
+#[derive(Default)]
+pub struct ManualTimer {
+    now: Cell<Duration>,
+    armed: RefCell<Vec<(Duration, Duration, Sender<()>)>>,
+}
+
+impl Timer for ManualTimer {
+    fn after(&self, span: Duration) -> LocalBoxFuture<'static, ()> {
+        let (tx, rx) = channel::bounded(1);
+        self.armed.borrow_mut().push((self.now.get() + span, span, tx));
+        Box::pin(async move {
+            rx.recv().await.ok();
+        })
+    }
+}
+
+impl ManualTimer {
+    /// Waits until somebody sleeps for exactly `span`.
+    pub async fn armed(&self, span: Duration) {
+        let is_live = |(_, asked, tx): &(Duration, Duration, Sender<()>)| *asked == span && !tx.is_closed();
+        while !self.armed.borrow().iter().any(is_live) {
+            smol::future::yield_now().await;
+        }
+    }
+
+    /// Moves time on and wakes who slept until then.
+    pub fn advance(&self, span: Duration) {
+        self.now.set(self.now.get() + span);
+        let now = self.now.get();
+        self.armed.borrow_mut().retain(|(until, _, tx)| {
+            if *until <= now {
+                tx.try_send(()).ok();
+            }
+            *until > now && !tx.is_closed()
+        });
+    }
+}
+
+/// The parts that all nodes of a test share.
+pub struct Rig {
+    pub executor: Rc<LocalExecutor<'static>>,
+    pub ledger: Rc<SharedLedger>,
+    pub control: Rc<FakeControl>,
+    pub members: Rc<FakeMembers>,
+    pub recorder: Rc<FakeRecorder>,
+    pub timer: Rc<ManualTimer>,
+    pub limits: Callers,
+}
+
+pub struct Node {
+    pub entry: Rc<Entry>,
+    pub client: Client,
+    serving: Task<()>,
+}
+
+impl Rig {
+    /// A rig whose declarations name the given engines and services.
+    pub fn new(
+        executor: &Rc<LocalExecutor<'static>>,
+        engines: &[SocketAddr],
+        services: &[SocketAddr],
+    ) -> Self {
+        let documents = [("shared", shared(engines, services)), ("vrsta", PARTNER.to_owned())];
+        Self {
+            executor: Rc::clone(executor),
+            ledger: Rc::default(),
+            control: Rc::new(FakeControl::new(&documents)),
+            members: Rc::default(),
+            recorder: Rc::default(),
+            timer: Rc::default(),
+            limits: Callers::default(),
+        }
+    }
+
+    pub async fn node(&self, id: u64) -> Node {
+        self.node_with(id, Box::new(Baseline::default())).await
+    }
+
+    pub async fn node_with(&self, id: u64, scheduler: Box<dyn Scheduler>) -> Node {
+        let timer: Rc<dyn Timer> = self.timer.clone();
+        let backends = Rc::new(HttpBackends::new(Rc::clone(&timer), Duration::from_secs(1)));
+        let clock = Clock::start();
+        let scheduler = Rc::new(RefCell::new(scheduler));
+        let calls = Rc::new(Dispatcher::new(scheduler, backends.clone(), backends, Rc::clone(&timer), clock));
+        let entry = Rc::new(Entry {
+            ledger: self.ledger.clone(),
+            control: self.control.clone(),
+            members: self.members.clone(),
+            calls,
+            recorder: self.recorder.clone(),
+            timer,
+            clock,
+            node: NodeId(id),
+            incarnation: 1,
+            limits: self.limits.clone(),
+            stopping: Rc::default(),
+            state: entry::State::default(),
+        });
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        self.members.members.borrow_mut().push(member(id, address));
+        let serving = entry::serve(Rc::clone(&entry), listener, Rc::clone(&self.executor));
+        Node { entry, client: Client::new(address), serving: self.executor.spawn(serving) }
+    }
+
+    /// Opens the program of the tests.
+    pub async fn open(&self, node: &Node) {
+        let form = json!({ "partner": "vrsta", "team": "dawn", "class": "assistant", "name": "dawn" });
+        let reply = node.client.open("open-1", &form).await.unwrap();
+        assert_eq!(reply.status, 201, "{}", reply.json());
+    }
+}
+
+fn member(id: u64, address: SocketAddr) -> MemberView {
+    MemberView {
+        node: NodeId(id),
+        vm: format!("vm-{id}").into(),
+        failure_domain: "domain-1".into(),
+        region: "region-1".into(),
+        incarnation: 1,
+        caller_address: address.to_string().into(),
+        live: true,
+        state: "live".into(),
+        revision: 1,
+    }
+}
+
+const PARTNER: &str = "
+format: 1
+teams:
+  dawn: {}
+classes:
+  assistant: { priority: 5, budget: 20000, turns: 50 }
+";
+
+fn shared(engines: &[SocketAddr], services: &[SocketAddr]) -> String {
+    let mut text = String::from(
+        "format: 1\nmodels:\n  small: { weights: 1GiB }\nservices:\n  rota: { repeatable: false }\n",
+    );
+    text += "  search: { repeatable: true }\nbackend_servers:\n";
+    for (at, address) in engines.iter().enumerate() {
+        text += &backend(&format!("engine-{at}"), "engine", *address, "small");
+    }
+    for (at, address) in services.iter().enumerate() {
+        text += &backend(&format!("rota-{at}"), "service", *address, "rota");
+        text += &backend(&format!("search-{at}"), "service", *address, "search");
+    }
+    text
+}
+
+fn backend(name: &str, kind: &str, address: SocketAddr, serves: &str) -> String {
+    format!(
+        "  {name}: {{ kind: {kind}, address: \"{address}\", serves: {serves}, vm: b-{name}, failure_domain: d-1 }}\n"
+    )
+}
+
+/// A call of the program of the tests.
+pub fn call(number: u32, key: &str) -> Call {
+    Call { program: PROGRAM.to_owned(), number, key: key.to_owned() }
+}
+
+/// A streamed model call.
+pub fn chat() -> Value {
+    agatetrestle_fakes::client::chat_form("small", "You find replacements.", "Ana is ill.", 8)
+}
+
+/// Runs a test on an executor of its own.
+pub fn run<F: Future<Output = ()>>(test: impl FnOnce(Rc<LocalExecutor<'static>>) -> F) {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(test(Rc::clone(&executor))));
+}
--- a/agatetrestle_fakes/src/forwarder.rs
+++ b/agatetrestle_fakes/src/forwarder.rs
@@ -49,7 +49,8 @@
             let accept = async {
                 while let Ok((stream, _)) = listener.accept().await {
                     shared.accepted.set(shared.accepted.get() + 1);
-                    connections.spawn(forward(Rc::clone(&shared), stream, target)).detach();
+                    let made = if shared.swallows_new.get() { None } else { Some(shared.generation.get()) };
+                    connections.spawn(forward(Rc::clone(&shared), made, stream, target)).detach();
                 }
             };
             connections.run(accept).await;
@@ -85,11 +86,10 @@
     }
 }
 
-async fn forward(state: Rc<State>, near: TcpStream, target: SocketAddr) {
+async fn forward(state: Rc<State>, made: Option<u64>, near: TcpStream, target: SocketAddr) {
     let Ok(far) = TcpStream::connect(target).await else {
         return;
     };
-    let made = if state.swallows_new.get() { None } else { Some(state.generation.get()) };
     zip(pass(&state, made, near.clone(), far.clone()), pass(&state, made, far, near)).await;
 }
 
--- a/agatetrestle_fakes/src/service.rs
+++ b/agatetrestle_fakes/src/service.rs
@@ -34,7 +34,7 @@
     RunAndClose,
     /// Closes the connection without running them.
     Close,
-    /// Runs them and never answers.
+    /// Runs them and answers only after [`Service::release`].
     Hang,
 }
 
@@ -45,6 +45,8 @@
     bodies: RefCell<Vec<String>>,
     arrived: Sender<()>,
     arrivals: Receiver<()>,
+    hanging: Receiver<()>,
+    release: Sender<()>,
 }
 
 /// A running service.
@@ -64,12 +66,15 @@
     /// Fails if no port can be bound.
     pub async fn start(executor: &Rc<LocalExecutor<'static>>) -> io::Result<Self> {
         let (arrived, arrivals) = channel::unbounded();
+        let (release, hanging) = channel::bounded(1);
         let state = Rc::new(State {
             behaviour: Cell::default(),
             runs: RefCell::default(),
             bodies: RefCell::default(),
             arrived,
             arrivals,
+            hanging,
+            release,
         });
         let shared = Rc::clone(&state);
         let server = server::serve(executor, move |req| answer(Rc::clone(&shared), req)).await?;
@@ -86,6 +91,11 @@
         self.state.behaviour.set(behaviour);
     }
 
+    /// Lets every hanging request be answered, now and from now on.
+    pub fn release(&self) {
+        self.state.release.close();
+    }
+
     /// How often each request ran, by its key.
     #[must_use]
     pub fn runs(&self) -> BTreeMap<String, u32> {
@@ -121,7 +131,10 @@
         Behaviour::Answer => Ok(server::json(StatusCode::Ok, &ran)),
         Behaviour::Fail => Ok(server::json(StatusCode::InternalServerError, &ran)),
         Behaviour::RunAndClose | Behaviour::Close => Err(broken()),
-        Behaviour::Hang => std::future::pending().await,
+        Behaviour::Hang => {
+            state.hanging.recv().await.ok();
+            Ok(server::json(StatusCode::Ok, &ran))
+        }
         Behaviour::NotRun => {
             let mut response = Response::new(StatusCode::ServiceUnavailable);
             response.insert_header("Agatetrestle-Outcome", "not_run");
