Split the operators' calls into small files and say what nodes an apply waits for

Change: answers, rows and errors are files of their own with a typed error; waiting looks at live and silent nodes only; a conflict with the very text in force says so.

--- a/agatetrestle/src/operator/mod.rs
+++ b/agatetrestle/src/operator/mod.rs
@@ -5,6 +5,9 @@
 
 pub mod difference;
 
+mod answers;
+mod error;
+mod rows;
 mod rpc;
 
 use std::cell::Cell;
--- a/agatetrestle/src/operator/rpc.rs
+++ b/agatetrestle/src/operator/rpc.rs
@@ -5,8 +5,7 @@
 use std::sync::Arc;
 
 use agatetrestle_config::Declarations;
-use agatetrestle_config::declarations::SHARED_SCOPE;
-use agatetrestle_schema::operator_capnp::failure;
+use agatetrestle_schema::operator_capnp::apply_result;
 use agatetrestle_schema::operator_capnp::operator::ApplyParams;
 use agatetrestle_schema::operator_capnp::operator::ApplyResults;
 use agatetrestle_schema::operator_capnp::operator::BackendsParams;
@@ -26,51 +25,47 @@
 use agatetrestle_schema::operator_capnp::operator::StatusResults;
 use agatetrestle_schema::operator_capnp::operator::TraceParams;
 use agatetrestle_schema::operator_capnp::operator::TraceResults;
+use capnp::Error;
 
 use crate::control::command::ControlCommand;
 use crate::control::command::ControlReply;
-use crate::control::command::Document;
-use crate::ids::CallNumber;
-use crate::ids::ProgramId;
 use crate::operator::OperatorServer;
 use crate::operator::difference::difference;
+use crate::operator::rows;
+use crate::operator::rows::length;
 use crate::ports::GroupError;
-use crate::programs::command::CallState;
-use crate::programs::command::ProgramCommand;
-use crate::programs::command::ProgramQuery;
-use crate::programs::command::ProgramReply;
-use crate::programs::command::ProgramView;
-use crate::programs::command::QueryReply;
-use crate::programs::command::Refusal;
 
 /// Calls that one connection may have under way at once.
-const MAX_CALLS: u32 = 16;
-
-/// Most rows of a listing, whatever the operator asks for.
-const MAX_ROWS: u32 = 10_000;
+pub(super) const MAX_CALLS: u32 = 16;
 
 /// One operator's connection.
 pub(super) struct Connection {
     server: Rc<OperatorServer>,
-    calls: Rc<Cell<u32>>,
+    calls: Calls,
 }
 
 impl Connection {
     pub(super) fn new(server: Rc<OperatorServer>) -> Self {
-        Self { server, calls: Rc::default() }
+        Self { server, calls: Calls::default() }
     }
+}
+
+/// The bounded number of calls under way on one connection.
+#[derive(Default)]
+pub(super) struct Calls(Rc<Cell<u32>>);
 
-    fn begin(&self) -> Result<Call, capnp::Error> {
-        if self.calls.get() >= MAX_CALLS {
-            return Err(capnp::Error::overloaded(format!("{MAX_CALLS} calls are under way already")));
+impl Calls {
+    pub(super) fn begin(&self) -> Result<Call, Error> {
+        if self.0.get() >= MAX_CALLS {
+            return Err(Error::overloaded(format!("{MAX_CALLS} calls are under way already")));
         }
-        self.calls.set(self.calls.get() + 1);
-        Ok(Call(Rc::clone(&self.calls)))
+        self.0.set(self.0.get() + 1);
+        Ok(Call(Rc::clone(&self.0)))
     }
 }
 
 /// A call under way; dropping it lets the next one begin.
-struct Call(Rc<Cell<u32>>);
+pub(super) struct Call(Rc<Cell<u32>>);
 
 impl Drop for Call {
     fn drop(&mut self) {
@@ -78,120 +73,36 @@
     }
 }
 
-/// Why a call did nothing.
-enum Refused {
-    Invalid(String),
-    Unavailable(String),
-    Unknown(String),
-}
-
-impl From<GroupError> for Refused {
-    fn from(error: GroupError) -> Self {
-        let text = error.to_string();
-        match error {
-            GroupError::NotProposed { .. } => Self::Unavailable(text),
-            GroupError::Unknown { .. } => Self::Unknown(text),
-        }
-    }
-}
-
-impl Refused {
-    fn write(&self, mut builder: failure::Builder<'_>) {
-        match self {
-            Self::Invalid(text) => builder.set_invalid(text.as_str()),
-            Self::Unavailable(text) => builder.set_unavailable(text.as_str()),
-            Self::Unknown(text) => builder.set_unknown(text.as_str()),
-        }
-    }
-}
-
-fn text(reader: capnp::text::Reader<'_>) -> Result<Arc<str>, capnp::Error> {
+fn text(reader: capnp::text::Reader<'_>) -> Result<Arc<str>, Error> {
     Ok(reader.to_str()?.into())
 }
 
-/// A list in a message counts in 32 bits; what lies beyond is left out.
-fn length(count: usize) -> u32 {
-    u32::try_from(count).unwrap_or(u32::MAX).min(MAX_ROWS)
-}
-
-fn program_state(view: &ProgramView) -> &'static str {
-    match view.last {
-        _ if view.ended => "ended",
-        Some((_, CallState::Unknown, ..)) => "unknown",
-        Some((_, CallState::Open, ..)) => "calling",
-        Some((_, CallState::Finished, ..)) | None => "idle",
-    }
-}
-
-/// Why a call could not be settled, for people; the ledger gives only these two reasons for it.
-fn refusal_text(refusal: &Refusal) -> String {
-    match refusal {
-        Refusal::NoProgram => "there is no such program".to_owned(),
-        Refusal::WrongState => "the call is not of unknown outcome".to_owned(),
-        other => format!("the ledger refused it: {other:?}"),
-    }
-}
-
-impl OperatorServer {
-    fn document(&self, scope: &str) -> Document {
-        let none = || Document { version: 0, text: "".into() };
-        self.control.configuration().documents.get(scope).cloned().unwrap_or_else(none)
-    }
-
-    /// The incarnation that a drain marks: a node's present one, and 0 for a backend server, which has none.
-    fn incarnation(&self, name: &str) -> Option<u64> {
-        let members = self.members.members();
-        let newest = members.iter().filter(|m| &*m.vm == name).map(|m| m.incarnation).max();
-        let declared = || self.backends.backends().iter().any(|b| &*b.name == name);
-        newest.or_else(|| declared().then_some(0))
-    }
-
-    async fn list(&self, partner: &str, limit: u32) -> Result<Vec<ProgramView>, Refused> {
-        let configuration = self.control.configuration();
-        let declared = configuration.documents.keys().filter(|scope| &***scope != SHARED_SCOPE).cloned();
-        let partners: Vec<Arc<str>> =
-            if partner.is_empty() { declared.collect() } else { vec![partner.into()] };
-        let limit = if limit == 0 { MAX_ROWS } else { limit.min(MAX_ROWS) };
-        let mut views = Vec::new();
-        for partner in partners {
-            if let QueryReply::Many(list) = self.ledger.query(ProgramQuery::List(partner, limit)).await? {
-                views.extend(list);
-            }
-        }
-        views.truncate(limit as usize);
-        Ok(views)
-    }
-
-    async fn mark_leaving(&self, name: Arc<str>) -> Result<u64, Refused> {
-        let Some(incarnation) = self.incarnation(&name) else {
-            return Err(Refused::Invalid(format!("no VM or backend server is named {name}")));
-        };
-        match self.control.commit(ControlCommand::Leave { name, incarnation }).await? {
-            ControlReply::Leaving { incarnation } => Ok(incarnation),
-            other => Err(Refused::Unavailable(format!("the control group answered {other:?}"))),
-        }
-    }
-
-    async fn settle(&self, program: &str, call: u32, ran: bool, note: Arc<str>) -> Result<(), Refused> {
-        let Some(program) = ProgramId::parse(program) else {
-            return Err(Refused::Invalid(format!("{program} is no program id of the form partner/name")));
-        };
-        let command = ProgramCommand::Resolve { program, call: CallNumber(call), ran, note };
-        match self.ledger.commit(command).await? {
-            ProgramReply::Done(_) => Ok(()),
-            ProgramReply::Refused(refusal) => Err(Refused::Invalid(refusal_text(&refusal))),
-            other => Err(Refused::Invalid(format!("the ledger answered {other:?}"))),
-        }
+fn write_verdict(
+    mut result: apply_result::Builder<'_>,
+    verdict: Result<ControlReply, GroupError>,
+    offered: &str,
+) {
+    match verdict {
+        Ok(ControlReply::Accepted { version, revision }) => {
+            let mut accepted = result.init_accepted();
+            accepted.set_version(version);
+            accepted.set_revision(revision);
+        }
+        Ok(ControlReply::Conflict { version, text }) => {
+            let mut conflict = result.init_conflict();
+            conflict.set_current_version(version);
+            conflict.set_difference(difference(&text, offered).as_str());
+        }
+        Ok(ControlReply::Refused) => result.set_invalid("the change id was used for another text"),
+        Ok(other) => result.set_unknown(format!("a replica answered {other:?}").as_str()),
+        Err(e @ GroupError::NotProposed { .. }) => result.set_unavailable(e.to_string().as_str()),
+        Err(e @ GroupError::Unknown { .. }) => result.set_unknown(e.to_string().as_str()),
     }
 }
 
 impl Server for Connection {
-    async fn apply(
-        self: Rc<Self>,
-        params: ApplyParams,
-        mut results: ApplyResults,
-    ) -> Result<(), capnp::Error> {
-        let _call = self.begin()?;
+    async fn apply(self: Rc<Self>, params: ApplyParams, mut results: ApplyResults) -> Result<(), Error> {
+        let _call = self.calls.begin()?;
         let change = params.get()?.get_change()?;
         let scope = text(change.get_scope()?)?;
         let offered = text(change.get_text()?)?;
@@ -208,27 +119,13 @@
         }
         log::info!("Change {change_id} of {scope} is offered for version {expected}.");
         let command = ControlCommand::Apply { scope, text: Arc::clone(&offered), expected, change_id };
-        match self.server.control.commit(command).await {
-            Ok(ControlReply::Accepted { version, revision }) => {
-                let mut accepted = result.init_accepted();
-                accepted.set_version(version);
-                accepted.set_revision(revision);
-            }
-            Ok(ControlReply::Conflict { version, text }) => {
-                let mut conflict = result.init_conflict();
-                conflict.set_current_version(version);
-                conflict.set_difference(difference(&text, &offered).as_str());
-            }
-            Ok(ControlReply::Refused) => result.set_invalid("the change id was used for another text"),
-            Ok(other) => result.set_invalid(format!("the control group answered {other:?}").as_str()),
-            Err(e @ GroupError::NotProposed { .. }) => result.set_unavailable(e.to_string().as_str()),
-            Err(e @ GroupError::Unknown { .. }) => result.set_unknown(e.to_string().as_str()),
-        }
+        let verdict = self.server.control.commit(command).await;
+        write_verdict(result, verdict, &offered);
         Ok(())
     }
 
-    async fn plan(self: Rc<Self>, params: PlanParams, mut results: PlanResults) -> Result<(), capnp::Error> {
-        let _call = self.begin()?;
+    async fn plan(self: Rc<Self>, params: PlanParams, mut results: PlanResults) -> Result<(), Error> {
+        let _call = self.calls.begin()?;
         let params = params.get()?;
         let scope = text(params.get_scope()?)?;
         let offered = text(params.get_text()?)?;
@@ -242,8 +139,8 @@
         Ok(())
     }
 
-    async fn status(self: Rc<Self>, _: StatusParams, mut results: StatusResults) -> Result<(), capnp::Error> {
-        let _call = self.begin()?;
+    async fn status(self: Rc<Self>, _: StatusParams, mut results: StatusResults) -> Result<(), Error> {
+        let _call = self.calls.begin()?;
         let members = self.server.members.members();
         let groups = self.server.groups.groups();
         let mut result = results.get();
@@ -253,28 +150,13 @@
             Ok(()) => result.set_taking_work(true),
             Err(e) => result.set_reason(e.to_string().as_str()),
         }
-        let mut rows = result.reborrow().init_nodes(length(members.len()));
-        for (i, member) in (0..rows.len()).zip(&members) {
-            let mut row = rows.reborrow().get(i);
-            row.set_node(member.node.0);
-            row.set_vm(&*member.vm);
-            row.set_failure_domain(&*member.failure_domain);
-            row.set_region(&*member.region);
-            row.set_state(&*member.state);
-            row.set_revision(member.revision);
-            row.set_caller_address(&*member.caller_address);
+        let mut list = result.reborrow().init_nodes(length(members.len()));
+        for (i, member) in (0..list.len()).zip(&members) {
+            rows::write_member(list.reborrow().get(i), member);
         }
-        let mut rows = result.init_groups(length(groups.len()));
-        for (i, group) in (0..rows.len()).zip(&groups) {
-            let mut row = rows.reborrow().get(i);
-            row.set_group(group.group.0);
-            row.set_leader(group.leader.map_or(0, |node| node.0));
-            row.set_term(group.term);
-            row.set_commit(group.commit);
-            let mut replicas = row.init_replicas(length(group.replicas.len()));
-            for (j, replica) in (0..replicas.len()).zip(&group.replicas) {
-                replicas.set(j, replica.0);
-            }
+        let mut list = result.init_groups(length(groups.len()));
+        for (i, group) in (0..list.len()).zip(&groups) {
+            rows::write_group(list.reborrow().get(i), group);
         }
         Ok(())
     }
@@ -283,75 +165,51 @@
         self: Rc<Self>,
         params: ProgramsParams,
         mut results: ProgramsResults,
-    ) -> Result<(), capnp::Error> {
-        let _call = self.begin()?;
+    ) -> Result<(), Error> {
+        let _call = self.calls.begin()?;
         let params = params.get()?;
         let partner = text(params.get_partner()?)?;
-        let views = match self.server.list(&partner, params.get_limit()).await {
-            Ok(views) => views,
-            Err(refused) => {
-                refused.write(results.get().init_failure());
-                return Ok(());
+        match self.server.programs(&partner, params.get_limit()).await {
+            Ok(views) => {
+                let mut list = results.get().init_programs(length(views.len()));
+                for (i, view) in (0..list.len()).zip(&views) {
+                    rows::write_program(list.reborrow().get(i), view);
+                }
             }
-        };
-        let mut rows = results.get().init_programs(length(views.len()));
-        for (i, view) in (0..rows.len()).zip(&views) {
-            let mut row = rows.reborrow().get(i);
-            row.set_program(view.program.to_string().as_str());
-            row.set_partner(&*view.program.partner);
-            row.set_team(&*view.spec.team);
-            row.set_class(&*view.spec.class);
-            row.set_calls(view.next_call.0.saturating_sub(1));
-            row.set_state(program_state(view));
-            row.set_spent(view.spent);
-            row.set_budget(view.spec.budget);
+            Err(e) => e.write(results.get().init_failure()),
         }
         Ok(())
     }
 
-    async fn backends(
-        self: Rc<Self>,
-        _: BackendsParams,
-        mut results: BackendsResults,
-    ) -> Result<(), capnp::Error> {
-        let _call = self.begin()?;
+    async fn backends(self: Rc<Self>, _: BackendsParams, mut results: BackendsResults) -> Result<(), Error> {
+        let _call = self.calls.begin()?;
         let backends = self.server.backends.backends();
-        let mut rows = results.get().init_backends(length(backends.len()));
-        for (i, backend) in (0..rows.len()).zip(&backends) {
-            let mut row = rows.reborrow().get(i);
-            row.set_name(&*backend.name);
-            row.set_kind(&*backend.kind);
-            row.set_address(&*backend.address);
-            row.set_state(&*backend.state);
-            row.set_running(backend.running);
-            row.set_waiting(backend.waiting);
+        let mut list = results.get().init_backends(length(backends.len()));
+        for (i, backend) in (0..list.len()).zip(&backends) {
+            rows::write_backend(list.reborrow().get(i), backend);
         }
         Ok(())
     }
 
-    async fn drain(
-        self: Rc<Self>,
-        params: DrainParams,
-        mut results: DrainResults,
-    ) -> Result<(), capnp::Error> {
-        let _call = self.begin()?;
+    async fn drain(self: Rc<Self>, params: DrainParams, mut results: DrainResults) -> Result<(), Error> {
+        let _call = self.calls.begin()?;
         let name = text(params.get()?.get_name()?)?;
         log::info!("{name} is asked to leave.");
         match self.server.mark_leaving(name).await {
             Ok(incarnation) => results.get().set_incarnation(incarnation),
-            Err(refused) => refused.write(results.get().init_failure()),
+            Err(e) => e.write(results.get().init_failure()),
         }
         Ok(())
     }
 
-    async fn config(self: Rc<Self>, _: ConfigParams, mut results: ConfigResults) -> Result<(), capnp::Error> {
-        let _call = self.begin()?;
+    async fn config(self: Rc<Self>, _: ConfigParams, mut results: ConfigResults) -> Result<(), Error> {
+        let _call = self.calls.begin()?;
         let configuration = self.server.control.configuration();
         let mut result = results.get();
         result.set_revision(configuration.revision);
-        let mut rows = result.init_documents(length(configuration.documents.len()));
-        for (i, (scope, document)) in (0..rows.len()).zip(&configuration.documents) {
-            let mut row = rows.reborrow().get(i);
+        let mut list = result.init_documents(length(configuration.documents.len()));
+        for (i, (scope, document)) in (0..list.len()).zip(&configuration.documents) {
+            let mut row = list.reborrow().get(i);
             row.set_scope(&**scope);
             row.set_version(document.version);
             row.set_text(&*document.text);
@@ -359,17 +217,13 @@
         Ok(())
     }
 
-    async fn trace(
-        self: Rc<Self>,
-        params: TraceParams,
-        mut results: TraceResults,
-    ) -> Result<(), capnp::Error> {
-        let _call = self.begin()?;
-        let limit = params.get()?.get_limit().min(MAX_ROWS);
+    async fn trace(self: Rc<Self>, params: TraceParams, mut results: TraceResults) -> Result<(), Error> {
+        let _call = self.calls.begin()?;
+        let limit = params.get()?.get_limit().min(rows::MAX_ROWS);
         let lines = self.server.traces.recent(limit);
-        let mut rows = results.get().init_lines(length(lines.len()));
-        for (i, line) in (0..rows.len()).zip(&lines) {
-            rows.set(i, &**line);
+        let mut list = results.get().init_lines(length(lines.len()));
+        for (i, line) in (0..list.len()).zip(&lines) {
+            list.set(i, &**line);
         }
         Ok(())
     }
@@ -378,15 +232,15 @@
         self: Rc<Self>,
         params: ResolveParams,
         mut results: ResolveResults,
-    ) -> Result<(), capnp::Error> {
-        let _call = self.begin()?;
+    ) -> Result<(), Error> {
+        let _call = self.calls.begin()?;
         let params = params.get()?;
         let program = text(params.get_program()?)?;
         let note = text(params.get_note()?)?;
-        log::info!("Call {} of {program} is resolved by an operator.", params.get_call());
-        let settled = self.server.settle(&program, params.get_call(), params.get_ran(), note).await;
-        if let Err(refused) = settled {
-            refused.write(results.get().init_failure());
+        let (call, ran) = (params.get_call(), params.get_ran());
+        log::info!("An operator says of call {call} of {program} that it ran: {ran}.");
+        if let Err(e) = self.server.settle(program, call, ran, note).await {
+            e.write(results.get().init_failure());
         }
         Ok(())
     }
--- a/agatetrestle_cli/src/apply.rs
+++ b/agatetrestle_cli/src/apply.rs
@@ -48,7 +48,7 @@
     }
 }
 
-/// Waits until every known node that is not leaving has the change in force.
+/// Waits until every known node that may take work has the change in force.
 ///
 /// # Errors
 ///
@@ -71,5 +71,10 @@
 }
 
 fn lagging(nodes: Vec<NodeRow>, revision: u64) -> Vec<NodeRow> {
-    nodes.into_iter().filter(|node| node.revision < revision && &*node.state != "leaving").collect()
+    nodes.into_iter().filter(|node| node.revision < revision && may_take_work(node)).collect()
+}
+
+/// A silent node may still hold its lease for a moment, so it counts.
+fn may_take_work(node: &NodeRow) -> bool {
+    matches!(&*node.state, "live" | "silent")
 }
--- a/agatetrestle_cli/src/error.rs
+++ b/agatetrestle_cli/src/error.rs
@@ -49,9 +49,7 @@
         reason: Arc<str>,
     },
     /// Another change of the document came first.
-    #[snafu(display(
-        "conflict: {scope} is at version {current_version}; against it, this change is\n{difference}"
-    ))]
+    #[snafu(display("conflict: {scope} is at version {current_version}{}", against(difference)))]
     Conflict {
         /// The document.
         scope: Arc<str>,
@@ -94,6 +92,13 @@
     nodes.iter().map(one).collect()
 }
 
+fn against(difference: &str) -> Arc<str> {
+    if difference.is_empty() {
+        return ", and its text is the offered one".into();
+    }
+    format!("; against it, this change is\n{}", difference.trim_end()).into()
+}
+
 impl ToolError {
     /// The exit code of this kind of failure.
     #[must_use]
