Take the prefix of log lines from their target only

Cause: five lines of entry and attempts began with their part's name, which the format puts in front already, so they read 'entry: entry: ...'. Conclusion: the prefix of a part is written in one place.

--- a/agatetrestle/src/attempts/catalog.rs
+++ b/agatetrestle/src/attempts/catalog.rs
@@ -24,7 +24,7 @@
     for (scope, document) in &configuration.documents {
         match Declarations::parse(scope, &document.text) {
             Ok(declarations) => documents.push((scope.clone(), declarations)),
-            Err(e) => log::error!("attempts: a document in force can't be read: {e}"),
+            Err(e) => log::error!("A document in force can't be read: {e}."),
         }
     }
     documents.sort_by_key(|(scope, _)| &**scope != SHARED_SCOPE);
--- a/agatetrestle/src/entry/mod.rs
+++ b/agatetrestle/src/entry/mod.rs
@@ -112,7 +112,7 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
-                log::warn!("entry: a connection could not be accepted: {e}");
+                log::warn!("A connection could not be accepted: {e}.");
                 entry.timer.after(ACCEPT_PAUSE).await;
                 continue;
             }
--- a/agatetrestle/src/entry/settle.rs
+++ b/agatetrestle/src/entry/settle.rs
@@ -219,7 +219,7 @@
         let reserve = self.planned.reserve;
         let spent = reply.usage.prompt.saturating_add(reply.usage.output);
         if spent > reserve {
-            log::warn!("entry: {} spent {spent} tokens with {reserve} reserved", out.program);
+            log::warn!("{} spent {spent} tokens with {reserve} reserved.", out.program);
         }
         let command = ProgramCommand::Finish {
             program: out.program.clone(),
@@ -279,7 +279,7 @@
         if let Some(command) = owed
             && self.commit(&command, SETTLE_TRIES).await.is_none()
         {
-            log::error!("entry: call {} of a program stays open in the ledger", self.planned.outgoing.call.0);
+            log::error!("Call {} of a program stays open in the ledger.", self.planned.outgoing.call.0);
         }
     }
 
@@ -291,7 +291,7 @@
             }
             match self.entry.ledger.commit(command.clone()).await {
                 Ok(reply) => return Some(reply),
-                Err(e) => log::warn!("entry: a settlement got no reply: {e}"),
+                Err(e) => log::warn!("A settlement got no reply: {e}."),
             }
         }
         None
