Bound what operators can hold of a node's memory and places

Cause: 64 connections of 16 calls of 4 MiB each could hold 4 GiB, and a connection gone silent held its place for ten minutes. Change: 8 connections, 4 calls each, 1 MiB a message, so at most 40 MiB; a connection without a call for a minute is closed. The difference compares at most 1,000 changed lines, a table of 4 MB. Measured: a generated document with 2,200 teams and 1,500 backend servers takes 450,534 bytes, so it fits with room.

--- a/agatetrestle/src/operator/difference.rs
+++ b/agatetrestle/src/operator/difference.rs
@@ -1,7 +1,7 @@
 //! A small line difference, so that the loser of a race sees what changed under its hands.
 
 /// Lines beyond which texts are no longer compared line by line, because the table grows with the product.
-pub const MAX_LINES: usize = 2_000;
+pub const MAX_LINES: usize = 1_000;
 
 /// Returns the lines that were removed (`-`) and added (`+`) on the way from `old` to `new`, in order.
 ///
--- a/agatetrestle/src/operator/mod.rs
+++ b/agatetrestle/src/operator/mod.rs
@@ -6,6 +6,7 @@
 pub mod difference;
 
 mod answers;
+mod calls;
 mod error;
 mod rows;
 mod rpc;
@@ -26,6 +27,7 @@
 use smol::net::TcpStream;
 
 use crate::ids::NodeId;
+use crate::operator::calls::Calls;
 use crate::operator::rpc::Connection;
 use crate::ports::Backends;
 use crate::ports::Control;
@@ -34,14 +36,16 @@
 use crate::ports::Members;
 use crate::ports::Traces;
 
-/// Connections open at once; operators are few, and each connection holds buffers.
-pub const MAX_CONNECTIONS: usize = 64;
+/// Connections open at once. Each holds at most the messages of its calls and one that is being read,
+/// so that all operators together hold at most 40 MiB of them.
+pub const MAX_CONNECTIONS: usize = 8;
 
-/// Largest message from an operator, in bytes; a document of declarations fits many times over.
-pub const MAX_MESSAGE: usize = 4 << 20;
+/// Largest message from an operator, in bytes; one document with 2,200 teams and 1,500 backend servers
+/// takes 450 KB.
+pub const MAX_MESSAGE: usize = 1 << 20;
 
-/// A connection is closed after this time, so that one gone silent does not hold its place.
-pub const MAX_CONNECTION_TIME: Duration = Duration::from_mins(10);
+/// A connection without a call for this time is closed, so that one gone silent does not hold its place.
+pub const IDLE_TIME: Duration = Duration::from_mins(1);
 
 const WORD: usize = 8;
 const NESTING: i32 = 16;
@@ -82,8 +86,7 @@
             continue;
         }
         let place = Place::take(&open);
-        let connection = Connection::new(Rc::clone(&server));
-        executor.spawn(converse(connection, stream, place)).detach();
+        executor.spawn(converse(Rc::clone(&server), stream, place)).detach();
     }
 }
 
@@ -103,21 +106,32 @@
     }
 }
 
-async fn converse(connection: Connection, stream: TcpStream, _place: Place) {
+async fn converse(server: Rc<OperatorServer>, stream: TcpStream, _place: Place) {
     let mut options = ReaderOptions::new();
     options.traversal_limit_in_words(Some(MAX_MESSAGE / WORD));
     options.nesting_limit(NESTING);
     let network = VatNetwork::new(stream.clone(), stream, Side::Server, options);
-    let client: operator::Client = capnp_rpc::new_client(connection);
+    let calls = Rc::new(Calls::default());
+    let client: operator::Client = capnp_rpc::new_client(Connection::new(server, Rc::clone(&calls)));
     let system = RpcSystem::new(Box::new(network), Some(client.client));
-    let limit = async {
-        Timer::after(MAX_CONNECTION_TIME).await;
+    let idle = async {
+        until_idle(&calls).await;
         Ok(())
     };
-    if let Err(e) = system.or(limit).await {
+    if let Err(e) = system.or(idle).await {
         log::debug!("A connection ended: {e}.");
     }
 }
 
+async fn until_idle(calls: &Calls) {
+    loop {
+        let begun = calls.begun();
+        Timer::after(IDLE_TIME).await;
+        if calls.idle_since(begun) {
+            return;
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/agatetrestle/src/operator/rpc.rs
+++ b/agatetrestle/src/operator/rpc.rs
@@ -1,6 +1,5 @@
 //! The calls themselves: each reads its parameters, asks one port and writes a typed result.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -30,46 +29,21 @@
 use crate::control::command::ControlCommand;
 use crate::control::command::ControlReply;
 use crate::operator::OperatorServer;
+use crate::operator::calls::Calls;
 use crate::operator::difference::difference;
 use crate::operator::rows;
 use crate::operator::rows::length;
 use crate::ports::GroupError;
 
-/// Calls that one connection may have under way at once.
-pub(super) const MAX_CALLS: u32 = 16;
-
 /// One operator's connection.
 pub(super) struct Connection {
     server: Rc<OperatorServer>,
-    calls: Calls,
+    calls: Rc<Calls>,
 }
 
 impl Connection {
-    pub(super) fn new(server: Rc<OperatorServer>) -> Self {
-        Self { server, calls: Calls::default() }
-    }
-}
-
-/// The bounded number of calls under way on one connection.
-#[derive(Default)]
-pub(super) struct Calls(Rc<Cell<u32>>);
-
-impl Calls {
-    pub(super) fn begin(&self) -> Result<Call, Error> {
-        if self.0.get() >= MAX_CALLS {
-            return Err(Error::overloaded(format!("{MAX_CALLS} calls are under way already")));
-        }
-        self.0.set(self.0.get() + 1);
-        Ok(Call(Rc::clone(&self.0)))
-    }
-}
-
-/// A call under way; dropping it lets the next one begin.
-pub(super) struct Call(Rc<Cell<u32>>);
-
-impl Drop for Call {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+    pub(super) fn new(server: Rc<OperatorServer>, calls: Rc<Calls>) -> Self {
+        Self { server, calls }
     }
 }
 
--- a/agatetrestle/src/operator/tests.rs
+++ b/agatetrestle/src/operator/tests.rs
@@ -3,8 +3,7 @@
 use capnp::ErrorKind;
 
 use super::*;
-use crate::operator::rpc::Calls;
-use crate::operator::rpc::MAX_CALLS;
+use crate::operator::calls::MAX_CALLS;
 
 #[test]
 fn a_place_is_free_again_once_its_connection_ends() {
@@ -19,9 +18,22 @@
 
 #[test]
 fn calls_beyond_the_bound_are_told_to_come_back() {
-    let calls = Calls::default();
+    let calls = Rc::new(Calls::default());
     let mut under_way: Vec<_> = (0..MAX_CALLS).map(|_| calls.begin().ok()).collect();
     assert_eq!(calls.begin().err().map(|e| e.kind), Some(ErrorKind::Overloaded));
     under_way.pop();
     assert!(calls.begin().is_ok());
 }
+
+#[test]
+fn a_connection_is_idle_only_without_calls_under_way_or_since() {
+    let calls = Rc::new(Calls::default());
+    let before = calls.begun();
+    assert!(calls.idle_since(before));
+    let call = calls.begin().ok();
+    assert!(!calls.idle_since(before));
+    assert!(!calls.idle_since(calls.begun()));
+    drop(call);
+    assert!(!calls.idle_since(before));
+    assert!(calls.idle_since(calls.begun()));
+}
--- a/agatetrestle_cli/src/commands.rs
+++ b/agatetrestle_cli/src/commands.rs
@@ -27,7 +27,7 @@
 const ZSH: &str = include_str!("../../extra/completions/_agatetrestle");
 
 /// Largest file of declarations, below the largest message that a node takes.
-const MAX_FILE: usize = 2 << 20;
+const MAX_FILE: usize = 768 << 10;
 
 /// Carries out the command and tells what came of it.
 pub async fn run(options: &Options) -> Report {
