--- a/agatetrestle/src/attempts/http.rs
+++ b/agatetrestle/src/attempts/http.rs
@@ -148,7 +148,7 @@
         let (mut response, framing) = decode(&head, &rest, stream.clone()).await?;
         let refused = response.header(OUTCOME_HEADER).is_some_and(|v| v.as_str() == NOT_RUN);
         if refused {
-            return Err(broken(Failure::Refused, format!("{address} did not start the call")));
+            return Err(broken(Failure::Refused, "the backend server did not start the call"));
         }
         let reply = match framing {
             Framing::Close => {
@@ -319,3 +319,6 @@
 fn broken(failure: Failure, detail: impl Into<Arc<str>>) -> Broken {
     Broken { failure, detail: detail.into(), reply: None }
 }
+
+#[cfg(test)]
+mod tests;
--- a/agatetrestle/src/entry/guard.rs
+++ b/agatetrestle/src/entry/guard.rs
@@ -108,7 +108,7 @@
         let span = self.limits.head_time;
         match within(&*timer, span, self.read_to_head_end(limit)).await {
             Some(found) => found,
-            None => Err(Problem::not_run(408, Reason::TooSlow, "the head did not arrive in time")),
+            None => Err(slow_head()),
         }
     }
 
@@ -125,9 +125,10 @@
                 return Err(Problem::not_run(431, Reason::HeadTooLarge, "the head is too large"));
             }
             scanned = self.buf.len().saturating_sub(HEAD_END.len() - 1);
-            let more = self.fill(self.limits.head_time).await;
-            if !more.unwrap_or(false) {
-                return Ok(None);
+            match self.fill(self.limits.head_time).await {
+                Some(true) => {}
+                Some(false) => return Ok(None),
+                None => return Err(slow_head()),
             }
         }
     }
@@ -224,6 +225,10 @@
     digits.then(|| text.parse().ok()).flatten().ok_or_else(|| malformed("the length is malformed"))
 }
 
+fn slow_head() -> Problem {
+    Problem::not_run(408, Reason::TooSlow, "the head did not arrive in time")
+}
+
 fn malformed(detail: &'static str) -> Problem {
     Problem::not_run(400, Reason::Malformed, detail)
 }
