--- a/agatetrestle/tests/replacement.rs
+++ b/agatetrestle/tests/replacement.rs
@@ -1,6 +1,6 @@
 //! A VM that lost its disk is replaced, and a second one is lost right after.
 
-mod support;
+mod cluster;
 
 use agatetrestle::agreement::ReplicaChange;
 use agatetrestle::ids::CONTROL_GROUP;
@@ -18,7 +18,7 @@
 use agatetrestle::programs::command::ProgramSpec;
 use agatetrestle::programs::command::QueryReply;
 
-use crate::support::Cluster;
+use crate::cluster::Cluster;
 
 const GROUPS: [GroupId; 2] = [CONTROL_GROUP, FIRST_STATE_GROUP];
 
@@ -75,7 +75,7 @@
 
 #[test]
 fn a_second_loss_right_after_a_repair_finds_a_full_quorum() {
-    support::run(|executor| async move {
+    cluster::run(|executor| async move {
         let cluster = Cluster::new(&executor, "replacement");
         cluster.found(3).await;
         cluster.until_taking_work().await;
@@ -101,7 +101,7 @@
 
 #[test]
 fn a_replica_without_its_files_is_refused_and_as_a_joiner_counts_for_nothing() {
-    support::run(|executor| async move {
+    cluster::run(|executor| async move {
         let cluster = Cluster::new(&executor, "lost-disk");
         cluster.found(3).await;
         cluster.until_taking_work().await;
