Check settings and declarations before they count, and name file, line and key

Cause: a weight of 0, two listeners on one port or a service that nobody declares passed the checks, and a wrong duration was reported at its parent's line without its key. Conclusion: errors point at the value; whether a partner's backend servers serve declared services is checked once the caller passes the shared document.

--- a/agatetrestle/src/attempts/catalog.rs
+++ b/agatetrestle/src/attempts/catalog.rs
@@ -22,7 +22,7 @@
 pub fn parse(configuration: &Configuration) -> Vec<(Arc<str>, Declarations)> {
     let mut documents = Vec::new();
     for (scope, document) in &configuration.documents {
-        match Declarations::parse(scope, &document.text) {
+        match Declarations::read(scope, &document.text) {
             Ok(declarations) => documents.push((scope.clone(), declarations)),
             Err(e) => log::error!("A document in force can't be read: {e}."),
         }
--- /dev/null
+++ b/agatetrestle_config/src/check/tests.rs
@@ -0,0 +1,31 @@
+//! Tests of finding the line of a value.
+
+use super::*;
+
+const TEXT: &str = "\
+# budget: none
+format: 1
+
+classes:
+  dawn:
+    priority: 1
+    budget: 2
+  plan: { priority: 1, budget: 0 }
+teams:
+  dawn:
+    weight: 0
+";
+
+#[test]
+fn the_line_of_a_dotted_path_is_found() {
+    let lines = [
+        ("format", 2),
+        ("classes.dawn.budget", 7),
+        ("classes.plan.budget", 8),
+        ("teams.dawn.weight", 11),
+        ("weight_store.rate", 1),
+    ];
+    for (key, line) in lines {
+        assert_eq!(line_of(TEXT, key), line, "{key}");
+    }
+}
--- a/agatetrestle_config/src/declarations/mod.rs
+++ b/agatetrestle_config/src/declarations/mod.rs
@@ -4,6 +4,8 @@
 //! has a version of its own, so that partners never race each other; see
 //! docs/design/003-configuration-versions-and-lease.md.
 
+mod check;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,10 +15,9 @@
 use serde::Serialize;
 use serde_with::serde_as;
 use snafu::ResultExt;
-use snafu::ensure;
 
+use crate::check::Checker;
 use crate::error::ConfigError;
-use crate::error::InvalidSnafu;
 use crate::error::ParseSnafu;
 use crate::units::DurationText;
 use crate::units::SizeText;
@@ -177,21 +178,38 @@
 }
 
 impl Declarations {
-    /// Reads and checks one document; `scope` is the partner's name or [`SHARED_SCOPE`].
+    /// Reads and checks one document that is to be applied; `scope` is the partner's name or
+    /// [`SHARED_SCOPE`].
     ///
     /// # Errors
     ///
     /// Fails on an unknown key, a wrong value or another document format.
     pub fn parse(scope: &str, text: &str) -> Result<Self, ConfigError> {
-        let document: Self = serde_norway::from_str(text).context(ParseSnafu { origin: scope })?;
-        ensure!(
-            document.format == FORMAT,
-            InvalidSnafu { origin: scope, key: "format", expected: "the number 1" }
-        );
-        ensure!(
-            scope == SHARED_SCOPE || document.shares.is_empty(),
-            InvalidSnafu { origin: scope, key: "shares", expected: "only the shared document sets shares" }
-        );
+        Self::parse_beside(scope, text, None)
+    }
+
+    /// As [`Declarations::parse`], and also refuses a backend server that serves what neither this nor the
+    /// shared document declares.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Declarations::parse`] does.
+    pub fn parse_beside(scope: &str, text: &str, shared: Option<&Self>) -> Result<Self, ConfigError> {
+        let document = Self::read(scope, text)?;
+        check::check(Checker { origin: scope, text }, &document, shared)?;
         Ok(document)
     }
+
+    /// Reads a document that was accepted before. Values are taken as they are: a check that was added
+    /// since must not put an accepted document out of force.
+    ///
+    /// # Errors
+    ///
+    /// Fails only where the text has not the shape of a document.
+    pub fn read(scope: &str, text: &str) -> Result<Self, ConfigError> {
+        serde_norway::from_str(text).context(ParseSnafu { origin: scope })
+    }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/agatetrestle_config/src/declarations/tests.rs
@@ -0,0 +1,75 @@
+//! Tests of the checks of declarations.
+
+use std::fmt::Write;
+
+use super::*;
+
+const SERVER: &str = "address: '10.0.0.1:1', vm: v, failure_domain: d";
+
+fn refusals(scope: &str, documents: &[&str]) -> String {
+    let mut text = String::new();
+    for document in documents {
+        let document = format!("format: 1\n{document}").replace("SERVER", SERVER);
+        let error = Declarations::parse(scope, &document).unwrap_err();
+        writeln!(text, "{error}").unwrap();
+    }
+    text
+}
+
+#[test]
+fn a_wrong_value_is_refused_with_line_key_and_expectation() {
+    insta::assert_snapshot!(refusals(
+        "vrsta",
+        &[
+            "shares: { vrsta: 1 }",
+            "weight_store: { rate: 1B }",
+            "teams:\n  dawn:\n    weight: 0",
+            "teams: { 'a b': {} }",
+            "classes:\n  x: { priority: 1, budget: 0 }",
+            "classes:\n  x: { priority: 1, budget: 1, turns: 0 }",
+            "classes:\n  x: { priority: 1, budget: 1, keepalive: 0s }",
+            "classes:\n  x: { priority: 1, budget: 1, deadline: 5 }",
+            "classes:\n  x: { priority: 300, budget: 1 }",
+            "services:\n  rota: { timeout: 0s }",
+            "models:\n  m: { weights: 12 }",
+            "backend_servers:\n  a: { kind: robot, serves: rota, SERVER }",
+            "backend_servers:\n  a: { kind: service, serves: rota, slots: 0, SERVER }",
+            "backend_servers:\n  a: { kind: service, serves: r, address: 'a:1', vm: v, failure_domain: d }",
+            "backend_servers:\n  a: { kind: service, serves: r, address: '0.0.0.0:1', vm: v, failure_domain: d }",
+            "services: { r: {} }\nbackend_servers:\n  a: { kind: service, serves: r, SERVER }\n  \
+             b: { kind: service, serves: r, SERVER }",
+            "teem: {}",
+        ]
+    ));
+}
+
+#[test]
+fn the_shared_document_declares_what_its_backend_servers_serve() {
+    insta::assert_snapshot!(refusals(
+        "shared",
+        &[
+            "teams: { dawn: {} }",
+            "shares: { vrsta: 0 }",
+            "backend_servers:\n  a: { kind: service, serves: rota, SERVER }",
+            "services: { m: {} }\nbackend_servers:\n  a: { kind: engine, serves: m, SERVER }",
+        ]
+    ));
+}
+
+#[test]
+fn a_partner_may_serve_what_the_shared_document_declares() {
+    let shared = Declarations::parse("shared", "format: 1\nmodels: { m: { weights: 1B } }").unwrap();
+    let text = |model: &str| {
+        format!("format: 1\nbackend_servers:\n  a: {{ kind: engine, serves: {model}, {SERVER} }}")
+    };
+    assert!(Declarations::parse_beside("vrsta", &text("m"), Some(&shared)).is_ok());
+    assert!(Declarations::parse_beside("vrsta", &text("n"), Some(&shared)).is_err());
+    assert!(Declarations::parse("vrsta", &text("n")).is_ok(), "the shared document is not known here");
+}
+
+#[test]
+fn an_accepted_document_is_read_whatever_was_checked_since() {
+    let accepted = "format: 1\nclasses: { x: { priority: 1, budget: 0 } }";
+    assert!(Declarations::parse("vrsta", accepted).is_err());
+    assert_eq!(Declarations::read("vrsta", accepted).unwrap().classes.len(), 1);
+}
--- a/agatetrestle_config/src/error.rs
+++ b/agatetrestle_config/src/error.rs
@@ -26,10 +26,12 @@
         source: serde_norway::Error,
     },
     /// The shape is right but a value can't be used.
-    #[snafu(display("{origin}: {key}: {expected}"))]
+    #[snafu(display("{origin}:{line}: {key}: expected {expected}"))]
     Invalid {
         /// Name of the file or document.
         origin: Arc<str>,
+        /// Line of the value, counting from 1.
+        line: usize,
         /// Dotted path of the offending key.
         key: Arc<str>,
         /// What would have been accepted.
--- a/agatetrestle_config/src/lib.rs
+++ b/agatetrestle_config/src/lib.rs
@@ -3,6 +3,7 @@
 //! Settings stay on a VM and are read once at start. Declarations are kept in version control,
 //! applied by operators and agreed on by the control group; see docs/operators/declarations.md.
 
+mod check;
 pub mod declarations;
 pub mod error;
 pub mod settings;
--- a/agatetrestle_config/src/settings/mod.rs
+++ b/agatetrestle_config/src/settings/mod.rs
@@ -1,5 +1,7 @@
 //! Settings of one process: who it is, where it listens and what it may use.
 
+mod check;
+
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
@@ -11,8 +13,8 @@
 use serde_with::serde_as;
 use snafu::ResultExt;
 
+use crate::check::Checker;
 use crate::error::ConfigError;
-use crate::error::InvalidSnafu;
 use crate::error::ParseSnafu;
 use crate::error::ReadSnafu;
 use crate::units::DurationText;
@@ -257,19 +259,10 @@
     /// Fails as [`Settings::load`] does, except that no file is read.
     pub fn parse(origin: &str, text: &str) -> Result<Self, ConfigError> {
         let settings: Self = serde_norway::from_str(text).context(ParseSnafu { origin })?;
-        settings.check(origin)?;
+        check::check(Checker { origin, text }, &settings)?;
         Ok(settings)
     }
-
-    fn check(&self, origin: &str) -> Result<(), ConfigError> {
-        if self.node.id == 0 {
-            return InvalidSnafu { origin, key: "node.id", expected: "a number above 0" }.fail();
-        }
-        let timing = &self.timing;
-        if timing.election_timeout < 3 * timing.leader_interval + timing.clock_drift {
-            let expected = "at least three times leader_interval plus clock_drift";
-            return InvalidSnafu { origin, key: "timing.election_timeout", expected }.fail();
-        }
-        Ok(())
-    }
 }
+
+#[cfg(test)]
+mod tests;
--- a/agatetrestle_config/src/units.rs
+++ b/agatetrestle_config/src/units.rs
@@ -3,11 +3,11 @@
 use std::fmt;
 use std::time::Duration;
 
-use serde::Deserialize;
 use serde::Deserializer;
 use serde::Serializer;
 use serde::de::Error;
 use serde::de::Unexpected;
+use serde::de::Visitor;
 use serde_with::DeserializeAs;
 use serde_with::SerializeAs;
 
@@ -37,24 +37,31 @@
     format!("{}{name}", value / factor)
 }
 
-struct Expected(&'static str);
+/// Reads a number with a unit. The check stands within the visit, where the parser still knows the place
+/// of the value and can name its key and line.
+struct Units {
+    units: &'static [(&'static str, u64)],
+    expected: &'static str,
+}
+
+const DURATION: Units = Units { units: &DURATION_UNITS, expected: "a whole number with us, ms, s, m or h" };
+const SIZE: Units = Units { units: &SIZE_UNITS, expected: "a whole number with B, KiB, MiB or GiB" };
+
+impl Visitor<'_> for Units {
+    type Value = u64;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.expected)
+    }
 
-impl serde::de::Expected for Expected {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.0)
+    fn visit_str<E: Error>(self, text: &str) -> Result<u64, E> {
+        parse_with_unit(text, self.units).ok_or_else(|| E::invalid_value(Unexpected::Str(text), &self))
     }
 }
 
 impl<'de> DeserializeAs<'de, Duration> for DurationText {
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
-        let text = String::deserialize(deserializer)?;
-        let micros = parse_with_unit(&text, &DURATION_UNITS).ok_or_else(|| {
-            D::Error::invalid_value(
-                Unexpected::Str(&text),
-                &Expected("a whole number with us, ms, s, m or h"),
-            )
-        })?;
-        Ok(Duration::from_micros(micros))
+        deserializer.deserialize_str(DURATION).map(Duration::from_micros)
     }
 }
 
@@ -67,13 +74,7 @@
 
 impl<'de> DeserializeAs<'de, u64> for SizeText {
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
-        let text = String::deserialize(deserializer)?;
-        parse_with_unit(&text, &SIZE_UNITS).ok_or_else(|| {
-            D::Error::invalid_value(
-                Unexpected::Str(&text),
-                &Expected("a whole number with B, KiB, MiB or GiB"),
-            )
-        })
+        deserializer.deserialize_str(SIZE)
     }
 }
 
