--- a/agatetrestle/src/lib.rs
+++ b/agatetrestle/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod metrics;
 pub mod node;
 pub mod operator;
+pub mod orders;
 pub mod placing;
 pub mod ports;
 pub mod programs;
--- a/agatetrestle/src/members/mod.rs
+++ b/agatetrestle/src/members/mod.rs
@@ -9,3 +9,4 @@
 pub mod table;
 #[cfg(test)]
 mod tests;
+pub mod vm_list;
--- a/agatetrestle/src/members/roster.rs
+++ b/agatetrestle/src/members/roster.rs
@@ -58,11 +58,11 @@
         self.signs.list()
     }
 
-    /// The incarnation last seen of a node, and whether it is silent.
+    /// The incarnation of the node on a VM, if one is known.
     #[must_use]
-    pub fn incarnation(&self, node: NodeId) -> Option<(u64, bool)> {
-        let member = self.members.get(&node)?;
-        Some((member.beat.incarnation, member.state == MemberState::Silent))
+    pub fn incarnation_on(&self, vm: &str) -> Option<u64> {
+        let member = self.members.values().find(|member| &*member.beat.vm == vm)?;
+        Some(member.beat.incarnation)
     }
 
     /// All nodes for listings.
--- a/agatetrestle/src/members/tests.rs
+++ b/agatetrestle/src/members/tests.rs
@@ -11,6 +11,9 @@
 use crate::members::message::Sign;
 use crate::members::roster::Roster;
 use crate::members::table::Table;
+use crate::members::vm_list;
+use crate::members::vm_list::VmChange;
+use crate::members::vm_list::VmListReader;
 
 const INTERVAL: Duration = Duration::from_secs(1);
 
@@ -121,3 +124,18 @@
     roster.take_in(&digest(&mut cut_off, 1, Duration::ZERO));
     assert_eq!(roster.views().len(), 9);
 }
+
+fn vm(state: &str, incarnation: u64) -> String {
+    format!(r#"{{"vms":[{{"name":"gpu-1","state":"{state}","incarnation":{incarnation},"zone":"x"}}]}}"#)
+}
+
+#[test]
+fn the_vm_list_tells_only_the_moment_of_leaving() {
+    let mut reader = VmListReader::default();
+    let mut read = |text: String| reader.take_in(vm_list::parse(text.as_bytes()).unwrap());
+    assert!(matches!(read(vm("live", 1))[..], [VmChange::Live(_)]));
+    assert!(matches!(read(vm("leaving", 1))[..], [VmChange::Left(_)]));
+    assert!(read(vm("leaving", 1)).is_empty(), "a lagging list says it again and again");
+    assert!(matches!(&read(vm("live", 2))[..], [VmChange::Live(vm)] if vm.incarnation == 2));
+    assert!(vm_list::parse(b"{\"vms\":[{\"name\":1}]}").is_err());
+}
--- a/agatetrestle/src/node/heartbeats.rs
+++ b/agatetrestle/src/node/heartbeats.rs
@@ -24,6 +24,8 @@
 use crate::members::message::Heartbeat;
 use crate::members::message::Sign;
 use crate::members::roster::Roster;
+use crate::members::vm_list::Vm;
+use crate::members::vm_list::VmChange;
 use crate::node::control_port::ControlPort;
 use crate::node::links::Links;
 use crate::node::peer_link::LinkError;
@@ -34,6 +36,7 @@
 use crate::ports::Control;
 use crate::ports::MemberView;
 use crate::ports::Members;
+use crate::scheduler::event::Event;
 
 /// This node's place among the members.
 pub struct Heartbeats {
@@ -148,7 +151,30 @@
 
     fn announce(&self, sign: &Sign) {
         info!("{} is leaving as of incarnation {}.", sign.name, sign.incarnation);
-        self.calls.step(crate::scheduler::event::Event::Leaving { name: sign.name.clone(), leaving: true });
+        self.calls.step(Event::Leaving { name: sign.name.clone(), leaving: true });
+    }
+
+    /// Takes in what changed in the platform's list. A VM that runs an entry node leaves in the incarnation
+    /// that the node has now; one of a backend server in the incarnation that the list names.
+    pub fn take_vm_changes(&self, changes: Vec<VmChange>) {
+        for change in changes {
+            match change {
+                VmChange::Left(vm) => {
+                    let node = self.roster.borrow().incarnation_on(&vm.name);
+                    let incarnation = node.unwrap_or(vm.incarnation);
+                    self.mark(&Sign { name: vm.name, incarnation });
+                }
+                VmChange::Live(vm) => self.unmark_if_newer(&vm),
+            }
+        }
+    }
+
+    fn unmark_if_newer(&self, vm: &Vm) {
+        let leaves = self.roster.borrow().signs().into_iter().find(|sign| sign.name == vm.name);
+        if leaves.is_some_and(|sign| vm.incarnation > sign.incarnation) {
+            info!("{} is back as incarnation {}.", vm.name, vm.incarnation);
+            self.calls.step(Event::Leaving { name: vm.name.clone(), leaving: false });
+        }
     }
 
     /// Adds a sign that this node saw itself; the next heartbeat spreads it.
--- a/agatetrestle/src/node/mod.rs
+++ b/agatetrestle/src/node/mod.rs
@@ -14,6 +14,7 @@
 pub mod replicas;
 pub mod router;
 pub mod service;
+mod vm_list;
 pub mod wire;
 pub mod wire_members;
 
@@ -139,6 +140,10 @@
         tasks.push(executor.spawn(entry::serve(entry.clone(), listeners.callers, executor.clone())));
         tasks.push(executor.spawn(async move { calls.run_ticks().await }));
         tasks.push(executor.spawn(assembly.heartbeats.clone().run()));
+        if let Some(address) = settings.platform.vm_list {
+            let reading = vm_list::run(assembly.heartbeats.clone(), address, settings.platform.interval);
+            tasks.push(executor.spawn(reading));
+        }
         info!("Node {} serves callers on {}.", settings.node.id, addresses.callers);
         Ok(Rc::new(Self {
             addresses,
