Let operators replace a replica by the tool

Cause: a replaced VM can join as a learner, but only code could ask for the change of replicas. Change: the RPC and the tool have a call for it: add a learner, promote it, remove a node, one group at a time. A node that does not lead says so and the tool goes on to the next address; a lost answer is not sent again.

--- a/agatetrestle/src/operator/error.rs
+++ b/agatetrestle/src/operator/error.rs
@@ -5,6 +5,7 @@
 use agatetrestle_schema::operator_capnp::failure;
 use snafu::Snafu;
 
+use crate::ports::ChangeError;
 use crate::ports::GroupError;
 use crate::programs::command::Refusal;
 
@@ -22,6 +23,8 @@
     Unexpected,
     #[snafu(display("{source}"), context(false))]
     Group { source: GroupError },
+    #[snafu(display("{source}"), context(false))]
+    Replicas { source: ChangeError },
 }
 
 /// The ledger gives only the first two reasons for a settlement.
@@ -44,6 +47,13 @@
             Self::Group { source: GroupError::Unknown { .. } } | Self::Unexpected => {
                 builder.set_unknown(text.as_str());
             }
+            Self::Replicas { source } => match source {
+                ChangeError::Invalid => builder.set_invalid(text.as_str()),
+                ChangeError::Undecided => builder.set_unknown(text.as_str()),
+                ChangeError::NoReplica { .. } | ChangeError::NotLeader { .. } | ChangeError::Pending => {
+                    builder.set_unavailable(text.as_str());
+                }
+            },
         }
     }
 }
--- a/agatetrestle/src/operator/rpc.rs
+++ b/agatetrestle/src/operator/rpc.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use agatetrestle_config::Declarations;
+use agatetrestle_schema::operator_capnp::ReplicaChange as Wanted;
 use agatetrestle_schema::operator_capnp::apply_result;
 use agatetrestle_schema::operator_capnp::operator::ApplyParams;
 use agatetrestle_schema::operator_capnp::operator::ApplyResults;
@@ -17,6 +18,8 @@
 use agatetrestle_schema::operator_capnp::operator::PlanResults;
 use agatetrestle_schema::operator_capnp::operator::ProgramsParams;
 use agatetrestle_schema::operator_capnp::operator::ProgramsResults;
+use agatetrestle_schema::operator_capnp::operator::ReplicasParams;
+use agatetrestle_schema::operator_capnp::operator::ReplicasResults;
 use agatetrestle_schema::operator_capnp::operator::ResolveParams;
 use agatetrestle_schema::operator_capnp::operator::ResolveResults;
 use agatetrestle_schema::operator_capnp::operator::Server;
@@ -26,11 +29,15 @@
 use agatetrestle_schema::operator_capnp::operator::TraceResults;
 use capnp::Error;
 
+use crate::agreement::ReplicaChange;
 use crate::control::command::ControlCommand;
 use crate::control::command::ControlReply;
+use crate::ids::GroupId;
+use crate::ids::NodeId;
 use crate::operator::OperatorServer;
 use crate::operator::calls::Calls;
 use crate::operator::difference::difference;
+use crate::operator::error::CallError;
 use crate::operator::rows;
 use crate::operator::rows::length;
 use crate::ports::GroupError;
@@ -218,4 +225,23 @@
         }
         Ok(())
     }
+    async fn replicas(
+        self: Rc<Self>,
+        params: ReplicasParams,
+        mut results: ReplicasResults,
+    ) -> Result<(), Error> {
+        let _call = self.calls.begin()?;
+        let params = params.get()?;
+        let (group, node) = (GroupId(params.get_group()), NodeId(params.get_node()));
+        let change = match params.get_change()? {
+            Wanted::AddLearner => ReplicaChange::AddLearner(node),
+            Wanted::Promote => ReplicaChange::Promote(node),
+            Wanted::Remove => ReplicaChange::Remove(node),
+        };
+        log::info!("The replicas of group {} are to change: {change:?}.", group.0);
+        if let Err(source) = self.server.groups.change(group, change).await {
+            CallError::from(source).write(results.get().init_failure());
+        }
+        Ok(())
+    }
 }
--- a/agatetrestle_cli/src/apply.rs
+++ b/agatetrestle_cli/src/apply.rs
@@ -8,8 +8,9 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::calls;
-use crate::calls::Change;
-use crate::calls::Verdict;
+use crate::calls::changes;
+use crate::calls::changes::Change;
+use crate::calls::changes::Verdict;
 use crate::client::Client;
 use crate::error::ToolError;
 use crate::rows::AppliedRow;
@@ -35,7 +36,7 @@
 ///
 /// Fails as [`Client::call`] does, and as [`ToolError::Conflict`] if another change came first.
 pub async fn apply(client: &Client, change: &Change) -> Result<AppliedRow, ToolError> {
-    match calls::apply(client, change).await? {
+    match changes::apply(client, change).await? {
         Verdict::Accepted { version, revision } => Ok(AppliedRow {
             scope: change.scope.clone(),
             version,
--- a/agatetrestle_cli/src/calls.rs
+++ b/agatetrestle_cli/src/calls.rs
@@ -1,8 +1,9 @@
-//! The calls of the schema as functions on typed rows.
+//! The calls that only ask, as functions on typed rows; those that change something are in [`changes`].
+
+pub mod changes;
 
 use std::sync::Arc;
 
-use agatetrestle_schema::operator_capnp::apply_result;
 use agatetrestle_schema::operator_capnp::failure;
 use agatetrestle_schema::operator_capnp::group_status;
 use agatetrestle_schema::operator_capnp::node_status;
@@ -14,47 +15,13 @@
 use crate::error::ToolError;
 use crate::rows::BackendRow;
 use crate::rows::DocumentRow;
-use crate::rows::DrainRow;
 use crate::rows::GroupRow;
 use crate::rows::InForce;
 use crate::rows::NodeRow;
 use crate::rows::Plan;
 use crate::rows::ProgramRow;
-use crate::rows::ResolvedRow;
 use crate::rows::Status;
 
-/// A change as it is offered.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Change {
-    /// The document.
-    pub scope: Arc<str>,
-    /// The declarations in YAML.
-    pub text: Arc<str>,
-    /// Version that the operator saw.
-    pub expected_version: u64,
-    /// Identity; a resend with it gives the first result.
-    pub change_id: Arc<str>,
-}
-
-/// What the control group made of a change that it took in.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Verdict {
-    /// It is in force.
-    Accepted {
-        /// Version of the document.
-        version: u64,
-        /// Revision of the whole.
-        revision: u64,
-    },
-    /// Another came first.
-    Conflict {
-        /// Version in force.
-        current_version: u64,
-        /// Against the text in force.
-        difference: Arc<str>,
-    },
-}
-
 fn text(reader: capnp::text::Reader<'_>) -> Result<Arc<str>, capnp::Error> {
     Ok(reader.to_str()?.into())
 }
@@ -69,22 +36,6 @@
     })
 }
 
-fn verdict(result: apply_result::Reader<'_>) -> Result<Attempt<Verdict>, capnp::Error> {
-    Ok(match result.which()? {
-        apply_result::Accepted(accepted) => Attempt::Done(Verdict::Accepted {
-            version: accepted.get_version(),
-            revision: accepted.get_revision(),
-        }),
-        apply_result::Conflict(conflict) => Attempt::Done(Verdict::Conflict {
-            current_version: conflict.get_current_version(),
-            difference: text(conflict.get_difference()?)?,
-        }),
-        apply_result::Invalid(reason) => Attempt::Invalid(text(reason?)?),
-        apply_result::Unavailable(reason) => Attempt::Unavailable(text(reason?)?),
-        apply_result::Unknown(reason) => Attempt::Unknown(text(reason?)?),
-    })
-}
-
 fn node(row: node_status::Reader<'_>) -> Result<NodeRow, capnp::Error> {
     Ok(NodeRow {
         node: row.get_node(),
@@ -108,25 +59,6 @@
     })
 }
 
-/// Offers a change; a lost answer is asked for again with the same change id.
-///
-/// # Errors
-///
-/// Fails as [`Client::call`] does.
-pub async fn apply(client: &Client, change: &Change) -> Result<Verdict, ToolError> {
-    let call = async |operator: operator::Client| {
-        let mut req = operator.apply_request();
-        let mut offered = req.get().init_change();
-        offered.set_scope(&*change.scope);
-        offered.set_text(&*change.text);
-        offered.set_expected_version(change.expected_version);
-        offered.set_change_id(&*change.change_id);
-        let response = req.send().promise.await?;
-        verdict(response.get()?.get_result()?)
-    };
-    client.call(Repeat::Idempotent, call).await
-}
-
 /// Asks what a change would do.
 ///
 /// # Errors
@@ -223,23 +155,6 @@
     client.call(Repeat::Read, call).await
 }
 
-/// Marks a VM or backend server as leaving; doing so twice is harmless.
-///
-/// # Errors
-///
-/// Fails as [`Client::call`] does.
-pub async fn drain(client: &Client, name: &str) -> Result<DrainRow, ToolError> {
-    let call = async |operator: operator::Client| {
-        let mut req = operator.drain_request();
-        req.get().set_name(name);
-        let response = req.send().promise.await?;
-        let result = response.get()?;
-        let row = DrainRow { name: name.into(), incarnation: result.get_incarnation() };
-        unless_failed(result.get_failure()?, row)
-    };
-    client.call(Repeat::Idempotent, call).await
-}
-
 /// Everything in force on a node.
 ///
 /// # Errors
@@ -280,21 +195,3 @@
     };
     client.call(Repeat::Read, call).await
 }
-
-/// Settles a call of unknown outcome; it is not sent again after a lost answer.
-///
-/// # Errors
-///
-/// Fails as [`Client::call`] does.
-pub async fn resolve(client: &Client, row: &ResolvedRow, note: &str) -> Result<(), ToolError> {
-    let call = async |operator: operator::Client| {
-        let mut req = operator.resolve_request();
-        req.get().set_program(&*row.program);
-        req.get().set_call(row.call);
-        req.get().set_ran(row.ran);
-        req.get().set_note(note);
-        let response = req.send().promise.await?;
-        unless_failed(response.get()?.get_failure()?, ())
-    };
-    client.call(Repeat::Once, call).await
-}
--- a/agatetrestle_cli/src/commands.rs
+++ b/agatetrestle_cli/src/commands.rs
@@ -6,7 +6,8 @@
 
 use crate::apply;
 use crate::calls;
-use crate::calls::Change;
+use crate::calls::changes;
+use crate::calls::changes::Change;
 use crate::client::Client;
 use crate::error::ToolError;
 use crate::options::Apply;
@@ -18,6 +19,7 @@
 use crate::report::Report;
 use crate::rows::InForce;
 use crate::rows::Plan;
+use crate::rows::ReplicasRow;
 use crate::rows::ResolvedRow;
 use crate::rows::Status;
 use crate::table::table;
@@ -54,7 +56,7 @@
         }
         Command::Backends => Report::result(format, &calls::backends(client).await?, |rows| table(rows)),
         Command::Drain { name } => {
-            let row = calls::drain(client, name).await?;
+            let row = changes::drain(client, name).await?;
             Report::result(format, &row, |row| table(std::slice::from_ref(row)))
         }
         Command::Config { scope } => show_config(client, format, scope.as_deref()).await?,
@@ -65,6 +67,11 @@
             })
         }
         Command::Resolve(args) => settle(client, format, args).await?,
+        Command::Replicas(args) => {
+            let row = ReplicasRow { group: args.group, change: args.change, node: args.node };
+            changes::replicas(client, &row).await?;
+            Report::result(format, &row, |row| table(std::slice::from_ref(row)))
+        }
         Command::Completions(shell) => {
             Report::result(Format::Table, &(), |()| completions(*shell).to_owned())
         }
@@ -110,7 +117,7 @@
 
 async fn settle(client: &Client, format: Format, args: &Resolve) -> Result<Report, ToolError> {
     let row = ResolvedRow { program: args.program.as_str().into(), call: args.call, ran: args.ran };
-    calls::resolve(client, &row, &args.note).await?;
+    changes::resolve(client, &row, &args.note).await?;
     Ok(Report::result(format, &row, |row| table(std::slice::from_ref(row))))
 }
 
--- a/agatetrestle_cli/src/options/tests.rs
+++ b/agatetrestle_cli/src/options/tests.rs
@@ -23,6 +23,7 @@
         "apply vrsta vrsta.yaml --expected-version 4 --wait",
         "apply --expected-version 4 --change-id ticket-17 vrsta vrsta.yaml",
         "resolve vrsta/dawn-1 3 --not-run --note seen-in-the-rota",
+        "replicas add 4 --group 0",
         "completions zsh",
     ];
     let read = lines.map(|line| parse(&line.split(' ').collect::<Vec<_>>()).unwrap().command);
@@ -45,6 +46,7 @@
         "--output xml status",
         "--address node-1:7402 status",
         "resolve vrsta/dawn-1 3 --note x",
+        "replicas drop 4 --group 0",
         "completions tcsh",
     ];
     let told = lines.map(|line| {
--- a/agatetrestle_cli/src/rows.rs
+++ b/agatetrestle_cli/src/rows.rs
@@ -4,6 +4,7 @@
 
 use serde::Serialize;
 
+use crate::options::ReplicaChange;
 use crate::table::Row;
 
 /// Outcome of an accepted change.
@@ -254,3 +255,22 @@
         vec![self.program.to_string(), self.call.to_string(), self.ran.to_string()]
     }
 }
+
+/// A change of the replicas of a group.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct ReplicasRow {
+    /// The group.
+    pub group: u32,
+    /// What was done.
+    pub change: ReplicaChange,
+    /// The node.
+    pub node: u64,
+}
+
+impl Row for ReplicasRow {
+    const HEADS: &'static [&'static str] = &["GROUP", "CHANGE", "NODE"];
+
+    fn cells(&self) -> Vec<String> {
+        vec![self.group.to_string(), format!("{:?}", self.change).to_lowercase(), self.node.to_string()]
+    }
+}
--- a/agatetrestle_cli/tests/operator.rs
+++ b/agatetrestle_cli/tests/operator.rs
@@ -16,13 +16,15 @@
 use agatetrestle_cli::apply::apply;
 use agatetrestle_cli::apply::default_change_id;
 use agatetrestle_cli::apply::wait;
-use agatetrestle_cli::calls::Change;
+use agatetrestle_cli::calls::changes::Change;
 use agatetrestle_cli::commands::run_with;
 use agatetrestle_cli::error::Exit;
 use agatetrestle_cli::error::ToolError;
 use agatetrestle_cli::options::Apply;
 use agatetrestle_cli::options::Command;
 use agatetrestle_cli::options::Format;
+use agatetrestle_cli::options::ReplicaChange;
+use agatetrestle_cli::options::Replicas;
 use agatetrestle_cli::options::Resolve;
 use agatetrestle_cli::rows::AppliedRow;
 use futures::future::join_all;
@@ -216,6 +218,10 @@
     PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/declarations/vrsta.yaml")
 }
 
+fn replicas(group: u32, change: ReplicaChange) -> Command {
+    Command::Replicas(Replicas { group, change, node: 4 })
+}
+
 fn commands() -> Vec<Command> {
     let change = Apply {
         expected_version: 0,
@@ -244,6 +250,10 @@
         Command::Drain { name: "vm-2".to_owned() },
         Command::Drain { name: "engine-1".to_owned() },
         Command::Drain { name: "vm-99".to_owned() },
+        replicas(0, ReplicaChange::Add),
+        replicas(0, ReplicaChange::Promote),
+        replicas(0, ReplicaChange::Remove),
+        replicas(7, ReplicaChange::Remove),
         Command::Config { scope: None },
         Command::Config { scope: Some("vrsta".to_owned()) },
         Command::Config { scope: Some("nobody".to_owned()) },
@@ -254,7 +264,8 @@
 fn snapshot(format: Format, name: &str) {
     in_world(async |world| {
         open_programs(&world);
-        let client = client(&[world.node(Mood::Well, 0).await]);
+        let node = world.node(Mood::Well, 0).await;
+        let client = client(&[node]);
         let mut told = Vec::new();
         for command in commands() {
             let report = run_with(&client, format, &command).await;
@@ -262,7 +273,8 @@
             let exit = report.exit as u8;
             told.push(format!("== {head}: exit {exit}\n{}{}", report.out, report.err));
         }
-        insta::assert_snapshot!(name, told.join("\n"));
+        let told = told.join("\n").replace(&node.to_string(), "IP:PORT");
+        insta::assert_snapshot!(name, told);
     });
 }
 
--- a/agatetrestle_cli/tests/support/mod.rs
+++ b/agatetrestle_cli/tests/support/mod.rs
@@ -9,17 +9,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use agatetrestle::agreement::ReplicaChange;
 use agatetrestle::control::command::Configuration;
 use agatetrestle::control::command::ControlCommand;
 use agatetrestle::control::command::ControlReply;
 use agatetrestle::control::state::ControlState;
 use agatetrestle::ids::CONTROL_GROUP;
+use agatetrestle::ids::GroupId;
 use agatetrestle::ids::NodeId;
 use agatetrestle::ids::ProgramId;
 use agatetrestle::operator;
 use agatetrestle::operator::OperatorServer;
 use agatetrestle::ports::BackendView;
 use agatetrestle::ports::Backends;
+use agatetrestle::ports::ChangeError;
 use agatetrestle::ports::Control;
 use agatetrestle::ports::GroupError;
 use agatetrestle::ports::GroupView;
@@ -168,6 +171,18 @@
             replicas: vec![NodeId(1), NodeId(2), NodeId(3)],
         }]
     }
+
+    fn change(&self, group: GroupId, change: ReplicaChange) -> LocalBoxFuture<'_, Result<(), ChangeError>> {
+        async move {
+            match change {
+                _ if group != CONTROL_GROUP => Err(ChangeError::NoReplica { group }),
+                ReplicaChange::AddLearner(_) => Ok(()),
+                ReplicaChange::Promote(_) => Err(ChangeError::Pending),
+                ReplicaChange::Remove(_) => Err(ChangeError::Invalid),
+            }
+        }
+        .boxed_local()
+    }
 }
 
 struct FakeTraces;
--- a/agatetrestle_schema/schema/operator.capnp
+++ b/agatetrestle_schema/schema/operator.capnp
@@ -78,6 +78,12 @@
   }
 }
 
+enum ReplicaChange {
+  addLearner @0;              # receives the log but does not count yet
+  promote @1;                 # refused while the learner lags
+  remove @2;
+}
+
 interface Operator {
   apply @0 (change :Change) -> (result :ApplyResult);
   plan @1 (scope :Text, text :Text) -> (currentVersion :UInt64, difference :Text, invalid :Text);
@@ -88,4 +94,5 @@
   config @6 () -> (revision :UInt64, documents :List(Document));
   trace @7 (limit :UInt32) -> (lines :List(Text));
   resolve @8 (program :Text, call :UInt32, ran :Bool, note :Text) -> (failure :Failure);
+  replicas @9 (group :UInt32, node :UInt64, change :ReplicaChange) -> (failure :Failure);
 }
