Order by attained service, place by cost, keep by expected return

Cause: round robin computed 526 of 556 million prompt tokens for the second time, and nothing freed engine memory of programs that are gone. Change: scheduler::Core with parts that policies choose: order of service (first come, shortest call, least attained service with aging and class priority), placing (least load, sticky, least cost over a bounded choice), retention (export what is expected back last, release at the end or after the keepalive), shares of partners and teams, retry budgets. Baselines least_load, sticky and shortest are selectable. The replay's score command gives medians over seeds.

--- a/agatetrestle/src/admission/mod.rs
+++ b/agatetrestle/src/admission/mod.rs
@@ -1,1 +1,5 @@
-//! Limits, fair share and refusal at the door; see docs/design/007-partner-isolation.md.
+//! Admission: whose call goes next, how many may be in service, and which are turned away; see
+//! docs/design/007-partner-isolation.md.
+
+pub mod queue;
+pub mod retry;
--- a/agatetrestle/src/retention/mod.rs
+++ b/agatetrestle/src/retention/mod.rs
@@ -1,1 +1,4 @@
-//! What stays cached while a program pauses; see docs/design/006-placing-and-retention.md.
+//! Retention: what stays in engine memory while a program pauses; see
+//! docs/design/006-placing-and-retention.md.
+
+pub mod returns;
--- /dev/null
+++ b/agatetrestle/src/scheduler/core/dispatch.rs
@@ -0,0 +1,192 @@
+//! The pass over waiting calls, and what is done when one is sent.
+
+use crate::admission::queue::CallKey;
+use crate::admission::queue::FairQueue;
+use crate::admission::queue::Owner;
+use crate::admission::queue::Ticket;
+use crate::clock::Timestamp;
+use crate::placing::Choice;
+use crate::placing::Fetch;
+use crate::placing::Wanted;
+use crate::placing::cost::missing_tokens;
+use crate::placing::cost::need;
+use crate::scheduler::core::Core;
+use crate::scheduler::core::Entry;
+use crate::scheduler::core::InService;
+use crate::scheduler::core::State;
+use crate::scheduler::event::Action;
+use crate::scheduler::event::BackendKey;
+use crate::scheduler::event::CacheOrder;
+use crate::scheduler::event::Decisions;
+use crate::scheduler::event::Work;
+use crate::scheduler::fleet::PoolKey;
+use crate::scheduler::programs::Place;
+use crate::scheduler::programs::Program;
+use crate::scheduler::programs::ProgramKey;
+use crate::scheduler::programs::Programs;
+
+impl Core {
+    /// Sends waiting calls of all pools.
+    pub(super) fn pass_all(&mut self, now: Timestamp, decisions: &mut Decisions) {
+        let pools: Vec<PoolKey> = self.queues.keys().collect();
+        for pool in pools {
+            self.pass(now, pool, decisions);
+        }
+    }
+
+    /// Sends waiting calls of a pool in their order until no server is open or too many had to be
+    /// left behind.
+    pub(super) fn pass(&mut self, now: Timestamp, pool: PoolKey, decisions: &mut Decisions) {
+        let mut left: Vec<(Owner, Ticket)> = Vec::new();
+        let mut held_for: Vec<BackendKey> = Vec::new();
+        while left.len() <= self.cfg.pass_skips && !self.fleet.pools[pool].open.is_empty() {
+            let Some((owner, ticket)) = self.queues.get_mut(pool).and_then(FairQueue::pop) else {
+                break;
+            };
+            match self.choose(now, pool, ticket.call) {
+                Choice::Send { to, fetch } => self.send(now, ticket.call, to, fetch, decisions),
+                Choice::Hold(server) => {
+                    self.fleet.servers[server].held_back += 1;
+                    held_for.push(server);
+                    left.push((owner, ticket));
+                }
+                Choice::Full => left.push((owner, ticket)),
+            }
+        }
+        for server in held_for {
+            self.fleet.servers[server].held_back = 0;
+        }
+        for (owner, ticket) in left {
+            self.queues[pool].push(&owner, ticket);
+        }
+    }
+
+    fn choose(&mut self, now: Timestamp, pool: PoolKey, call: CallKey) -> Choice {
+        let entry = &self.calls[call];
+        let wanted = wanted(&self.programs, entry, now);
+        self.parts.placer.place(&self.fleet, pool, &wanted)
+    }
+
+    fn send(
+        &mut self,
+        now: Timestamp,
+        call: CallKey,
+        to: BackendKey,
+        fetch: Fetch,
+        decisions: &mut Decisions,
+    ) {
+        let entry = &self.calls[call];
+        let program = entry.program;
+        let wanted = wanted(&self.programs, entry, now);
+        let (uncached, pinned, blocks) = {
+            let held = self.fleet.servers[to].residency.matching(wanted.blocks);
+            let missing = missing_tokens(&wanted, held);
+            let fetched = match fetch {
+                Fetch::Nothing => 0,
+                Fetch::Import => wanted.exported_tokens.min(missing),
+                Fetch::Move(_) => wanted.own_tokens.min(missing),
+            };
+            let divisor = self.cfg.import_divisor.max(1);
+            (missing - fetched + fetched / divisor, need(&wanted), held)
+        };
+        let is_model = matches!(entry.call.work, Work::Model { .. });
+        let charged = self.expected_service(entry);
+        if is_model {
+            self.note_shared(program, blocks, call);
+            self.fetch(program, to, fetch, decisions);
+        }
+        self.settle_in(call, to, is_model);
+        let server = &mut self.fleet.servers[to];
+        server.pinned_tokens += pinned;
+        server.pending_prefill += uncached;
+        self.fleet.acquire(to);
+        if is_model {
+            self.make_room(to, decisions);
+        }
+        let entry = &mut self.calls[call];
+        entry.attempts += 1;
+        let service = InService { server: to, first_token: None, uncached, pinned, charged };
+        entry.state = State::InService(service);
+        let priority = self.classes.rule(&entry.call.program.partner, &entry.call.class).priority;
+        decisions.actions.push(Action::Dispatch { call: entry.call.id, backend: to, priority });
+        let (owner, pool) = (entry.owner.clone(), entry.pool);
+        if let Some(queue) = self.queues.get_mut(pool) {
+            queue.charge(&owner, charged);
+        }
+    }
+
+    /// Remembers how much of a program's first prompt was there before it.
+    fn note_shared(&mut self, key: ProgramKey, held: usize, call: CallKey) {
+        let Work::Model { blocks, prompt_tokens, .. } = &self.calls[call].call.work else {
+            return;
+        };
+        let Some(program) = self.programs.get_mut(key) else {
+            return;
+        };
+        if !program.blocks.is_empty() || blocks.is_empty() {
+            return;
+        }
+        let count = u64::try_from(blocks.len()).unwrap_or(u64::MAX);
+        let held_blocks = u64::try_from(held).unwrap_or(u64::MAX);
+        program.shared_blocks = held;
+        program.shared_tokens = u64::from(*prompt_tokens) / count * held_blocks;
+    }
+
+    /// Gives the orders that bring the program's prefix to the engine.
+    fn fetch(&mut self, key: ProgramKey, to: BackendKey, fetch: Fetch, decisions: &mut Decisions) {
+        let place = self.programs.get(key).map(|program| program.place).unwrap_or_default();
+        match (fetch, place) {
+            (Fetch::Move(from), _) if self.parts.retention => self.export(key, from, decisions),
+            (_, Place::Held(from)) if from != to => self.release_everywhere(key, decisions),
+            _ => self.unpark(key),
+        }
+        if fetch == Fetch::Nothing || !self.parts.retention {
+            return;
+        }
+        if let Some(program) = self.programs.get(key) {
+            let program = program.id.clone();
+            decisions.orders.push(CacheOrder::Import { program, backend: to });
+        }
+    }
+
+    /// The program is now at home on this server.
+    fn settle_in(&mut self, call: CallKey, to: BackendKey, is_model: bool) {
+        let entry = &self.calls[call];
+        let Some(program) = self.programs.get_mut(entry.program) else {
+            return;
+        };
+        let Work::Model { blocks, prompt_tokens, .. } = &entry.call.work else {
+            return;
+        };
+        if is_model {
+            program.home = Some(to);
+            program.place = Place::Held(to);
+            program.blocks = blocks.clone();
+            program.prompt_tokens = u64::from(*prompt_tokens);
+            program.tokens = u64::from(*prompt_tokens);
+        }
+    }
+}
+
+fn wanted<'a>(programs: &'a Programs, entry: &'a Entry, now: Timestamp) -> Wanted<'a> {
+    let program = programs.get(entry.program);
+    let root = programs.get(entry.root);
+    let (blocks, prompt_tokens): (&[u64], u64) = match &entry.call.work {
+        Work::Model { blocks, prompt_tokens, .. } => (blocks, u64::from(*prompt_tokens)),
+        Work::Service { .. } => (&[], 0),
+    };
+    let exported = |program: &&Program| program.exported;
+    let exported_tokens = program.filter(exported).or(root.filter(exported)).map_or(0, |p| p.tokens);
+    Wanted {
+        blocks,
+        prompt_tokens,
+        output_tokens: entry.expected_output,
+        own_tokens: program.map_or(0, Program::own_tokens),
+        shared_tokens: program.map_or(0, |program| program.shared_tokens),
+        exported_tokens,
+        place: program.map(|program| program.place).unwrap_or_default(),
+        home: program.and_then(|program| program.home),
+        near: root.and_then(|root| root.home),
+        waited: now.since(entry.submitted),
+    }
+}
--- a/agatetrestle/src/scheduler/mod.rs
+++ b/agatetrestle/src/scheduler/mod.rs
@@ -4,18 +4,25 @@
 //! that the daemon and the replay run the same code; see docs/design/005-order-of-service.md.
 
 pub mod baseline;
+pub mod classes;
+pub mod config;
+pub mod core;
 pub mod event;
+pub mod fleet;
+pub mod order;
 pub mod policy;
+pub mod programs;
+pub mod random;
 
 use std::time::Duration;
 
 use crate::clock::Timestamp;
+pub use crate::scheduler::config::SchedulerConfig;
 use crate::scheduler::event::Backend;
 use crate::scheduler::event::BackendKey;
 use crate::scheduler::event::Decisions;
 use crate::scheduler::event::Event;
 pub use crate::scheduler::policy::Policy;
-pub use crate::scheduler::policy::SchedulerConfig;
 pub use crate::scheduler::policy::build;
 
 /// Everything that decides about calls. `now` never runs backwards.
--- a/agatetrestle/src/scheduler/policy.rs
+++ b/agatetrestle/src/scheduler/policy.rs
@@ -1,4 +1,4 @@
-//! The policies that can be chosen by name.
+//! The policies that can be chosen by name, each a choice of parts.
 
 use std::str::FromStr;
 use std::sync::Arc;
@@ -6,19 +6,54 @@
 use snafu::OptionExt;
 use snafu::Snafu;
 
+use crate::placing::cost::CostPlacer;
+use crate::placing::least_load::LeastLoad;
+use crate::placing::sticky::Sticky;
 use crate::scheduler::Scheduler;
 use crate::scheduler::baseline::Baseline;
+use crate::scheduler::config::SchedulerConfig;
+use crate::scheduler::core::Core;
+use crate::scheduler::core::Parts;
+use crate::scheduler::order::Attained;
+use crate::scheduler::order::FirstCome;
+use crate::scheduler::order::ShortestCall;
 
 /// How calls are ordered, placed and kept.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Policy {
     /// First come first served over round robin.
-    #[default]
     RoundRobin,
+    /// First come first served, each call to the least loaded server.
+    LeastLoad,
+    /// First come first served, each program to the server that was least loaded at its first call.
+    Sticky,
+    /// Shortest call first over sticky sessions.
+    Shortest,
+    /// Least attained service over sticky sessions.
+    Order,
+    /// First come first served, placed by cost with retention.
+    Placing,
+    /// Least attained service, placed by cost, without retention.
+    NoRetention,
+    /// Everything but the shares of partners and teams.
+    NoShares,
+    /// Everything together.
+    #[default]
+    Adaptive,
 }
 
 /// Every policy with its name.
-pub const POLICIES: [(&str, Policy); 1] = [("round_robin", Policy::RoundRobin)];
+pub const POLICIES: [(&str, Policy); 9] = [
+    ("round_robin", Policy::RoundRobin),
+    ("least_load", Policy::LeastLoad),
+    ("sticky", Policy::Sticky),
+    ("shortest", Policy::Shortest),
+    ("order", Policy::Order),
+    ("placing", Policy::Placing),
+    ("no_retention", Policy::NoRetention),
+    ("no_shares", Policy::NoShares),
+    ("adaptive", Policy::Adaptive),
+];
 
 impl Policy {
     /// The name by which it is chosen.
@@ -45,14 +80,38 @@
     }
 }
 
-/// Constants of the decisions that do not come from declarations.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct SchedulerConfig {}
-
 /// Makes the scheduler of a policy; equal seeds decide equally.
 #[must_use]
-pub fn build(policy: Policy, _cfg: SchedulerConfig, _seed: u64) -> Box<dyn Scheduler> {
-    match policy {
-        Policy::RoundRobin => Box::new(Baseline::default()),
-    }
+pub fn build(policy: Policy, cfg: SchedulerConfig, seed: u64) -> Box<dyn Scheduler> {
+    let first_come = || Box::new(FirstCome);
+    let attained = |cfg: &SchedulerConfig| Box::new(Attained::new(cfg));
+    let cost = |cfg: &SchedulerConfig, moves| Box::new(CostPlacer::new(cfg, moves, seed));
+    let parts = match policy {
+        Policy::RoundRobin => return Box::new(Baseline::default()),
+        Policy::LeastLoad => {
+            Parts { order: first_come(), placer: Box::new(LeastLoad), retention: false, shares: false }
+        }
+        Policy::Sticky => {
+            Parts { order: first_come(), placer: Box::new(Sticky), retention: false, shares: false }
+        }
+        Policy::Shortest => {
+            Parts { order: Box::new(ShortestCall), placer: Box::new(Sticky), retention: false, shares: false }
+        }
+        Policy::Order => {
+            Parts { order: attained(&cfg), placer: Box::new(Sticky), retention: false, shares: false }
+        }
+        Policy::Placing => {
+            Parts { order: first_come(), placer: cost(&cfg, true), retention: true, shares: false }
+        }
+        Policy::NoRetention => {
+            Parts { order: attained(&cfg), placer: cost(&cfg, false), retention: false, shares: true }
+        }
+        Policy::NoShares => {
+            Parts { order: attained(&cfg), placer: cost(&cfg, true), retention: true, shares: false }
+        }
+        Policy::Adaptive => {
+            Parts { order: attained(&cfg), placer: cost(&cfg, true), retention: true, shares: true }
+        }
+    };
+    Box::new(Core::new(parts, cfg, seed))
 }
--- a/agatetrestle_replay/src/cache.rs
+++ b/agatetrestle_replay/src/cache.rs
@@ -102,8 +102,9 @@
         held
     }
 
-    /// Inserts and pins blocks that were computed; returns those evicted for them.
-    pub fn insert_pinned(&mut self, blocks: &[u64], owner: u32) -> Vec<u64> {
+    /// Inserts and pins blocks; returns those evicted for them. Imported blocks were counted when
+    /// they were first computed.
+    pub fn insert_pinned(&mut self, blocks: &[u64], owner: u32, imported: &[u64]) -> Vec<u64> {
         let mut evicted = Vec::new();
         for block in blocks {
             if let Some(entry) = self.entries.get_mut(block) {
@@ -117,8 +118,9 @@
             if self.entries.len() >= self.capacity {
                 evicted.extend(self.evict_oldest());
             }
-            self.counts.inserted += 1;
-            let entry = Entry { tick: 0, pins: 1, read: false, owner, shared: false };
+            let read = imported.contains(block);
+            self.counts.inserted += u64::from(!read);
+            let entry = Entry { tick: 0, pins: 1, read, owner, shared: false };
             self.entries.insert(*block, entry);
         }
         evicted
@@ -169,19 +171,6 @@
         exported
     }
 
-    /// Inserts and pins blocks that came back from the host; returns those evicted for them.
-    pub fn import_pinned(&mut self, blocks: &[u64], owner: u32) -> Vec<u64> {
-        let inserted = self.counts.inserted;
-        let evicted = self.insert_pinned(blocks, owner);
-        self.counts.inserted = inserted;
-        for block in blocks {
-            if let Some(entry) = self.entries.get_mut(block) {
-                entry.read = true;
-            }
-        }
-        evicted
-    }
-
     /// Loses everything, as an engine does that restarts.
     pub fn clear(&mut self) {
         self.counts.unread += self.unread_held();
--- a/agatetrestle_replay/src/engine.rs
+++ b/agatetrestle_replay/src/engine.rs
@@ -54,6 +54,7 @@
 struct Running {
     req: Request,
     pinned: usize,
+    imported: Vec<u64>,
     reserved: usize,
     prefill_left: u32,
     output_left: u32,
@@ -63,12 +64,12 @@
 /// What an engine tells the replay.
 #[derive(Clone, Debug)]
 pub enum Output {
-    /// A prompt was computed from this block on.
+    /// Blocks of a prompt were computed.
     Prefilled {
         /// The call.
         call: u64,
-        /// First block that was neither cached nor imported.
-        from: usize,
+        /// Those that were neither cached nor imported.
+        computed: Vec<u64>,
     },
     /// The first token of an answer.
     FirstToken(u64),
@@ -142,16 +143,14 @@
     }
 
     /// Takes in a request.
-    pub fn submit(&mut self, now: u64, req: Request, host: &mut HostStore) -> Vec<Output> {
+    pub fn submit(&mut self, now: u64, req: Request, host: &mut HostStore) {
         self.sequence += 1;
         self.waiting.insert((Reverse(req.priority), self.sequence), req);
         if self.steps > 0 {
             self.shorten(now);
-            return Vec::new();
+            return;
         }
-        let mut outputs = Vec::new();
-        self.plan(now, host, &mut outputs);
-        outputs
+        self.plan(now, host);
     }
 
     /// Allows the next prompt of a program to be read back from the host.
@@ -168,7 +167,7 @@
         self.busy += self.step * self.steps;
         self.progress(&mut outputs);
         self.steps = 0;
-        self.plan(now, host, &mut outputs);
+        self.plan(now, host);
         outputs
     }
 
@@ -235,14 +234,16 @@
 
     fn prefilled(&mut self, at: usize, outputs: &mut Vec<Output>) {
         let running = &mut self.running[at];
-        let computed = &running.req.prompt[running.pinned..];
-        let evicted = self.cache.insert_pinned(computed, running.req.program);
-        outputs.push(Output::Prefilled { call: running.req.call, from: running.pinned });
-        if !computed.is_empty() {
-            outputs.push(Output::Stored(computed.to_vec()));
+        let coming = &running.req.prompt[running.pinned..];
+        let evicted = self.cache.insert_pinned(coming, running.req.program, &running.imported);
+        let imported = std::mem::take(&mut running.imported);
+        let computed = coming.iter().copied().filter(|block| !imported.contains(block)).collect();
+        outputs.push(Output::Prefilled { call: running.req.call, computed });
+        if !coming.is_empty() {
+            outputs.push(Output::Stored(coming.to_vec()));
         }
-        self.reserved -= computed.len();
-        running.reserved -= computed.len();
+        self.reserved -= coming.len();
+        running.reserved -= coming.len();
         running.pinned = running.req.prompt.len();
         if !evicted.is_empty() {
             outputs.push(Output::Evicted(evicted));
@@ -252,7 +253,7 @@
     fn finish(&mut self, at: usize, outputs: &mut Vec<Output>) {
         let running = self.running.remove(at);
         let answer = &running.req.whole[running.pinned..];
-        let evicted = self.cache.insert_pinned(answer, running.req.program);
+        let evicted = self.cache.insert_pinned(answer, running.req.program, &[]);
         self.cache.unpin(&running.req.whole);
         self.reserved -= running.reserved;
         if !answer.is_empty() {
@@ -265,8 +266,8 @@
         outputs.push(Output::Finished { call: req.call, cached_tokens });
     }
 
-    fn plan(&mut self, now: u64, host: &mut HostStore, outputs: &mut Vec<Output>) {
-        self.admit(host, outputs);
+    fn plan(&mut self, now: u64, host: &mut HostStore) {
+        self.admit(host);
         self.planned_at = now;
         if self.running.is_empty() {
             return;
@@ -285,7 +286,7 @@
         self.steps = if fresh { 1 } else { u64::from(steps) };
     }
 
-    fn admit(&mut self, host: &mut HostStore, outputs: &mut Vec<Output>) {
+    fn admit(&mut self, host: &mut HostStore) {
         while self.running.len() < self.slots {
             let Some((key, req)) = self.waiting.first_key_value() else {
                 return;
@@ -297,35 +298,30 @@
             }
             let key = *key;
             if let Some(req) = self.waiting.remove(&key) {
-                self.start(req, host, outputs);
+                self.start(req, host);
             }
         }
     }
 
-    fn start(&mut self, req: Request, host: &mut HostStore, outputs: &mut Vec<Output>) {
+    fn start(&mut self, req: Request, host: &mut HostStore) {
         let held = self.cache.pin_prefix(&req.prompt, req.program);
-        let imported =
-            if self.importing.remove(&req.program) { host.matching(&req.prompt[held..]) } else { 0 };
-        let coming = &req.prompt[held..held + imported];
-        host.take(coming);
-        let evicted = self.cache.import_pinned(coming, req.program);
-        if imported > 0 {
-            outputs.push(Output::Stored(coming.to_vec()));
-        }
-        if !evicted.is_empty() {
-            outputs.push(Output::Evicted(evicted));
+        let missing = &req.prompt[held..];
+        let mut imported = Vec::new();
+        if self.importing.remove(&req.program) {
+            imported = host.read(missing, req.program);
         }
-        let pinned = held + imported;
         let tokens = |blocks: usize| self.block_tokens * u32::try_from(blocks).unwrap_or(u32::MAX);
-        let computed = req.prompt_tokens.saturating_sub(tokens(pinned));
-        let reserved = req.whole.len() - pinned;
+        let cached_tokens = tokens(held + imported.len()).min(req.prompt_tokens);
+        let computed = req.prompt_tokens - cached_tokens;
+        let reserved = req.whole.len() - held;
         self.reserved += reserved;
         self.running.push(Running {
-            pinned,
+            pinned: held,
             reserved,
-            prefill_left: (computed + tokens(imported) / IMPORT_DIVISOR).max(1),
+            prefill_left: (computed + tokens(imported.len()) / IMPORT_DIVISOR).max(1),
+            imported,
             output_left: req.output_tokens,
-            cached_tokens: tokens(pinned).min(req.prompt_tokens),
+            cached_tokens,
             req,
         });
     }
--- a/agatetrestle_replay/src/host.rs
+++ b/agatetrestle_replay/src/host.rs
@@ -16,6 +16,8 @@
 struct Entry {
     tick: u64,
     read: bool,
+    owner: u32,
+    shared: bool,
 }
 
 /// Exported blocks under least-recently-used eviction.
@@ -42,41 +44,49 @@
         self.unread + held
     }
 
-    /// How many leading blocks are here.
-    #[must_use]
-    pub fn matching(&self, blocks: &[u64]) -> usize {
-        blocks.iter().take_while(|block| self.entries.contains_key(block)).count()
-    }
-
-    /// Takes in blocks, the deepest first, so that a prefix outlives what hangs on it.
-    pub fn store(&mut self, blocks: &[Exported]) {
+    /// Takes in blocks of a program, the deepest first, so that a prefix outlives what hangs on it.
+    pub fn store(&mut self, blocks: &[Exported], owner: u32) {
         for exported in blocks.iter().rev() {
-            self.drop_block(exported.block);
+            self.tick += 1;
+            if let Some(entry) = self.entries.get_mut(&exported.block) {
+                self.oldest.remove(&entry.tick);
+                entry.tick = self.tick;
+                entry.read |= exported.read;
+                entry.shared |= entry.owner != owner;
+                self.oldest.insert(self.tick, exported.block);
+                continue;
+            }
             while self.entries.len() >= self.capacity {
                 let Some((_, block)) = self.oldest.pop_first() else {
                     return;
                 };
                 self.drop_block(block);
             }
-            self.tick += 1;
             self.oldest.insert(self.tick, exported.block);
-            self.entries.insert(exported.block, Entry { tick: self.tick, read: exported.read });
+            let entry = Entry { tick: self.tick, read: exported.read, owner, shared: false };
+            self.entries.insert(exported.block, entry);
         }
     }
 
-    /// Hands blocks back to an engine.
-    pub fn take(&mut self, blocks: &[u64]) {
+    /// Copies those blocks to an engine that are here; returns which.
+    pub fn read(&mut self, blocks: &[u64], reader: u32) -> Vec<u64> {
+        let mut found = Vec::new();
         for block in blocks {
-            if let Some(entry) = self.entries.remove(block) {
-                self.oldest.remove(&entry.tick);
+            if let Some(entry) = self.entries.get_mut(block) {
+                entry.read = true;
+                entry.shared |= entry.owner != reader;
+                found.push(*block);
             }
         }
+        found
     }
 
-    /// Drops blocks for good.
-    pub fn discard(&mut self, blocks: &[u64]) {
+    /// Drops the blocks that only this program stored and read.
+    pub fn discard(&mut self, blocks: &[u64], owner: u32) {
         for block in blocks {
-            self.drop_block(*block);
+            if self.entries.get(block).is_some_and(|entry| entry.owner == owner && !entry.shared) {
+                self.drop_block(*block);
+            }
         }
     }
 
--- a/agatetrestle_replay/src/lib.rs
+++ b/agatetrestle_replay/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod programs;
 pub mod random;
 pub mod report;
+pub mod score;
 pub mod synth;
 pub mod tally;
 pub mod world;
@@ -31,9 +32,20 @@
 /// Replays a trace under a policy.
 #[must_use]
 pub fn replay(calls: &[TraceCall], policy: Policy, options: &Options) -> Measures {
+    replay_with(calls, policy, &SchedulerConfig::default(), options)
+}
+
+/// Replays a trace under a policy with other constants than the usual ones.
+#[must_use]
+pub fn replay_with(
+    calls: &[TraceCall],
+    policy: Policy,
+    cfg: &SchedulerConfig,
+    options: &Options,
+) -> Measures {
     let catalog = Arc::new(catalog::declare(calls, &options.pool));
     let programs = programs::arrange(calls.to_vec());
-    let mut scheduler = build(policy, SchedulerConfig::default(), options.seed);
+    let mut scheduler = build(policy, cfg.clone(), options.seed);
     let measures = world::run(&programs, &catalog, scheduler.as_mut(), options);
     Measures { policy: policy.name().into(), ..measures }
 }
--- a/agatetrestle_replay/src/main.rs
+++ b/agatetrestle_replay/src/main.rs
@@ -6,18 +6,23 @@
 use std::sync::Arc;
 
 use agatetrestle::scheduler::Policy;
+use agatetrestle::scheduler::SchedulerConfig;
 use agatetrestle::trace;
 use agatetrestle::trace::TraceError;
 use agatetrestle_replay::catalog::Pool;
 use agatetrestle_replay::faults;
+use agatetrestle_replay::faults::Fault;
 use agatetrestle_replay::faults::FaultError;
 use agatetrestle_replay::replay;
 use agatetrestle_replay::report;
+use agatetrestle_replay::score;
+use agatetrestle_replay::score::Score;
 use agatetrestle_replay::synth;
 use agatetrestle_replay::synth::Synth;
 use agatetrestle_replay::synth::Workload;
 use agatetrestle_replay::world::Options;
 use bpaf::Bpaf;
+use snafu::OptionExt;
 use snafu::ResultExt;
 use snafu::Snafu;
 
@@ -54,22 +59,85 @@
     /// Writes a synthetic trace to the standard output.
     #[bpaf(command)]
     Synth {
-        /// `vrsta`, `lernwerk`, `shared`, `tenfold` or `runaway`.
-        #[bpaf(argument("NAME"))]
-        workload: Workload,
-        /// Programs that are no sub-agents.
-        #[bpaf(argument("COUNT"), fallback(1_000))]
-        programs: u32,
-        /// Offered work in percent of what the engines can do.
-        #[bpaf(argument("PERCENT"), fallback(85))]
-        load: u32,
-        /// Engines that the load is meant for.
-        #[bpaf(argument("COUNT"), fallback(8))]
-        engines: u32,
+        #[bpaf(external)]
+        shape: Shape,
         /// Decides everything else.
         #[bpaf(argument("NUMBER"), fallback(1))]
         seed: u64,
     },
+    /// Replays synthetic traces of several seeds under several policies and writes medians.
+    #[bpaf(command)]
+    Score {
+        #[bpaf(external)]
+        shape: Shape,
+        /// Name of a policy; may be repeated.
+        #[bpaf(argument("NAME"))]
+        policy: Vec<Policy>,
+        /// First seed.
+        #[bpaf(argument("NUMBER"), fallback(1))]
+        first: u64,
+        /// Last seed.
+        #[bpaf(argument("NUMBER"), fallback(20))]
+        last: u64,
+        /// Distance between seeds; 2 takes the even or the odd ones.
+        #[bpaf(argument("NUMBER"), fallback(1))]
+        step: usize,
+        /// Threads.
+        #[bpaf(argument("COUNT"), fallback(4))]
+        jobs: usize,
+        /// Constant of the decisions as `name=value`; may be repeated.
+        #[bpaf(argument("SETTING"))]
+        set: Vec<Setting>,
+        /// Faults in the form of docs/TRACE.md.
+        #[bpaf(argument("FILE"), optional)]
+        faults: Option<PathBuf>,
+    },
+}
+
+#[derive(Bpaf, Clone, Debug)]
+struct Shape {
+    /// `vrsta`, `lernwerk`, `shared`, `tenfold` or `runaway`.
+    #[bpaf(argument("NAME"))]
+    workload: Workload,
+    /// Programs that are no sub-agents.
+    #[bpaf(argument("COUNT"), fallback(1_000))]
+    programs: u32,
+    /// Offered work in percent of what the engines can do.
+    #[bpaf(argument("PERCENT"), fallback(85))]
+    load: u32,
+    /// Engines that the load is meant for.
+    #[bpaf(argument("COUNT"), fallback(8))]
+    engines: u32,
+}
+
+impl Shape {
+    fn synth(&self, seed: u64) -> Synth {
+        let Self { workload, programs, load, engines } = *self;
+        Synth { workload, programs, load, engines, seed }
+    }
+}
+
+/// One constant of the decisions.
+#[derive(Clone, Debug)]
+struct Setting {
+    name: Arc<str>,
+    value: serde_json::Value,
+}
+
+impl std::str::FromStr for Setting {
+    type Err = NoSetting;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (name, value) = text.split_once('=').context(NoSettingSnafu { text })?;
+        let value = serde_json::from_str(value).unwrap_or_else(|_| value.into());
+        Ok(Self { name: name.into(), value })
+    }
+}
+
+#[derive(Debug, Snafu)]
+#[snafu(display("{text} is not of the form name=value"))]
+struct NoSetting {
+    text: Arc<str>,
 }
 
 #[derive(Bpaf, Clone, Debug)]
@@ -122,18 +190,32 @@
     Faults { file: PathBuf, source: FaultError },
     #[snafu(display("the output can't be written as JSON: {source}"))]
     Write { source: serde_json::Error },
+    #[snafu(display("no such constant of the decisions: {source}"))]
+    Settings { source: serde_json::Error },
 }
 
 fn read(file: &Path) -> Result<String, ReplayError> {
     std::fs::read_to_string(file).context(ReadSnafu { file })
 }
 
+fn read_faults(file: Option<&Path>) -> Result<Vec<Fault>, ReplayError> {
+    match file {
+        Some(file) => faults::parse(&read(file)?).context(FaultsSnafu { file }),
+        None => Ok(Vec::new()),
+    }
+}
+
+fn configure(settings: &[Setting]) -> Result<SchedulerConfig, ReplayError> {
+    let mut object = serde_json::Map::new();
+    for setting in settings {
+        object.insert(setting.name.to_string(), setting.value.clone());
+    }
+    serde_json::from_value(object.into()).context(SettingsSnafu)
+}
+
 fn compare(file: &Path, policies: &[Policy], common: &Common) -> Result<String, ReplayError> {
     let calls = trace::parse(&read(file)?).context(TraceSnafu { file })?;
-    let faults = match &common.faults {
-        Some(file) => faults::parse(&read(file)?).context(FaultsSnafu { file })?,
-        None => Vec::new(),
-    };
+    let faults = read_faults(common.faults.as_deref())?;
     let pool = Pool { engines: common.engines, ..Pool::default() };
     let options = Options { seed: common.seed, pool, faults };
     let measures: Vec<_> = policies.iter().map(|policy| replay(&calls, *policy, &options)).collect();
@@ -147,15 +229,19 @@
     match command {
         Command::Run { trace, policy, common } => compare(trace, &[*policy], common),
         Command::Compare { trace, policy, common } => compare(trace, policy, common),
-        Command::Synth { workload, programs, load, engines, seed } => {
-            let synth = Synth {
-                workload: *workload,
-                programs: *programs,
-                load: *load,
-                engines: *engines,
-                seed: *seed,
+        Command::Synth { shape, seed } => {
+            trace::format(&synth::synthesise(&shape.synth(*seed))).context(WriteSnafu)
+        }
+        Command::Score { shape, policy, first, last, step, jobs, set, faults } => {
+            let score = Score {
+                synth: shape.synth(*first),
+                seeds: (*first..=*last).step_by((*step).max(1)).collect(),
+                policies: policy.clone(),
+                cfg: configure(set)?,
+                faults: read_faults(faults.as_deref())?,
+                jobs: *jobs,
             };
-            trace::format(&synth::synthesise(&synth)).context(WriteSnafu)
+            Ok(score::table(&score, &score::run(&score)))
         }
     }
 }
--- a/agatetrestle_replay/src/measure.rs
+++ b/agatetrestle_replay/src/measure.rs
@@ -55,6 +55,14 @@
     pub to_leaving: u64,
 }
 
+impl Broken {
+    /// All of them.
+    #[must_use]
+    pub fn sum(&self) -> u64 {
+        self.order + self.at_most_once + self.cache_for_the_gone + self.refused_after_send + self.to_leaving
+    }
+}
+
 /// Everything that one replay measured.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct Measures {
--- a/agatetrestle_replay/src/synth.rs
+++ b/agatetrestle_replay/src/synth.rs
@@ -14,7 +14,7 @@
 use crate::random::mix;
 use crate::random::whole;
 
-const BLOCK_TOKENS: u32 = 256;
+const BLOCK_TOKENS: u32 = 512;
 const MICROS: f64 = 1e6;
 const MAX_TURNS: u32 = 580;
 const MAX_HISTORY: u32 = 280_000;
--- a/agatetrestle_replay/src/world.rs
+++ b/agatetrestle_replay/src/world.rs
@@ -319,9 +319,8 @@
             output_tokens: traced.output.max(1),
             priority,
         };
-        let outputs = engine.submit(self.now, req, &mut self.fleet.host);
+        engine.submit(self.now, req, &mut self.fleet.host);
         self.plan_wake(at);
-        self.take_outputs(at, outputs);
     }
 
     fn plan_wake(&mut self, at: usize) {
@@ -349,7 +348,7 @@
     fn take_outputs(&mut self, at: usize, outputs: Vec<Output>) {
         for output in outputs {
             match output {
-                Output::Prefilled { call, from } => self.prefilled(call, from),
+                Output::Prefilled { call, computed } => self.prefilled(call, &computed),
                 Output::FirstToken(call) => {
                     if let Some(live) = self.calls.get(&call) {
                         self.tally.first_tokens.push(self.now - live.submitted);
@@ -373,16 +372,15 @@
         self.agenda.add(self.now + lag, Happening::Tell(Event::Cache { backend, change }));
     }
 
-    fn prefilled(&mut self, id: u64, from: usize) {
-        let Some(call) = self.calls.get(&id) else {
+    fn prefilled(&mut self, id: u64, computed: &[u64]) {
+        if !self.calls.contains_key(&id) {
             return;
-        };
-        let traced = &self.programs[call.program].calls[call.index];
-        let skipped = u32::try_from(from).unwrap_or(u32::MAX).saturating_mul(self.block_tokens);
-        self.tally.computed += u64::from(traced.prompt_tokens.saturating_sub(skipped));
-        for block in &traced.blocks[from..] {
+        }
+        let tokens = u64::from(self.block_tokens);
+        for block in computed {
+            self.tally.computed += tokens;
             if !self.computed.insert(*block) {
-                self.tally.recomputed += u64::from(self.block_tokens);
+                self.tally.recomputed += tokens;
             }
         }
     }
@@ -570,7 +568,7 @@
             CacheOrder::Release { .. } => {
                 let released = engine.cache.release(&blocks, owner);
                 if self.progress[at].fate != Fate::Live {
-                    self.fleet.host.discard(&blocks);
+                    self.fleet.host.discard(&blocks, owner);
                 }
                 if !released.is_empty() {
                     self.cache_event(server, CacheChange::Evicted(released.into()));
@@ -578,7 +576,7 @@
             }
             CacheOrder::Export { .. } => {
                 let exported = engine.cache.export(&blocks, owner);
-                self.fleet.host.store(&exported);
+                self.fleet.host.store(&exported, owner);
                 let gone: Vec<u64> = exported.iter().map(|exported| exported.block).collect();
                 if !gone.is_empty() {
                     self.cache_event(server, CacheChange::Evicted(gone.into()));
--- a/agatetrestle_replay/tests/fakes.rs
+++ b/agatetrestle_replay/tests/fakes.rs
@@ -39,25 +39,25 @@
 #[test]
 fn least_recently_used_leaves_are_evicted_first() {
     let mut cache = PrefixCache::new(3);
-    cache.insert_pinned(&[1, 2, 3], 1);
+    cache.insert_pinned(&[1, 2, 3], 1, &[]);
     cache.unpin(&[1, 2, 3]);
-    assert_eq!(cache.insert_pinned(&[9], 2), vec![3]);
+    assert_eq!(cache.insert_pinned(&[9], 2, &[]), vec![3]);
     assert_eq!(cache.matching(&[1, 2, 3]), 2);
 }
 
 #[test]
 fn pinned_blocks_stay() {
     let mut cache = PrefixCache::new(2);
-    cache.insert_pinned(&[1, 2], 1);
+    cache.insert_pinned(&[1, 2], 1, &[]);
     assert!(!cache.fits(&[], 1));
-    assert_eq!(cache.insert_pinned(&[3], 2), Vec::<u64>::new());
+    assert_eq!(cache.insert_pinned(&[3], 2, &[]), Vec::<u64>::new());
     assert_eq!(cache.matching(&[1, 2]), 2);
 }
 
 #[test]
 fn release_spares_what_others_read() {
     let mut cache = PrefixCache::new(8);
-    cache.insert_pinned(&[1, 2], 1);
+    cache.insert_pinned(&[1, 2], 1, &[]);
     cache.pin_prefix(&[1], 2);
     cache.unpin(&[1, 2]);
     cache.unpin(&[1]);
@@ -85,7 +85,7 @@
     let mut engine = Engine::new(4, 100, 256);
     engine.submit(0, request(1, &blocks, 1), &mut host);
     let (first, _) = run_to_end(&mut engine, &mut host);
-    host.store(&engine.cache.export(&blocks, 1));
+    host.store(&engine.cache.export(&blocks, 1), 1);
     assert_eq!(engine.cache.matching(&blocks), 0);
     engine.import(1);
     engine.submit(first, request(2, &blocks, 1), &mut host);
