--- a/agatetrestle/src/scheduler/mod.rs
+++ b/agatetrestle/src/scheduler/mod.rs
@@ -18,11 +18,12 @@
 use std::time::Duration;
 
 use crate::clock::Timestamp;
-pub use crate::scheduler::config::SchedulerConfig;
 use crate::scheduler::event::Backend;
 use crate::scheduler::event::BackendKey;
 use crate::scheduler::event::Decisions;
 use crate::scheduler::event::Event;
+
+pub use crate::scheduler::config::SchedulerConfig;
 pub use crate::scheduler::policy::Policy;
 pub use crate::scheduler::policy::build;
 
