--- a/agatetrestle/src/scheduler/mod.rs
+++ b/agatetrestle/src/scheduler/mod.rs
@@ -4,8 +4,16 @@
 //! that the daemon and the replay run the same code; see docs/design/005-order-of-service.md.
 
 pub mod baseline;
+pub mod classes;
+pub mod config;
+pub mod core;
 pub mod event;
+pub mod fleet;
+pub mod order;
 pub mod policy;
+pub mod programs;
+pub mod random;
+pub mod residual;
 
 use std::time::Duration;
 
@@ -14,8 +22,9 @@
 use crate::scheduler::event::BackendKey;
 use crate::scheduler::event::Decisions;
 use crate::scheduler::event::Event;
+
+pub use crate::scheduler::config::SchedulerConfig;
 pub use crate::scheduler::policy::Policy;
-pub use crate::scheduler::policy::SchedulerConfig;
 pub use crate::scheduler::policy::build;
 
 /// Everything that decides about calls. `now` never runs backwards.
