Give orders to engines from the control leader

Change: the loop of the control leader with a number for each term, the engines behind a trait with an HTTP form, and links that are only replaced when they do not work. Adapters, versions and roles are not ordered yet.

--- a/agatetrestle/src/node/group.rs
+++ b/agatetrestle/src/node/group.rs
@@ -298,6 +298,11 @@
         self.replica.borrow().lease_valid(self.clock.now())
     }
 
+    /// Whether this replica's lease holds until a time that lies ahead.
+    pub fn leads_until(&self, then: Timestamp) -> bool {
+        self.replica.borrow().lease_valid(then)
+    }
+
     /// The leader, if known.
     pub fn leader(&self) -> Option<NodeId> {
         self.replica.borrow().leader()
--- a/agatetrestle/src/node/links.rs
+++ b/agatetrestle/src/node/links.rs
@@ -37,11 +37,12 @@
         links
     }
 
-    /// Takes in the address of a node; a replaced VM has a new one.
+    /// Takes in the address of a node; a replaced VM has a new one. A link that works is kept, since the
+    /// settings may name another way to the same node.
     pub fn learn(&self, node: NodeId, address: SocketAddr) {
         let mut links = self.by_node.borrow_mut();
-        let known = links.get(&node).is_some_and(|link| link.address() == address);
-        if node == self.node || known {
+        let kept = links.get(&node).is_some_and(|link| link.is_connected() || link.address() == address);
+        if node == self.node || kept {
             return;
         }
         if links.contains_key(&node) {
--- a/agatetrestle/src/node/mod.rs
+++ b/agatetrestle/src/node/mod.rs
@@ -8,6 +8,7 @@
 pub mod links;
 pub mod listeners;
 pub mod listings;
+mod orders;
 pub mod peer_link;
 pub mod peer_server;
 pub mod registry;
@@ -63,6 +64,7 @@
 use crate::node::listeners::Listeners;
 use crate::node::listings::BackendListing;
 use crate::node::listings::GroupListing;
+use crate::node::orders::Orders;
 use crate::node::peer_server::PeerServer;
 use crate::node::registry::Registry;
 use crate::node::replicas::Missing;
@@ -73,13 +75,16 @@
 use crate::node::service::LedgerService;
 use crate::operator;
 use crate::operator::OperatorServer;
+use crate::orders::engines::HttpEngineAdmin;
 use crate::ports;
 use crate::ports::Control;
 use crate::ports::Groups;
 use crate::ports::Members;
 use crate::programs::ledger::Ledger;
+use crate::scheduler;
+use crate::scheduler::Policy;
 use crate::scheduler::Scheduler;
-use crate::scheduler::baseline::Baseline;
+use crate::scheduler::SchedulerConfig;
 
 /// How often a planned stop looks whether the last request is done.
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -140,6 +145,9 @@
         tasks.push(executor.spawn(entry::serve(entry.clone(), listeners.callers, executor.clone())));
         tasks.push(executor.spawn(async move { calls.run_ticks().await }));
         tasks.push(executor.spawn(assembly.heartbeats.clone().run()));
+        if let Some(orders) = assembly.orders(&replicas) {
+            tasks.push(executor.spawn(orders.run(settings.timing.heartbeat)));
+        }
         if let Some(address) = settings.platform.vm_list {
             let reading = vm_list::run(assembly.heartbeats.clone(), address, settings.platform.interval);
             tasks.push(executor.spawn(reading));
@@ -330,7 +338,8 @@
         let control_router = router(CONTROL_GROUP, replicas.control_service());
         let control = Rc::new(ControlPort::new(control_router, clock, timing.clock_drift, stopping.clone()));
         let ledger = Rc::new(LedgerPort::new(router(FIRST_STATE_GROUP, replicas.state_service())));
-        let scheduler: Rc<RefCell<Box<dyn Scheduler>>> = Rc::new(RefCell::new(Box::new(Baseline::default())));
+        let scheduler = scheduler::build(Policy::default(), SchedulerConfig::default(), incarnation);
+        let scheduler = Rc::new(RefCell::new(scheduler));
         let calls = dispatcher(&scheduler, timing.peer_call, clock);
         let registry = replicas.control.clone().map(|group| {
             let lease = timing.configuration_lease;
@@ -381,6 +390,14 @@
         }
     }
 
+    fn orders(&self, replicas: &Replicas) -> Option<Orders> {
+        let timing = &self.settings.timing;
+        let engines = Rc::new(HttpEngineAdmin { deadline: timing.peer_call });
+        let wait_out = timing.election_timeout + timing.clock_drift;
+        let group = replicas.control.clone()?;
+        Some(Orders::new(self.node, self.clock, group, self.control.clone(), engines, wait_out))
+    }
+
     fn peer_server(&self, replicas: &Replicas) -> Rc<PeerServer> {
         let mut server = PeerServer { registry: self.registry.clone(), ..PeerServer::default() };
         if let Some(group) = replicas.control.clone() {
--- a/agatetrestle/src/node/peer_link.rs
+++ b/agatetrestle/src/node/peer_link.rs
@@ -119,6 +119,12 @@
         self.address
     }
 
+    /// Whether the last call on the present connection did not fail.
+    #[must_use]
+    pub fn is_connected(&self) -> bool {
+        self.connection.borrow().is_some()
+    }
+
     /// Queues a message; it is dropped where the peer is too slow or away.
     pub fn deliver(&self, message: Message) {
         if self.outbox.try_send(message).is_err() {
--- a/agatetrestle/src/orders/desk.rs
+++ b/agatetrestle/src/orders/desk.rs
@@ -46,6 +46,8 @@
 #[derive(Clone, Debug, Default)]
 struct Engine {
     wanted: Option<Wanted>,
+    /// Whether the engine ever said what it serves; one that never did gets no orders.
+    observed: bool,
     serves: Option<Arc<str>>,
     ordered: Option<(Arc<str>, Timestamp)>,
 }
@@ -82,6 +84,7 @@
             if engine.ordered.as_ref().map(|(model, _)| model) == serves.as_ref() {
                 engine.ordered = None;
             }
+            engine.observed = true;
             engine.serves = serves;
         }
     }
@@ -117,7 +120,10 @@
         let Some(wanted) = &engine.wanted else {
             return false;
         };
-        if engine.serves.as_ref() == Some(&wanted.model) || !self.is_authorised(now, wanted.checks_fencing) {
+        if !engine.observed
+            || engine.serves.as_ref() == Some(&wanted.model)
+            || !self.is_authorised(now, wanted.checks_fencing)
+        {
             return false;
         }
         let under_way =
--- a/agatetrestle/src/orders/mod.rs
+++ b/agatetrestle/src/orders/mod.rs
@@ -5,6 +5,7 @@
 //! weight store's rate; see docs/design/011-orders-to-engines.md.
 
 pub mod desk;
+pub mod engines;
 pub mod pace;
 #[cfg(test)]
 mod tests;
--- a/agatetrestle/src/orders/tests.rs
+++ b/agatetrestle/src/orders/tests.rs
@@ -27,7 +27,10 @@
         .zip(1..)
         .map(|(checks, n)| (format!("engine-{n}").into(), wanted(*checks)))
         .collect();
-    desk.declare(engines, RATE);
+    desk.declare(engines.clone(), RATE);
+    for name in engines.keys() {
+        desk.observe(name, None);
+    }
     desk
 }
 
@@ -47,6 +50,17 @@
     assert_eq!(desk.next(at(10)), Some(order("engine-1", 1)));
 }
 
+#[test]
+fn an_engine_that_never_said_what_it_serves_gets_no_order() {
+    let mut desk = Desk::new(at(0), RATE, WAIT_OUT);
+    let wanted = Wanted { model: "tutor".into(), weights: WEIGHTS, checks_fencing: true };
+    desk.declare(BTreeMap::from([("engine-1".into(), wanted)]), RATE);
+    lead(&mut desk, 1, 0);
+    assert_eq!(desk.next(at(0)), None);
+    desk.observe("engine-1", None);
+    assert_eq!(desk.next(at(0)), Some(order("engine-1", 1)));
+}
+
 #[test]
 fn an_engine_that_ignores_fencing_is_ordered_only_after_the_old_leader_is_gone() {
     let mut desk = desk(&[false]);
