Record first token, gaps between tokens, tokens and program latency

Cause: the histograms that operators need most had no source: nothing recorded first token, token gaps, tokens generated or the latency of a program. Change: the parts of a streamed answer are timed on their way to the caller, tokens are counted from the engine's usage, and the end of a program records the time since it was opened.

--- a/agatetrestle/src/entry/mod.rs
+++ b/agatetrestle/src/entry/mod.rs
@@ -13,6 +13,7 @@
 pub mod programs;
 pub mod routes;
 pub mod settle;
+pub mod timed;
 
 use std::cell::Cell;
 use std::cell::RefCell;
--- a/agatetrestle/src/entry/programs.rs
+++ b/agatetrestle/src/entry/programs.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::SystemTime;
 
 use http_types::Request;
@@ -19,6 +20,7 @@
 use crate::ids::RequestKey;
 use crate::ports::GroupError;
 use crate::ports::Labels;
+use crate::ports::Measure;
 use crate::programs::command::Answer;
 use crate::programs::command::ProgramCommand;
 use crate::programs::command::ProgramQuery;
@@ -29,7 +31,7 @@
 use crate::programs::command::Refusal;
 
 /// When a caller may ask again for an answer that is being worked on.
-pub const COMEBACK: std::time::Duration = std::time::Duration::from_secs(1);
+pub const COMEBACK: Duration = Duration::from_secs(1);
 
 #[derive(Serialize)]
 struct Addresses {
@@ -147,11 +149,20 @@
     let program = routes::program_in_query(request)?;
     let reply = entry.ledger.commit(ProgramCommand::End { program: program.clone() }).await;
     let view = done(reply)?;
+    record_latency(entry, &view);
     entry.state.roots.borrow_mut().remove(&program);
     entry.calls.step(crate::scheduler::event::Event::Ended(program));
     Ok(json(StatusCode::Ok, &form(&view)))
 }
 
+/// Counts from the opening, because the ledger does not keep when the first call came. The wall clocks
+/// of two nodes may be involved, and a resend of the end counts once more.
+fn record_latency(entry: &Entry, view: &ProgramView) {
+    let labels = Labels { partner: view.program.partner.clone(), class: view.spec.class.clone() };
+    let span = Duration::from_millis(wall_clock().saturating_sub(view.opened_at));
+    entry.recorder.record(&labels, &Measure::ProgramLatency(span));
+}
+
 /// Gives a stored answer again.
 ///
 /// # Errors
--- a/agatetrestle/src/entry/settle.rs
+++ b/agatetrestle/src/entry/settle.rs
@@ -26,6 +26,7 @@
 use crate::entry::programs;
 use crate::entry::programs::COMEBACK;
 use crate::entry::routes;
+use crate::entry::timed::Timed;
 use crate::ids::AttemptId;
 use crate::ids::ProgramId;
 use crate::ports::GroupError;
@@ -115,7 +116,13 @@
             outgoing: self.planned.outgoing.clone(),
         };
         let times = Cell::new(Times::default());
-        let outcome = entry.calls.run(&job, parts, gone, &times).await;
+        let caller = Timed::new(parts, &*entry.recorder, &labels, entry.clock, arrived);
+        let outcome = entry.calls.run(&job, &caller, gone, &times).await;
+        if let Outcome::Answered(reply) = &outcome
+            && reply.usage.output > 0
+        {
+            entry.recorder.record(&labels, &Measure::Tokens(reply.usage.output));
+        }
         let settled = self.settle(outcome).await;
         self.measure(&labels, times.get(), entry.clock.now().since(arrived));
         settled.map_err(|problem| self.counted(&labels, problem))
--- a/agatetrestle/tests/callers.rs
+++ b/agatetrestle/tests/callers.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use agatetrestle::ports::Measure;
 use agatetrestle::ports::NotTaking;
 use agatetrestle::programs::command::CallState;
 use agatetrestle_fakes::Engine;
@@ -47,6 +48,32 @@
     });
 }
 
+#[test]
+fn a_program_leaves_its_measures() {
+    run(async |executor| {
+        let engine = Engine::start(&executor, EngineConfig::default()).await.unwrap();
+        let rig = Rig::new(&executor, &[engine.address], &[]);
+        let node = rig.node(1).await;
+        rig.open(&node).await;
+        let reply = node.client.chat(&call(1, "k1"), &chat()).await.unwrap();
+        node.client.end(PROGRAM).await.unwrap();
+        let events = String::from_utf8(reply.body).unwrap().matches("data: ").count();
+        let parts = events - 1; // The last event is told by the entry itself.
+        let recorder = &rig.recorder;
+        assert_eq!(recorder.count(|m| matches!(m, Measure::FirstToken(_))), 1);
+        assert_eq!(recorder.count(|m| matches!(m, Measure::BetweenTokens(_))), parts - 1);
+        assert_eq!(recorder.count(|m| *m == Measure::Tokens(8)), 1);
+        for each in [
+            |m: &Measure| matches!(m, Measure::ProgramLatency(_)),
+            |m: &Measure| matches!(m, Measure::QueueWait(_)),
+            |m: &Measure| matches!(m, Measure::AddedTime(_)),
+            |m: &Measure| matches!(m, Measure::Commit(_)),
+        ] {
+            assert_eq!(recorder.count(each), 1);
+        }
+    });
+}
+
 #[test]
 fn a_resend_on_another_node_gets_the_stored_answer() {
     run(async |executor| {
--- a/agatetrestle/tests/support/mod.rs
+++ b/agatetrestle/tests/support/mod.rs
@@ -170,10 +170,23 @@
 #[derive(Default)]
 pub struct FakeRecorder {
     pub refused: RefCell<Vec<&'static str>>,
+    pub taken: RefCell<Vec<(Labels, Measure)>>,
+}
+
+impl FakeRecorder {
+    /// Counts the measures that `wanted` picks, all of which must belong to the rig's class.
+    pub fn count(&self, wanted: impl Fn(&Measure) -> bool) -> usize {
+        let taken = self.taken.borrow();
+        let picked: Vec<&Labels> =
+            taken.iter().filter(|(_, m)| wanted(m)).map(|(labels, _)| labels).collect();
+        assert!(picked.iter().all(|labels| &*labels.partner == "vrsta" && &*labels.class == "assistant"));
+        picked.len()
+    }
 }
 
 impl Recorder for FakeRecorder {
-    fn record(&self, _: &Labels, measure: &Measure) {
+    fn record(&self, labels: &Labels, measure: &Measure) {
+        self.taken.borrow_mut().push((labels.clone(), measure.clone()));
         if let Measure::Refused(reason) = measure {
             self.refused.borrow_mut().push(reason);
         }
