Measure calls through a node, and run the example nodes as processes

Cause: nothing told what a node adds to a call, and the example deployment had no backend servers to call. An offered document is now checked beside the shared one in force.

--- a/agatetrestle/src/operator/answers.rs
+++ b/agatetrestle/src/operator/answers.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use agatetrestle_config::ConfigError;
+use agatetrestle_config::Declarations;
 use agatetrestle_config::declarations::SHARED_SCOPE;
 use snafu::OptionExt;
 
@@ -28,6 +30,13 @@
         self.control.configuration().documents.get(scope).cloned().unwrap_or_else(none)
     }
 
+    /// Checks an offered document beside the shared one in force, if there is one.
+    pub(super) fn check(&self, scope: &str, offered: &str) -> Result<(), ConfigError> {
+        let shared = self.document(SHARED_SCOPE);
+        let shared = Declarations::read(SHARED_SCOPE, &shared.text).ok().filter(|_| shared.version > 0);
+        Declarations::parse_beside(scope, offered, shared.as_ref()).map(drop)
+    }
+
     /// Programs of one partner, or of all declared partners where `partner` is empty.
     pub(super) async fn programs(&self, partner: &str, limit: u32) -> Result<Vec<ProgramView>, CallError> {
         let limit = if limit == 0 { MAX_ROWS } else { limit.min(MAX_ROWS) };
--- a/agatetrestle/src/operator/rpc.rs
+++ b/agatetrestle/src/operator/rpc.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use agatetrestle_config::Declarations;
 use agatetrestle_schema::operator_capnp::apply_result;
 use agatetrestle_schema::operator_capnp::operator::ApplyParams;
 use agatetrestle_schema::operator_capnp::operator::ApplyResults;
@@ -87,7 +86,7 @@
             result.set_invalid("a change needs a scope and a change id");
             return Ok(());
         }
-        if let Err(e) = Declarations::parse(&scope, &offered) {
+        if let Err(e) = self.server.check(&scope, &offered) {
             result.set_invalid(e.to_string().as_str());
             return Ok(());
         }
@@ -107,7 +106,7 @@
         let mut result = results.get();
         result.set_current_version(current.version);
         result.set_difference(difference(&current.text, &offered).as_str());
-        if let Err(e) = Declarations::parse(&scope, &offered) {
+        if let Err(e) = self.server.check(&scope, &offered) {
             result.set_invalid(e.to_string().as_str());
         }
         Ok(())
--- /dev/null
+++ b/agatetrestle_fakes/examples/load/main.rs
@@ -0,0 +1,174 @@
+//! Load on a running node: what it adds to a call, what a token costs it, what an idle program weighs.
+//!
+//! `load NODE ENGINE PID [CALLS] [STREAMS] [PROGRAMS]`: address of a node for callers, address of the fake
+//! engine that it was declared, process number of the node. Everything is measured in one run, so that the
+//! ratios hold whatever else the machine does. docs/MEASUREMENTS.md tells how the rest is started.
+
+mod process;
+mod report;
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use agatetrestle_fakes::Client;
+use agatetrestle_fakes::client::Call;
+use agatetrestle_fakes::client::ClientError;
+use agatetrestle_fakes::client::chat_form;
+use serde_json::Value;
+use serde_json::json;
+use smol::LocalExecutor;
+use snafu::Snafu;
+
+use crate::process::Process;
+use crate::report::Samples;
+
+const MODEL: &str = "assistant";
+const CALLS: u32 = 500;
+const STREAMS: u32 = 50;
+const PROGRAMS: u32 = 10_000;
+const SHORT_ANSWER: u64 = 1;
+const LONG_ANSWER: u64 = 100;
+const ROUNDS: u32 = 4;
+
+/// Why the measurement stopped.
+#[derive(Debug, Snafu)]
+enum LoadError {
+    #[snafu(display("usage: load NODE ENGINE PID [CALLS] [STREAMS] [PROGRAMS]"))]
+    Usage,
+    #[snafu(context(false), display("{source}"))]
+    Caller { source: ClientError },
+    #[snafu(display("unexpected answer {status}: {body}"))]
+    Answer { status: u16, body: String },
+    #[snafu(context(false), display("no figures of the process: {source}"))]
+    Process { source: std::io::Error },
+}
+
+struct Plan {
+    node: Client,
+    engine: Client,
+    process: Process,
+    calls: u32,
+    streams: u32,
+    programs: u32,
+}
+
+fn main() -> ExitCode {
+    let Some(plan) = plan() else {
+        eprintln!("{}", LoadError::Usage);
+        return ExitCode::from(2);
+    };
+    let executor = Rc::new(LocalExecutor::new());
+    match smol::block_on(executor.run(run(&executor, plan))) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn plan() -> Option<Plan> {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let address = |at: usize| args.get(at)?.parse::<SocketAddr>().ok().map(Client::new);
+    let number = |at: usize, default| args.get(at).map_or(Some(default), |text| text.parse().ok());
+    Some(Plan {
+        node: address(0)?,
+        engine: address(1)?,
+        process: Process { id: args.get(2)?.parse().ok()? },
+        calls: number(3, CALLS)?,
+        streams: number(4, STREAMS)?,
+        programs: number(5, PROGRAMS)?,
+    })
+}
+
+async fn run(executor: &Rc<LocalExecutor<'static>>, plan: Plan) -> Result<(), LoadError> {
+    // Memory first: what other measurements have freed would hide it.
+    idle_programs(&plan).await?;
+    added_time(&plan).await?;
+    token_cost(executor, &plan).await
+}
+
+/// Opens a program and returns its name with the time that took.
+async fn open(node: Client, key: &str) -> Result<(String, Duration), LoadError> {
+    let form = json!({ "partner": "vrsta", "team": "planning", "class": "planner" });
+    let reply = node.open(key, &form).await?;
+    let program = reply.json()["program"].as_str().map(str::to_owned);
+    match program {
+        Some(program) if reply.status == 201 => Ok((program, reply.total)),
+        _ => Err(LoadError::Answer { status: reply.status, body: reply.json().to_string() }),
+    }
+}
+
+async fn chat(client: Client, call: &Call, form: &Value) -> Result<(Duration, Duration), LoadError> {
+    let reply = client.chat(call, form).await?;
+    if reply.status == 200 && reply.is_done() {
+        return Ok((reply.first_byte, reply.total));
+    }
+    Err(LoadError::Answer { status: reply.status, body: String::from_utf8_lossy(&reply.body).into_owned() })
+}
+
+/// Calls in turn straight to the engine and through the node, so that both meet the same machine.
+async fn added_time(plan: &Plan) -> Result<(), LoadError> {
+    let form = chat_form(MODEL, "You find replacements.", "Ana is ill.", SHORT_ANSWER);
+    let (mut direct, mut through, mut commit) = (Samples::default(), Samples::default(), Samples::default());
+    let run = std::process::id();
+    for number in 0..plan.calls {
+        let (program, opening) = open(plan.node, &format!("added-{run}-{number}")).await?;
+        commit.add(opening);
+        let call = Call { program, number: 1, key: "k1".to_owned() };
+        direct.add(chat(plan.engine, &call, &form).await?.1);
+        through.add(chat(plan.node, &call, &form).await?.1);
+    }
+    println!("added time of a streamed call of {SHORT_ANSWER} token, {} pairs in turn", plan.calls);
+    report::compare("straight to the engine", &mut direct, "through the node", &mut through);
+    report::line("opening a program (one commit)", &mut commit);
+    Ok(())
+}
+
+/// Streams side by side; the node's processor time a token follows from its process.
+async fn token_cost(executor: &Rc<LocalExecutor<'static>>, plan: &Plan) -> Result<(), LoadError> {
+    let form = chat_form(MODEL, "You find replacements.", "Ana is ill.", LONG_ANSWER);
+    let run = std::process::id();
+    let mut programs = Vec::new();
+    for number in 0..plan.streams {
+        programs.push(open(plan.node, &format!("tokens-{run}-{number}")).await?.0);
+    }
+    let before = plan.process.cpu()?;
+    let started = Instant::now();
+    let mut tasks = Vec::new();
+    for program in programs {
+        let (node, form) = (plan.node, form.clone());
+        tasks.push(executor.spawn(async move {
+            for number in 1..=ROUNDS {
+                let call = Call { program: program.clone(), number, key: format!("k{number}") };
+                chat(node, &call, &form).await?;
+            }
+            Ok::<(), LoadError>(())
+        }));
+    }
+    for task in tasks {
+        task.await?;
+    }
+    let elapsed = started.elapsed();
+    let used = plan.process.cpu()?.saturating_sub(before);
+    let tokens = u64::from(plan.streams) * u64::from(ROUNDS) * LONG_ANSWER;
+    report::tokens(plan.streams, tokens, elapsed, used);
+    Ok(())
+}
+
+async fn idle_programs(plan: &Plan) -> Result<(), LoadError> {
+    let run = std::process::id();
+    let before = plan.process.resident()?;
+    let mut opened = 0;
+    for goal in [plan.programs / 10, plan.programs] {
+        while opened < goal {
+            open(plan.node, &format!("idle-{run}-{opened}")).await?;
+            opened += 1;
+        }
+        report::memory(goal, before, plan.process.resident()?);
+    }
+    Ok(())
+}
--- a/agatetrestle_fakes/src/engine.rs
+++ b/agatetrestle_fakes/src/engine.rs
@@ -36,6 +36,8 @@
 /// How the engine behaves.
 #[derive(Clone, Debug)]
 pub struct EngineConfig {
+    /// Port it listens on, 0 for one that the operating system chooses.
+    pub port: u16,
     /// Tokens of each answer, unless the request allows fewer.
     pub tokens: u64,
     /// Time before the first token.
@@ -53,6 +55,7 @@
 impl Default for EngineConfig {
     fn default() -> Self {
         Self {
+            port: 0,
             tokens: 16,
             first_token: Duration::ZERO,
             per_token: Duration::ZERO,
@@ -121,6 +124,7 @@
     ///
     /// Fails if no port can be bound.
     pub async fn start(executor: &Rc<LocalExecutor<'static>>, config: EngineConfig) -> io::Result<Self> {
+        let port = config.port;
         let state = Rc::new(State {
             config,
             requests: RefCell::default(),
@@ -133,7 +137,7 @@
         let shared = Rc::clone(&state);
         let spawner = Rc::clone(executor);
         let answer = move |req| answer(Rc::clone(&shared), Rc::clone(&spawner), req);
-        let server = server::serve(executor, answer).await?;
+        let server = server::serve(executor, port, answer).await?;
         Ok(Self { address: server.address, state, _server: server })
     }
 
--- a/agatetrestle_fakes/src/server.rs
+++ b/agatetrestle_fakes/src/server.rs
@@ -22,17 +22,18 @@
     _accepting: Task<()>,
 }
 
-/// Listens on a loopback port and answers each request by `answer`.
+/// Listens on a loopback port, 0 for one that the operating system chooses, and answers each request by
+/// `answer`.
 ///
 /// # Errors
 ///
 /// Fails if no port can be bound.
-pub async fn serve<F, A>(executor: &Rc<LocalExecutor<'static>>, answer: F) -> io::Result<Server>
+pub async fn serve<F, A>(executor: &Rc<LocalExecutor<'static>>, port: u16, answer: F) -> io::Result<Server>
 where
     F: Fn(Request) -> A + 'static,
     A: Future<Output = http_types::Result<Response>> + 'static,
 {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+    let listener = TcpListener::bind(("127.0.0.1", port)).await?;
     let address = listener.local_addr()?;
     let answer = Rc::new(answer);
     let connections = Rc::new(LocalExecutor::new());
--- a/agatetrestle_fakes/src/service.rs
+++ b/agatetrestle_fakes/src/service.rs
@@ -65,6 +65,15 @@
     ///
     /// Fails if no port can be bound.
     pub async fn start(executor: &Rc<LocalExecutor<'static>>) -> io::Result<Self> {
+        Self::start_at(executor, 0).await
+    }
+
+    /// Starts a service on a port.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the port can't be bound.
+    pub async fn start_at(executor: &Rc<LocalExecutor<'static>>, port: u16) -> io::Result<Self> {
         let (arrived, arrivals) = channel::unbounded();
         let (release, hanging) = channel::bounded(1);
         let state = Rc::new(State {
@@ -77,7 +86,7 @@
             release,
         });
         let shared = Rc::clone(&state);
-        let server = server::serve(executor, move |req| answer(Rc::clone(&shared), req)).await?;
+        let server = server::serve(executor, port, move |req| answer(Rc::clone(&shared), req)).await?;
         Ok(Self { address: server.address, state, _server: server })
     }
 
--- a/agatetrestle_fakes/src/tool.rs
+++ b/agatetrestle_fakes/src/tool.rs
@@ -29,6 +29,19 @@
     ///
     /// Fails if no port can be bound.
     pub async fn start(executor: &Rc<LocalExecutor<'static>>, pause: Duration) -> io::Result<Self> {
+        Self::start_at(executor, 0, pause).await
+    }
+
+    /// Starts a tool service on a port.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the port can't be bound.
+    pub async fn start_at(
+        executor: &Rc<LocalExecutor<'static>>,
+        port: u16,
+        pause: Duration,
+    ) -> io::Result<Self> {
         let calls = Rc::new(Cell::new(0));
         let count = Rc::clone(&calls);
         let answer = move |mut req: http_types::Request| {
@@ -41,7 +54,7 @@
                 Ok(server::json(StatusCode::Ok, &result))
             }
         };
-        let server = server::serve(executor, answer).await?;
+        let server = server::serve(executor, port, answer).await?;
         Ok(Self { address: server.address, calls, _server: server })
     }
 
--- a/agatetrestle_fakes/src/vm_list.rs
+++ b/agatetrestle_fakes/src/vm_list.rs
@@ -60,7 +60,7 @@
             let response = listing(&shared.borrow());
             async move { Ok(response) }
         };
-        let server = server::serve(executor, answer).await?;
+        let server = server::serve(executor, 0, answer).await?;
         Ok(Self { address: server.address, vms, _server: server })
     }
 
