Give up a try at a frozen leader after two election timeouts

Cause: a commit through a leader that is frozen waited for the deadline of a whole call between nodes, 2 s, and often for two of them. Ruled out: the election itself, which a kill of the leader shows to take 346 to 563 ms. Change: a router's single try is bounded by two election timeouts, since every command may be handed over again.

--- a/agatetrestle/src/node/mod.rs
+++ b/agatetrestle/src/node/mod.rs
@@ -69,6 +69,7 @@
 use crate::node::registry::Registry;
 use crate::node::replicas::Missing;
 use crate::node::replicas::Opener;
+use crate::node::router::Patience;
 use crate::node::router::Router;
 use crate::node::service::ControlService;
 use crate::node::service::GroupService;
@@ -90,6 +91,8 @@
 const STOP_POLL: Duration = Duration::from_millis(20);
 /// How long a planned stop waits for another replica to lead.
 const HAND_OVER_WITHIN: Duration = Duration::from_secs(2);
+/// One try of a request to a group is given up after this many election timeouts.
+const TRY_ELECTION_TIMEOUTS: u32 = 2;
 /// Tries of a request to a group are given up after this many call deadlines.
 const ROUTER_DEADLINES: u32 = 2;
 
@@ -332,8 +335,9 @@
         let stopping = Rc::new(Cell::new(false));
         let router = |group, local| {
             let holders = replicas::holders(settings, group);
-            let deadline = timing.peer_call * ROUTER_DEADLINES;
-            Rc::new(Router::new(group, node, local, links.clone(), &holders, clock, deadline))
+            let each = timing.election_timeout * TRY_ELECTION_TIMEOUTS;
+            let patience = Patience { each, whole: timing.peer_call * ROUTER_DEADLINES };
+            Rc::new(Router::new(group, node, local, links.clone(), &holders, clock, patience))
         };
         let control_router = router(CONTROL_GROUP, replicas.control_service());
         let control = Rc::new(ControlPort::new(control_router, clock, timing.clock_drift, stopping.clone()));
--- a/agatetrestle/src/node/peer_link.rs
+++ b/agatetrestle/src/node/peer_link.rs
@@ -138,11 +138,27 @@
     ///
     /// Fails without an answer; [`LinkError::unsent`] tells whether the peer can have seen the call.
     pub async fn call<T, F>(&self, call: impl FnOnce(&peer::Client) -> F) -> Result<T, LinkError>
+    where
+        F: Future<Output = Result<T, capnp::Error>>,
+    {
+        self.call_within(self.deadline, call).await
+    }
+
+    /// Makes a call as [`PeerLink::call`] does, within a deadline of its own.
+    ///
+    /// # Errors
+    ///
+    /// As [`PeerLink::call`].
+    pub async fn call_within<T, F>(
+        &self,
+        deadline: Duration,
+        call: impl FnOnce(&peer::Client) -> F,
+    ) -> Result<T, LinkError>
     where
         F: Future<Output = Result<T, capnp::Error>>,
     {
         let (client, generation) = self.client().await?;
-        let outcome = within(self.deadline, call(&client)).await;
+        let outcome = within(deadline, call(&client)).await;
         let error = match outcome {
             Some(Ok(answer)) => return Ok(answer),
             Some(Err(source)) => LinkError::Broken { source },
--- a/agatetrestle/src/node/router.rs
+++ b/agatetrestle/src/node/router.rs
@@ -34,7 +34,17 @@
     order: Vec<NodeId>,
     hint: Cell<Option<NodeId>>,
     clock: Clock,
-    deadline: Duration,
+    patience: Patience,
+}
+
+/// How long a router waits.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// For the answer to one try. Handing over again is safe, so this is short: a replica that leads answers
+    /// much sooner, and one that is frozen never does.
+    pub each: Duration,
+    /// For all tries of one request together.
+    pub whole: Duration,
 }
 
 impl Router {
@@ -47,11 +57,11 @@
         links: Rc<Links>,
         holders: &[NodeId],
         clock: Clock,
-        deadline: Duration,
+        patience: Patience,
     ) -> Self {
         let mut order = holders.to_vec();
         order.sort_by_key(|holder| *holder != node);
-        Self { group, node, local, links, order, hint: Cell::new(None), clock, deadline }
+        Self { group, node, local, links, order, hint: Cell::new(None), clock, patience }
     }
 
     /// Hands over a coded request and returns the coded reply.
@@ -65,7 +75,7 @@
         let mut ambiguous = false;
         let mut reason: Arc<str> = "the group has no replica".into();
         let mut turn = 0;
-        while self.clock.now().since(start) < self.deadline && !self.order.is_empty() {
+        while self.clock.now().since(start) < self.patience.whole && !self.order.is_empty() {
             let target = self.hint.get().unwrap_or(self.order[turn % self.order.len()]);
             match self.try_once(target, &request).await {
                 Submission::Applied(reply) => {
@@ -108,7 +118,7 @@
         let Some(link) = self.links.get(target) else {
             return Submission::NotLeader(None);
         };
-        match submit_remotely(&link, self.group, request).await {
+        match submit_remotely(&link, self.patience.each, self.group, request).await {
             Ok(submission) => submission,
             Err(failure) if failure.unsent() => Submission::Refused(failure.to_string().into()),
             Err(failure) => Submission::Unknown(failure.to_string().into()),
@@ -116,8 +126,13 @@
     }
 }
 
-async fn submit_remotely(link: &PeerLink, group: GroupId, command: &[u8]) -> Result<Submission, LinkError> {
-    link.call(|client| {
+async fn submit_remotely(
+    link: &PeerLink,
+    deadline: Duration,
+    group: GroupId,
+    command: &[u8],
+) -> Result<Submission, LinkError> {
+    link.call_within(deadline, |client| {
         let mut request = client.submit_request();
         request.get().set_group(group.0);
         request.get().set_command(command);
--- a/agatetrestle/tests/orders.rs
+++ b/agatetrestle/tests/orders.rs
@@ -85,7 +85,7 @@
             let response = shared.answer(&request);
             async move { Ok(response) }
         };
-        let fake = server::serve(&executor, answering).await.unwrap();
+        let fake = server::serve(&executor, 0, answering).await.unwrap();
         let cluster = Cluster::new(&executor, "orders");
         cluster.found(3).await;
         cluster.until_taking_work().await;
