Cut off a control leader and silence connections in tests on whole nodes

Cause: isolation and silent connections were covered only by rules of pure parts. Change: forwarders between all nodes of the test cluster that swallow bytes.

--- a/agatetrestle/tests/cluster/mod.rs
+++ b/agatetrestle/tests/cluster/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -17,6 +18,7 @@
 use agatetrestle_config::Settings;
 use agatetrestle_config::settings::Listen;
 use agatetrestle_config::settings::PeerSeed;
+use agatetrestle_fakes::Forwarder;
 use smol::LocalExecutor;
 use smol::Task;
 use smol::Timer;
@@ -36,6 +38,8 @@
     folder: PathBuf,
     peers: RefCell<Vec<PeerSeed>>,
     nodes: RefCell<Vec<(u64, Running)>>,
+    /// What stands between two nodes, by who connects to whom.
+    forwarders: RefCell<BTreeMap<(u64, u64), Forwarder>>,
 }
 
 impl Cluster {
@@ -43,15 +47,33 @@
     pub fn new(executor: &Rc<LocalExecutor<'static>>, name: &str) -> Self {
         let folder = std::env::temp_dir().join(format!("agatetrestle-{name}-{}", std::process::id()));
         let executor = executor.clone();
-        Self { executor, folder, peers: RefCell::default(), nodes: RefCell::default() }
+        Self {
+            executor,
+            folder,
+            peers: RefCell::default(),
+            nodes: RefCell::default(),
+            forwarders: RefCell::default(),
+        }
     }
 
     /// Starts the founding nodes, numbered from 1, each with a replica of every group.
     pub async fn found(&self, count: u64) {
+        self.found_with(count, false).await;
+    }
+
+    /// As [`Cluster::found`], with a forwarder on the way from each node to each other.
+    pub async fn found_behind_forwarders(&self, count: u64) {
+        self.found_with(count, true).await;
+    }
+
+    async fn found_with(&self, count: u64, forwarded: bool) {
         let mut bound = Vec::new();
         for id in 1..=count {
             bound.push((id, self.bind(id).await));
         }
+        if forwarded {
+            self.start_forwarders().await;
+        }
         for (id, listeners) in bound {
             self.start_on(id, listeners, Missing::Bootstrap).await.unwrap();
         }
@@ -63,6 +85,34 @@
         self.start_on(id, listeners, missing).await
     }
 
+    async fn start_forwarders(&self) {
+        let peers = self.peers.borrow().clone();
+        for from in &peers {
+            for to in peers.iter().filter(|to| to.id != from.id) {
+                let forwarder = Forwarder::start(&self.executor, to.address).await.unwrap();
+                self.forwarders.borrow_mut().insert((from.id, to.id), forwarder);
+            }
+        }
+    }
+
+    /// Cuts a node off without a word: every byte from and to it is swallowed, on old and new connections.
+    pub fn isolate(&self, id: u64) {
+        for ((from, to), forwarder) in &*self.forwarders.borrow() {
+            if *from == id || *to == id {
+                forwarder.swallow_new(true);
+                forwarder.forget();
+            }
+        }
+    }
+
+    /// Ends a cut; what was open during it stays silent.
+    pub fn heal(&self) {
+        for forwarder in self.forwarders.borrow().values() {
+            forwarder.swallow_new(false);
+            forwarder.forget();
+        }
+    }
+
     async fn bind(&self, id: u64) -> Listeners {
         let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
         let listen = Listen { callers: loopback, peers: loopback, operators: loopback, metrics: loopback };
@@ -85,6 +135,11 @@
 
     fn settings(&self, id: u64) -> Settings {
         let mut settings = Settings { peers: self.peers.borrow().clone(), ..Settings::default() };
+        for peer in &mut settings.peers {
+            if let Some(forwarder) = self.forwarders.borrow().get(&(id, peer.id)) {
+                peer.address = forwarder.address;
+            }
+        }
         settings.node.id = id;
         settings.node.vm = format!("vm-{id}").into();
         settings.node.failure_domain = format!("domain-{id}").into();
