Record the trace of a node's calls in bounded memory

Cause: the tool's trace command had nothing to print, and policies can only be judged on what really arrived once it is recorded. Conclusion: one code decides in the daemon and the replay, and the recorder needs no word from it.

--- a/agatetrestle/src/node/mod.rs
+++ b/agatetrestle/src/node/mod.rs
@@ -80,6 +80,8 @@
 use crate::programs::ledger::Ledger;
 use crate::scheduler::Scheduler;
 use crate::scheduler::baseline::Baseline;
+use crate::trace::recorder::Recording;
+use crate::trace::recorder::TraceLog;
 
 /// How often a planned stop looks whether the last request is done.
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -303,6 +305,7 @@
     settings: Settings,
     stopping: Rc<Cell<bool>>,
     scheduler: Rc<RefCell<Box<dyn Scheduler>>>,
+    traces: Rc<TraceLog>,
     calls: Rc<Dispatcher>,
     control: Rc<ControlPort>,
     ledger: Rc<LedgerPort>,
@@ -330,7 +333,9 @@
         let control_router = router(CONTROL_GROUP, replicas.control_service());
         let control = Rc::new(ControlPort::new(control_router, clock, timing.clock_drift, stopping.clone()));
         let ledger = Rc::new(LedgerPort::new(router(FIRST_STATE_GROUP, replicas.state_service())));
-        let scheduler: Rc<RefCell<Box<dyn Scheduler>>> = Rc::new(RefCell::new(Box::new(Baseline::default())));
+        let traces = Rc::new(TraceLog::default());
+        let recording = Recording::new(Box::new(Baseline::default()), traces.clone());
+        let scheduler: Rc<RefCell<Box<dyn Scheduler>>> = Rc::new(RefCell::new(Box::new(recording)));
         let calls = dispatcher(&scheduler, timing.peer_call, clock);
         let registry = replicas.control.clone().map(|group| {
             let lease = timing.configuration_lease;
@@ -356,6 +361,7 @@
             settings,
             stopping,
             scheduler,
+            traces,
             calls,
             control,
             ledger,
@@ -404,7 +410,7 @@
             ledger: self.ledger.clone(),
             backends: Rc::new(backends),
             groups: groups.clone(),
-            traces: Rc::new(NoTraces),
+            traces: self.traces.clone(),
             node: self.node,
         })
     }
@@ -438,12 +444,3 @@
 fn incarnation() -> u64 {
     micros(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default())
 }
-
-/// Traces are off until the recording scheduler is in place.
-struct NoTraces;
-
-impl crate::ports::Traces for NoTraces {
-    fn recent(&self, _limit: u32) -> Vec<std::sync::Arc<str>> {
-        Vec::new()
-    }
-}
--- a/agatetrestle/src/trace/mod.rs
+++ b/agatetrestle/src/trace/mod.rs
@@ -3,6 +3,8 @@
 //! The daemon records it and the replay drives the scheduler with it, so that a policy is judged
 //! on what really arrived; see docs/TRACE.md.
 
+pub mod recorder;
+
 use std::sync::Arc;
 
 use serde::Deserialize;
