--- a/agatetrestle/src/agreement/tests.rs
+++ b/agatetrestle/src/agreement/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the replicated log: plain cases first, then random schedules under failures.
 
 mod basics;
+mod joining;
 mod mutations;
 mod node;
 mod schedule;
--- /dev/null
+++ b/agatetrestle/src/node/listings.rs
@@ -0,0 +1,112 @@
+//! What operators see of this node's groups and backend servers.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use agatetrestle_config::declarations::BackendKind;
+use futures::future::LocalBoxFuture;
+
+use crate::agreement::Rejection;
+use crate::agreement::ReplicaChange;
+use crate::agreement::StateMachine;
+use crate::attempts::catalog;
+use crate::ids::GroupId;
+use crate::node::control_port::ControlPort;
+use crate::node::group::Group;
+use crate::node::group::Verdict;
+use crate::ports::BackendView;
+use crate::ports::Backends;
+use crate::ports::ChangeError;
+use crate::ports::Control;
+use crate::ports::GroupView;
+use crate::ports::Groups;
+use crate::scheduler::BackendState;
+use crate::scheduler::Scheduler;
+
+/// A group of which only the listing matters here.
+pub trait Viewed {
+    /// The group as operators see it.
+    fn view(&self) -> GroupView;
+
+    /// Changes who takes part.
+    fn change(&self, change: ReplicaChange) -> LocalBoxFuture<'_, Verdict>;
+}
+
+impl<M: StateMachine + 'static> Viewed for Group<M> {
+    fn view(&self) -> GroupView {
+        Group::view(self)
+    }
+
+    fn change(&self, change: ReplicaChange) -> LocalBoxFuture<'_, Verdict> {
+        Box::pin(self.change_replicas(change))
+    }
+}
+
+/// The groups of which this node holds a replica.
+#[derive(Default)]
+pub struct GroupListing(pub Vec<Rc<dyn Viewed>>);
+
+impl Groups for GroupListing {
+    fn groups(&self) -> Vec<GroupView> {
+        self.0.iter().map(|group| group.view()).collect()
+    }
+
+    fn change(&self, id: GroupId, change: ReplicaChange) -> LocalBoxFuture<'_, Result<(), ChangeError>> {
+        Box::pin(async move {
+            let group = self.0.iter().find(|group| group.view().group == id);
+            let group = group.ok_or(ChangeError::NoReplica { group: id })?;
+            outcome(&group.change(change).await)
+        })
+    }
+}
+
+fn outcome(verdict: &Verdict) -> Result<(), ChangeError> {
+    match verdict {
+        Verdict::Changed => Ok(()),
+        Verdict::Rejected(Rejection::NotLeader(leader)) => Err(ChangeError::NotLeader { leader: *leader }),
+        Verdict::Rejected(Rejection::Busy | Rejection::ChangePending) => Err(ChangeError::Pending),
+        Verdict::Rejected(Rejection::InvalidChange) => Err(ChangeError::Invalid),
+        Verdict::Applied(_) | Verdict::Ready | Verdict::Unknown => Err(ChangeError::Undecided),
+    }
+}
+
+/// The declared backend servers with this node's load on them.
+pub struct BackendListing {
+    /// The decisions, for loads and states.
+    pub scheduler: Rc<RefCell<Box<dyn Scheduler>>>,
+    /// The declarations in force, for addresses.
+    pub control: Rc<ControlPort>,
+}
+
+impl Backends for BackendListing {
+    fn backends(&self) -> Vec<BackendView> {
+        let documents = catalog::parse(&self.control.configuration());
+        let (_, addresses) = catalog::build(&documents);
+        let scheduler = self.scheduler.borrow();
+        let view = |state: &BackendState| view(&**scheduler, &addresses, state);
+        scheduler.loads().iter().filter_map(view).collect()
+    }
+}
+
+fn view(
+    scheduler: &dyn Scheduler,
+    addresses: &HashMap<Arc<str>, std::net::SocketAddr>,
+    state: &BackendState,
+) -> Option<BackendView> {
+    let backend = scheduler.backend(state.key)?;
+    let address = addresses.get(&backend.name).map(ToString::to_string).unwrap_or_default();
+    let kind = match backend.kind {
+        BackendKind::Engine => "engine",
+        BackendKind::Service => "service",
+    };
+    Some(BackendView {
+        name: backend.name.clone(),
+        kind: kind.into(),
+        address: address.into(),
+        state: state.state.into(),
+        running: state.running,
+        waiting: 0,
+    })
+}
--- /dev/null
+++ b/agatetrestle/src/node/replicas.rs
@@ -0,0 +1,243 @@
+//! Opening of the replicas that a node holds.
+
+use std::path::Path;
+use std::rc::Rc;
+
+use agatetrestle_config::Settings;
+use log::debug;
+use smol::LocalExecutor;
+use smol::Task;
+use snafu::OptionExt;
+use snafu::ResultExt;
+use snafu::ensure;
+
+use crate::agreement::HardState;
+use crate::agreement::Replicas;
+use crate::agreement::Snapshot;
+use crate::agreement::StateMachine;
+use crate::agreement::message::Message;
+use crate::agreement::message::Position;
+use crate::agreement::replica::Replica;
+use crate::agreement::replica::ReplicaConfig;
+use crate::agreement::replica::Restored;
+use crate::agreement::storage::Storage;
+use crate::agreement::storage::StorageConfig;
+use crate::clock::Clock;
+use crate::ids::CONTROL_GROUP;
+use crate::ids::GroupId;
+use crate::ids::NodeId;
+use crate::node::NodeError;
+use crate::node::error::MissingSnafu;
+use crate::node::error::NoDataFolderSnafu;
+use crate::node::error::OpenSnafu;
+use crate::node::error::RestoreSnafu;
+use crate::node::group::Group;
+use crate::node::group::GroupParts;
+use crate::node::group::HistorySource;
+use crate::node::group::Outbox;
+use crate::node::links::Links;
+use crate::node::peer_link::LinkError;
+use crate::node::peer_link::PeerLink;
+
+/// Commands that may be under way in one group at once; more are refused as busy.
+const MAX_IN_FLIGHT: usize = 4_096;
+/// Largest batch of entries in one message.
+const MAX_BATCH_BYTES: usize = 1 << 20;
+/// Ticks within a leader interval: fine enough that a heartbeat is never late by much.
+const TICKS_PER_INTERVAL: u32 = 4;
+
+/// What to do where a group's files are missing.
+///
+/// A replica that lost its files may have voted and acknowledged before, so it must not quietly
+/// start afresh: that could elect a leader without what was committed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Missing {
+    /// Refuse to start.
+    #[default]
+    Refuse,
+    /// The whole system is new: form the group from the holders in the settings.
+    Bootstrap,
+    /// Join an existing group, and count for nothing until its leader added this node as a learner.
+    Join,
+}
+
+/// What every replica of a node is opened with.
+pub struct Opener<'a> {
+    /// The settings of the process.
+    pub settings: &'a Settings,
+    /// The process's clock.
+    pub clock: Clock,
+    /// The ways to the other nodes.
+    pub links: &'a Rc<Links>,
+    /// What to do where a group's files are missing.
+    pub missing: Missing,
+    /// Where the replica runs.
+    pub executor: &'a LocalExecutor<'static>,
+}
+
+/// An open replica and the task that drives it.
+pub struct Opened<M: StateMachine> {
+    /// The replica.
+    pub group: Rc<Group<M>>,
+    /// Its driver; dropping it stops the replica.
+    pub driver: Task<()>,
+}
+
+/// The nodes that hold a replica of a group, by the settings.
+#[must_use]
+pub fn holders(settings: &Settings, group: GroupId) -> Vec<NodeId> {
+    let holds = |peer: &&agatetrestle_config::settings::PeerSeed| {
+        if group == CONTROL_GROUP { peer.control } else { peer.state_groups.contains(&group.0) }
+    };
+    settings.peers.iter().filter(holds).map(|peer| NodeId(peer.id)).collect()
+}
+
+impl Opener<'_> {
+    /// Opens the replica of a group, or none where the settings give this node none.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the files can't be used or the node has no data folder for them.
+    pub async fn open<M>(&self, id: GroupId, machine: M) -> Result<Option<Opened<M>>, NodeError>
+    where
+        M: StateMachine + 'static,
+    {
+        let node = NodeId(self.settings.node.id);
+        let holders = holders(self.settings, id);
+        if !holders.contains(&node) {
+            return Ok(None);
+        }
+        let folder = self.settings.storage.data_folder.clone().context(NoDataFolderSnafu { group: id })?;
+        let (mut storage, mut restored) = open_storage(&folder, id, self.settings.storage.segment).await?;
+        let joining = is_empty(&restored) && self.missing == Missing::Join;
+        if is_empty(&restored) && !joining {
+            ensure!(self.missing == Missing::Bootstrap, MissingSnafu { group: id, folder: &folder });
+            let founding = founding_snapshot(&machine, holders);
+            storage = save(storage, founding.clone(), &folder).await?;
+            restored.snapshot = Some(founding);
+        }
+        let opened = self.assemble(id, machine, joining, storage, restored)?;
+        Ok(Some(opened))
+    }
+
+    fn assemble<M>(
+        &self,
+        id: GroupId,
+        mut machine: M,
+        joining: bool,
+        storage: Storage,
+        restored: Restored,
+    ) -> Result<Opened<M>, NodeError>
+    where
+        M: StateMachine + 'static,
+    {
+        let mut replicas = Replicas::default();
+        let mut applied = Position::default();
+        if let Some(snapshot) = &restored.snapshot {
+            machine.restore(&snapshot.data).context(RestoreSnafu { group: id })?;
+            applied = snapshot.position;
+            replicas = snapshot.replicas.clone();
+        }
+        let cfg = self.replica_config(id);
+        let now = self.clock.now();
+        let replica = if joining {
+            Replica::joining(cfg, now)
+        } else {
+            Replica::new(cfg, Replicas::default(), restored, now)
+        };
+        let (group, jobs) = Group::new(GroupParts {
+            id,
+            clock: self.clock,
+            replica,
+            machine,
+            outbox: self.outbox(),
+            replicas,
+            applied,
+            snapshot_after: self.settings.storage.snapshot_after,
+            history_source: self.history_source(id),
+        });
+        let tick = self.settings.timing.leader_interval / TICKS_PER_INTERVAL;
+        let driver = self.executor.spawn(group.clone().run(storage, jobs, tick));
+        Ok(Opened { group, driver })
+    }
+
+    fn replica_config(&self, group: GroupId) -> ReplicaConfig {
+        let timing = &self.settings.timing;
+        let node = NodeId(self.settings.node.id);
+        ReplicaConfig {
+            group,
+            node,
+            leader_interval: timing.leader_interval,
+            election_timeout: timing.election_timeout,
+            clock_drift: timing.clock_drift,
+            seed: node.0 ^ (u64::from(group.0) << 32),
+            max_in_flight: MAX_IN_FLIGHT,
+            max_batch_bytes: MAX_BATCH_BYTES,
+        }
+    }
+
+    /// Asks the other holders of a group in turn.
+    fn history_source(&self, group: GroupId) -> HistorySource {
+        let own = NodeId(self.settings.node.id);
+        let mut others = holders(self.settings, group);
+        others.retain(|holder| *holder != own);
+        let links = self.links.clone();
+        Rc::new(move |offset| {
+            let ways: Vec<Rc<PeerLink>> = others.iter().filter_map(|node| links.get(*node)).collect();
+            Box::pin(async move {
+                for link in ways {
+                    match fetch_history(&link, group, offset).await {
+                        Ok(bytes) if !bytes.is_empty() => return Some(bytes),
+                        Ok(_) => {}
+                        Err(failure) => debug!("History could not be fetched: {failure}."),
+                    }
+                }
+                None
+            })
+        })
+    }
+
+    fn outbox(&self) -> Outbox {
+        let links = self.links.clone();
+        Rc::new(move |message: Message| {
+            if let Some(link) = links.get(message.to) {
+                link.deliver(message);
+            }
+        })
+    }
+}
+
+fn is_empty(restored: &Restored) -> bool {
+    let no_log = restored.snapshot.is_none() && restored.entries.is_empty();
+    no_log && restored.hard_state == HardState::default()
+}
+
+/// The snapshot before the first entry. It fixes the founding voters, whatever the settings say later.
+fn founding_snapshot<M: StateMachine>(machine: &M, holders: Vec<NodeId>) -> Snapshot {
+    let replicas = Replicas { voters: holders.into_iter().collect(), ..Replicas::default() };
+    Snapshot { position: Position::default(), replicas, data: machine.snapshot().into() }
+}
+
+async fn save(mut storage: Storage, snapshot: Snapshot, folder: &Path) -> Result<Storage, NodeError> {
+    let saved = smol::unblock(move || storage.save_snapshot(&snapshot).map(|()| storage)).await;
+    saved.context(OpenSnafu { folder })
+}
+
+async fn open_storage(folder: &Path, group: GroupId, segment: u64) -> Result<(Storage, Restored), NodeError> {
+    let segment_bytes = usize::try_from(segment).unwrap_or(usize::MAX);
+    let cfg = StorageConfig { group, segment_bytes };
+    let path = folder.to_path_buf();
+    let opened = smol::unblock(move || Storage::open(&path, cfg)).await;
+    opened.context(OpenSnafu { folder })
+}
+
+async fn fetch_history(link: &PeerLink, group: GroupId, offset: u64) -> Result<Vec<u8>, LinkError> {
+    link.call(|client| {
+        let mut request = client.history_request();
+        request.get().set_group(group.0);
+        request.get().set_offset(offset);
+        let sent = request.send();
+        async move { Ok(sent.promise.await?.get()?.get_bytes()?.to_vec()) }
+    })
+    .await
+}
--- a/agatetrestle_cli/src/apply.rs
+++ b/agatetrestle_cli/src/apply.rs
@@ -8,8 +8,9 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::calls;
-use crate::calls::Change;
-use crate::calls::Verdict;
+use crate::calls::changes;
+use crate::calls::changes::Change;
+use crate::calls::changes::Verdict;
 use crate::client::Client;
 use crate::error::ToolError;
 use crate::rows::AppliedRow;
@@ -35,7 +36,7 @@
 ///
 /// Fails as [`Client::call`] does, and as [`ToolError::Conflict`] if another change came first.
 pub async fn apply(client: &Client, change: &Change) -> Result<AppliedRow, ToolError> {
-    match calls::apply(client, change).await? {
+    match changes::apply(client, change).await? {
         Verdict::Accepted { version, revision } => Ok(AppliedRow {
             scope: change.scope.clone(),
             version,
@@ -48,7 +49,7 @@
     }
 }
 
-/// Waits until every known node that is not leaving has the change in force.
+/// Waits until every known node that may take work has the change in force.
 ///
 /// # Errors
 ///
@@ -71,5 +72,10 @@
 }
 
 fn lagging(nodes: Vec<NodeRow>, revision: u64) -> Vec<NodeRow> {
-    nodes.into_iter().filter(|node| node.revision < revision && &*node.state != "leaving").collect()
+    nodes.into_iter().filter(|node| node.revision < revision && may_take_work(node)).collect()
+}
+
+/// A silent node may still hold its lease for a moment, so it counts.
+fn may_take_work(node: &NodeRow) -> bool {
+    matches!(&*node.state, "live" | "silent")
 }
--- a/agatetrestle_schema/schema/peer.capnp
+++ b/agatetrestle_schema/schema/peer.capnp
@@ -37,6 +37,7 @@
       commit @10 :UInt64;
       round @11 :UInt64;
       entries @12 :List(Entry);
+      learner @25 :Bool;
     }
     appendReply :group {
       accepted @13 :Bool;
@@ -49,6 +50,7 @@
       chunk @18 :Data;
       last @19 :Bool;
       round @22 :UInt64;
+      learner @26 :Bool;
     }
     snapshotReply :group {
       position @20 :Position;
@@ -131,6 +133,7 @@
   submit @1 (group :UInt32, command :Data) -> (submission :Submission);
   heartbeat @2 (beat :Heartbeat) -> (digest :Digest);
   configuration @3 (known :UInt64) -> (revision :UInt64, documents :List(Document));
+  history @4 (group :UInt32, offset :UInt64) -> (bytes :Data);
 
   struct Document {
     scope @0 :Text;
