Keep new programs at the door while memory is full

Change: a door for each pool. A new program starts if what programs are expected to hold fits 200% of the engines' prefix caches, of which a partner beyond its share may fill 75%; half is open to a class of priority 0, all to the partner's most urgent class. Who waits for half the class's deadline is refused as not run. Calls whose deadline has passed are turned away before they are sent.

--- a/agatetrestle/src/admission/mod.rs
+++ b/agatetrestle/src/admission/mod.rs
@@ -1,5 +1,6 @@
 //! Admission: whose call goes next, how many may be in service, and which are turned away; see
 //! docs/design/007-partner-isolation.md.
 
+pub mod door;
 pub mod queue;
 pub mod retry;
--- a/agatetrestle/src/scheduler/config.rs
+++ b/agatetrestle/src/scheduler/config.rs
@@ -42,6 +42,11 @@
     pub team_slack: Duration,
     /// Share of an engine's prefix cache that is planned with, in percent.
     pub cache_fill: u64,
+    /// Memory that programs under way may fill together, in percent of the engines' prefix caches;
+    /// above 100 counts on memory to which cache is exported.
+    pub door_fill: u64,
+    /// How far into that memory a partner may go beyond its share, in percent.
+    pub door_lent: u64,
     /// The share of pauses, in percent, that is over by when a program is expected back.
     pub return_percent: u32,
     /// Engine time that a call may wait for the engine that holds its prefix.
@@ -84,6 +89,8 @@
             share_slack: Duration::from_secs(10),
             team_slack: Duration::from_mins(5),
             cache_fill: 85,
+            door_fill: 200,
+            door_lent: 75,
             return_percent: 50,
             hold_bound: Duration::from_secs(5),
             pass_skips: 64,
--- a/agatetrestle/src/scheduler/core/dispatch.rs
+++ b/agatetrestle/src/scheduler/core/dispatch.rs
@@ -18,6 +18,7 @@
 use crate::scheduler::event::BackendKey;
 use crate::scheduler::event::CacheOrder;
 use crate::scheduler::event::Decisions;
+use crate::scheduler::event::RefusalReason;
 use crate::scheduler::event::Work;
 use crate::scheduler::fleet::PoolKey;
 use crate::scheduler::programs::Place;
@@ -43,6 +44,9 @@
             let Some((owner, ticket)) = self.queues.get_mut(pool).and_then(FairQueue::pop) else {
                 break;
             };
+            if self.too_late(now, ticket.call, decisions) {
+                continue;
+            }
             match self.choose(now, pool, ticket.call) {
                 Choice::Send { to, fetch } => self.send(now, ticket.call, to, fetch, decisions),
                 Choice::Hold(server) => {
@@ -61,6 +65,23 @@
         }
     }
 
+    /// Turns a call away whose caller no longer wants the answer, before work is spent on it.
+    fn too_late(&mut self, now: Timestamp, key: CallKey, decisions: &mut Decisions) -> bool {
+        let entry = &self.calls[key];
+        if entry.call.deadline.is_none_or(|deadline| deadline > now) {
+            return false;
+        }
+        let (id, sent_before) = (entry.call.id, entry.attempts > 0);
+        self.withdraw(now, id);
+        let retry_after = self.cfg.retry_after;
+        decisions.actions.push(if sent_before {
+            Action::GiveUp { call: id, retry_after }
+        } else {
+            Action::Refuse { call: id, reason: RefusalReason::Deadline, retry_after }
+        });
+        true
+    }
+
     fn choose(&mut self, now: Timestamp, pool: PoolKey, call: CallKey) -> Choice {
         let entry = &self.calls[call];
         let wanted = wanted(&self.programs, entry, now);
--- a/agatetrestle/src/scheduler/core/housekeeping.rs
+++ b/agatetrestle/src/scheduler/core/housekeeping.rs
@@ -11,6 +11,7 @@
         self.wake_resting(now);
         self.requeue_delayed(now);
         self.expire(now, decisions);
+        self.turn_away(now, decisions);
         self.expect_later(now);
         self.pass_all(now, decisions);
     }
--- a/agatetrestle/src/scheduler/core/mod.rs
+++ b/agatetrestle/src/scheduler/core/mod.rs
@@ -1,6 +1,7 @@
 //! The scheduler proper: state and the order in which its parts are asked.
 
 mod dispatch;
+mod door;
 mod housekeeping;
 mod memory;
 mod outcome;
@@ -14,6 +15,7 @@
 use slotmap::SecondaryMap;
 use slotmap::SlotMap;
 
+use crate::admission::door::Door;
 use crate::admission::queue::CallKey;
 use crate::admission::queue::FairQueue;
 use crate::admission::queue::Owner;
@@ -50,6 +52,8 @@
     pub placer: Box<dyn Placer>,
     /// Whether cache is kept, exported and released by order.
     pub retention: bool,
+    /// Whether new programs wait while there is no memory for them.
+    pub door: bool,
     /// Whether partners and teams are held to their shares.
     pub shares: bool,
 }
@@ -65,6 +69,7 @@
 
 #[derive(Debug)]
 enum State {
+    AtDoor(Ticket),
     Waiting(Ticket),
     Delayed(Timestamp),
     InService(InService),
@@ -95,6 +100,8 @@
     calls: SlotMap<CallKey, Entry>,
     ids: HashMap<CallId, CallKey>,
     queues: SecondaryMap<PoolKey, FairQueue>,
+    doors: SecondaryMap<PoolKey, Door>,
+    impatient: BTreeSet<(Timestamp, CallKey)>,
     delayed: BTreeSet<(Timestamp, CallKey)>,
     resting: BTreeSet<(Timestamp, BackendKey)>,
     returns: Returns,
@@ -118,6 +125,8 @@
             calls: SlotMap::with_key(),
             ids: HashMap::new(),
             queues: SecondaryMap::new(),
+            doors: SecondaryMap::new(),
+            impatient: BTreeSet::new(),
             delayed: BTreeSet::new(),
             resting: BTreeSet::new(),
             returns: Returns::default(),
@@ -177,7 +186,7 @@
                 self.pass_all(now, &mut decisions);
             }
             Event::Paused { program, tool } => self.paused(&program, tool),
-            Event::Ended(program) => self.ended(&program, &mut decisions),
+            Event::Ended(program) => self.ended(now, &program, &mut decisions),
             Event::Tick => self.tick(now, &mut decisions),
         }
         decisions
--- a/agatetrestle/src/scheduler/core/outcome.rs
+++ b/agatetrestle/src/scheduler/core/outcome.rs
@@ -70,6 +70,7 @@
             if let Some(program) = self.programs.get_mut(entry.program) {
                 program.tokens = u64::from(*prompt_tokens) + output_tokens;
             }
+            self.rebook(entry.program);
         }
         self.call_over(now, &entry);
         self.begin_pause(now, entry.program);
@@ -124,7 +125,7 @@
                 self.call_over(now, &entry);
                 self.begin_pause(now, entry.program);
             }
-            State::Waiting(_) | State::Delayed(_) => self.withdraw(now, id),
+            State::AtDoor(_) | State::Waiting(_) | State::Delayed(_) => self.withdraw(now, id),
         }
         self.pass(now, pool, decisions);
     }
@@ -134,6 +135,9 @@
         let Some(key) = self.ids.remove(&id) else {
             return;
         };
+        if let Some(State::AtDoor(ticket)) = self.calls.get(key).map(|entry| &entry.state) {
+            self.leave_door(key, *ticket);
+        }
         let Some(entry) = self.calls.remove(key) else {
             return;
         };
@@ -146,25 +150,34 @@
             State::Delayed(due) => {
                 self.delayed.remove(&(due, key));
             }
-            State::InService(_) => {}
+            State::AtDoor(_) | State::InService(_) => {}
         }
         self.call_over(now, &entry);
         self.begin_pause(now, entry.program);
     }
 
-    pub(super) fn ended(&mut self, id: &ProgramId, decisions: &mut Decisions) {
+    pub(super) fn ended(&mut self, now: Timestamp, id: &ProgramId, decisions: &mut Decisions) {
         let Some(key) = self.programs.find(id) else {
             return;
         };
         self.forget(key, decisions);
+        self.pass_all(now, decisions);
     }
 
     /// Releases what a program holds and forgets it.
     pub(super) fn forget(&mut self, key: ProgramKey, decisions: &mut Decisions) {
         self.release_everywhere(key, decisions);
-        if let Some(program) = self.programs.remove(key).filter(|program| program.attained > 0) {
+        let Some(program) = self.programs.remove(key) else {
+            return;
+        };
+        if program.attained > 0 {
             self.classes.learn_service(&program.id.partner, &program.class, program.attained);
         }
+        if let Some((pool, booked)) = program.booked {
+            self.classes.learn_tokens(&program.id.partner, &program.class, program.own_tokens());
+            self.doors[pool].book(&program.id.partner, booked, 0);
+            self.open_door(pool);
+        }
     }
 
     fn take_from_service(&mut self, id: CallId) -> Option<(Entry, InService)> {
--- a/agatetrestle/src/scheduler/core/submit.rs
+++ b/agatetrestle/src/scheduler/core/submit.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::admission::queue::CallKey;
 use crate::admission::queue::FairQueue;
 use crate::admission::queue::Owner;
 use crate::admission::queue::Ticket;
@@ -49,12 +50,22 @@
         let id = entry.call.id;
         let key = self.calls.insert(entry);
         self.ids.insert(id, key);
-        self.enqueue(key);
+        self.knock(key);
         self.pass(now, pool, decisions);
     }
 
     /// Puts a call into the queue of its pool, by its rank.
-    pub(super) fn enqueue(&mut self, key: crate::admission::queue::CallKey) {
+    pub(super) fn enqueue(&mut self, key: CallKey) {
+        let ticket = self.ticket(key);
+        let entry = &mut self.calls[key];
+        entry.state = State::Waiting(ticket);
+        let owner = entry.owner.clone();
+        let pool = entry.pool;
+        self.queue(pool, &owner).push(&owner, ticket);
+    }
+
+    /// Ranks a call.
+    pub(super) fn ticket(&mut self, key: CallKey) -> Ticket {
         let entry = &self.calls[key];
         let rule = self.classes.rule(&entry.call.program.partner, &entry.call.class);
         let attained = self.programs.get(entry.root).map_or(0, |program| program.attained);
@@ -69,11 +80,7 @@
         };
         self.sequence += 1;
         let rank = self.parts.order.rank(&candidate);
-        let ticket = Ticket { rank, sequence: self.sequence, call: key };
-        let owner = entry.owner.clone();
-        let pool = entry.pool;
-        self.calls[key].state = State::Waiting(ticket);
-        self.queue(pool, &owner).push(&owner, ticket);
+        Ticket { rank, sequence: self.sequence, call: key }
     }
 
     /// Engine time of a generated token in a usual batch, in microseconds.
--- a/agatetrestle/src/scheduler/programs.rs
+++ b/agatetrestle/src/scheduler/programs.rs
@@ -11,6 +11,7 @@
 use crate::clock::Timestamp;
 use crate::ids::ProgramId;
 use crate::scheduler::event::BackendKey;
+use crate::scheduler::fleet::PoolKey;
 
 /// A program whose keepalive ran out while it has calls is looked at again after this time.
 const RECHECK: Duration = Duration::from_secs(1);
@@ -78,6 +79,8 @@
     pub keepalive: Duration,
     /// Equal prompts in a row.
     pub repeats: u32,
+    /// The pool at whose door tokens are booked for it, and how many.
+    pub booked: Option<(PoolKey, u64)>,
     /// Whether any of its prefix was ever exported.
     pub exported: bool,
     /// Whether its tokens are counted as idle on the engine that holds them.
@@ -131,6 +134,7 @@
             active: now,
             keepalive,
             repeats: 0,
+            booked: None,
             exported: false,
             parked: false,
         });
--- a/agatetrestle_replay/src/main.rs
+++ b/agatetrestle_replay/src/main.rs
@@ -96,7 +96,7 @@
 
 #[derive(Bpaf, Clone, Debug)]
 struct Shape {
-    /// `vrsta`, `lernwerk`, `shared`, `tenfold` or `runaway`.
+    /// `vrsta`, `lernwerk`, `shared`, `tenfold`, `tenfold_alone` or `runaway`.
     #[bpaf(argument("NAME"))]
     workload: Workload,
     /// Programs that are no sub-agents.
--- a/agatetrestle_replay/src/synth.rs
+++ b/agatetrestle_replay/src/synth.rs
@@ -32,13 +32,15 @@
     Shared,
     /// Both on one pool, of which Lernwerk offers ten times its usual load.
     Tenfold,
+    /// Only what Vrsta offers in that, at the same times.
+    TenfoldAlone,
     /// Both on one pool, with programs that loop, hang in a tool or die.
     Runaway,
 }
 
 /// No workload has this name.
 #[derive(Debug, Snafu)]
-#[snafu(display("no workload is named {name}; there are vrsta, lernwerk, shared, tenfold and runaway"))]
+#[snafu(display("no workload is named {name}; see the help of synth"))]
 pub struct UnknownWorkload {
     name: Arc<str>,
 }
@@ -52,6 +54,7 @@
             "lernwerk" => Ok(Self::Lernwerk),
             "shared" => Ok(Self::Shared),
             "tenfold" => Ok(Self::Tenfold),
+            "tenfold_alone" => Ok(Self::TenfoldAlone),
             "runaway" => Ok(Self::Runaway),
             _ => UnknownWorkloadSnafu { name }.fail(),
         }
@@ -170,7 +173,11 @@
         programs.push(builder.calls);
     }
     let capacity = u64::from(synth.engines.max(1)) * u64::from(synth.load.max(1));
-    place_in_time(work * 100 / capacity, &mut rng, programs)
+    let mut calls = place_in_time(work * 100 / capacity, &mut rng, programs);
+    if synth.workload == Workload::TenfoldAlone {
+        calls.retain(|call| call.partner.as_ref() == REPLACEMENT.partner);
+    }
+    calls
 }
 
 fn pick(workload: Workload, rng: &mut Random) -> &'static Shape {
@@ -180,7 +187,7 @@
     let coaching = match workload {
         Workload::Vrsta => false,
         Workload::Lernwerk => true,
-        Workload::Tenfold => rng.happens(10.0 / 11.0),
+        Workload::Tenfold | Workload::TenfoldAlone => rng.happens(10.0 / 11.0),
         Workload::Shared | Workload::Runaway => rng.happens(0.5),
     };
     if coaching { lernwerk } else { vrsta }
