Queue before the begin, and tell "not run" only by the ledger's word

Cause: a call that the scheduler turned away cost two commits, and the refusals of a node that could not know whether a resent request had run elsewhere still said not_run. Change: the next call of a program that this node serves is queued first and begins when it is about to be sent. Every refusal before a begin asks the ledger for the key first; what did not arrive whole, or met the limit of connections, is told unknown. A begin whose reply was lost is tried again, which finds the first one. An attempt of a repeatable call that nobody carries on is noted as in doubt, which the ledger lets any node begin again with the lost attempt's cost charged; the stand-in node 0 is gone. First-token, between-token, token, commit and program latency are recorded. Tests: the one on the end of a stream passed although the end was told too early (a trial that told it at once), so it now holds the commit back; the one on ledger faults expected not_run after a lost reply, where the call now runs, and asks for two lost replies instead; hostile ones expect the stricter unknown. Conclusion: shedding costs one read of the ledger; an isolated node now says unknown for calls it can't judge.

--- a/agatetrestle/src/attempts/dispatcher.rs
+++ b/agatetrestle/src/attempts/dispatcher.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use agatetrestle_config::declarations::BackendKind;
+use futures::future::LocalBoxFuture;
 use smol::channel;
 use smol::channel::Receiver;
 use smol::channel::Sender;
@@ -79,6 +80,8 @@
         /// When the caller may come back.
         retry_after: Duration,
     },
+    /// The caller itself held the call back before anything was sent.
+    HeldBack,
     /// The caller went away and the call was stopped.
     Cancelled(Ending),
 }
@@ -114,8 +117,12 @@
     last_id: Cell<u64>,
 }
 
-/// Who waits for the parts of an answer.
+/// Who asked for a call.
 pub trait Caller {
+    /// The call is about to be sent for the first time. False holds it back, and the caller knows why;
+    /// a call that was turned away in the queue has cost nothing before this.
+    fn admit(&self) -> LocalBoxFuture<'_, bool>;
+
     /// A further part of the first answer came; its last event is held back.
     fn piece(&self, bytes: &[u8]);
 
@@ -257,6 +264,7 @@
         times: &Cell<Times>,
     ) -> Outcome {
         let mut attached = Some(caller);
+        let mut admitted = false;
         let (tx, rx) = channel::unbounded();
         let place = self.enter(tx);
         let machine = RefCell::new(Machine::new(job.outgoing.repeatable));
@@ -283,6 +291,10 @@
                 let ending = machine.borrow_mut().end();
                 return Outcome::GivenUp { ending, detail, retry_after: COMEBACK };
             }
+            admitted = admitted || caller.admit().await;
+            if !admitted {
+                return Outcome::HeldBack;
+            }
             let watch = Watch {
                 dispatcher: self,
                 id: place.id,
--- a/agatetrestle/src/attempts/mod.rs
+++ b/agatetrestle/src/attempts/mod.rs
@@ -26,7 +26,6 @@
 use snafu::Snafu;
 
 use crate::ids::CallNumber;
-use crate::ids::NodeId;
 use crate::ids::ProgramId;
 use crate::ids::RequestKey;
 use crate::programs::command::Answer;
@@ -42,10 +41,6 @@
 pub use timer::SystemTimer;
 pub use timer::Timer;
 
-/// Node of an attempt that nobody carries on: any node may take the call over at once. No real node
-/// has this number.
-pub const NOBODY: NodeId = NodeId(0);
-
 /// Header that tells an engine the priority of a request, higher first.
 pub const PRIORITY_HEADER: &str = "Agatetrestle-Priority";
 
--- a/agatetrestle/src/entry/calls.rs
+++ b/agatetrestle/src/entry/calls.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use agatetrestle_config::declarations::Service;
 use futures::StreamExt;
 use futures::TryStreamExt;
 use http_types::Body;
@@ -18,18 +19,17 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::attempts::CALL_HEADER;
-use crate::attempts::Caller;
 use crate::attempts::Outgoing;
 use crate::attempts::PROGRAM_HEADER;
 use crate::attempts::prefix;
 use crate::entry::Counted;
 use crate::entry::Entry;
+use crate::entry::carry;
 use crate::entry::connection::Context;
 use crate::entry::problem::Problem;
 use crate::entry::problem::Reason;
 use crate::entry::programs;
 use crate::entry::routes;
-use crate::entry::settle;
 use crate::ids::CallNumber;
 use crate::ids::ProgramId;
 use crate::programs::command::Answer;
@@ -68,6 +68,9 @@
     pub request: Arc<[u8]>,
     /// Digest of path and request.
     pub digest: u64,
+    /// Why the call is not allowed. It is refused only after the ledger was asked, since a resend of a
+    /// request that ran while it was allowed must get its answer.
+    pub refusal: Option<Problem>,
     /// How long the caller wants the answer.
     pub timeout: Option<Duration>,
 }
@@ -102,13 +105,15 @@
     }
 }
 
-impl Caller for Parts {
-    fn piece(&self, bytes: &[u8]) {
+impl Parts {
+    /// Passes on a part of the answer.
+    pub fn piece(&self, bytes: &[u8]) {
         self.told.set(true);
         self.tx.try_send(Part::Piece(bytes.to_vec())).ok();
     }
 
-    fn broke_off(&self) {
+    /// Ends a stream that broke off: the caller is to ask again.
+    pub fn broke_off(&self) {
         let detail = "the stream broke off; ask again with the same key for the whole answer";
         let problem = Problem::unknown(502, Reason::BrokeOff, detail).retry_after(programs::COMEBACK);
         self.end(Err(problem));
@@ -152,7 +157,7 @@
         _ => return Err(routes::malformed("model must be text")),
     };
     let declared = entry.state.declared.of(&entry.control.configuration());
-    declared.model(&program.partner, &model)?;
+    let refusal = declared.model(&program.partner, &model).err();
     let stream = form.get("stream").and_then(Value::as_bool).unwrap_or(false);
     let asked = form.get("max_completion_tokens").or_else(|| form.get("max_tokens"));
     let max_tokens = asked.and_then(Value::as_u64).unwrap_or(DEFAULT_MAX_TOKENS);
@@ -179,8 +184,15 @@
         stream,
         patience: ENGINE_PATIENCE,
     };
-    let reserve = bytes.div_ceil(RESERVED_BYTES_PER_TOKEN).saturating_add(max_tokens);
-    planned(request, outgoing, work, reserve, body)
+    Ok(Planned {
+        outgoing,
+        work,
+        reserve: bytes.div_ceil(RESERVED_BYTES_PER_TOKEN).saturating_add(max_tokens),
+        request: body.into(),
+        digest: digest(request, body),
+        refusal,
+        timeout: timeout(request)?,
+    })
 }
 
 fn plan_service(
@@ -192,7 +204,10 @@
 ) -> Result<Planned, Problem> {
     let (program, call) = named(request)?;
     let declared = entry.state.declared.of(&entry.control.configuration());
-    let service = declared.service(&program.partner, name)?;
+    let (service, refusal) = match declared.service(&program.partner, name) {
+        Ok(service) => (service.clone(), None),
+        Err(problem) => (Service { repeatable: false, timeout: Duration::ZERO }, Some(problem)),
+    };
     let stricter = match request.header(REPEATABLE_HEADER).map(|v| v.last().as_str()) {
         None | Some("true") => false,
         Some("false") => true,
@@ -211,26 +226,32 @@
         stream: false,
         patience: service.timeout,
     };
-    planned(request, outgoing, Work::Service { service: name.into() }, 0, body)
+    Ok(Planned {
+        outgoing,
+        work: Work::Service { service: name.into() },
+        reserve: 0,
+        request: body.into(),
+        digest: digest(request, body),
+        refusal,
+        timeout: timeout(request)?,
+    })
 }
 
-fn planned(
-    request: &Request,
-    outgoing: Outgoing,
-    work: Work,
-    reserve: u64,
-    body: &[u8],
-) -> Result<Planned, Problem> {
+/// Digest of what the caller asked, so that a key can't be used for another request.
+fn digest(request: &Request, body: &[u8]) -> u64 {
     let mut identity = request.url().path().as_bytes().to_vec();
     identity.extend(request.url().query().unwrap_or_default().as_bytes());
     identity.push(0);
     identity.extend(body);
-    let timeout = match request.header(TIMEOUT_HEADER).map(|v| v.last().as_str().parse()) {
-        None => None,
-        Some(Ok(millis)) => Some(Duration::from_millis(millis)),
-        Some(Err(_)) => return Err(routes::malformed("Agatetrestle-Timeout-Ms is a whole number")),
-    };
-    Ok(Planned { outgoing, work, reserve, request: body.into(), digest: xxh3_64(&identity), timeout })
+    xxh3_64(&identity)
+}
+
+fn timeout(request: &Request) -> Result<Option<Duration>, Problem> {
+    match request.header(TIMEOUT_HEADER).map(|v| v.last().as_str().parse()) {
+        None => Ok(None),
+        Some(Ok(millis)) => Ok(Some(Duration::from_millis(millis))),
+        Some(Err(_)) => Err(routes::malformed("Agatetrestle-Timeout-Ms is a whole number")),
+    }
 }
 
 fn named(request: &Request) -> Result<(ProgramId, CallNumber), Problem> {
@@ -248,7 +269,7 @@
     let entry = Rc::clone(&cx.entry);
     let task = async move {
         let _counted = Counted::new(&entry);
-        settle::run(&entry, &planned, &parts, &gone).await;
+        carry::run(&entry, &planned, &parts, &gone).await;
     };
     cx.executor.spawn(task).detach();
     match rx.recv().await {
--- a/agatetrestle/src/entry/connection.rs
+++ b/agatetrestle/src/entry/connection.rs
@@ -53,7 +53,7 @@
     let _place = Place(Rc::clone(&entry));
     stream.set_nodelay(true).ok();
     if count.get() > entry.limits.connections {
-        let problem = Problem::not_run(503, Reason::Connections, "too many connections");
+        let problem = Problem::unknown(503, Reason::Connections, "too many connections; nothing was read");
         refuse(&entry, &mut stream, &problem.retry_after(std::time::Duration::from_secs(1))).await;
         return;
     }
--- a/agatetrestle/src/entry/guard.rs
+++ b/agatetrestle/src/entry/guard.rs
@@ -3,6 +3,9 @@
 //! What the library itself enforces and what it does not is listed in
 //! docs/design/009-silent-connections.md. The guard refuses everything whose end two parties could see
 //! differently, keeps what follows a request for the next one, and answers `100-continue` itself.
+//!
+//! A request that did not arrive whole may be a resend of one that ran, and its key was not read: the
+//! refusal then says `unknown`. One that is malformed in itself can't have run before either.
 
 use std::io;
 use std::pin::Pin;
@@ -139,9 +142,9 @@
                 Some(true) => {}
                 Some(false) => {
                     let detail = "the connection closed within the body";
-                    return Err(Problem::not_run(400, Reason::Malformed, detail));
+                    return Err(Problem::unknown(400, Reason::Malformed, detail));
                 }
-                None => return Err(Problem::not_run(408, Reason::TooSlow, "the body made no progress")),
+                None => return Err(Problem::unknown(408, Reason::TooSlow, "the body made no progress")),
             }
         }
         Ok(())
@@ -226,7 +229,7 @@
 }
 
 fn slow_head() -> Problem {
-    Problem::not_run(408, Reason::TooSlow, "the head did not arrive in time")
+    Problem::unknown(408, Reason::TooSlow, "the head did not arrive in time")
 }
 
 fn malformed(detail: &'static str) -> Problem {
--- a/agatetrestle/src/entry/mod.rs
+++ b/agatetrestle/src/entry/mod.rs
@@ -5,10 +5,13 @@
 //! be sent and what is answered again; see docs/design/002-ledger-and-at-most-once.md. How callers
 //! find a node without a balancer is told in docs/design/010-addresses-without-a-balancer.md.
 
+mod begin;
 pub mod calls;
+pub mod carry;
 pub mod connection;
 pub mod declared;
 pub mod guard;
+pub mod known;
 pub mod problem;
 pub mod programs;
 pub mod routes;
@@ -16,7 +19,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::collections::HashSet;
 use std::rc::Rc;
 
@@ -29,7 +31,6 @@
 use crate::clock::Clock;
 use crate::ids::AttemptId;
 use crate::ids::NodeId;
-use crate::ids::ProgramId;
 use crate::ports::Control;
 use crate::ports::Ledger;
 use crate::ports::Members;
@@ -70,7 +71,7 @@
     connections: Cell<u32>,
     last_attempt: Cell<u64>,
     active: RefCell<HashSet<AttemptId>>,
-    roots: RefCell<HashMap<ProgramId, ProgramId>>,
+    known: known::KnownPrograms,
     declared: declared::Cache,
 }
 
--- a/agatetrestle/src/entry/programs.rs
+++ b/agatetrestle/src/entry/programs.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::SystemTime;
 
 use http_types::Request;
@@ -14,11 +15,13 @@
 use crate::entry::Entry;
 use crate::entry::problem::Problem;
 use crate::entry::problem::Reason;
+use crate::entry::problem::Told;
 use crate::entry::routes;
 use crate::ids::ProgramId;
 use crate::ids::RequestKey;
 use crate::ports::GroupError;
 use crate::ports::Labels;
+use crate::ports::Measure;
 use crate::programs::command::Answer;
 use crate::programs::command::ProgramCommand;
 use crate::programs::command::ProgramQuery;
@@ -29,7 +32,7 @@
 use crate::programs::command::Refusal;
 
 /// When a caller may ask again for an answer that is being worked on.
-pub const COMEBACK: std::time::Duration = std::time::Duration::from_secs(1);
+pub const COMEBACK: Duration = Duration::from_secs(1);
 
 #[derive(Serialize)]
 struct Addresses {
@@ -93,15 +96,22 @@
     let body = request.body_bytes().await.map_err(|e| routes::malformed(e.to_string()))?;
     let opening: Opening = serde_json::from_slice(&body).map_err(|e| routes::malformed(e.to_string()))?;
     let labels = Labels { partner: opening.partner.clone(), class: opening.class.clone() };
-    let command = prepare(entry, &opening, key);
-    let command = command.map_err(|problem| routes::counted(entry, &labels, problem))?;
+    let command =
+        prepare(entry, &opening, key).map_err(|problem| routes::counted(entry, &labels, problem))?;
+    if let Err(problem) = routes::taking_work(entry) {
+        let refusal = opened_before(entry, command.program()).await.err();
+        let told = refusal.map(|outcome| Problem { outcome, ..problem });
+        told.map_or(Ok(()), |problem| Err(routes::counted(entry, &labels, problem)))?;
+    }
     let reply = entry.ledger.commit(command).await;
     let view = done(reply).map_err(|problem| routes::counted(entry, &labels, problem))?;
+    if view.spec.parent.is_none() {
+        entry.state.known.learn(&view, view.program.clone());
+    }
     Ok(json(StatusCode::Created, &form(&view)))
 }
 
 fn prepare(entry: &Entry, opening: &Opening, key: RequestKey) -> Result<ProgramCommand, Problem> {
-    routes::taking_work(entry)?;
     let declared = entry.state.declared.of(&entry.control.configuration());
     let class = declared.class(&opening.partner, &opening.team, &opening.class)?;
     let budget = opening.budget.unwrap_or(class.budget);
@@ -128,12 +138,24 @@
     Ok(ProgramCommand::Open { program, key, spec, at: wall_clock() })
 }
 
+/// A node that takes no new work still answers a resend: the ledger gives the first answer again. If the
+/// program does not exist the opening did not run, and without the ledger's word nobody can say.
+async fn opened_before(entry: &Entry, program: &ProgramId) -> Result<(), Told> {
+    match entry.ledger.query(ProgramQuery::Program(program.clone())).await {
+        Ok(QueryReply::One(ProgramReply::Done(_))) => Ok(()),
+        Ok(_) => Err(Told::NotRun),
+        Err(_) => Err(Told::Unknown),
+    }
+}
+
 /// A resend on any node must mean the same program, so that the name follows from the key.
 fn name_from(key: &RequestKey) -> Arc<str> {
     format!("p-{:032x}", xxh3_128(key.0.as_bytes())).into()
 }
 
-fn wall_clock() -> u64 {
+/// Wall-clock milliseconds since 1970.
+#[must_use]
+pub fn wall_clock() -> u64 {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
@@ -147,11 +169,22 @@
     let program = routes::program_in_query(request)?;
     let reply = entry.ledger.commit(ProgramCommand::End { program: program.clone() }).await;
     let view = done(reply)?;
-    entry.state.roots.borrow_mut().remove(&program);
+    measure_end(entry, &view);
     entry.calls.step(crate::scheduler::event::Event::Ended(program));
     Ok(json(StatusCode::Ok, &form(&view)))
 }
 
+/// Records the latency of a program that has ended, from its opening to its final answer; where another node
+/// gave that answer, to its end.
+fn measure_end(entry: &Entry, view: &ProgramView) {
+    let known = entry.state.known.forget(&view.program);
+    let answered_at = known.map_or(0, |known| known.answered_at);
+    let until = if answered_at > 0 { answered_at } else { wall_clock() };
+    let latency = Duration::from_millis(until.saturating_sub(view.opened_at));
+    let labels = Labels { partner: view.program.partner.clone(), class: view.spec.class.clone() };
+    entry.recorder.record(&labels, &Measure::ProgramLatency(latency));
+}
+
 /// Gives a stored answer again.
 ///
 /// # Errors
