Test hostile bytes and too many connections at the operators' RPC

Cause: the bounds of the operators' RPC were tested apart from real connections. Change: a test sends bytes that are no message, a header of 512 segments, a segment of 16 GiB and an HTTP request, and then applies a change; another opens as many connections as are allowed and finds the next one closed. Conclusion: each closes only its own connection.

--- a/agatetrestle_cli/tests/operator.rs
+++ b/agatetrestle_cli/tests/operator.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use agatetrestle::ids::NodeId;
 use agatetrestle::ids::ProgramId;
 use agatetrestle::ids::RequestKey;
+use agatetrestle::operator::MAX_CONNECTIONS;
 use agatetrestle::programs::command::ProgramCommand;
 use agatetrestle::programs::command::ProgramSpec;
 use agatetrestle::programs::command::Repeatable;
@@ -27,7 +29,10 @@
 use agatetrestle_cli::options::Replicas;
 use agatetrestle_cli::options::Resolve;
 use agatetrestle_cli::rows::AppliedRow;
+use futures::AsyncReadExt;
+use futures::AsyncWriteExt;
 use futures::future::join_all;
+use smol::net::TcpStream;
 
 use crate::support::Mood;
 use crate::support::World;
@@ -186,6 +191,42 @@
     });
 }
 
+/// Sends bytes as they are and returns once the node has closed the connection.
+async fn send_raw(node: SocketAddr, bytes: &[u8]) {
+    let mut stream = TcpStream::connect(node).await.unwrap();
+    stream.write_all(bytes).await.ok();
+    let mut rest = Vec::new();
+    stream.read_to_end(&mut rest).await.ok();
+}
+
+#[test]
+fn bytes_that_are_no_message_close_only_their_own_connection() {
+    in_world(async |world| {
+        let node = world.node(Mood::Well, 0).await;
+        send_raw(node, &[0xff; 64]).await;
+        // A header that announces 512 segments, and one that announces a segment of 16 GiB.
+        send_raw(node, &[0xff, 0x01, 0, 0, 1, 0, 0, 0]).await;
+        send_raw(node, &[0, 0, 0, 0, 0, 0, 0, 0x80]).await;
+        send_raw(node, b"GET /metrics HTTP/1.1\r\nHost: node\r\n\r\n").await;
+        assert_eq!(apply(&client(&[node]), &change(0, 1)).await.unwrap().version, 1);
+    });
+}
+
+#[test]
+fn connections_beyond_the_bound_are_closed_at_once() {
+    in_world(async |world| {
+        let node = world.node(Mood::Well, 0).await;
+        let mut open = Vec::new();
+        for _ in 0..MAX_CONNECTIONS {
+            open.push(TcpStream::connect(node).await.unwrap());
+        }
+        send_raw(node, &[]).await;
+        let refused = apply(&client(&[node]), &change(0, 1)).await.unwrap_err();
+        assert!(matches!(refused.exit(), Exit::Unavailable | Exit::Unknown), "{refused}");
+        assert_eq!(documents_changed(&world), 0);
+    });
+}
+
 fn open_programs(world: &World) {
     let mut ledger = world.ledger.0.borrow_mut();
     for (name, at) in [("dawn-1", 10), ("dawn-2", 20)] {
