Keep a node's account of cache held and wasted

Change: the recording scheduler feeds a pure account with answers, releases, exports and ends, and sets the gauges. Wasted is what is computed again although it had been, and what a program's last call left unread.

--- a/agatetrestle/src/metrics/instruments.rs
+++ b/agatetrestle/src/metrics/instruments.rs
@@ -82,7 +82,10 @@
             unknown: count("agatetrestle_unknown", "Calls of which nobody can tell whether they ran."),
             tokens: count("agatetrestle_tokens", "Tokens generated."),
             cache_held: gauge("agatetrestle_cache_held_tokens", "Prefix cache that live programs hold."),
-            cache_wasted: gauge("agatetrestle_cache_wasted_tokens", "Prefix cache never read again."),
+            cache_wasted: gauge(
+                "agatetrestle_cache_wasted_tokens",
+                "Prefix tokens computed again or left unread by ended programs, since the start.",
+            ),
         }
     }
 
--- a/agatetrestle/src/node/mod.rs
+++ b/agatetrestle/src/node/mod.rs
@@ -136,8 +136,8 @@
         let links = Links::new(&settings, &executor);
         let opener = Opener { settings: &settings, clock, links: &links, missing, executor: &executor };
         let mut replicas = Replicas::open(&opener).await?;
-        let assembly = Assembly::new(&settings, &addresses, clock, &links, &replicas);
         let metrics = Rc::new(Metrics::new().context(MetricsSnafu)?);
+        let assembly = Assembly::new(&settings, &addresses, clock, &links, &replicas, &metrics);
         let entry = Rc::new(assembly.entry(&metrics));
         let mut tasks = std::mem::take(&mut replicas.tasks);
         let peers = assembly.peer_server(&replicas);
@@ -331,6 +331,7 @@
         clock: Clock,
         links: &Rc<Links>,
         replicas: &Replicas,
+        metrics: &Rc<Metrics>,
     ) -> Self {
         let node = NodeId(settings.node.id);
         let timing = &settings.timing;
@@ -347,7 +348,7 @@
         let ledger = Rc::new(LedgerPort::new(router(FIRST_STATE_GROUP, replicas.state_service())));
         let traces = Rc::new(TraceLog::default());
         let deciding = scheduler::build(Policy::default(), SchedulerConfig::default(), incarnation);
-        let recording = Recording::new(deciding, traces.clone());
+        let recording = Recording::new(deciding, traces.clone(), metrics.clone());
         let scheduler: Rc<RefCell<Box<dyn Scheduler>>> = Rc::new(RefCell::new(Box::new(recording)));
         let calls = dispatcher(&scheduler, timing.peer_call, clock);
         let registry = replicas.control.clone().map(|group| {
--- a/agatetrestle/src/ports.rs
+++ b/agatetrestle/src/ports.rs
@@ -228,7 +228,7 @@
     /// Counts or times one thing.
     fn record(&self, labels: &Labels, measure: &Measure);
 
-    /// Sets the prefix cache that live programs hold on this node's account, and the share of it
-    /// that was never read again, in tokens.
+    /// Sets the prefix cache that live programs hold on this node's account, and what was wasted of it
+    /// since the start, in tokens; see [`crate::retention::account`].
     fn cache(&self, held: u64, wasted: u64);
 }
--- a/agatetrestle/src/trace/recorder.rs
+++ b/agatetrestle/src/trace/recorder.rs
@@ -1,4 +1,5 @@
-//! Records the calls of this node as they pass the scheduler, in a bounded memory.
+//! Records the calls of this node as they pass the scheduler, in a bounded memory, and keeps the
+//! account of what they hold and waste of the engines' caches.
 //!
 //! A line is written when the program's next call has an answer or the program has ended, because only
 //! then is known whether the call was its last. Refused, cancelled and given-up calls leave no line.
@@ -15,13 +16,17 @@
 use crate::clock::Timestamp;
 use crate::clock::micros;
 use crate::ids::ProgramId;
+use crate::ports::Recorder;
 use crate::ports::Traces;
 use crate::programs::command::Repeatable;
+use crate::retention::account::CacheAccount;
+use crate::retention::account::ProgramCache;
 use crate::scheduler::BackendState;
 use crate::scheduler::Scheduler;
 use crate::scheduler::event::Action;
 use crate::scheduler::event::Backend;
 use crate::scheduler::event::BackendKey;
+use crate::scheduler::event::CacheOrder;
 use crate::scheduler::event::Call;
 use crate::scheduler::event::CallId;
 use crate::scheduler::event::Decisions;
@@ -76,6 +81,8 @@
 pub struct Recording {
     inner: Box<dyn Scheduler>,
     log: Rc<TraceLog>,
+    recorder: Rc<dyn Recorder>,
+    account: CacheAccount,
     open: HashMap<CallId, Open>,
     programs: HashMap<ProgramId, Story>,
 }
@@ -95,13 +102,19 @@
     answered: Option<Timestamp>,
     tool: Option<Arc<str>>,
     held: Option<TraceCall>,
+    cache: ProgramCache,
 }
 
 impl Recording {
-    /// Records what `inner` is told into `log`.
+    /// Records what `inner` is told into `log`, and the account of caches by `recorder`.
     #[must_use]
-    pub fn new(inner: Box<dyn Scheduler>, log: Rc<TraceLog>) -> Self {
-        Self { inner, log, open: HashMap::new(), programs: HashMap::new() }
+    pub fn new(inner: Box<dyn Scheduler>, log: Rc<TraceLog>, recorder: Rc<dyn Recorder>) -> Self {
+        let account = CacheAccount::default();
+        Self { inner, log, recorder, account, open: HashMap::new(), programs: HashMap::new() }
+    }
+
+    fn tell_account(&self) {
+        self.recorder.cache(self.account.held, self.account.wasted);
     }
 
     fn note_event(&mut self, now: Timestamp, event: &Event) {
@@ -110,7 +123,9 @@
                 let open = Open { call: call.clone(), arrived: now, sent: now };
                 self.open.insert(call.id, open);
             }
-            Event::Finished { call, output_tokens, .. } => self.finish(now, *call, *output_tokens),
+            Event::Finished { call, output_tokens, cached_tokens } => {
+                self.finish(now, *call, *output_tokens, *cached_tokens);
+            }
             Event::Cancelled(call) => drop(self.open.remove(call)),
             Event::Paused { program, tool } => {
                 if let Some(story) = self.programs.get_mut(program) {
@@ -133,7 +148,17 @@
         }
     }
 
-    fn finish(&mut self, now: Timestamp, id: CallId, output_tokens: u32) {
+    fn note_order(&mut self, order: &CacheOrder) {
+        let (CacheOrder::Release { program, .. } | CacheOrder::Export { program, .. }) = order else {
+            return;
+        };
+        if let Some(story) = self.programs.get_mut(program) {
+            self.account.released(&mut story.cache);
+            self.tell_account();
+        }
+    }
+
+    fn finish(&mut self, now: Timestamp, id: CallId, output_tokens: u32, cached_tokens: u32) {
         let Some(open) = self.open.remove(&id) else {
             return;
         };
@@ -147,6 +172,11 @@
             tool: story.tool.take().unwrap_or_else(|| UNKNOWN_TOOL.into()),
             micros: micros(open.arrived.since(at)),
         });
+        if let Work::Model { prompt_tokens, .. } = open.call.work {
+            let (prompt, cached) = (prompt_tokens.into(), cached_tokens.into());
+            self.account.answered(&mut story.cache, prompt, cached, output_tokens.into());
+            self.tell_account();
+        }
         let span = now.since(open.sent);
         story.held = Some(line(open, story.calls, story.parent.clone(), pause, output_tokens, span));
         story.answered = Some(now);
@@ -173,8 +203,12 @@
     }
 
     fn end(&mut self, program: &ProgramId, told: bool) {
-        let held = self.programs.remove(program).and_then(|story| story.held);
-        if let Some(last) = held {
+        let Some(story) = self.programs.remove(program) else {
+            return;
+        };
+        self.account.ended(story.cache);
+        self.tell_account();
+        if let Some(last) = story.held {
             self.write(&TraceCall { last: true, ended: told, ..last });
         }
     }
@@ -234,6 +268,9 @@
         for action in &decisions.actions {
             self.note_action(now, action);
         }
+        for order in &decisions.orders {
+            self.note_order(order);
+        }
         decisions
     }
 
--- a/agatetrestle/src/trace/recorder/tests.rs
+++ b/agatetrestle/src/trace/recorder/tests.rs
@@ -1,18 +1,36 @@
 //! Tests of the recorder.
 
+use std::cell::Cell;
+
 use super::*;
+use crate::ports::Labels;
+use crate::ports::Measure;
 use crate::scheduler::event::RefusalReason;
 use crate::trace::parse;
 
-/// Dispatches every call at once, or refuses every one.
+/// Dispatches every call at once, or refuses every one; a tick releases what `dawn` holds.
 struct Inner {
     refuse: bool,
 }
 
+#[derive(Default)]
+struct Account(Cell<(u64, u64)>);
+
+impl Recorder for Account {
+    fn record(&self, _: &Labels, _: &Measure) {}
+
+    fn cache(&self, held: u64, wasted: u64) {
+        self.0.set((held, wasted));
+    }
+}
+
 impl Scheduler for Inner {
     fn step(&mut self, _: Timestamp, event: Event) -> Decisions {
-        let Event::Submit(call) = event else {
-            return Decisions::default();
+        let order = CacheOrder::Release { program: named("dawn"), backend: BackendKey::default() };
+        let call = match event {
+            Event::Submit(call) => call,
+            Event::Tick => return Decisions { orders: vec![order], ..Decisions::default() },
+            _ => return Decisions::default(),
         };
         let call = call.id;
         let retry_after = Duration::ZERO;
@@ -40,6 +58,7 @@
 struct Rig {
     recording: Recording,
     log: Rc<TraceLog>,
+    account: Rc<Account>,
     now: u64,
     calls: u64,
 }
@@ -47,8 +66,10 @@
 impl Rig {
     fn new(refuse: bool) -> Self {
         let log = Rc::new(TraceLog::default());
-        let recording = Recording::new(Box::new(Inner { refuse }), Rc::clone(&log));
-        Self { recording, log, now: 0, calls: 0 }
+        let account = Rc::new(Account::default());
+        let recorder: Rc<dyn Recorder> = account.clone();
+        let recording = Recording::new(Box::new(Inner { refuse }), Rc::clone(&log), recorder);
+        Self { recording, log, account, now: 0, calls: 0 }
     }
 
     fn step(&mut self, micros: u64, event: Event) {
@@ -111,6 +132,21 @@
     insta::assert_snapshot!(rig.log.recent(u32::MAX).join("\n"));
 }
 
+#[test]
+fn the_account_of_caches_follows_answers_releases_and_ends() {
+    let mut rig = Rig::new(false);
+    let call = rig.submit(1, "dawn", "dawn", model());
+    rig.finish(1, call);
+    assert_eq!(rig.account.0.get(), (137, 0));
+    rig.step(1, Event::Tick);
+    assert_eq!(rig.account.0.get(), (0, 0));
+    let call = rig.submit(1, "dawn", "dawn", model());
+    rig.finish(1, call);
+    assert_eq!(rig.account.0.get(), (137, 130));
+    rig.step(0, Event::Ended(named("dawn")));
+    assert_eq!(rig.account.0.get(), (0, 267));
+}
+
 #[test]
 fn calls_without_an_answer_leave_no_line() {
     let mut refused = Rig::new(true);
