Carry out cache orders, and take in load reports and cache changes

Cause: the scheduler in force plans with exported and released prefixes, but its orders about caches went nowhere and it never saw a load report, so that engine memory stayed held for programs that are gone. Change: the dispatcher sends release, export and import orders to engines and asks each engine, and each service that is declared to report, once a second for load and cache changes; the first tool that an answer asks for is told to the scheduler. The fake engine hashes blocks as we do, reports changes and obeys orders. Conclusion: asking every engine from every node fits today's 75 engines; for 1,500 replicas and 400 nodes the reports must come as the members' digest.

--- a/agatetrestle/src/attempts/catalog.rs
+++ b/agatetrestle/src/attempts/catalog.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use agatetrestle_config::Declarations;
+use agatetrestle_config::declarations::BackendKind;
 use agatetrestle_config::declarations::SHARED_SCOPE;
 
 use crate::control::command::Configuration;
@@ -13,8 +14,19 @@
 use crate::scheduler::event::Catalog;
 use crate::scheduler::event::ClassRule;
 
+/// Where a declared backend server listens and what it is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Target {
+    /// IP number and port.
+    pub address: SocketAddr,
+    /// Engine or service replica.
+    pub kind: BackendKind,
+    /// Whether it reports its load.
+    pub reports: bool,
+}
+
 /// Where each declared backend server listens.
-pub type Addresses = HashMap<Arc<str>, SocketAddr>;
+pub type Addresses = HashMap<Arc<str>, Target>;
 
 /// Parses the documents in force, the shared one first. A document that this build can't read is left out
 /// and logged: the others must not suffer for it.
@@ -53,7 +65,9 @@
         if addresses.contains_key(name) {
             continue;
         }
-        addresses.insert(name.clone(), server.address);
+        let reports = server.kind == BackendKind::Engine || server.reports_load;
+        let target = Target { address: server.address, kind: server.kind, reports };
+        addresses.insert(name.clone(), target);
         catalog.backends.push(Backend {
             name: name.clone(),
             kind: server.kind,
--- a/agatetrestle/src/attempts/dispatcher.rs
+++ b/agatetrestle/src/attempts/dispatcher.rs
@@ -14,6 +14,7 @@
 use smol::channel::Receiver;
 use smol::channel::Sender;
 use smol::future::or;
+use smol::future::zip;
 
 use crate::attempts::Broken;
 use crate::attempts::Engines;
@@ -26,6 +27,8 @@
 use crate::attempts::catalog::Addresses;
 use crate::attempts::machine::Ending;
 use crate::attempts::machine::Machine;
+use crate::attempts::upkeep;
+use crate::attempts::upkeep::Upkeep;
 use crate::clock::Clock;
 use crate::control::command::Configuration;
 use crate::ids::ProgramId;
@@ -112,6 +115,7 @@
     clock: Clock,
     waiting: RefCell<HashMap<CallId, Sender<Order>>>,
     addresses: RefCell<Addresses>,
+    upkeep: Upkeep,
     revision: Cell<u64>,
     leaving: RefCell<BTreeSet<Arc<str>>>,
     last_id: Cell<u64>,
@@ -181,8 +185,10 @@
         timer: Rc<dyn Timer>,
         clock: Clock,
     ) -> Self {
+        let upkeep = Upkeep::new(Rc::clone(&engines), Rc::clone(&timer), clock);
         Self {
             scheduler,
+            upkeep,
             engines,
             services,
             timer,
@@ -202,6 +208,7 @@
 
     /// Puts new addresses of backend servers in force; a call already sent stays where it is.
     pub fn addresses(&self, addresses: Addresses) {
+        self.upkeep.declare(&addresses);
         *self.addresses.borrow_mut() = addresses;
     }
 
@@ -236,10 +243,22 @@
         for action in decisions.actions {
             self.carry_out(action);
         }
+        for order in decisions.orders {
+            let (program, backend, order) = upkeep::split(order);
+            if let Some((_, address)) = self.target(backend) {
+                self.upkeep.order(program, order, address);
+            }
+        }
     }
 
-    /// Lets the scheduler see time pass, for as long as the node runs.
+    /// Lets the scheduler see time pass, asks backend servers for reports and carries out orders about
+    /// caches, for as long as the node runs.
     pub async fn run_ticks(&self) {
+        let beside = zip(self.upkeep.carry_out(), self.upkeep.ask(self));
+        zip(self.tick(), beside).await;
+    }
+
+    async fn tick(&self) {
         loop {
             let span = self.scheduler.borrow().tick_within();
             self.timer.after(span).await;
@@ -315,6 +334,9 @@
                     machine.borrow_mut().finished();
                     place.settled.set(true);
                     self.step(finished(place.id, &reply));
+                    if let Some(tool) = reply.tool.clone() {
+                        self.step(Event::Paused { program: job.outgoing.program.clone(), tool });
+                    }
                     return Outcome::Answered(reply);
                 }
                 Some(Err(broken)) => {
@@ -384,8 +406,8 @@
     fn target(&self, backend: BackendKey) -> Option<(BackendKind, std::net::SocketAddr)> {
         let scheduler = self.scheduler.borrow();
         let backend = scheduler.backend(backend)?;
-        let address = self.addresses.borrow().get(&backend.name).copied()?;
-        Some((backend.kind, address))
+        let target = self.addresses.borrow().get(&backend.name).copied()?;
+        Some((backend.kind, target.address))
     }
 }
 
--- a/agatetrestle/src/attempts/http.rs
+++ b/agatetrestle/src/attempts/http.rs
@@ -4,6 +4,8 @@
 //! without progress around it, and tells a whole answer from one that was cut off, which the library
 //! does not; see docs/design/009-silent-connections.md.
 
+mod admin;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -24,6 +26,7 @@
 
 use crate::attempts::Broken;
 use crate::attempts::CALL_HEADER;
+use crate::attempts::EngineOrder;
 use crate::attempts::Engines;
 use crate::attempts::KEY_HEADER;
 use crate::attempts::OUTCOME_HEADER;
@@ -32,12 +35,15 @@
 use crate::attempts::PROGRAM_HEADER;
 use crate::attempts::Progress;
 use crate::attempts::Reply;
+use crate::attempts::Report;
 use crate::attempts::Services;
 use crate::attempts::Timer;
 use crate::attempts::Usage;
 use crate::attempts::sse::Splitter;
+use crate::attempts::sse::tool_of;
 use crate::attempts::sse::usage_of;
 use crate::attempts::timer::within;
+use crate::ids::ProgramId;
 use crate::programs::command::Answer;
 use crate::scheduler::event::Failure;
 
@@ -120,6 +126,25 @@
     ) -> LocalBoxFuture<'a, Result<Reply, Broken>> {
         Box::pin(self.exchange(address, BackendKind::Engine, priority, request, progress))
     }
+
+    fn order<'a>(
+        &'a self,
+        address: SocketAddr,
+        program: &'a ProgramId,
+        order: EngineOrder,
+    ) -> LocalBoxFuture<'a, Result<(), Broken>> {
+        Box::pin(async move {
+            let stream = self.connect(address).await?;
+            admin::order(stream, address, program, order).await
+        })
+    }
+
+    fn report(&self, address: SocketAddr, after: u64) -> LocalBoxFuture<'_, Result<Option<Report>, Broken>> {
+        Box::pin(async move {
+            let stream = self.connect(address).await?;
+            admin::report(stream, address, after).await
+        })
+    }
 }
 
 impl Services for HttpBackends {
@@ -268,7 +293,7 @@
         let usage = if events { splitter.usage() } else { Usage::default() };
         let status = u16::from(response.status());
         let answer = Answer { status, content_type: content_type.into(), body: whole.into() };
-        Ok(Reply { answer, usage })
+        Ok(Reply { answer, usage, tool: splitter.tool() })
     }
 }
 
@@ -304,6 +329,7 @@
             return Err(broken(Failure::Lost, "the answer is no JSON"));
         };
         reply.usage = usage_of(&value).unwrap_or_default();
+        reply.tool = tool_of(&value);
     }
     let busy = status == 429 || status == 503;
     if kind == BackendKind::Engine && busy {
--- a/agatetrestle/src/attempts/mod.rs
+++ b/agatetrestle/src/attempts/mod.rs
@@ -9,6 +9,11 @@
 //! number, higher first), and every backend server receives `Agatetrestle-Program`,
 //! `Agatetrestle-Call` and the caller's `Idempotency-Key`. A backend server that answers with
 //! `Agatetrestle-Outcome: not_run` says that it did not start the call.
+//!
+//! Beside calls, engines take `POST /admin/cache` with `{"program": "partner/name", "order": "release"}` (or
+//! `export`, `import`) and answer `GET /admin/report?after=N` with `{"running": 1, "waiting": 0, "age_ms": 0,
+//! "position": 7, "changes": [{"stored": [1, 2]}, {"evicted": [3]}, "cleared"]}`, where a number stands for a
+//! block as [`prefix`] hashes it. Services that are declared with `reports_load` answer the same without changes.
 
 pub mod catalog;
 pub mod dispatcher;
@@ -17,12 +22,14 @@
 pub mod prefix;
 pub mod sse;
 pub mod timer;
+mod upkeep;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures::future::LocalBoxFuture;
+use serde::Serialize;
 use snafu::Snafu;
 
 use crate::ids::CallNumber;
@@ -30,7 +37,9 @@
 use crate::ids::RequestKey;
 use crate::programs::command::Answer;
 use crate::programs::command::Repeatable;
+use crate::scheduler::event::CacheChange;
 use crate::scheduler::event::Failure;
+use crate::scheduler::event::Load;
 
 pub use dispatcher::Caller;
 pub use dispatcher::Dispatcher;
@@ -95,6 +104,8 @@
     pub answer: Answer,
     /// Tokens generated and read.
     pub usage: Usage,
+    /// The tool that the answer asks for, if it is a model's and asks for one.
+    pub tool: Option<Arc<str>>,
 }
 
 /// Token counts of an answer; zeros for services.
@@ -120,6 +131,29 @@
     pub reply: Option<Reply>,
 }
 
+/// An order about what an engine holds for a program.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EngineOrder {
+    /// Drop it, but for prefixes that other programs share.
+    Release,
+    /// Move it out of the engine's memory.
+    Export,
+    /// Bring it back.
+    Import,
+}
+
+/// What a backend server reports of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Report {
+    /// Its load.
+    pub load: Load,
+    /// Changes of its prefix cache since the position that was asked for.
+    pub changes: Vec<CacheChange>,
+    /// Position to ask from next time.
+    pub position: u64,
+}
+
 /// The model engines at the border of this slice.
 pub trait Engines {
     /// Sends one chat-completions request. Dropping the future closes the connection, which cancels
@@ -131,6 +165,18 @@
         request: &'a Outgoing,
         progress: &'a dyn Progress,
     ) -> LocalBoxFuture<'a, Result<Reply, Broken>>;
+
+    /// Gives an order about a cache. Losing one is harmless.
+    fn order<'a>(
+        &'a self,
+        address: SocketAddr,
+        program: &'a ProgramId,
+        order: EngineOrder,
+    ) -> LocalBoxFuture<'a, Result<(), Broken>>;
+
+    /// Asks a backend server for its load and for cache changes after a position; none where it gives no
+    /// reports.
+    fn report(&self, address: SocketAddr, after: u64) -> LocalBoxFuture<'_, Result<Option<Report>, Broken>>;
 }
 
 /// The tool services and plain services at the border of this slice.
--- a/agatetrestle/src/attempts/sse.rs
+++ b/agatetrestle/src/attempts/sse.rs
@@ -1,5 +1,7 @@
 //! Server-sent events of a streamed chat completion, cut into whole events.
 
+use std::sync::Arc;
+
 use crate::attempts::Usage;
 
 const SEPARATOR: &[u8] = b"\n\n";
@@ -14,6 +16,7 @@
     ended: bool,
     deltas: u64,
     usage: Option<Usage>,
+    tool: Option<Arc<str>>,
 }
 
 /// One event of a stream.
@@ -55,6 +58,12 @@
         self.usage.unwrap_or(Usage { output: self.deltas, ..Usage::default() })
     }
 
+    /// The first tool that the answer asks for.
+    #[must_use]
+    pub fn tool(&self) -> Option<Arc<str>> {
+        self.tool.clone()
+    }
+
     fn next_end(&mut self) -> Option<usize> {
         let from = self.scanned.saturating_sub(1);
         let found = self.buf[from..].windows(SEPARATOR.len()).position(|w| w == SEPARATOR);
@@ -82,17 +91,25 @@
         if data.contains("\"delta\"") {
             self.deltas += 1;
         }
-        if !data.contains("\"usage\"") {
+        if !data.contains("\"usage\"") && !data.contains("\"tool_calls\"") {
             return;
         }
-        if let Ok(value) = serde_json::from_str(data)
-            && let Some(usage) = usage_of(&value)
-        {
-            self.usage = Some(usage);
+        if let Ok(value) = serde_json::from_str(data) {
+            self.usage = usage_of(&value).or(self.usage);
+            self.tool = self.tool.take().or_else(|| tool_of(&value));
         }
     }
 }
 
+/// Reads the name of the first tool that a chat completion, or a part of one, asks for.
+#[must_use]
+pub fn tool_of(value: &serde_json::Value) -> Option<Arc<str>> {
+    let choice = value.get("choices")?.get(0)?;
+    let message = choice.get("message").or_else(|| choice.get("delta"))?;
+    let name = message.get("tool_calls")?.get(0)?.get("function")?.get("name")?.as_str()?;
+    Some(name.into())
+}
+
 /// Reads the `usage` object of a chat completion.
 #[must_use]
 pub fn usage_of(value: &serde_json::Value) -> Option<Usage> {
--- a/agatetrestle/src/attempts/sse/tests.rs
+++ b/agatetrestle/src/attempts/sse/tests.rs
@@ -24,6 +24,19 @@
     }
 }
 
+#[test]
+fn the_first_tool_that_is_asked_for_is_found() {
+    let call = |name: &str| format!("{{\"tool_calls\":[{{\"function\":{{\"name\":\"{name}\"}}}}]}}");
+    let event = |name: &str| format!("data: {{\"choices\":[{{\"delta\":{}}}]}}\n\n", call(name));
+    let mut splitter = Splitter::default();
+    splitter.push(STREAM.split("data: [DONE]").next().unwrap().as_bytes());
+    assert_eq!(splitter.tool(), None);
+    splitter.push((event("rota") + &event("bookings")).as_bytes());
+    assert_eq!(splitter.tool().as_deref(), Some("rota"));
+    let whole = format!("{{\"choices\":[{{\"message\":{}}}]}}", call("rota"));
+    assert_eq!(tool_of(&serde_json::from_str(&whole).unwrap()).as_deref(), Some("rota"));
+}
+
 #[test]
 fn a_stream_without_its_end_is_not_ended() {
     let mut splitter = Splitter::default();
--- a/agatetrestle/src/node/listings.rs
+++ b/agatetrestle/src/node/listings.rs
@@ -1,9 +1,7 @@
 //! What operators see of this node's groups and backend servers.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::rc::Rc;
-use std::sync::Arc;
 
 use agatetrestle_config::declarations::BackendKind;
 use futures::future::LocalBoxFuture;
@@ -12,6 +10,7 @@
 use crate::agreement::ReplicaChange;
 use crate::agreement::StateMachine;
 use crate::attempts::catalog;
+use crate::attempts::catalog::Addresses;
 use crate::ids::GroupId;
 use crate::node::control_port::ControlPort;
 use crate::node::group::Group;
@@ -90,13 +89,9 @@
     }
 }
 
-fn view(
-    scheduler: &dyn Scheduler,
-    addresses: &HashMap<Arc<str>, std::net::SocketAddr>,
-    state: &BackendState,
-) -> Option<BackendView> {
+fn view(scheduler: &dyn Scheduler, addresses: &Addresses, state: &BackendState) -> Option<BackendView> {
     let backend = scheduler.backend(state.key)?;
-    let address = addresses.get(&backend.name).map(ToString::to_string).unwrap_or_default();
+    let address = addresses.get(&backend.name).map(|target| target.address.to_string()).unwrap_or_default();
     let kind = match backend.kind {
         BackendKind::Engine => "engine",
         BackendKind::Service => "service",
--- a/agatetrestle_config/src/declarations/mod.rs
+++ b/agatetrestle_config/src/declarations/mod.rs
@@ -135,6 +135,9 @@
     /// Whether it refuses an order with an old fencing number.
     #[serde(default)]
     pub checks_fencing: bool,
+    /// Whether a service replica reports its load; engines always do.
+    #[serde(default)]
+    pub reports_load: bool,
     /// Prefix cache of an engine, in tokens.
     #[serde(default)]
     pub cache_tokens: u64,
--- a/agatetrestle_fakes/src/engine.rs
+++ b/agatetrestle_fakes/src/engine.rs
@@ -2,10 +2,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::HashMap;
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,12 +21,12 @@
 use smol::channel::Receiver;
 use smol::channel::Sender;
 
+use crate::cache::BLOCK_TOKENS;
+use crate::cache::Cache;
 use crate::server;
 use crate::server::Server;
 use crate::server::header;
 
-const BLOCK_BYTES: usize = 256;
-const BLOCK_TOKENS: usize = 64;
 const BYTES_PER_TOKEN: usize = 4;
 
 /// How the engine behaves.
@@ -92,12 +88,9 @@
     breaks: Cell<u32>,
     refusals: Cell<u32>,
     cache: RefCell<Cache>,
-}
-
-#[derive(Debug, Default)]
-struct Cache {
-    used: HashMap<u64, u64>,
-    clock: u64,
+    orders: RefCell<Vec<(String, String)>>,
+    ordered: Sender<()>,
+    orders_seen: Receiver<()>,
 }
 
 /// A running engine.
@@ -125,6 +118,7 @@
     /// Fails if no port can be bound.
     pub async fn start(executor: &Rc<LocalExecutor<'static>>, config: EngineConfig) -> io::Result<Self> {
         let port = config.port;
+        let (ordered, orders_seen) = channel::unbounded();
         let state = Rc::new(State {
             config,
             requests: RefCell::default(),
@@ -133,6 +127,9 @@
             breaks: Cell::new(0),
             refusals: Cell::new(0),
             cache: RefCell::default(),
+            orders: RefCell::default(),
+            ordered,
+            orders_seen,
         });
         let shared = Rc::clone(&state);
         let spawner = Rc::clone(executor);
@@ -164,6 +161,23 @@
         self.state.running.get()
     }
 
+    /// The orders about its cache, as program and order.
+    #[must_use]
+    pub fn orders(&self) -> Vec<(String, String)> {
+        self.state.orders.borrow().clone()
+    }
+
+    /// Waits until a further order has come.
+    pub async fn ordered(&self) {
+        self.state.orders_seen.recv().await.ok();
+    }
+
+    /// Blocks that its cache holds.
+    #[must_use]
+    pub fn cached_blocks(&self) -> usize {
+        self.state.cache.borrow().len()
+    }
+
     /// Lets the next `count` streams break off.
     pub fn break_next(&self, count: u32) {
         self.state.breaks.set(count);
@@ -175,26 +189,6 @@
     }
 }
 
-impl Cache {
-    /// Looks a prompt up and keeps it; returns how many leading blocks were there.
-    fn visit(&mut self, prompt: &[u8], capacity: usize) -> usize {
-        let mut chain = DefaultHasher::new();
-        let mut found = 0;
-        let mut hit = true;
-        for block in prompt.chunks_exact(BLOCK_BYTES) {
-            block.hash(&mut chain);
-            self.clock += 1;
-            hit &= self.used.insert(chain.finish(), self.clock).is_some();
-            found += usize::from(hit);
-        }
-        while self.used.len() > capacity {
-            let oldest = self.used.iter().min_by_key(|(_, used)| **used).map(|(key, _)| *key);
-            oldest.map(|key| self.used.remove(&key));
-        }
-        found
-    }
-}
-
 async fn answer(
     state: Rc<State>,
     executor: Rc<LocalExecutor<'static>>,
@@ -202,9 +196,10 @@
 ) -> http_types::Result<Response> {
     match request.url().path() {
         "/v1/chat/completions" => {}
-        "/admin/load" => {
-            let load = json!({ "running": state.running.get(), "waiting": 0 });
-            return Ok(server::json(StatusCode::Ok, &load));
+        "/admin/report" => return Ok(report(&state, &request)),
+        "/admin/cache" => {
+            let form: Value = request.body_json().await?;
+            return Ok(order(&state, &form));
         }
         "/admin/requests" => return Ok(server::json(StatusCode::Ok, &*state.requests.borrow())),
         _ => return Ok(Response::new(StatusCode::NotFound)),
@@ -226,6 +221,31 @@
     Ok(server::json(StatusCode::Ok, &reply))
 }
 
+fn report(state: &State, request: &Request) -> Response {
+    let after = request.url().query_pairs().find(|(name, _)| name == "after");
+    let after = after.and_then(|(_, value)| value.parse().ok()).unwrap_or(0);
+    let (position, changes) = state.cache.borrow().changes(after);
+    let report = json!({
+        "running": state.running.get(),
+        "waiting": 0,
+        "age_ms": 0,
+        "position": position,
+        "changes": changes,
+    });
+    server::json(StatusCode::Ok, &report)
+}
+
+fn order(state: &State, form: &Value) -> Response {
+    let (program, order) = (form["program"].as_str(), form["order"].as_str());
+    let (Some(program), Some(order)) = (program, order) else {
+        return Response::new(StatusCode::BadRequest);
+    };
+    let known = state.cache.borrow_mut().order(program, order);
+    state.orders.borrow_mut().push((program.to_owned(), order.to_owned()));
+    state.ordered.try_send(()).ok();
+    Response::new(if known { StatusCode::NoContent } else { StatusCode::BadRequest })
+}
+
 fn take_one(count: &Cell<u32>) -> bool {
     let left = count.get();
     count.set(left.saturating_sub(1));
@@ -233,11 +253,12 @@
 }
 
 fn plan(state: &State, request: &Request, form: &Value) -> Answer {
-    let prompt = serde_json::to_vec(&form["messages"]).unwrap_or_default();
-    let found = state.cache.borrow_mut().visit(&prompt, state.config.cache_blocks);
+    let prompt = serde_json::to_vec(&[form.get("tools"), form.get("messages")]).unwrap_or_default();
+    let program = header(request, "Agatetrestle-Program");
+    let found = state.cache.borrow_mut().visit(&program, &prompt, state.config.cache_blocks);
     let count = |value: usize| u64::try_from(value).unwrap_or(u64::MAX);
     let seen = Seen {
-        program: header(request, "Agatetrestle-Program"),
+        program,
         call: header(request, "Agatetrestle-Call"),
         key: header(request, "Idempotency-Key"),
         priority: header(request, "Agatetrestle-Priority"),
--- a/agatetrestle_fakes/src/lib.rs
+++ b/agatetrestle_fakes/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each is a task on the caller's executor and listens on a loopback port that the operating system
 //! chooses. None keeps time by itself unless it is told a pace, so that tests stay deterministic.
 
+mod cache;
 pub mod client;
 pub mod engine;
 pub mod forwarder;
