--- a/agatetrestle/src/attempts/dispatcher.rs
+++ b/agatetrestle/src/attempts/dispatcher.rs
@@ -9,10 +9,12 @@
 use std::time::Duration;
 
 use agatetrestle_config::declarations::BackendKind;
+use futures::future::LocalBoxFuture;
 use smol::channel;
 use smol::channel::Receiver;
 use smol::channel::Sender;
 use smol::future::or;
+use smol::future::zip;
 
 use crate::attempts::Broken;
 use crate::attempts::Engines;
@@ -25,6 +27,8 @@
 use crate::attempts::catalog::Addresses;
 use crate::attempts::machine::Ending;
 use crate::attempts::machine::Machine;
+use crate::attempts::upkeep;
+use crate::attempts::upkeep::Upkeep;
 use crate::clock::Clock;
 use crate::control::command::Configuration;
 use crate::ids::ProgramId;
@@ -79,6 +83,8 @@
         /// When the caller may come back.
         retry_after: Duration,
     },
+    /// The caller itself held the call back before anything was sent.
+    HeldBack,
     /// The caller went away and the call was stopped.
     Cancelled(Ending),
 }
@@ -109,13 +115,18 @@
     clock: Clock,
     waiting: RefCell<HashMap<CallId, Sender<Order>>>,
     addresses: RefCell<Addresses>,
+    upkeep: Upkeep,
     revision: Cell<u64>,
     leaving: RefCell<BTreeSet<Arc<str>>>,
     last_id: Cell<u64>,
 }
 
-/// Who waits for the parts of an answer.
+/// Who asked for a call.
 pub trait Caller {
+    /// The call is about to be sent for the first time. False holds it back, and the caller knows why;
+    /// a call that was turned away in the queue has cost nothing before this.
+    fn admit(&self) -> LocalBoxFuture<'_, bool>;
+
     /// A further part of the first answer came; its last event is held back.
     fn piece(&self, bytes: &[u8]);
 
@@ -174,8 +185,10 @@
         timer: Rc<dyn Timer>,
         clock: Clock,
     ) -> Self {
+        let upkeep = Upkeep::new(Rc::clone(&engines), Rc::clone(&timer), clock);
         Self {
             scheduler,
+            upkeep,
             engines,
             services,
             timer,
@@ -195,6 +208,7 @@
 
     /// Puts new addresses of backend servers in force; a call already sent stays where it is.
     pub fn addresses(&self, addresses: Addresses) {
+        self.upkeep.declare(&addresses);
         *self.addresses.borrow_mut() = addresses;
     }
 
@@ -229,10 +243,22 @@
         for action in decisions.actions {
             self.carry_out(action);
         }
+        for order in decisions.orders {
+            let (program, backend, order) = upkeep::split(order);
+            if let Some((_, address)) = self.target(backend) {
+                self.upkeep.order(program, order, address);
+            }
+        }
     }
 
-    /// Lets the scheduler see time pass, for as long as the node runs.
+    /// Lets the scheduler see time pass, asks backend servers for reports and carries out orders about
+    /// caches, for as long as the node runs.
     pub async fn run_ticks(&self) {
+        let beside = zip(self.upkeep.carry_out(), self.upkeep.ask(self));
+        zip(self.tick(), beside).await;
+    }
+
+    async fn tick(&self) {
         loop {
             let span = self.scheduler.borrow().tick_within();
             self.timer.after(span).await;
@@ -257,6 +283,7 @@
         times: &Cell<Times>,
     ) -> Outcome {
         let mut attached = Some(caller);
+        let mut admitted = false;
         let (tx, rx) = channel::unbounded();
         let place = self.enter(tx);
         let machine = RefCell::new(Machine::new(job.outgoing.repeatable));
@@ -283,6 +310,10 @@
                 let ending = machine.borrow_mut().end();
                 return Outcome::GivenUp { ending, detail, retry_after: COMEBACK };
             }
+            admitted = admitted || caller.admit().await;
+            if !admitted {
+                return Outcome::HeldBack;
+            }
             let watch = Watch {
                 dispatcher: self,
                 id: place.id,
@@ -303,6 +334,9 @@
                     machine.borrow_mut().finished();
                     place.settled.set(true);
                     self.step(finished(place.id, &reply));
+                    if let Some(tool) = reply.tool.clone() {
+                        self.step(Event::Paused { program: job.outgoing.program.clone(), tool });
+                    }
                     return Outcome::Answered(reply);
                 }
                 Some(Err(broken)) => {
@@ -372,8 +406,8 @@
     fn target(&self, backend: BackendKey) -> Option<(BackendKind, std::net::SocketAddr)> {
         let scheduler = self.scheduler.borrow();
         let backend = scheduler.backend(backend)?;
-        let address = self.addresses.borrow().get(&backend.name).copied()?;
-        Some((backend.kind, address))
+        let target = self.addresses.borrow().get(&backend.name).copied()?;
+        Some((backend.kind, target.address))
     }
 }
 
--- a/agatetrestle/src/node/mod.rs
+++ b/agatetrestle/src/node/mod.rs
@@ -87,6 +87,8 @@
 use crate::scheduler::Policy;
 use crate::scheduler::Scheduler;
 use crate::scheduler::SchedulerConfig;
+use crate::trace::recorder::Recording;
+use crate::trace::recorder::TraceLog;
 
 /// How often a planned stop looks whether the last request is done.
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -136,8 +138,8 @@
         let opener = Opener { settings: &settings, clock, links: &links, missing, executor: &executor };
         let mut replicas = Replicas::open(&opener).await?;
         links.set_receivers(replicas.receivers());
-        let assembly = Assembly::new(&settings, &addresses, clock, &links, &replicas);
         let metrics = Rc::new(Metrics::new().context(MetricsSnafu)?);
+        let assembly = Assembly::new(&settings, &addresses, clock, &links, &replicas, &metrics);
         let entry = Rc::new(assembly.entry(&metrics));
         let mut tasks = std::mem::take(&mut replicas.tasks);
         let peers = assembly.peer_server(&replicas);
@@ -327,6 +329,7 @@
     settings: Settings,
     stopping: Rc<Cell<bool>>,
     scheduler: Rc<RefCell<Box<dyn Scheduler>>>,
+    traces: Rc<TraceLog>,
     calls: Rc<Dispatcher>,
     control: Rc<ControlPort>,
     ledger: Rc<LedgerPort>,
@@ -341,6 +344,7 @@
         clock: Clock,
         links: &Rc<Links>,
         replicas: &Replicas,
+        metrics: &Rc<Metrics>,
     ) -> Self {
         let node = NodeId(settings.node.id);
         let timing = &settings.timing;
@@ -355,8 +359,10 @@
         let control_router = router(CONTROL_GROUP, replicas.control_service());
         let control = Rc::new(ControlPort::new(control_router, clock, timing.clock_drift, stopping.clone()));
         let ledger = Rc::new(LedgerPort::new(router(FIRST_STATE_GROUP, replicas.state_service())));
-        let scheduler = scheduler::build(Policy::default(), SchedulerConfig::default(), incarnation);
-        let scheduler = Rc::new(RefCell::new(scheduler));
+        let traces = Rc::new(TraceLog::default());
+        let deciding = scheduler::build(Policy::default(), SchedulerConfig::default(), incarnation);
+        let recording = Recording::new(deciding, traces.clone(), metrics.clone());
+        let scheduler: Rc<RefCell<Box<dyn Scheduler>>> = Rc::new(RefCell::new(Box::new(recording)));
         let calls = dispatcher(&scheduler, timing.peer_call, clock);
         let registry = replicas.control.clone().map(|group| {
             let lease = timing.configuration_lease;
@@ -382,6 +388,7 @@
             settings,
             stopping,
             scheduler,
+            traces,
             calls,
             control,
             ledger,
@@ -433,7 +440,7 @@
             ledger: self.ledger.clone(),
             backends: Rc::new(backends),
             groups: groups.clone(),
-            traces: Rc::new(NoTraces),
+            traces: self.traces.clone(),
             node: self.node,
         })
     }
@@ -467,12 +474,3 @@
 fn incarnation() -> u64 {
     micros(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default())
 }
-
-/// Traces are off until the recording scheduler is in place.
-struct NoTraces;
-
-impl crate::ports::Traces for NoTraces {
-    fn recent(&self, _limit: u32) -> Vec<std::sync::Arc<str>> {
-        Vec::new()
-    }
-}
--- a/agatetrestle/src/node/router.rs
+++ b/agatetrestle/src/node/router.rs
@@ -77,7 +77,7 @@
         let mut reason: Arc<str> = "the group has no replica".into();
         let mut turn = 0;
         while self.clock.now().since(start) < self.patience.whole && !self.order.is_empty() {
-            let target = self.hint.get().unwrap_or(self.order[turn % self.order.len()]);
+            let target = self.hint.get().unwrap_or_else(|| self.next_holder(&mut turn, suspect));
             match self.try_once(target, &request).await {
                 Submission::Applied(reply) => {
                     self.hint.set(Some(target));
@@ -103,7 +103,6 @@
                     reason = text;
                 }
             }
-            turn += 1;
             Timer::after(PAUSE).await;
         }
         if ambiguous {
@@ -112,6 +111,16 @@
         Err(GroupError::NotProposed { reason })
     }
 
+    /// The next holder in turn, but for the one that just missed its deadline if there are others.
+    fn next_holder(&self, turn: &mut usize, suspect: Option<NodeId>) -> NodeId {
+        let next = self.order[*turn % self.order.len()];
+        *turn += 1;
+        if Some(next) != suspect || self.order.len() == 1 {
+            return next;
+        }
+        self.next_holder(turn, suspect)
+    }
+
     async fn try_once(&self, target: NodeId, request: &[u8]) -> Submission {
         if target == self.node
             && let Some(local) = &self.local
