Reach a node by its settings' address first, and by the one it tells only where that fails

Cause: under load a link was for a moment without a connection, and a heartbeat then replaced the address of the settings by the one the node tells. Ruled out: the lease itself, whose pure test holds. Change: the learnt address is a second one, tried where the first can't be connected to.

--- a/agatetrestle/src/node/links.rs
+++ b/agatetrestle/src/node/links.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use agatetrestle_config::Settings;
-use log::info;
 use smol::LocalExecutor;
 
 use crate::ids::NodeId;
@@ -54,18 +53,19 @@
         })
     }
 
-    /// Takes in the address of a node; a replaced VM has a new one. A link that works is kept, since the
-    /// settings may name another way to the same node.
+    /// Takes in the address that a node tells of itself. The one in the settings goes first, since they may
+    /// name another way to the node; a replaced VM is reached by the one it tells.
     pub fn learn(&self, node: NodeId, address: SocketAddr) {
-        let mut links = self.by_node.borrow_mut();
-        let kept = links.get(&node).is_some_and(|link| link.is_connected() || link.address() == address);
-        if node == self.node || kept {
+        if node == self.node {
             return;
         }
-        if links.contains_key(&node) {
-            info!("Node {} is now at {address}.", node.0);
+        let mut links = self.by_node.borrow_mut();
+        if let Some(link) = links.get(&node) {
+            link.learn(address);
+            return;
         }
-        links.insert(node, PeerLink::new(address, self.deadline, self.executor.clone(), self.inbound()));
+        let link = PeerLink::new(address, self.deadline, self.executor.clone(), self.inbound());
+        links.insert(node, link);
     }
 
     /// The link to a node, if its address is known.
--- a/agatetrestle/src/node/peer_link.rs
+++ b/agatetrestle/src/node/peer_link.rs
@@ -3,6 +3,7 @@
 //! Every call has a deadline, and a connection on which a call missed it is replaced instead of
 //! being waited on, because something between the two ends may have lost track of it.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -89,6 +90,7 @@
 /// The way to one peer.
 pub struct PeerLink {
     address: SocketAddr,
+    learnt: Cell<Option<SocketAddr>>,
     deadline: Duration,
     executor: Rc<LocalExecutor<'static>>,
     connection: RefCell<Option<Connection>>,
@@ -114,6 +116,7 @@
         let (outbox, inbox) = smol::channel::bounded(QUEUE);
         let link = Rc::new(Self {
             address,
+            learnt: Cell::new(None),
             deadline,
             executor,
             connection: RefCell::new(None),
@@ -128,16 +131,11 @@
         link
     }
 
-    /// Where the peer listens.
-    #[must_use]
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Whether the last call on the present connection did not fail.
-    #[must_use]
-    pub fn is_connected(&self) -> bool {
-        self.connection.borrow().is_some()
+    /// Takes in a further address, tried where the first can't be connected to.
+    pub fn learn(&self, address: SocketAddr) {
+        if address != self.address {
+            self.learnt.set(Some(address));
+        }
     }
 
     /// Queues a message; it is dropped where the peer is too slow or away.
@@ -187,10 +185,18 @@
         if let Some(connection) = &*self.connection.borrow() {
             return Ok((connection.client.clone(), connection.generation));
         }
-        let connecting = within(self.deadline, TcpStream::connect(self.address)).await;
+        let stream = match (self.connect(self.address).await, self.learnt.get()) {
+            (Err(_), Some(learnt)) => self.connect(learnt).await?,
+            (outcome, _) => outcome?,
+        };
+        Ok(self.install(stream))
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<TcpStream, LinkError> {
+        let connecting = within(self.deadline, TcpStream::connect(address)).await;
         let stream = connecting.ok_or(LinkError::ConnectTimeout)?.context(ConnectSnafu)?;
         stream.set_nodelay(true).context(ConnectSnafu)?;
-        Ok(self.install(stream))
+        Ok(stream)
     }
 
     fn install(&self, stream: TcpStream) -> (peer::Client, u64) {
