--- a/agatetrestle/src/programs/tests.rs
+++ b/agatetrestle/src/programs/tests.rs
@@ -285,3 +285,59 @@
     done(ledger.execute(finish));
     assert!(ledger.snapshot().len() < 1_024);
 }
+
+#[test]
+fn a_program_makes_no_more_calls_than_its_class_allows() {
+    let mut ledger = Ledger::default();
+    let spec = ProgramSpec { turns: 2, ..spec(BUDGET, None) };
+    done(ledger.execute(ProgramCommand::Open { program: id("vrsta/a"), key: key("open"), spec, at: 7 }));
+    for call in 1..=2 {
+        done(ledger.execute(begin("vrsta/a", call, attempt(1, call.into()), Repeatable::Yes)));
+        done(ledger.execute(finish("vrsta/a", call, attempt(1, call.into()), 10)));
+    }
+    let third = ledger.execute(begin("vrsta/a", 3, attempt(1, 3), Repeatable::Yes));
+    assert_eq!(third, ProgramReply::Refused(Refusal::Turns));
+}
+
+#[test]
+fn more_than_the_reservation_is_never_charged() {
+    let mut ledger = ledger();
+    done(ledger.execute(begin("vrsta/a", 1, attempt(1, 1), Repeatable::Yes)));
+    let view = done(ledger.execute(finish("vrsta/a", 1, attempt(1, 1), BUDGET * 2)));
+    assert_eq!((view.spent, view.reserved), (100, 0));
+}
+
+fn resolve(call: u32, ran: bool) -> ProgramCommand {
+    ProgramCommand::Resolve { program: id("vrsta/a"), call: CallNumber(call), ran, note: "seen".into() }
+}
+
+fn ledger_in_doubt() -> Ledger {
+    let mut ledger = ledger();
+    done(ledger.execute(begin("vrsta/a", 1, attempt(1, 1), Repeatable::No)));
+    done(ledger.execute(doubt("vrsta/a", 1, attempt(1, 1))));
+    ledger
+}
+
+#[test]
+fn an_operator_settles_a_call_in_doubt_once() {
+    let mut ran = ledger_in_doubt();
+    assert_eq!(done(ran.execute(resolve(1, true))).spent, 100);
+    let mut not_run = ledger_in_doubt();
+    assert_eq!(done(not_run.execute(resolve(1, false))).spent, 0);
+    for ledger in [&mut ran, &mut not_run] {
+        let again = ledger.execute(resolve(1, false));
+        assert_eq!(again, ProgramReply::Refused(Refusal::WrongState));
+    }
+}
+
+#[test]
+fn only_a_call_in_doubt_can_be_settled_and_it_is_still_not_sent_again() {
+    let mut ledger = ledger();
+    done(ledger.execute(begin("vrsta/a", 1, attempt(1, 1), Repeatable::No)));
+    let open = ledger.execute(resolve(1, false));
+    assert_eq!(open, ProgramReply::Refused(Refusal::WrongState));
+    done(ledger.execute(doubt("vrsta/a", 1, attempt(1, 1))));
+    done(ledger.execute(resolve(1, false)));
+    let resent = ledger.execute(begin("vrsta/a", 1, attempt(2, 1), Repeatable::No));
+    assert_eq!(resent, ProgramReply::InDoubt(attempt(1, 1)));
+}
--- a/agatetrestle_cli/src/options/tests.rs
+++ b/agatetrestle_cli/src/options/tests.rs
@@ -35,6 +35,8 @@
     let options = parse(&["--address", "10.0.0.1:7402", "--address", "10.0.0.2:7402", "status"]).unwrap();
     assert_eq!(options.addresses.len(), 2);
     assert_eq!(parse(&["status"]).unwrap().addresses, ["127.0.0.1:7402".parse().unwrap()]);
+    let after = parse(&["status", "--address", "10.0.0.1:7402", "--output", "json"]).unwrap();
+    assert_eq!((after.addresses.len(), after.format), (1, Format::Json));
 }
 
 #[test]
