Keep partners' names apart, and make no attempt beyond the reservation

Cause: a service or backend server that one partner declared under a name that another uses received the other's calls; a retry after a broken stream cost tokens that nobody charged; an answer that reports an error could be told as unknown where the scheduler did not give up at once. Change: what a partner's document declares is known to the scheduler as partner/name and serves only its own calls. A begin reserves for a second attempt where the budget holds it, lost attempts are charged with what is known of their cost, and an attempt that does not fit the reservation is not made. The dispatcher is split into the driver, the job and the run of one call. Conclusion: a retry can no longer carry a program past its budget by the engine's own count of a whole answer; the parts of a lost one are counted by events seen.

--- a/agatetrestle/src/attempts/catalog.rs
+++ b/agatetrestle/src/attempts/catalog.rs
@@ -7,6 +7,7 @@
 
 use agatetrestle_config::Declarations;
 use agatetrestle_config::declarations::BackendKind;
+use agatetrestle_config::declarations::BackendServer;
 use agatetrestle_config::declarations::SHARED_SCOPE;
 
 use crate::control::command::Configuration;
@@ -43,14 +44,30 @@
     documents
 }
 
-/// Builds the scheduler's catalog and the addresses from the parsed documents with their scopes. The
-/// name of a backend server is unique over all documents; where two claim it, the first one wins.
+/// Name under which a partner's calls find their backend servers: its own where its document has any
+/// that serve `name`, else the shared ones.
+#[must_use]
+pub fn pool(partner: &str, own: Option<&Declarations>, kind: BackendKind, name: &str) -> Arc<str> {
+    let serves = |server: &BackendServer| server.kind == kind && *server.serves == *name;
+    let has_own = own.is_some_and(|own| own.backend_servers.values().any(serves));
+    if has_own { qualified(partner, name) } else { name.into() }
+}
+
+/// A name that belongs to one partner and that no document can declare.
+fn qualified(partner: &str, name: &str) -> Arc<str> {
+    format!("{partner}/{name}").into()
+}
+
+/// Builds the scheduler's catalog and the addresses from the parsed documents with their scopes.
+///
+/// What a partner's document declares never reaches beyond the partner: its backend servers only get its
+/// own calls, and where it gives one a name that is taken already, that one is known as `partner/name`.
 #[must_use]
 pub fn build(documents: &[(Arc<str>, Declarations)]) -> (Catalog, Addresses) {
     let mut catalog = Catalog::default();
     let mut addresses = Addresses::new();
     for (scope, declarations) in documents {
-        add_backends(declarations, &mut catalog, &mut addresses);
+        add_backends(scope, declarations, &mut catalog, &mut addresses);
         if &**scope == SHARED_SCOPE {
             catalog.shares.clone_from(&declarations.shares);
             continue;
@@ -60,18 +77,24 @@
     (catalog, addresses)
 }
 
-fn add_backends(declarations: &Declarations, catalog: &mut Catalog, addresses: &mut Addresses) {
+fn add_backends(
+    scope: &Arc<str>,
+    declarations: &Declarations,
+    catalog: &mut Catalog,
+    addresses: &mut Addresses,
+) {
+    let is_shared = &**scope == SHARED_SCOPE;
     for (name, server) in &declarations.backend_servers {
-        if addresses.contains_key(name) {
-            continue;
-        }
+        let taken = addresses.contains_key(name);
+        let name = if taken { qualified(scope, name) } else { name.clone() };
+        let serves = if is_shared { server.serves.clone() } else { qualified(scope, &server.serves) };
         let reports = server.kind == BackendKind::Engine || server.reports_load;
         let target = Target { address: server.address, kind: server.kind, reports };
         addresses.insert(name.clone(), target);
         catalog.backends.push(Backend {
-            name: name.clone(),
+            name,
             kind: server.kind,
-            serves: server.serves.clone(),
+            serves,
             vm: server.vm.clone(),
             failure_domain: server.failure_domain.clone(),
             slots: server.slots,
--- a/agatetrestle/src/attempts/mod.rs
+++ b/agatetrestle/src/attempts/mod.rs
@@ -18,8 +18,10 @@
 pub mod catalog;
 pub mod dispatcher;
 pub mod http;
+pub mod job;
 pub mod machine;
 pub mod prefix;
+mod run;
 pub mod sse;
 pub mod timer;
 mod upkeep;
@@ -41,11 +43,11 @@
 use crate::scheduler::event::Failure;
 use crate::scheduler::event::Load;
 
-pub use dispatcher::Caller;
 pub use dispatcher::Dispatcher;
-pub use dispatcher::Job;
-pub use dispatcher::Outcome;
-pub use dispatcher::Times;
+pub use job::Caller;
+pub use job::Job;
+pub use job::Outcome;
+pub use job::Times;
 pub use machine::Ending;
 pub use timer::SystemTimer;
 pub use timer::Timer;
--- /dev/null
+++ b/agatetrestle/src/attempts/run.rs
@@ -0,0 +1,234 @@
+//! One call from its submission to the scheduler until it is answered, refused or given up.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol::channel::Receiver;
+use smol::future::or;
+
+use crate::attempts::Broken;
+use crate::attempts::Progress;
+use crate::attempts::Reply;
+use crate::attempts::dispatcher::Dispatcher;
+use crate::attempts::dispatcher::Order;
+use crate::attempts::job::Caller;
+use crate::attempts::job::Job;
+use crate::attempts::job::Outcome;
+use crate::attempts::job::Times;
+use crate::attempts::machine::Ending;
+use crate::attempts::machine::Machine;
+use crate::scheduler::event::BackendKey;
+use crate::scheduler::event::CallId;
+use crate::scheduler::event::Event;
+use crate::scheduler::event::Failure;
+
+/// When a caller may come back where the scheduler did not say.
+const COMEBACK: Duration = Duration::from_secs(1);
+
+/// A call in the dispatcher's table; leaving it tells the scheduler unless the call was settled.
+pub(super) struct Run<'a> {
+    dispatcher: &'a Dispatcher,
+    job: &'a Job,
+    caller: &'a dyn Caller,
+    gone: &'a Receiver<()>,
+    times: &'a Cell<Times>,
+    id: CallId,
+    orders: Receiver<Order>,
+    machine: RefCell<Machine>,
+    admitted: Cell<bool>,
+    /// Set once an answer broke off: the caller was told to ask again and is no longer waited for.
+    sent_away: Cell<bool>,
+    /// Parts of the present attempt's answer.
+    pieces: Cell<u32>,
+    settled: Cell<bool>,
+    detail: RefCell<Arc<str>>,
+    /// The newest whole answer that reports an error; it stands if no further attempt is made.
+    error: RefCell<Option<Reply>>,
+}
+
+impl Progress for Run<'_> {
+    fn writing(&self) {
+        self.machine.borrow_mut().writing();
+    }
+
+    fn piece(&self, bytes: &[u8]) {
+        self.machine.borrow_mut().answering();
+        let pieces = self.pieces.get();
+        self.pieces.set(pieces + 1);
+        if pieces == 0 {
+            self.dispatcher.step(Event::FirstToken(self.id));
+        }
+        if !self.sent_away.get() {
+            self.caller.piece(bytes);
+        }
+    }
+}
+
+impl Drop for Run<'_> {
+    fn drop(&mut self) {
+        self.dispatcher.leave(self.id);
+        if !self.settled.get() {
+            self.dispatcher.step(Event::Cancelled(self.id));
+        }
+    }
+}
+
+impl<'a> Run<'a> {
+    pub(super) fn new(
+        dispatcher: &'a Dispatcher,
+        job: &'a Job,
+        caller: &'a dyn Caller,
+        gone: &'a Receiver<()>,
+        times: &'a Cell<Times>,
+    ) -> Self {
+        let (id, orders) = dispatcher.enter();
+        Self {
+            dispatcher,
+            job,
+            caller,
+            gone,
+            times,
+            id,
+            orders,
+            machine: RefCell::new(Machine::new(job.outgoing.repeatable)),
+            admitted: Cell::new(false),
+            sent_away: Cell::new(false),
+            pieces: Cell::new(0),
+            settled: Cell::new(false),
+            detail: RefCell::new("the call was not dispatched".into()),
+            error: RefCell::default(),
+        }
+    }
+
+    pub(super) async fn to_the_end(&self) -> Outcome {
+        self.dispatcher.step(Event::Submit(self.job.call(self.id)));
+        loop {
+            let outcome = match self.next_order().await {
+                None => Some(Outcome::Cancelled(self.end())),
+                Some(Order::Dispatch { backend, priority }) => self.dispatched(backend, priority).await,
+                Some(Order::Refuse { reason, retry_after }) => {
+                    self.settled.set(true);
+                    Some(match self.end() {
+                        Ending::NotRun => Outcome::Refused { reason, retry_after },
+                        ending => self.given_up(ending, retry_after),
+                    })
+                }
+                Some(Order::GiveUp { retry_after }) => {
+                    self.settled.set(true);
+                    Some(self.give_up(retry_after))
+                }
+            };
+            if let Some(outcome) = outcome {
+                return outcome;
+            }
+        }
+    }
+
+    /// Waits in the queue; none where the caller went away.
+    async fn next_order(&self) -> Option<Order> {
+        let since = self.dispatcher.clock.now();
+        let order = or(async { self.orders.recv().await.ok() }, self.departed()).await;
+        let span = self.dispatcher.clock.now().since(since);
+        self.add(|times| times.queued += span);
+        order
+    }
+
+    /// Makes one attempt; none where the scheduler decides about another.
+    async fn dispatched(&self, backend: BackendKey, priority: u8) -> Option<Outcome> {
+        if !self.machine.borrow_mut().dispatch() {
+            return Some(self.give_up(COMEBACK));
+        }
+        if !self.admitted.get() && !self.caller.admit().await {
+            return Some(Outcome::HeldBack);
+        }
+        self.admitted.set(true);
+        self.pieces.set(0);
+        let started = self.dispatcher.clock.now();
+        let exchange = self.dispatcher.exchange(&self.job.outgoing, backend, priority, self);
+        let result = or(async { Some(exchange.await) }, self.abandoned()).await;
+        let span = self.dispatcher.clock.now().since(started);
+        self.add(|times| {
+            times.served += span;
+            times.attempts += 1;
+        });
+        match result {
+            None => Some(Outcome::Cancelled(self.end())),
+            Some(Ok(reply)) => Some(self.finished(reply)),
+            Some(Err(broken)) => self.failed(broken),
+        }
+    }
+
+    fn finished(&self, reply: Reply) -> Outcome {
+        let clamp = |count: u64| u32::try_from(count).unwrap_or(u32::MAX);
+        self.machine.borrow_mut().finished();
+        self.settled.set(true);
+        self.dispatcher.step(Event::Finished {
+            call: self.id,
+            output_tokens: clamp(reply.usage.output),
+            cached_tokens: clamp(reply.usage.cached),
+        });
+        if let Some(tool) = reply.tool.clone() {
+            self.dispatcher.step(Event::Paused { program: self.job.outgoing.program.clone(), tool });
+        }
+        Outcome::Answered(reply)
+    }
+
+    /// Notes a failed attempt; an outcome where no further one fits what the call may cost.
+    fn failed(&self, broken: Broken) -> Option<Outcome> {
+        if self.pieces.get() > 0 && !self.sent_away.replace(true) {
+            self.caller.broke_off();
+        }
+        self.detail.replace(broken.detail);
+        self.error.replace(broken.reply);
+        let failure = self.machine.borrow_mut().failed(broken.failure);
+        if failure == Failure::Lost {
+            let lost = self.job.prompt_tokens() + u64::from(self.pieces.get());
+            self.add(|times| times.lost_tokens += lost);
+        }
+        self.dispatcher.step(Event::Failed { call: self.id, failure });
+        let needed = self.times.get().lost_tokens.saturating_add(self.job.cost);
+        (needed > self.caller.allowance()).then(|| self.give_up(COMEBACK))
+    }
+
+    /// Completes once the caller is gone, which a caller that was sent away never is.
+    async fn departed<T>(&self) -> Option<T> {
+        while self.gone.recv().await.is_ok() {}
+        if self.sent_away.get() {
+            std::future::pending::<()>().await;
+        }
+        None
+    }
+
+    /// Completes once the caller is gone and the attempt may stop.
+    async fn abandoned<T>(&self) -> Option<T> {
+        self.departed::<T>().await;
+        if !self.machine.borrow().may_cancel() {
+            std::future::pending::<()>().await;
+        }
+        None
+    }
+
+    /// No further attempt: the last answer stands, if there was one.
+    fn give_up(&self, retry_after: Duration) -> Outcome {
+        match self.error.take() {
+            Some(reply) => Outcome::Answered(reply),
+            None => self.given_up(self.end(), retry_after),
+        }
+    }
+
+    fn given_up(&self, ending: Ending, retry_after: Duration) -> Outcome {
+        Outcome::GivenUp { ending, detail: self.detail.borrow().clone(), retry_after }
+    }
+
+    fn end(&self) -> Ending {
+        self.machine.borrow_mut().end()
+    }
+
+    fn add(&self, change: impl FnOnce(&mut Times)) {
+        let mut now = self.times.get();
+        change(&mut now);
+        self.times.set(now);
+    }
+}
--- a/agatetrestle/src/entry/begin.rs
+++ b/agatetrestle/src/entry/begin.rs
@@ -43,6 +43,7 @@
         if let Err(problem) = routes::taking_work(self.entry) {
             return self.refused(problem).await.map(Begun::Settled);
         }
+        self.reserve.set(self.wanted_reserve());
         let reply = match self.submit(self.opening()).await {
             // The same begin again is answered as the first, if that one was applied.
             Err(GroupError::Unknown { .. }) => self.submit(self.opening()).await,
@@ -58,6 +59,19 @@
         }
     }
 
+    /// Enough for a second attempt where the budget is known to hold it; another attempt is made only
+    /// within the reservation.
+    fn wanted_reserve(&self) -> u64 {
+        let cost = self.planned.cost;
+        let twice = cost.saturating_mul(2);
+        let known = self.entry.state.known.get(&self.planned.outgoing.program);
+        let left = known.map_or(0, |known| {
+            let view = known.view;
+            view.spec.budget.saturating_sub(view.spent).saturating_sub(view.reserved)
+        });
+        if left >= twice { twice } else { cost }
+    }
+
     fn opening(&self) -> ProgramCommand {
         let out = &self.planned.outgoing;
         ProgramCommand::Begin {
@@ -65,7 +79,7 @@
             call: out.call,
             key: out.key.clone(),
             attempt: self.attempt,
-            reserve: self.planned.reserve,
+            reserve: self.reserve.get(),
             repeatable: out.repeatable,
             request: self.planned.request.clone(),
             digest: self.planned.digest,
--- a/agatetrestle/src/entry/calls.rs
+++ b/agatetrestle/src/entry/calls.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use agatetrestle_config::declarations::BackendKind;
 use agatetrestle_config::declarations::Service;
 use futures::StreamExt;
 use futures::TryStreamExt;
@@ -62,8 +63,8 @@
     pub outgoing: Outgoing,
     /// What it asks for.
     pub work: Work,
-    /// Tokens to reserve.
-    pub reserve: u64,
+    /// The most tokens that one attempt can cost.
+    pub cost: u64,
     /// The request as the history keeps it.
     pub request: Arc<[u8]>,
     /// Digest of path and request.
@@ -167,7 +168,7 @@
         form.insert("stream_options".into(), serde_json::json!({ "include_usage": true }));
     }
     let work = Work::Model {
-        model,
+        model: declared.pool(&program.partner, BackendKind::Engine, &model),
         blocks: prefix::blocks(&prompt),
         prompt_tokens: prefix::estimate_tokens(&prompt),
         max_tokens: u32::try_from(max_tokens).unwrap_or(u32::MAX),
@@ -187,7 +188,7 @@
     Ok(Planned {
         outgoing,
         work,
-        reserve: bytes.div_ceil(RESERVED_BYTES_PER_TOKEN).saturating_add(max_tokens),
+        cost: bytes.div_ceil(RESERVED_BYTES_PER_TOKEN).saturating_add(max_tokens),
         request: body.into(),
         digest: digest(request, body),
         refusal,
@@ -215,6 +216,7 @@
     };
     let repeatable = if service.repeatable && !stricter { Repeatable::Yes } else { Repeatable::No };
     let query = request.url().query().map(|q| format!("?{q}")).unwrap_or_default();
+    let work = Work::Service { service: declared.pool(&program.partner, BackendKind::Service, name) };
     let outgoing = Outgoing {
         program,
         call,
@@ -228,8 +230,8 @@
     };
     Ok(Planned {
         outgoing,
-        work: Work::Service { service: name.into() },
-        reserve: 0,
+        work,
+        cost: 0,
         request: body.into(),
         digest: digest(request, body),
         refusal,
--- a/agatetrestle/src/entry/carry.rs
+++ b/agatetrestle/src/entry/carry.rs
@@ -41,6 +41,7 @@
     pub(super) entry: &'a Rc<Entry>,
     pub(super) planned: &'a Planned,
     pub(super) attempt: AttemptId,
+    pub(super) reserve: Cell<u64>,
     pub(super) begun: Cell<bool>,
     pub(super) held_back: RefCell<Option<Result<Answer, Problem>>>,
     pub(super) owed: RefCell<Option<ProgramCommand>>,
@@ -89,6 +90,10 @@
         })
     }
 
+    fn allowance(&self) -> u64 {
+        self.reserve.get()
+    }
+
     fn piece(&self, bytes: &[u8]) {
         let now = self.entry.clock.now();
         let measure = match self.last_piece.replace(Some(now)) {
@@ -113,6 +118,7 @@
             entry,
             planned,
             attempt,
+            reserve: Cell::new(planned.cost),
             begun: Cell::new(false),
             held_back: RefCell::default(),
             owed: RefCell::default(),
@@ -145,7 +151,7 @@
         self.entry.calls.configure(&self.entry.control.configuration());
         let times = Cell::new(Times::default());
         let outcome = self.entry.calls.run(&self.job(known), self, gone, &times).await;
-        let settled = self.settle(outcome).await;
+        let settled = self.settle(outcome, times.get().lost_tokens).await;
         self.measure(times.get());
         settled
     }
@@ -157,6 +163,7 @@
             class: known.view.spec.class.clone(),
             work: self.planned.work.clone(),
             deadline: self.planned.timeout.map(|span| self.arrived + span),
+            cost: self.planned.cost,
             outgoing: self.planned.outgoing.clone(),
         }
     }
--- a/agatetrestle/src/entry/declared.rs
+++ b/agatetrestle/src/entry/declared.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use agatetrestle_config::Declarations;
+use agatetrestle_config::declarations::BackendKind;
 use agatetrestle_config::declarations::Class;
 use agatetrestle_config::declarations::SHARED_SCOPE;
 use agatetrestle_config::declarations::Service;
@@ -77,6 +78,12 @@
         known.then_some(()).ok_or_else(|| no_backend("model", name))
     }
 
+    /// Name under which the partner's calls find their backend servers.
+    #[must_use]
+    pub fn pool(&self, partner: &str, kind: BackendKind, name: &str) -> Arc<str> {
+        catalog::pool(partner, self.documents.get(partner), kind, name)
+    }
+
     fn visible(&self, partner: &str) -> impl Iterator<Item = &Declarations> {
         [self.documents.get(partner), self.documents.get(SHARED_SCOPE)].into_iter().flatten()
     }
--- a/agatetrestle/src/entry/settle.rs
+++ b/agatetrestle/src/entry/settle.rs
@@ -25,9 +25,9 @@
 const SETTLE_PAUSE: Duration = Duration::from_millis(500);
 
 impl Carried<'_> {
-    pub(super) async fn settle(&self, outcome: Outcome) -> Result<Answer, Problem> {
+    pub(super) async fn settle(&self, outcome: Outcome, lost: u64) -> Result<Answer, Problem> {
         let (ending, problem) = match outcome {
-            Outcome::Answered(reply) => return self.finish(reply).await,
+            Outcome::Answered(reply) => return self.finish(reply, lost).await,
             Outcome::HeldBack => {
                 return self.held_back.take().unwrap_or_else(|| Err(programs::in_progress()));
             }
@@ -47,10 +47,11 @@
         Err(problem)
     }
 
-    async fn finish(&self, reply: Reply) -> Result<Answer, Problem> {
+    /// Stores the answer and settles what it cost, lost attempts included.
+    async fn finish(&self, reply: Reply, lost: u64) -> Result<Answer, Problem> {
         let out = &self.planned.outgoing;
-        let reserve = self.planned.reserve;
-        let spent = reply.usage.prompt.saturating_add(reply.usage.output);
+        let reserve = self.reserve.get();
+        let spent = reply.usage.prompt.saturating_add(reply.usage.output).saturating_add(lost);
         if spent > reserve {
             log::warn!("{} spent {spent} tokens with {reserve} reserved.", out.program);
         }
--- a/agatetrestle/tests/callers.rs
+++ b/agatetrestle/tests/callers.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use agatetrestle::attempts::prefix;
 use agatetrestle::clock::Timestamp;
 use agatetrestle::ports::Measure;
 use agatetrestle::ports::NotTaking;
@@ -22,14 +23,17 @@
 use agatetrestle_fakes::EngineConfig;
 use agatetrestle_fakes::Forwarder;
 use agatetrestle_fakes::Service;
+use agatetrestle_fakes::client::Call;
 use agatetrestle_fakes::service::Behaviour;
 use serde_json::json;
 use smol::channel;
 
 use crate::support::Fault;
 use crate::support::Node;
+use crate::support::PARTNER;
 use crate::support::PROGRAM;
 use crate::support::Rig;
+use crate::support::backend;
 use crate::support::call;
 use crate::support::chat;
 use crate::support::run;
@@ -168,6 +172,23 @@
     });
 }
 
+#[test]
+fn an_answer_that_reports_an_error_is_an_answer() {
+    run(async |executor| {
+        let service = Service::start(&executor).await.unwrap();
+        let rig = Rig::new(&executor, &[], &[service.address]);
+        let node = rig.node(1).await;
+        rig.open(&node).await;
+        service.behave(Behaviour::Fail);
+        let failed = node.client.service(&call(1, "k1"), "rota", "book", "ward 3", true).await.unwrap();
+        assert_eq!((failed.status, &failed.json()["body"]), (500, &json!("ward 3")));
+        service.behave(Behaviour::Answer);
+        let again = node.client.service(&call(1, "k1"), "rota", "book", "ward 3", true).await.unwrap();
+        assert_eq!((again.status, again.body), (500, failed.body));
+        assert_eq!(service.runs()["k1"], 1);
+    });
+}
+
 #[test]
 fn not_run_is_told_only_where_nothing_was_started() {
     run(async |executor| {
@@ -189,6 +210,12 @@
     });
 }
 
+/// What an attempt that broke off is charged for its prompt.
+fn lost_cost(form: &serde_json::Value) -> u64 {
+    let prompt = serde_json::to_vec(&[None, form.get("messages")]).unwrap();
+    u64::from(prefix::estimate_tokens(&prompt))
+}
+
 #[test]
 fn a_broken_stream_is_told_and_its_retry_is_given_whole() {
     run(async |executor| {
@@ -206,7 +233,37 @@
         let again = node.client.chat(&call(1, "k1"), &chat()).await.unwrap();
         assert!(again.is_done());
         assert_eq!(again.text().matches("vrsta/dawn#1:").count(), 8);
-        assert_eq!(engine.requests().len(), 2);
+        let requests = engine.requests();
+        assert_eq!(requests.len(), 2);
+        let spent = rig.ledger.program(PROGRAM).spent;
+        assert_eq!(
+            spent,
+            requests[1].prompt_tokens + 8 + lost_cost(&chat()) + 2,
+            "both attempts are charged"
+        );
+    });
+}
+
+#[test]
+fn no_further_attempt_is_made_beyond_the_budget() {
+    run(async |executor| {
+        let engine = Engine::start(&executor, EngineConfig::default()).await.unwrap();
+        let rig = Rig::new(&executor, &[engine.address], &[]);
+        let node = rig.node(1).await;
+        let budget = 2 * lost_cost(&chat()) + 8;
+        let form = json!({ "partner": "vrsta", "team": "dawn", "class": "assistant", "name": "dawn", "budget": budget });
+        node.client.open("open-1", &form).await.unwrap();
+        engine.break_next(1);
+        let broken = node.client.chat(&call(1, "k1"), &chat()).await.unwrap();
+        assert!(!broken.is_done());
+        while node.entry.in_flight() > 0 {
+            smol::future::yield_now().await;
+        }
+        assert_eq!(engine.requests().len(), 1);
+        let refused = node.client.chat(&call(1, "k1"), &chat()).await.unwrap();
+        assert_eq!((refused.status, &refused.json()["reason"]), (409, &json!("budget")));
+        assert_eq!(engine.requests().len(), 1);
+        assert!(rig.ledger.program(PROGRAM).spent <= budget);
     });
 }
 
@@ -462,3 +519,26 @@
         assert!(rig.ledger.take_commands().len() == 2, "one begin and one finish");
     });
 }
+
+#[test]
+fn what_a_partner_declares_reaches_only_its_own_calls() {
+    run(async |executor| {
+        let (ours, theirs) =
+            (Service::start(&executor).await.unwrap(), Service::start(&executor).await.unwrap());
+        let own = |service: &Service| {
+            let servers = backend("rota-1", "service", service.address, "rota");
+            format!("{PARTNER}services: {{ rota: {{}} }}\nbackend_servers:\n{servers}")
+        };
+        let rig = Rig::declaring(&executor, &[("lernwerk", own(&theirs)), ("vrsta", own(&ours))]);
+        let node = rig.node(1).await;
+        for partner in ["vrsta", "lernwerk"] {
+            let form = json!({ "partner": partner, "team": "dawn", "class": "assistant", "name": "dawn" });
+            node.client.open(partner, &form).await.unwrap();
+            let call = Call { program: format!("{partner}/dawn"), number: 1, key: partner.to_owned() };
+            let reply = node.client.service(&call, "rota", "book", "", true).await.unwrap();
+            assert_eq!(reply.status, 200, "{}", reply.json());
+        }
+        assert_eq!(ours.runs().into_keys().collect::<Vec<_>>(), ["vrsta"]);
+        assert_eq!(theirs.runs().into_keys().collect::<Vec<_>>(), ["lernwerk"]);
+    });
+}
--- a/agatetrestle/tests/support/mod.rs
+++ b/agatetrestle/tests/support/mod.rs
@@ -278,11 +278,15 @@
         engines: &[SocketAddr],
         services: &[SocketAddr],
     ) -> Self {
-        let documents = [("shared", shared(engines, services)), ("vrsta", PARTNER.to_owned())];
+        Self::declaring(executor, &[("shared", shared(engines, services)), ("vrsta", PARTNER.to_owned())])
+    }
+
+    /// A rig with the given documents.
+    pub fn declaring(executor: &Rc<LocalExecutor<'static>>, documents: &[(&str, String)]) -> Self {
         Self {
             executor: Rc::clone(executor),
             ledger: Rc::default(),
-            control: Rc::new(FakeControl::new(&documents)),
+            control: Rc::new(FakeControl::new(documents)),
             members: Rc::default(),
             recorder: Rc::default(),
             timer: Rc::default(),
@@ -343,7 +347,7 @@
     }
 }
 
-const PARTNER: &str = "
+pub const PARTNER: &str = "
 format: 1
 teams:
   dawn: {}
@@ -366,7 +370,8 @@
     text
 }
 
-fn backend(name: &str, kind: &str, address: SocketAddr, serves: &str) -> String {
+/// One backend server of a document.
+pub fn backend(name: &str, kind: &str, address: SocketAddr, serves: &str) -> String {
     format!(
         "  {name}: {{ kind: {kind}, address: \"{address}\", serves: {serves}, vm: b-{name}, failure_domain: d-1 }}\n"
     )
