Keep of a model call only what the conversation gained, and measure slopes

Cause: a chat-completions request carries the whole conversation, and each was kept whole, so the history of a program grew with the square of its turns: at 40,000 tokens a call, 160 KB for each of 9,600 requests a second. Change: a call that continues the last one answered through the node names it and keeps only the messages that came since. A first call through a node, and one with another past, is kept whole. An example measures how each role's state, bytes and time grow and carries the lines to the size of the design. Reading a program's history back has no call yet.

--- /dev/null
+++ b/agatetrestle/examples/slopes/main.rs
@@ -0,0 +1,33 @@
+//! Measures how the cost of each role grows with its size, and carries it to the size that the design must hold.
+//!
+//! It drives our own state machines and codecs in one process: no nodes, no network. The table that it prints
+//! is quoted in docs/CAPACITY.md; run it with `cargo run --release --example slopes`.
+
+#![expect(clippy::cast_precision_loss, reason = "sizes and times stay far below 2^52")]
+
+mod control;
+mod fit;
+mod ledger;
+mod log;
+mod members;
+mod scheduler;
+
+use fit::Line;
+
+fn main() {
+    // The scheduler goes first, while its memory can't be taken from what others gave back.
+    let mut lines = scheduler::measure();
+    lines.extend(ledger::measure());
+    lines.extend(log::measure());
+    lines.extend(control::measure());
+    lines.extend(members::measure());
+    print_table(&lines);
+}
+
+fn print_table(lines: &[Line]) {
+    println!("| what | measured at | slope | fixed part | residual | carried to | result |");
+    println!("|---|---|---|---|---|---|---|");
+    for line in lines {
+        println!("{}", line.row());
+    }
+}
--- a/agatetrestle/src/entry/begin.rs
+++ b/agatetrestle/src/entry/begin.rs
@@ -1,5 +1,7 @@
 //! The begin of a call: what the ledger knows of the request, and whether this node may go on with it.
 
+use std::sync::Arc;
+
 use crate::attempts::Ending;
 use crate::entry::Entry;
 use crate::entry::carry::Begun;
@@ -81,11 +83,20 @@
             attempt: self.attempt,
             reserve: self.reserve.get(),
             repeatable: out.repeatable,
-            request: self.planned.request.clone(),
+            request: self.recorded(),
             digest: self.planned.digest,
         }
     }
 
+    /// The request as the history keeps it.
+    fn recorded(&self) -> Arc<[u8]> {
+        let known = self.entry.state.known.get(&self.planned.outgoing.program);
+        let base = known.and_then(|known| known.base);
+        let continued = self.planned.conversation.as_ref().zip(base);
+        let gained = continued.and_then(|(conversation, base)| conversation.since(&base));
+        gained.map_or_else(|| self.planned.request.clone(), Arc::from)
+    }
+
     fn holds(&self, view: ProgramView) -> Begun {
         self.begun.set(true);
         Begun::New(view)
--- a/agatetrestle/src/entry/calls.rs
+++ b/agatetrestle/src/entry/calls.rs
@@ -30,6 +30,7 @@
 use crate::entry::problem::Problem;
 use crate::entry::problem::Reason;
 use crate::entry::programs;
+use crate::entry::record::Conversation;
 use crate::entry::routes;
 use crate::ids::CallNumber;
 use crate::ids::ProgramId;
@@ -65,8 +66,10 @@
     pub work: Work,
     /// The most tokens that one attempt can cost.
     pub cost: u64,
-    /// The request as the history keeps it.
+    /// The request as it came; the history keeps it whole unless it continues an earlier call.
     pub request: Arc<[u8]>,
+    /// The conversation, for a model call that has one.
+    pub conversation: Option<Conversation>,
     /// Digest of path and request.
     pub digest: u64,
     /// Why the call is not allowed. It is refused only after the ledger was asked, since a resend of a
@@ -190,6 +193,7 @@
         work,
         cost: bytes.div_ceil(RESERVED_BYTES_PER_TOKEN).saturating_add(max_tokens),
         request: body.into(),
+        conversation: value.as_object_mut().map(std::mem::take).and_then(Conversation::of),
         digest: digest(request, body),
         refusal,
         timeout: timeout(request)?,
@@ -233,6 +237,7 @@
         work,
         cost: 0,
         request: body.into(),
+        conversation: None,
         digest: digest(request, body),
         refusal,
         timeout: timeout(request)?,
--- a/agatetrestle/src/entry/carry.rs
+++ b/agatetrestle/src/entry/carry.rs
@@ -142,7 +142,9 @@
         let known = match self.known() {
             Some(known) => known,
             None => match self.begin().await? {
-                Begun::New(view) => Known { root: self.root_of(&view).await, view, answered_at: 0 },
+                Begun::New(view) => {
+                    Known { root: self.root_of(&view).await, view, answered_at: 0, base: None }
+                }
                 Begun::Settled(answer) => return Ok(answer),
             },
         };
--- a/agatetrestle/src/entry/known.rs
+++ b/agatetrestle/src/entry/known.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 
+use crate::entry::record::Base;
 use crate::ids::ProgramId;
 use crate::programs::command::ProgramView;
 
@@ -19,6 +20,8 @@
     pub root: ProgramId,
     /// Wall-clock milliseconds since 1970 of its newest answer here, 0 for none.
     pub answered_at: u64,
+    /// Its newest model call that was answered here, which the next may continue.
+    pub base: Option<Base>,
 }
 
 /// The programs that this node served lately.
@@ -39,8 +42,10 @@
         if programs.len() >= KEPT && !programs.contains_key(&view.program) {
             programs.clear();
         }
-        let answered_at = programs.get(&view.program).map_or(0, |known| known.answered_at);
-        programs.insert(view.program.clone(), Known { view: view.clone(), root, answered_at });
+        let before = programs.remove(&view.program);
+        let answered_at = before.as_ref().map_or(0, |known| known.answered_at);
+        let base = before.and_then(|known| known.base);
+        programs.insert(view.program.clone(), Known { view: view.clone(), root, answered_at, base });
     }
 
     /// Takes in what the ledger says now of a program that is at hand.
@@ -50,10 +55,12 @@
         }
     }
 
-    /// Notes when a program got an answer, in wall-clock milliseconds since 1970.
-    pub fn answered(&self, program: &ProgramId, at: u64) {
+    /// Notes when a program got an answer, in wall-clock milliseconds since 1970, and what the next call may
+    /// continue if it was a model call.
+    pub fn answered(&self, program: &ProgramId, at: u64, base: Option<Base>) {
         if let Some(known) = self.programs.borrow_mut().get_mut(program) {
             known.answered_at = at;
+            known.base = base.or(known.base.take());
         }
     }
 
--- a/agatetrestle/src/entry/mod.rs
+++ b/agatetrestle/src/entry/mod.rs
@@ -14,6 +14,7 @@
 pub mod known;
 pub mod problem;
 pub mod programs;
+pub mod record;
 pub mod routes;
 pub mod settle;
 
--- a/agatetrestle/src/entry/settle.rs
+++ b/agatetrestle/src/entry/settle.rs
@@ -65,7 +65,8 @@
         self.measure_answer(&reply);
         match self.commit(&command, STORE_TRIES).await {
             Some(ProgramReply::Done(_)) => {
-                self.entry.state.known.answered(&out.program, programs::wall_clock());
+                let base = self.planned.conversation.as_ref().map(|held| held.base(out.call));
+                self.entry.state.known.answered(&out.program, programs::wall_clock(), base);
                 Ok(reply.answer)
             }
             Some(ProgramReply::Stored(answer)) => Ok(answer),
