Eject failing backend servers by a risk-adjusted sequential test

Cause: with one of eight engines failing 60% of its calls, retry budgets ran dry and 343 of 1,000 programs ended with a failed call under the adaptive policy. Change: the health slice with the sequential probability ratio test of Spiegelhalter et al., and consecutive failures and a moving average as baselines; the expected failure rate is learned by size of call from servers against which nothing speaks; at most 30% of a pool is ejected at once; a server comes back on probation after 20 s, doubling. The replay's detect command sets all three to the same rate of false ejections. A replay with failed programs no longer waits for sub-agents that were never started.

--- /dev/null
+++ b/agatetrestle/src/health/average.rs
@@ -0,0 +1,38 @@
+//! An exponentially weighted moving average of failures, the other baseline.
+
+use crate::health::Watch;
+
+/// Ejects while the average failure rate is above a limit.
+#[derive(Clone, Copy, Debug)]
+pub struct Average {
+    weight: f64,
+    limit: f64,
+    rate: f64,
+}
+
+impl Average {
+    /// Takes the weight of one outcome and the limit of the rate.
+    #[must_use]
+    pub fn new(weight: f64, limit: f64) -> Self {
+        Self { weight, limit, rate: 0.0 }
+    }
+}
+
+impl Watch for Average {
+    fn record(&mut self, failed: bool, _risk: f64) {
+        let outcome = if failed { 1.0 } else { 0.0 };
+        self.rate += self.weight * (outcome - self.rate);
+    }
+
+    fn alarm(&self) -> bool {
+        self.rate >= self.limit
+    }
+
+    fn calm(&self) -> bool {
+        self.rate < self.limit / 2.0
+    }
+
+    fn rejoin(&mut self) {
+        self.rate = self.limit / 2.0;
+    }
+}
--- a/agatetrestle/src/scheduler/core/door.rs
+++ b/agatetrestle/src/scheduler/core/door.rs
@@ -28,7 +28,7 @@
         let is_model = matches!(entry.call.work, Work::Model { .. });
         let is_new = entry.root == entry.program
             && self.programs.get(entry.program).is_some_and(|program| program.booked.is_none());
-        if !self.parts.door || !is_model || !is_new {
+        if !self.parts.shares || !is_model || !is_new {
             self.enqueue(key);
             return;
         }
--- a/agatetrestle/src/scheduler/core/housekeeping.rs
+++ b/agatetrestle/src/scheduler/core/housekeeping.rs
@@ -9,6 +9,7 @@
 impl Core {
     pub(super) fn tick(&mut self, now: Timestamp, decisions: &mut Decisions) {
         self.wake_resting(now);
+        self.readmit(now);
         self.requeue_delayed(now);
         self.expire(now, decisions);
         self.turn_away(now, decisions);
--- a/agatetrestle/src/scheduler/core/mod.rs
+++ b/agatetrestle/src/scheduler/core/mod.rs
@@ -2,6 +2,7 @@
 
 mod dispatch;
 mod door;
+mod ejection;
 mod housekeeping;
 mod memory;
 mod outcome;
@@ -22,6 +23,7 @@
 use crate::admission::queue::Ticket;
 use crate::admission::retry::RetryBudgets;
 use crate::clock::Timestamp;
+use crate::health::risk::Risk;
 use crate::placing::Placer;
 use crate::retention::returns::Returns;
 use crate::scheduler::BackendState;
@@ -52,9 +54,10 @@
     pub placer: Box<dyn Placer>,
     /// Whether cache is kept, exported and released by order.
     pub retention: bool,
-    /// Whether new programs wait while there is no memory for them.
-    pub door: bool,
-    /// Whether partners and teams are held to their shares.
+    /// Whether failing backend servers are ejected.
+    pub health: bool,
+    /// Whether partners and teams are held to their shares, and new programs wait at the door while
+    /// there is no memory for them.
     pub shares: bool,
 }
 
@@ -104,6 +107,8 @@
     impatient: BTreeSet<(Timestamp, CallKey)>,
     delayed: BTreeSet<(Timestamp, CallKey)>,
     resting: BTreeSet<(Timestamp, BackendKey)>,
+    ejected: BTreeSet<(Timestamp, BackendKey)>,
+    risk: Risk,
     returns: Returns,
     retries: RetryBudgets,
     rng: Random,
@@ -129,6 +134,8 @@
             impatient: BTreeSet::new(),
             delayed: BTreeSet::new(),
             resting: BTreeSet::new(),
+            ejected: BTreeSet::new(),
+            risk: Risk::default(),
             returns: Returns::default(),
             rng: Random::new(seed),
             sequence: 0,
--- a/agatetrestle/src/scheduler/core/outcome.rs
+++ b/agatetrestle/src/scheduler/core/outcome.rs
@@ -60,6 +60,7 @@
         };
         let partner = &entry.call.program.partner;
         self.retries.succeeded(partner);
+        self.judge(now, &entry, service.server, false);
         if let Work::Model { prompt_tokens, .. } = &entry.call.work {
             self.classes.learn_output(partner, &entry.call.class, output_tokens);
             self.observe_pace(now, &service, output_tokens);
@@ -87,6 +88,8 @@
         let unsent = matches!(failure, Failure::Connect | Failure::Refused);
         if unsent {
             self.rest(now, service.server);
+        } else {
+            self.judge(now, &entry, service.server, true);
         }
         if failure == Failure::Connect {
             self.lost_everything(service.server);
--- a/agatetrestle/src/scheduler/fleet.rs
+++ b/agatetrestle/src/scheduler/fleet.rs
@@ -10,6 +10,7 @@
 use slotmap::new_key_type;
 
 use crate::clock::Timestamp;
+use crate::health::Watch;
 use crate::placing::residency::Residency;
 use crate::scheduler::event::Backend;
 use crate::scheduler::event::BackendKey;
@@ -55,6 +56,10 @@
     pub pace: u64,
     /// No new call before this time.
     pub resting_until: Timestamp,
+    /// The watch over its outcomes.
+    pub watch: Option<Box<dyn Watch>>,
+    /// How often it was ejected in a row.
+    pub ejections: u32,
     /// Whether it was found unhealthy.
     pub ejected: bool,
     /// Whether it is about to leave.
@@ -269,6 +274,8 @@
             residency: Residency::default(),
             pace: NORMAL_PACE,
             resting_until: Timestamp(0),
+            watch: None,
+            ejections: 0,
             ejected: false,
             leaving: false,
             open_at: None,
--- a/agatetrestle/src/scheduler/policy.rs
+++ b/agatetrestle/src/scheduler/policy.rs
@@ -97,60 +97,60 @@
             order: first_come(),
             placer: Box::new(LeastLoad),
             retention: false,
-            door: false,
+            health: false,
             shares: false,
         },
         Policy::Sticky => Parts {
             order: first_come(),
             placer: Box::new(Sticky),
             retention: false,
-            door: false,
+            health: false,
             shares: false,
         },
         Policy::Shortest => Parts {
             order: Box::new(ShortestCall),
             placer: Box::new(Sticky),
             retention: false,
-            door: false,
+            health: false,
             shares: false,
         },
         Policy::Order => Parts {
             order: attained(&cfg),
             placer: Box::new(Sticky),
             retention: false,
-            door: false,
+            health: false,
             shares: false,
         },
         Policy::Placing => Parts {
             order: first_come(),
             placer: cost(&cfg, true),
             retention: true,
-            door: false,
+            health: false,
             shares: false,
         },
         Policy::NoRetention => Parts {
             order: attained(&cfg),
             placer: cost(&cfg, false),
             retention: false,
-            door: true,
+            health: true,
             shares: true,
         },
         Policy::NoShares => Parts {
             order: attained(&cfg),
             placer: cost(&cfg, true),
             retention: true,
-            door: false,
+            health: false,
             shares: false,
         },
         Policy::Attained => Parts {
             order: attained(&cfg),
             placer: cost(&cfg, true),
             retention: true,
-            door: true,
+            health: true,
             shares: true,
         },
         Policy::Adaptive => {
-            Parts { order: rest(&cfg), placer: cost(&cfg, true), retention: true, door: true, shares: true }
+            Parts { order: rest(&cfg), placer: cost(&cfg, true), retention: true, health: true, shares: true }
         }
     };
     Box::new(Core::new(parts, cfg, seed))
--- a/agatetrestle_replay/src/lib.rs
+++ b/agatetrestle_replay/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod agenda;
 pub mod cache;
 pub mod catalog;
+pub mod detect;
 pub mod engine;
 pub mod faults;
 pub mod fleet;
--- a/agatetrestle_replay/src/main.rs
+++ b/agatetrestle_replay/src/main.rs
@@ -10,6 +10,7 @@
 use agatetrestle::trace;
 use agatetrestle::trace::TraceError;
 use agatetrestle_replay::catalog::Pool;
+use agatetrestle_replay::detect;
 use agatetrestle_replay::faults;
 use agatetrestle_replay::faults::Fault;
 use agatetrestle_replay::faults::FaultError;
@@ -65,6 +66,13 @@
         #[bpaf(argument("NUMBER"), fallback(1))]
         seed: u64,
     },
+    /// Compares detectors of failing backend servers at an equal rate of false ejections.
+    #[bpaf(command)]
+    Detect {
+        /// False ejections in 100,000 calls of a healthy server.
+        #[bpaf(argument("COUNT"), fallback(1))]
+        rate: u32,
+    },
     /// Replays synthetic traces of several seeds under several policies and writes medians.
     #[bpaf(command)]
     Score {
@@ -232,6 +240,7 @@
         Command::Synth { shape, seed } => {
             trace::format(&synth::synthesise(&shape.synth(*seed))).context(WriteSnafu)
         }
+        Command::Detect { rate } => Ok(detect::table(*rate)),
         Command::Score { shape, policy, first, last, step, jobs, set, faults } => {
             let score = Score {
                 synth: shape.synth(*first),
--- a/agatetrestle_replay/src/measure.rs
+++ b/agatetrestle_replay/src/measure.rs
@@ -86,6 +86,8 @@
     pub first_token: Percentiles,
     /// Calls that were answered.
     pub calls: u64,
+    /// Calls that were sent at least once.
+    pub sent: u64,
     /// Attempts at calls.
     pub attempts: u64,
     /// Refusals of calls.
--- a/agatetrestle_replay/src/score.rs
+++ b/agatetrestle_replay/src/score.rs
@@ -88,7 +88,7 @@
     ("recomputed ktokens", |m| m.recomputed_tokens / 1_000),
     ("computed ktokens", |m| m.computed_tokens / 1_000),
     ("completed", |m| u64::try_from(m.completed).unwrap_or_default()),
-    ("attempts/calls /10000", |m| m.attempts * 10_000 / m.calls.max(1)),
+    ("attempts/sent /10000", |m| m.attempts * 10_000 / m.sent.max(1)),
     ("refusals", |m| m.refusals),
     ("useful tokens/s", |m| m.useful_tokens * 1_000_000 / m.makespan.max(1)),
     ("engines busy /10000", |m| m.engines_busy),
--- a/agatetrestle_replay/src/tally.rs
+++ b/agatetrestle_replay/src/tally.rs
@@ -18,6 +18,8 @@
     pub broken: Broken,
     /// Calls answered.
     pub calls: u64,
+    /// Calls that were sent at least once.
+    pub sent: u64,
     /// Attempts at calls.
     pub attempts: u64,
     /// Refusals of calls.
@@ -73,6 +75,7 @@
             classes: self.latencies.iter().map(|(class, pairs)| (class.clone(), latency(pairs))).collect(),
             first_token: Percentiles::of(self.first_tokens),
             calls: self.calls,
+            sent: self.sent,
             attempts: self.attempts,
             refusals: self.refusals,
             useful_tokens: self.useful,
--- a/agatetrestle_replay/src/world.rs
+++ b/agatetrestle_replay/src/world.rs
@@ -274,6 +274,7 @@
         call.attempt += 1;
         progress.in_service = true;
         self.tally.attempts += 1;
+        self.tally.sent += u64::from(call.attempt == 1);
         let attempt = call.attempt;
         let fails = |failure| Happening::Fails { call: id, attempt, failure };
         let server = &mut self.fleet.servers[at];
@@ -468,6 +469,9 @@
         let program = &self.programs[at];
         self.progress[at].fate = fate;
         self.live -= 1;
+        if fate != Fate::Completed {
+            self.live -= self.never_started(at, self.progress[at].next);
+        }
         self.plan_check(at);
         let told = program.calls.last().is_some_and(|call| call.ended);
         if told || fate != Fate::Completed {
@@ -489,6 +493,13 @@
         }
     }
 
+    /// Sub-agents, and theirs, that a program would have started after this many calls.
+    fn never_started(&self, at: usize, made: usize) -> usize {
+        let made = u32::try_from(made).unwrap_or(u32::MAX);
+        let children = self.programs[at].children.range(made + 1..).flat_map(|(_, children)| children);
+        children.map(|child| 1 + self.never_started(*child, 0)).sum()
+    }
+
     fn count_root(&mut self, at: usize, fate: Fate) {
         let program = &self.programs[at];
         let progress = &self.progress[at];
