--- /dev/null
+++ b/agatetrestle/benches/decisions.rs
@@ -0,0 +1,141 @@
+//! What one decision costs, by the number of replicas and of programs under way.
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Duration;
+
+use agatetrestle::clock::Timestamp;
+use agatetrestle::ids::ProgramId;
+use agatetrestle::programs::command::Repeatable;
+use agatetrestle::scheduler::Policy;
+use agatetrestle::scheduler::Scheduler;
+use agatetrestle::scheduler::SchedulerConfig;
+use agatetrestle::scheduler::build;
+use agatetrestle::scheduler::event::Backend;
+use agatetrestle::scheduler::event::Call;
+use agatetrestle::scheduler::event::CallId;
+use agatetrestle::scheduler::event::Catalog;
+use agatetrestle::scheduler::event::ClassRule;
+use agatetrestle::scheduler::event::Event;
+use agatetrestle::scheduler::event::Work;
+use agatetrestle_config::declarations::BackendKind;
+use criterion::BenchmarkId;
+use criterion::Criterion;
+
+const REPLICAS: [u64; 4] = [10, 100, 375, 1_500];
+const PROGRAMS: [u64; 2] = [800, 8_000];
+const BLOCKS: u64 = 40;
+const BLOCK_TOKENS: u32 = 512;
+const BETWEEN_CALLS: Duration = Duration::from_millis(5);
+
+fn catalog(replicas: u64) -> Arc<Catalog> {
+    let mut catalog = Catalog::default();
+    for number in 0..replicas {
+        catalog.backends.push(Backend {
+            name: format!("engine-{number}").into(),
+            kind: BackendKind::Engine,
+            serves: "model".into(),
+            vm: format!("vm-{number}").into(),
+            failure_domain: format!("domain-{}", number % 3).into(),
+            slots: 16,
+            cache_tokens: 4_000_000,
+        });
+    }
+    let rule = ClassRule { priority: 5, deadline: None, keepalive: Duration::from_hours(10) };
+    catalog.classes.insert(("partner".into(), "class".into()), rule);
+    Arc::new(catalog)
+}
+
+fn call(number: u64, programs: u64) -> Call {
+    let program = number % programs;
+    let name: Arc<str> = format!("program-{program}").into();
+    let id = ProgramId { partner: "partner".into(), name };
+    let blocks: Vec<u64> =
+        (0..BLOCKS).map(|block| (program * BLOCKS + block).wrapping_mul(0x9e37_79b9_7f4a_7c15)).collect();
+    Call {
+        id: CallId(number),
+        program: id.clone(),
+        root: id,
+        team: "team".into(),
+        class: "class".into(),
+        work: Work::Model {
+            model: "model".into(),
+            prompt_tokens: u32::try_from(blocks.len()).unwrap_or_default() * BLOCK_TOKENS,
+            blocks: blocks.into(),
+            max_tokens: 500,
+        },
+        repeatable: Repeatable::Yes,
+        deadline: None,
+    }
+}
+
+/// A scheduler that has seen a call of each program.
+fn warmed(replicas: u64, programs: u64) -> (Box<dyn Scheduler>, u64, Timestamp) {
+    let cfg = SchedulerConfig { repeat_limit: u32::MAX, ..SchedulerConfig::default() };
+    let mut scheduler = build(Policy::Adaptive, cfg, 1);
+    let mut now = Timestamp(1);
+    scheduler.step(now, Event::Catalog(catalog(replicas)));
+    for number in 0..programs {
+        now = now + BETWEEN_CALLS;
+        serve(scheduler.as_mut(), call(number, programs), now);
+    }
+    (scheduler, programs, now)
+}
+
+/// One whole call: placing, first token and answer.
+fn serve(scheduler: &mut dyn Scheduler, call: Call, now: Timestamp) {
+    let id = call.id;
+    black_box(scheduler.step(now, Event::Submit(call)));
+    scheduler.step(now, Event::FirstToken(id));
+    black_box(scheduler.step(now, Event::Finished { call: id, output_tokens: 100, cached_tokens: 0 }));
+}
+
+fn decisions(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("decisions");
+    group.sample_size(20);
+    group.measurement_time(Duration::from_secs(2));
+    group.warm_up_time(Duration::from_millis(500));
+    for replicas in REPLICAS {
+        for programs in PROGRAMS {
+            let (mut scheduler, mut next, mut now) = warmed(replicas, programs);
+            let name = format!("{replicas} replicas {programs} programs");
+            group.bench_function(BenchmarkId::new("place", &name), |bencher| {
+                bencher.iter_custom(|count| {
+                    let mut spent = Duration::ZERO;
+                    for _ in 0..count {
+                        let call = call(next, programs);
+                        let id = call.id;
+                        next += 1;
+                        now = now + BETWEEN_CALLS;
+                        let start = std::time::Instant::now();
+                        black_box(scheduler.step(now, Event::Submit(call)));
+                        spent += start.elapsed();
+                        scheduler.step(now, Event::FirstToken(id));
+                        let finished = Event::Finished { call: id, output_tokens: 100, cached_tokens: 0 };
+                        scheduler.step(now, finished);
+                    }
+                    spent
+                });
+            });
+            group.bench_function(BenchmarkId::new("whole call", &name), |bencher| {
+                bencher.iter_custom(|count| {
+                    let calls: Vec<Call> = (0..count).map(|at| call(next + at, programs)).collect();
+                    next += count;
+                    let start = std::time::Instant::now();
+                    for call in calls {
+                        now = now + BETWEEN_CALLS;
+                        serve(scheduler.as_mut(), call, now);
+                    }
+                    start.elapsed()
+                });
+            });
+        }
+    }
+    group.finish();
+}
+
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    decisions(&mut criterion);
+    criterion.final_summary();
+}
--- a/agatetrestle/src/admission/mod.rs
+++ b/agatetrestle/src/admission/mod.rs
@@ -4,3 +4,6 @@
 pub mod door;
 pub mod queue;
 pub mod retry;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/agatetrestle/src/admission/tests.rs
@@ -0,0 +1,156 @@
+//! Shares, budgets and doors never go below zero or above their limit, and nobody starves.
+
+use std::sync::Arc;
+
+use proptest::prelude::Just;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::prop;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::prop_oneof;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+use slotmap::SlotMap;
+
+use crate::admission::door::Door;
+use crate::admission::queue::CallKey;
+use crate::admission::queue::FairQueue;
+use crate::admission::queue::Owner;
+use crate::admission::queue::Ticket;
+use crate::admission::retry::RetryBudgets;
+
+const SLACK: u64 = 1_000;
+const LARGEST_SERVICE: u64 = 500;
+
+/// A runner whose seed is fixed, so that every run tries the same cases.
+fn runner() -> TestRunner {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    TestRunner::new_with_rng(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() }, rng)
+}
+
+fn owner(partner: usize, team: usize) -> Owner {
+    Owner { partner: format!("partner-{partner}").into(), team: format!("team-{team}").into() }
+}
+
+#[test]
+fn a_queue_gives_back_all_that_was_pushed() {
+    let pushes = prop::collection::vec((0..3usize, 0..3usize, 0..1_000u64), 0..60);
+    let test = |pushes: Vec<(usize, usize, u64)>| {
+        let mut keys: SlotMap<CallKey, ()> = SlotMap::with_key();
+        let mut queue = FairQueue::new(SLACK, SLACK);
+        for (sequence, (partner, team, rank)) in (0u64..).zip(&pushes) {
+            let ticket = Ticket { rank: *rank, sequence, call: keys.insert(()) };
+            queue.push(&owner(*partner, *team), ticket);
+        }
+        prop_assert_eq!(queue.len(), pushes.len());
+        let mut popped = 0;
+        while let Some((owner, _)) = queue.pop() {
+            queue.charge(&owner, 10);
+            popped += 1;
+        }
+        prop_assert_eq!(popped, pushes.len());
+        prop_assert!(queue.is_empty());
+        Ok(())
+    };
+    runner().run(&pushes, test).expect("holds for all cases");
+}
+
+#[test]
+fn backlogged_partners_get_their_shares() {
+    let weights = (1..5u32, 1..5u32, prop::collection::vec(1..LARGEST_SERVICE, 200..400));
+    let test = |(first, second, services): (u32, u32, Vec<u64>)| {
+        let mut keys: SlotMap<CallKey, ()> = SlotMap::with_key();
+        let mut queue = FairQueue::new(SLACK, SLACK);
+        let owners = [owner(0, 0), owner(1, 0)];
+        queue.weigh(&owners[0], first, 1);
+        queue.weigh(&owners[1], second, 1);
+        for sequence in 0..1_000u64 {
+            for (rank, owner) in (0u64..).zip(&owners) {
+                let rank = rank * 1_000_000;
+                queue.push(owner, Ticket { rank, sequence, call: keys.insert(()) });
+            }
+        }
+        let mut served = [0u64; 2];
+        for service in services {
+            let (owner, _) = queue.pop().expect("backlogged");
+            queue.charge(&owner, service);
+            served[usize::from(owner == owners[1])] += service;
+        }
+        let normal = [served[0] / u64::from(first), served[1] / u64::from(second)];
+        let apart = normal[0].abs_diff(normal[1]);
+        prop_assert!(apart <= SLACK + LARGEST_SERVICE, "{normal:?}");
+        Ok(())
+    };
+    runner().run(&weights, test).expect("holds for all cases");
+}
+
+#[test]
+fn a_partner_alone_gets_everything() {
+    let mut keys: SlotMap<CallKey, ()> = SlotMap::with_key();
+    let mut queue = FairQueue::new(SLACK, SLACK);
+    for sequence in 0..100 {
+        queue.push(&owner(0, 0), Ticket { rank: 0, sequence, call: keys.insert(()) });
+    }
+    for _ in 0..100 {
+        let (owner, _) = queue.pop().expect("no other partner is waited for");
+        queue.charge(&owner, 1_000_000);
+    }
+    assert!(queue.is_empty());
+}
+
+#[test]
+fn retries_never_exceed_their_share_of_successes() {
+    let events = prop::collection::vec(prop_oneof![Just(true), Just(false)], 0..2_000);
+    let test = |events: Vec<bool>| {
+        let partner: Arc<str> = "partner".into();
+        let mut budgets = RetryBudgets::new(10);
+        let (mut successes, mut retries) = (0u64, 0u64);
+        for success in events {
+            if success {
+                budgets.succeeded(&partner);
+                successes += 1;
+            } else if budgets.take(&partner) {
+                retries += 1;
+            }
+            prop_assert!(retries * 100 <= successes * 10 + 500, "{retries} of {successes}");
+            prop_assert!(budgets.left(&partner) <= 2_000);
+        }
+        Ok(())
+    };
+    runner().run(&events, test).expect("holds for all cases");
+}
+
+#[test]
+fn a_door_books_what_it_let_in_and_no_more() {
+    let programs = prop::collection::vec((0..2usize, 1..400u64), 1..200);
+    let test = |programs: Vec<(usize, u64)>| {
+        let partners: [Arc<str>; 2] = ["first".into(), "second".into()];
+        let mut door = Door::default();
+        door.resize(1_000, 100);
+        door.weigh(&partners[0], 1);
+        door.weigh(&partners[1], 1);
+        let mut inside = Vec::new();
+        for (partner, tokens) in programs {
+            if door.admits(&partners[partner], tokens, 100) {
+                door.book(&partners[partner], 0, tokens);
+                inside.push((partner, tokens));
+            } else if let Some((partner, tokens)) = inside.pop() {
+                door.book(&partners[partner], tokens, 0);
+            }
+            let held: u64 = inside.iter().map(|(_, tokens)| tokens).sum();
+            prop_assert_eq!(door.booked(), held);
+            let own = |wanted: usize| -> u64 {
+                inside.iter().filter(|(partner, _)| *partner == wanted).map(|(_, tokens)| tokens).sum()
+            };
+            prop_assert!(held <= 1_000 + 500, "{held}");
+            prop_assert!(own(0) <= 1_000 && own(1) <= 1_000);
+        }
+        for (partner, tokens) in inside {
+            door.book(&partners[partner], tokens, 0);
+        }
+        prop_assert_eq!(door.booked(), 0);
+        Ok(())
+    };
+    runner().run(&programs, test).expect("holds for all cases");
+}
--- a/agatetrestle/src/scheduler/core/ejection.rs
+++ b/agatetrestle/src/scheduler/core/ejection.rs
@@ -61,13 +61,14 @@
     }
 
     /// Ejects a server unless too many of its pool are out already: a fault that all share is not
-    /// mended by sending everything to the few that are left.
+    /// mended by sending everything to the few that are left. One may always go, but for the last.
     fn eject(&mut self, now: Timestamp, key: BackendKey) {
         let pool = self.fleet.servers[key].pool;
         let members = &self.fleet.pools[pool].members;
         let out = members.iter().filter(|key| self.fleet.servers[**key].ejected).count();
         let server = &self.fleet.servers[key];
-        if server.ejected || (out + 1) * PERCENT > members.len() * MOST_EJECTED_PERCENT {
+        let most = (members.len() * MOST_EJECTED_PERCENT / PERCENT).max(1).min(members.len() - 1);
+        if server.ejected || out >= most {
             return;
         }
         let doublings = server.ejections.min(MOST_DOUBLINGS);
--- a/agatetrestle/src/scheduler/core/mod.rs
+++ b/agatetrestle/src/scheduler/core/mod.rs
@@ -220,3 +220,6 @@
         self.fleet.servers.iter().map(listing).collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/agatetrestle/src/trace/mod.rs
+++ b/agatetrestle/src/trace/mod.rs
@@ -3,6 +3,8 @@
 //! The daemon records it and the replay drives the scheduler with it, so that a policy is judged
 //! on what really arrived; see docs/TRACE.md.
 
+mod recording;
+
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -10,6 +12,8 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 
+pub use crate::trace::recording::Recording;
+
 /// What kind of backend server a call goes to.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
