Let each scrape tell the revision in force and whether work is taken

Cause: an operator could see an isolated node only by asking it with the tool. Change: two gauges are set from the control port right before each scrape, so that they never lag. Conclusion: an alert on agatetrestle_taking_work finds isolated and starting nodes.

--- a/agatetrestle/src/metrics/instruments.rs
+++ b/agatetrestle/src/metrics/instruments.rs
@@ -10,6 +10,7 @@
 use opentelemetry::metrics::Meter;
 
 use crate::metrics::series::Series;
+use crate::ports::Control;
 use crate::ports::Measure;
 
 const PROGRAM_SECONDS: &[f64] =
@@ -40,6 +41,8 @@
     tokens: Counter<u64>,
     cache_held: Gauge<u64>,
     cache_wasted: Gauge<u64>,
+    revision: Gauge<u64>,
+    taking_work: Gauge<u64>,
 }
 
 impl Instruments {
@@ -82,6 +85,8 @@
             unknown: count("agatetrestle_unknown", "Calls of which nobody can tell whether they ran."),
             tokens: count("agatetrestle_tokens", "Tokens generated."),
             cache_held: gauge("agatetrestle_cache_held_tokens", "Prefix cache that live programs hold."),
+            revision: gauge("agatetrestle_configuration_revision", "Configuration revision in force here."),
+            taking_work: gauge("agatetrestle_taking_work", "1 if this node takes new work, else 0."),
             cache_wasted: gauge(
                 "agatetrestle_cache_wasted_tokens",
                 "Prefix tokens computed again or left unread by ended programs, since the start.",
@@ -104,6 +109,11 @@
         }
     }
 
+    pub(super) fn control(&self, control: &dyn Control) {
+        self.revision.record(control.configuration().revision, &[]);
+        self.taking_work.record(u64::from(control.taking_work().is_ok()), &[]);
+    }
+
     pub(super) fn cache(&self, held: u64, wasted: u64) {
         self.cache_held.record(held, &[]);
         self.cache_wasted.record(wasted, &[]);
--- a/agatetrestle/src/metrics/mod.rs
+++ b/agatetrestle/src/metrics/mod.rs
@@ -8,6 +8,7 @@
 mod series;
 
 use std::cell::RefCell;
+use std::rc::Rc;
 
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::error::OTelSdkError;
@@ -22,6 +23,7 @@
 
 use crate::metrics::instruments::Instruments;
 use crate::metrics::series::SeriesTable;
+use crate::ports::Control;
 use crate::ports::Labels;
 use crate::ports::Measure;
 use crate::ports::Recorder;
@@ -48,6 +50,7 @@
     registry: Registry,
     instruments: Instruments,
     series: RefCell<SeriesTable>,
+    control: RefCell<Option<Rc<dyn Control>>>,
     /// Keeps the pipeline alive; the instruments refer to it weakly.
     _provider: SdkMeterProvider,
 }
@@ -68,7 +71,18 @@
             .context(SetUpSnafu)?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let instruments = Instruments::new(&provider.meter("agatetrestle"));
-        Ok(Self { registry, instruments, series: RefCell::default(), _provider: provider })
+        Ok(Self {
+            registry,
+            instruments,
+            series: RefCell::default(),
+            control: RefCell::default(),
+            _provider: provider,
+        })
+    }
+
+    /// Lets each scrape tell what is in force and whether new work is taken.
+    pub fn watch(&self, control: Rc<dyn Control>) {
+        self.control.replace(Some(control));
     }
 
     /// All series in the text form that Prometheus scrapes.
@@ -77,6 +91,9 @@
     ///
     /// Fails if the encoder refuses a series.
     pub fn render(&self) -> Result<Vec<u8>, MetricsError> {
+        if let Some(control) = &*self.control.borrow() {
+            self.instruments.control(&**control);
+        }
         let mut buf = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut buf).context(WriteSnafu)?;
         Ok(buf)
--- a/agatetrestle/src/metrics/tests.rs
+++ b/agatetrestle/src/metrics/tests.rs
@@ -1,16 +1,24 @@
 //! Tests of the measures and of the scrape endpoint.
 
+use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures::AsyncReadExt;
 use futures::AsyncWriteExt;
+use futures::future::LocalBoxFuture;
 use smol::LocalExecutor;
 use smol::net::TcpListener;
 use smol::net::TcpStream;
 
 use super::*;
+use crate::control::command::Configuration;
+use crate::control::command::ControlCommand;
+use crate::control::command::ControlReply;
 use crate::metrics::series::MAX_LABELS;
+use crate::ports::GroupError;
+use crate::ports::NotTaking;
 
 fn labels(partner: &str, class: &str) -> Labels {
     Labels { partner: partner.into(), class: class.into() }
@@ -88,6 +96,42 @@
     assert!(other.ends_with(" 4"), "{other}");
 }
 
+/// A control group in which nothing is in force and no work may be taken, until it is confirmed.
+#[derive(Default)]
+struct FakeControl {
+    confirmed: Cell<bool>,
+}
+
+impl Control for FakeControl {
+    fn commit(&self, _: ControlCommand) -> LocalBoxFuture<'_, Result<ControlReply, GroupError>> {
+        Box::pin(async { Err(GroupError::NotProposed { reason: "not asked for here".into() }) })
+    }
+
+    fn configuration(&self) -> Arc<Configuration> {
+        let revision = if self.confirmed.get() { 7 } else { 0 };
+        Arc::new(Configuration { revision, ..Configuration::default() })
+    }
+
+    fn taking_work(&self) -> Result<(), NotTaking> {
+        if self.confirmed.get() { Ok(()) } else { Err(NotTaking::Starting) }
+    }
+}
+
+#[test]
+fn each_scrape_tells_what_is_in_force_and_whether_work_is_taken() {
+    let metrics = Metrics::new().unwrap();
+    let control = Rc::new(FakeControl::default());
+    metrics.watch(control.clone());
+    let told = |metrics: &Metrics| {
+        let text = rendered(metrics);
+        let names = ["agatetrestle_configuration_revision", "agatetrestle_taking_work"];
+        names.map(|name| lines_of(&text, name).concat())
+    };
+    assert_eq!(told(&metrics), ["agatetrestle_configuration_revision 0", "agatetrestle_taking_work 0"]);
+    control.confirmed.set(true);
+    assert_eq!(told(&metrics), ["agatetrestle_configuration_revision 7", "agatetrestle_taking_work 1"]);
+}
+
 fn exchange(request: &[u8]) -> String {
     let executor = Rc::new(LocalExecutor::new());
     smol::block_on(executor.run(async {
--- a/agatetrestle/src/node/mod.rs
+++ b/agatetrestle/src/node/mod.rs
@@ -138,6 +138,7 @@
         let mut replicas = Replicas::open(&opener).await?;
         let metrics = Rc::new(Metrics::new().context(MetricsSnafu)?);
         let assembly = Assembly::new(&settings, &addresses, clock, &links, &replicas, &metrics);
+        metrics.watch(assembly.control.clone());
         let entry = Rc::new(assembly.entry(&metrics));
         let mut tasks = std::mem::take(&mut replicas.tasks);
         let peers = assembly.peer_server(&replicas);
