--- a/agatetrestle/src/node/links.rs
+++ b/agatetrestle/src/node/links.rs
@@ -7,11 +7,12 @@
 use std::time::Duration;
 
 use agatetrestle_config::Settings;
-use log::info;
 use smol::LocalExecutor;
 
 use crate::ids::NodeId;
+use crate::node::peer_link::Inbound;
 use crate::node::peer_link::PeerLink;
+use crate::node::peer_server::Receivers;
 
 /// One link to each other node.
 pub struct Links {
@@ -19,6 +20,7 @@
     deadline: Duration,
     executor: Rc<LocalExecutor<'static>>,
     by_node: RefCell<BTreeMap<NodeId, Rc<PeerLink>>>,
+    receivers: Rc<RefCell<Receivers>>,
 }
 
 impl Links {
@@ -30,6 +32,7 @@
             deadline: settings.timing.peer_call,
             executor: executor.clone(),
             by_node: RefCell::default(),
+            receivers: Rc::default(),
         });
         for peer in &settings.peers {
             links.learn(NodeId(peer.id), peer.address);
@@ -37,18 +40,32 @@
         links
     }
 
-    /// Takes in the address of a node; a replaced VM has a new one. A link that works is kept, since the
-    /// settings may name another way to the same node.
+    /// Sets who takes in what other nodes answer at once.
+    pub fn set_receivers(&self, receivers: Receivers) {
+        self.receivers.replace(receivers);
+    }
+
+    fn inbound(&self) -> Inbound {
+        let receivers = self.receivers.clone();
+        Rc::new(move |message| {
+            let receive = receivers.borrow().get(&message.group).cloned();
+            receive.map_or_else(Vec::new, |receive| receive(message))
+        })
+    }
+
+    /// Takes in the address that a node tells of itself. The one in the settings goes first, since they may
+    /// name another way to the node; a replaced VM is reached by the one it tells.
     pub fn learn(&self, node: NodeId, address: SocketAddr) {
-        let mut links = self.by_node.borrow_mut();
-        let kept = links.get(&node).is_some_and(|link| link.is_connected() || link.address() == address);
-        if node == self.node || kept {
+        if node == self.node {
             return;
         }
-        if links.contains_key(&node) {
-            info!("Node {} is now at {address}.", node.0);
+        let mut links = self.by_node.borrow_mut();
+        if let Some(link) = links.get(&node) {
+            link.learn(address);
+            return;
         }
-        links.insert(node, PeerLink::new(address, self.deadline, self.executor.clone()));
+        let link = PeerLink::new(address, self.deadline, self.executor.clone(), self.inbound());
+        links.insert(node, link);
     }
 
     /// The link to a node, if its address is known.
--- a/agatetrestle/src/node/mod.rs
+++ b/agatetrestle/src/node/mod.rs
@@ -66,6 +66,7 @@
 use crate::node::listings::GroupListing;
 use crate::node::orders::Orders;
 use crate::node::peer_server::PeerServer;
+use crate::node::peer_server::Receivers;
 use crate::node::registry::Registry;
 use crate::node::replicas::Missing;
 use crate::node::replicas::Opener;
@@ -86,6 +87,8 @@
 use crate::scheduler::Policy;
 use crate::scheduler::Scheduler;
 use crate::scheduler::SchedulerConfig;
+use crate::trace::recorder::Recording;
+use crate::trace::recorder::TraceLog;
 
 /// How often a planned stop looks whether the last request is done.
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -134,8 +137,10 @@
         let links = Links::new(&settings, &executor);
         let opener = Opener { settings: &settings, clock, links: &links, missing, executor: &executor };
         let mut replicas = Replicas::open(&opener).await?;
-        let assembly = Assembly::new(&settings, &addresses, clock, &links, &replicas);
+        links.set_receivers(replicas.receivers());
         let metrics = Rc::new(Metrics::new().context(MetricsSnafu)?);
+        let assembly = Assembly::new(&settings, &addresses, clock, &links, &replicas, &metrics);
+        metrics.watch(assembly.control.clone());
         let entry = Rc::new(assembly.entry(&metrics));
         let mut tasks = std::mem::take(&mut replicas.tasks);
         let peers = assembly.peer_server(&replicas);
@@ -285,6 +290,17 @@
         listing
     }
 
+    fn receivers(&self) -> Receivers {
+        let mut receivers = Receivers::new();
+        if let Some(group) = self.control.clone() {
+            receivers.insert(CONTROL_GROUP, Rc::new(move |message| group.receive(message)));
+        }
+        if let Some(group) = self.state.clone() {
+            receivers.insert(FIRST_STATE_GROUP, Rc::new(move |message| group.receive(message)));
+        }
+        receivers
+    }
+
     fn control_service(&self) -> Option<Rc<dyn GroupService>> {
         let group = self.control.clone()?;
         Some(Rc::new(ControlService(group)))
@@ -314,6 +330,7 @@
     settings: Settings,
     stopping: Rc<Cell<bool>>,
     scheduler: Rc<RefCell<Box<dyn Scheduler>>>,
+    traces: Rc<TraceLog>,
     calls: Rc<Dispatcher>,
     control: Rc<ControlPort>,
     ledger: Rc<LedgerPort>,
@@ -328,6 +345,7 @@
         clock: Clock,
         links: &Rc<Links>,
         replicas: &Replicas,
+        metrics: &Rc<Metrics>,
     ) -> Self {
         let node = NodeId(settings.node.id);
         let timing = &settings.timing;
@@ -342,12 +360,14 @@
         let control_router = router(CONTROL_GROUP, replicas.control_service());
         let control = Rc::new(ControlPort::new(control_router, clock, timing.clock_drift, stopping.clone()));
         let ledger = Rc::new(LedgerPort::new(router(FIRST_STATE_GROUP, replicas.state_service())));
-        let scheduler = scheduler::build(Policy::default(), SchedulerConfig::default(), incarnation);
-        let scheduler = Rc::new(RefCell::new(scheduler));
+        let traces = Rc::new(TraceLog::default());
+        let deciding = scheduler::build(Policy::default(), SchedulerConfig::default(), incarnation);
+        let recording = Recording::new(deciding, traces.clone(), metrics.clone());
+        let scheduler: Rc<RefCell<Box<dyn Scheduler>>> = Rc::new(RefCell::new(Box::new(recording)));
         let calls = dispatcher(&scheduler, timing.peer_call, clock);
         let registry = replicas.control.clone().map(|group| {
             let lease = timing.configuration_lease;
-            Rc::new(Registry::new(group, links.clone(), clock, timing.heartbeat, lease))
+            Rc::new(Registry::new(group, links.clone(), clock, incarnation, timing.heartbeat, lease))
         });
         let heartbeats = Rc::new(Heartbeats {
             identity: identity(settings, addresses, incarnation),
@@ -369,6 +389,7 @@
             settings,
             stopping,
             scheduler,
+            traces,
             calls,
             control,
             ledger,
@@ -404,12 +425,7 @@
 
     fn peer_server(&self, replicas: &Replicas) -> Rc<PeerServer> {
         let mut server = PeerServer { registry: self.registry.clone(), ..PeerServer::default() };
-        if let Some(group) = replicas.control.clone() {
-            server.receivers.insert(CONTROL_GROUP, Rc::new(move |message| group.receive(message)));
-        }
-        if let Some(group) = replicas.state.clone() {
-            server.receivers.insert(FIRST_STATE_GROUP, Rc::new(move |message| group.receive(message)));
-        }
+        server.receivers = replicas.receivers();
         let services =
             [(CONTROL_GROUP, replicas.control_service()), (FIRST_STATE_GROUP, replicas.state_service())];
         let held = services.into_iter().filter_map(|(id, service): (GroupId, _)| Some((id, service?)));
@@ -425,7 +441,7 @@
             ledger: self.ledger.clone(),
             backends: Rc::new(backends),
             groups: groups.clone(),
-            traces: Rc::new(NoTraces),
+            traces: self.traces.clone(),
             node: self.node,
         })
     }
@@ -459,12 +475,3 @@
 fn incarnation() -> u64 {
     micros(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default())
 }
-
-/// Traces are off until the recording scheduler is in place.
-struct NoTraces;
-
-impl crate::ports::Traces for NoTraces {
-    fn recent(&self, _limit: u32) -> Vec<std::sync::Arc<str>> {
-        Vec::new()
-    }
-}
--- a/agatetrestle/tests/support/mod.rs
+++ b/agatetrestle/tests/support/mod.rs
@@ -71,6 +71,11 @@
     ledger: RefCell<Ledger>,
     faults: RefCell<Vec<Fault>>,
     pub commands: RefCell<Vec<String>>,
+    /// Whether the next answers are held back from being stored, and how many are.
+    pub holding: Cell<bool>,
+    pub held: Cell<u32>,
+    /// Whether queries get no reply.
+    pub silent: Cell<bool>,
 }
 
 impl SharedLedger {
@@ -79,6 +84,13 @@
         self.faults.borrow_mut().extend(faults.iter().rev());
     }
 
+    async fn hold(&self) {
+        self.held.set(self.held.get() + 1);
+        while self.holding.get() {
+            smol::future::yield_now().await;
+        }
+    }
+
     pub fn program(&self, id: &str) -> ProgramView {
         let id = ProgramId::parse(id).unwrap();
         match self.ledger.borrow().query(&ProgramQuery::Program(id)) {
@@ -97,6 +109,9 @@
     fn commit(&self, command: ProgramCommand) -> LocalBoxFuture<'_, Result<ProgramReply, GroupError>> {
         Box::pin(async move {
             smol::future::yield_now().await;
+            if matches!(command, ProgramCommand::Finish { .. }) {
+                self.hold().await;
+            }
             let fault = self.faults.borrow_mut().pop().unwrap_or_default();
             if fault == Fault::NotProposed {
                 return Err(GroupError::NotProposed { reason: "no quorum".into() });
@@ -112,7 +127,12 @@
     }
 
     fn query(&self, query: ProgramQuery) -> LocalBoxFuture<'_, Result<QueryReply, GroupError>> {
-        Box::pin(async move { Ok(self.ledger.borrow().query(&query)) })
+        Box::pin(async move {
+            if self.silent.get() {
+                return Err(GroupError::NotProposed { reason: "no quorum".into() });
+            }
+            Ok(self.ledger.borrow().query(&query))
+        })
     }
 }
 
@@ -258,11 +278,15 @@
         engines: &[SocketAddr],
         services: &[SocketAddr],
     ) -> Self {
-        let documents = [("shared", shared(engines, services)), ("vrsta", PARTNER.to_owned())];
+        Self::declaring(executor, &[("shared", shared(engines, services)), ("vrsta", PARTNER.to_owned())])
+    }
+
+    /// A rig with the given documents.
+    pub fn declaring(executor: &Rc<LocalExecutor<'static>>, documents: &[(&str, String)]) -> Self {
         Self {
             executor: Rc::clone(executor),
             ledger: Rc::default(),
-            control: Rc::new(FakeControl::new(&documents)),
+            control: Rc::new(FakeControl::new(documents)),
             members: Rc::default(),
             recorder: Rc::default(),
             timer: Rc::default(),
@@ -323,7 +347,7 @@
     }
 }
 
-const PARTNER: &str = "
+pub const PARTNER: &str = "
 format: 1
 teams:
   dawn: {}
@@ -346,7 +370,8 @@
     text
 }
 
-fn backend(name: &str, kind: &str, address: SocketAddr, serves: &str) -> String {
+/// One backend server of a document.
+pub fn backend(name: &str, kind: &str, address: SocketAddr, serves: &str) -> String {
     format!(
         "  {name}: {{ kind: {kind}, address: \"{address}\", serves: {serves}, vm: b-{name}, failure_domain: d-1 }}\n"
     )
--- a/agatetrestle_replay/tests/bounds.rs
+++ b/agatetrestle_replay/tests/bounds.rs
@@ -7,6 +7,7 @@
 use agatetrestle_replay::catalog::Pool;
 use agatetrestle_replay::faults;
 use agatetrestle_replay::faults::Fault;
+use agatetrestle_replay::faults::FaultKind;
 use agatetrestle_replay::measure::Measures;
 use agatetrestle_replay::replay;
 use agatetrestle_replay::synth::Synth;
@@ -89,12 +90,12 @@
 
 #[test]
 fn retries_stay_within_their_budget() {
-    let text: String = (0..ENGINES)
-        .map(|at| {
-            format!("{{\"at\":0,\"backend\":\"shared-model-{at}\",\"kind\":\"fail\",\"percent\":50}}\n")
-        })
-        .collect();
-    let faults = faults::parse(&text).expect("faults");
+    let fault = |at| Fault {
+        at: 0,
+        backend: format!("shared-model-{at}").into(),
+        kind: FaultKind::Fail { percent: 50 },
+    };
+    let faults = (0..ENGINES).map(fault).collect();
     let m = measure(Workload::Shared, 85, 300, Policy::Adaptive, faults);
     assert_at_most("attempts", percent(m.attempts, m.sent), 110);
     assert_eq!(m.broken.sum(), 0, "{:?}", m.broken);
