Let tests on whole nodes give up loudly instead of hanging

Change: every try in these tests is bounded; after 200 tries the test fails with what did not succeed.

--- a/agatetrestle/tests/cluster/mod.rs
+++ b/agatetrestle/tests/cluster/mod.rs
@@ -24,6 +24,8 @@
 use smol::Timer;
 
 const POLL: Duration = Duration::from_millis(5);
+/// Tries of a call, each of which may take several seconds itself.
+const TRIES: u32 = 200;
 const EVENT_WITHIN: Duration = Duration::from_mins(1);
 
 /// A node that runs until it is lost.
@@ -195,6 +197,17 @@
     }
 }
 
+/// Tries something until it succeeds; gives up loudly rather than hang.
+pub async fn persist<T>(what: &str, attempt: impl AsyncFn() -> Option<T>) -> T {
+    for _ in 0..TRIES {
+        if let Some(value) = attempt().await {
+            return value;
+        }
+        Timer::after(POLL).await;
+    }
+    panic!("{what} did not succeed");
+}
+
 impl Drop for Cluster {
     fn drop(&mut self) {
         // A folder that stays behind is no failure of the code under test.
--- a/agatetrestle/tests/isolation.rs
+++ b/agatetrestle/tests/isolation.rs
@@ -25,14 +25,15 @@
         expected,
         change_id: change_id.into(),
     };
-    loop {
+    cluster::persist("a change", async || {
         match node.control().commit(command.clone()).await {
-            Ok(ControlReply::Accepted { .. }) => return,
+            Ok(ControlReply::Accepted { .. }) => Some(()),
             Ok(other) => panic!("the change was answered by {other:?}"),
             // An election may take longer than one try; the change id makes the resend safe.
-            Err(_) => {}
+            Err(_) => None,
         }
-    }
+    })
+    .await;
 }
 
 async fn open(node: &Node, name: &str) {
@@ -40,13 +41,12 @@
     let spec =
         ProgramSpec { team: "dawn".into(), class: "replacement".into(), budget: 10, turns: 2, parent: None };
     let command = ProgramCommand::Open { program, key: RequestKey("k".into()), spec, at: 0 };
-    loop {
-        match node.ledger().commit(command.clone()).await {
-            Ok(ProgramReply::Done(_)) => return,
-            Ok(other) => panic!("opening a program was answered by {other:?}"),
-            Err(_) => {}
-        }
-    }
+    cluster::persist("opening a program", async || match node.ledger().commit(command.clone()).await {
+        Ok(ProgramReply::Done(_)) => Some(()),
+        Ok(other) => panic!("opening a program was answered by {other:?}"),
+        Err(_) => None,
+    })
+    .await;
 }
 
 fn control_leader(cluster: &Cluster) -> u64 {
--- a/agatetrestle/tests/orders.rs
+++ b/agatetrestle/tests/orders.rs
@@ -61,13 +61,14 @@
         expected: 0,
         change_id: "engines".into(),
     };
-    loop {
+    cluster::persist("declaring", async || {
         match cluster.nodes()[0].control().commit(command.clone()).await {
-            Ok(ControlReply::Accepted { .. }) => return,
+            Ok(ControlReply::Accepted { .. }) => Some(()),
             Ok(other) => panic!("the declarations were answered by {other:?}"),
-            Err(_) => {}
+            Err(_) => None,
         }
-    }
+    })
+    .await;
 }
 
 fn control_leader(cluster: &Cluster) -> Option<u64> {
--- a/agatetrestle/tests/replacement.rs
+++ b/agatetrestle/tests/replacement.rs
@@ -2,6 +2,9 @@
 
 mod cluster;
 
+use std::cell::Cell;
+use std::time::Duration;
+
 use agatetrestle::agreement::ReplicaChange;
 use agatetrestle::ids::CONTROL_GROUP;
 use agatetrestle::ids::FIRST_STATE_GROUP;
@@ -20,6 +23,7 @@
 
 use crate::cluster::Cluster;
 
+const PAUSE: Duration = Duration::from_millis(50);
 const GROUPS: [GroupId; 2] = [CONTROL_GROUP, FIRST_STATE_GROUP];
 
 fn program(number: u32) -> ProgramId {
@@ -30,41 +34,45 @@
     let spec =
         ProgramSpec { team: "dawn".into(), class: "replacement".into(), budget: 10, turns: 2, parent: None };
     let command = ProgramCommand::Open { program: program(number), key: RequestKey("k".into()), spec, at: 0 };
-    loop {
-        let ledger = cluster.nodes()[0].ledger();
-        match ledger.commit(command.clone()).await {
-            Ok(ProgramReply::Done(_)) => return,
+    cluster::persist("opening a program", async || {
+        match cluster.nodes()[0].ledger().commit(command.clone()).await {
+            Ok(ProgramReply::Done(_)) => Some(()),
             Ok(reply) => panic!("opening a program was answered by {reply:?}"),
             // An election may take longer than one try.
-            Err(_) => {}
+            Err(_) => None,
         }
-    }
+    })
+    .await;
 }
 
 async fn is_known(cluster: &Cluster, number: u32) -> bool {
-    loop {
-        let ledger = cluster.nodes()[0].ledger();
-        match ledger.query(ProgramQuery::Program(program(number))).await {
-            Ok(QueryReply::One(reply)) => return matches!(reply, ProgramReply::Done(_)),
+    cluster::persist("a query", async || {
+        match cluster.nodes()[0].ledger().query(ProgramQuery::Program(program(number))).await {
+            Ok(QueryReply::One(reply)) => Some(matches!(reply, ProgramReply::Done(_))),
             Ok(QueryReply::Many(_)) => panic!("a query for one program was answered by a list"),
-            Err(_) => {}
+            Err(_) => None,
         }
-    }
+    })
+    .await
 }
 
 /// Asks every node until the leader has made the change.
 async fn change(cluster: &Cluster, change: ReplicaChange) {
     for group in GROUPS {
-        let mut asked = 0;
-        loop {
+        let asked = Cell::new(0);
+        cluster::persist("a change of replicas", async || {
             let nodes = cluster.nodes();
-            match nodes[asked % nodes.len()].groups().change(group, change).await {
-                Ok(()) => break,
+            asked.set(asked.get() + 1);
+            match nodes[asked.get() % nodes.len()].groups().change(group, change).await {
+                Ok(()) => Some(()),
                 Err(ChangeError::Invalid) => panic!("{change:?} makes no sense"),
-                Err(_) => asked += 1,
+                Err(_) => {
+                    smol::Timer::after(PAUSE).await;
+                    None
+                }
             }
-            smol::Timer::after(std::time::Duration::from_millis(20)).await;
-        }
+        })
+        .await;
     }
 }
 
