--- a/agatetrestle/src/node/group.rs
+++ b/agatetrestle/src/node/group.rs
@@ -18,6 +18,7 @@
 use smol::Timer;
 use smol::channel::Receiver;
 use smol::channel::Sender;
+use snafu::ResultExt;
 use snafu::Snafu;
 
 use crate::agreement::Input;
@@ -25,6 +26,7 @@
 use crate::agreement::Rejection;
 use crate::agreement::ReplicaChange;
 use crate::agreement::Replicas;
+use crate::agreement::RestoreError;
 use crate::agreement::Snapshot;
 use crate::agreement::StateMachine;
 use crate::agreement::Ticket;
@@ -32,15 +34,19 @@
 use crate::agreement::message::Message;
 use crate::agreement::message::Position;
 use crate::agreement::replica::Replica;
+use crate::agreement::replica::Restored;
 use crate::agreement::storage::Storage;
 use crate::agreement::storage::error::StorageError;
 use crate::clock::Clock;
 use crate::clock::Timestamp;
 use crate::history::History;
+use crate::history::HistoryError;
 use crate::ids::GroupId;
 use crate::ids::NodeId;
 use crate::ports::GroupView;
 
+/// Pause before the storage is opened again after a write failed.
+const REOPEN_PAUSE: Duration = Duration::from_millis(500);
 /// Pause before history is asked for again.
 const FETCH_PAUSE: Duration = Duration::from_millis(100);
 /// Most history bytes in one answer to another replica.
@@ -76,6 +82,12 @@
 /// Fetches history from another replica, from an offset on; none where no replica has it.
 pub type HistorySource = Rc<dyn Fn(u64) -> LocalBoxFuture<'static, Option<Vec<u8>>>>;
 
+/// Opens the storage again after a write failed.
+pub type Reopen = Rc<dyn Fn() -> LocalBoxFuture<'static, Result<(Storage, Restored), StorageError>>>;
+
+/// Makes a replica from what its storage holds.
+pub type MakeReplica = Rc<dyn Fn(Restored, Timestamp) -> Replica>;
+
 /// Sends a message to another node; losing it is harmless.
 pub type Outbox = Rc<dyn Fn(Message)>;
 
@@ -96,6 +108,9 @@
     snapshot_after: u64,
     snapshot_running: Cell<bool>,
     history_source: HistorySource,
+    reopen: Reopen,
+    make_replica: MakeReplica,
+    blank: Vec<u8>,
     /// Commands that came after a snapshot whose history is still being fetched.
     held: RefCell<Option<VecDeque<Held>>>,
 }
@@ -120,6 +135,12 @@
     pub snapshot_after: u64,
     /// Where history comes from that a received snapshot relies on.
     pub history_source: HistorySource,
+    /// Opens the storage again after a write failed.
+    pub reopen: Reopen,
+    /// Makes the replica then.
+    pub make_replica: MakeReplica,
+    /// The coded state machine before its first command, for a storage without a snapshot.
+    pub blank: Vec<u8>,
 }
 
 impl<M: StateMachine + 'static> Group<M> {
@@ -142,6 +163,9 @@
             snapshot_after: parts.snapshot_after,
             snapshot_running: Cell::new(false),
             history_source: parts.history_source,
+            reopen: parts.reopen,
+            make_replica: parts.make_replica,
+            blank: parts.blank,
             held: RefCell::new(None),
         });
         (group, Jobs(inbox))
@@ -167,31 +191,71 @@
             while let Ok(job) = jobs.0.try_recv() {
                 batch.push(job);
             }
-            for job in &batch {
-                if let Job::Write(Write { snapshot: Some(snapshot), .. }) = job {
-                    self.put_in_place(snapshot).await;
+            storage = match self.write(storage, batch).await {
+                Ok(storage) => storage,
+                Err(failure) => {
+                    error!("Group {} could not write its log: {failure}.", self.id.0);
+                    self.feed(Input::WriteFailed);
+                    self.recover(&jobs).await
                 }
+            };
+        }
+    }
+
+    /// Carries out a batch. On failure the storage is closed, because what it holds is then in doubt.
+    async fn write(&self, mut storage: Storage, batch: Vec<Job>) -> Result<Storage, WriteError> {
+        let mut relies_on = Vec::new();
+        for job in &batch {
+            if let Job::Write(Write { snapshot: Some(snapshot), .. }) = job {
+                relies_on.extend(self.put_in_place(snapshot).await?);
+            }
+        }
+        let (storage, done) = smol::unblock(move || {
+            let done = carry_out(&mut storage, &relies_on, batch);
+            (storage, done)
+        })
+        .await;
+        self.report(done?);
+        Ok(storage)
+    }
+
+    /// Opens the storage again until that succeeds, such as once a full disk has space, and goes on from
+    /// what it holds.
+    async fn recover(&self, jobs: &Jobs) -> Storage {
+        loop {
+            Timer::after(REOPEN_PAUSE).await;
+            match (self.reopen)().await {
+                Ok((storage, restored)) => match self.rebuild(restored, jobs) {
+                    Ok(()) => return storage,
+                    Err(failure) => error!("Group {} can't go on from its files: {failure}.", self.id.0),
+                },
+                Err(failure) => warn!("Group {} can't open its log: {failure}.", self.id.0),
             }
-            let (returned, done) = smol::unblock(move || {
-                let done = carry_out(&mut storage, batch);
-                (storage, done)
-            })
-            .await;
-            storage = returned;
-            self.report(done);
         }
     }
 
+    fn rebuild(&self, restored: Restored, jobs: &Jobs) -> Result<(), RestoreError> {
+        // What the failed replica still wanted written must not reach the log of the new one.
+        while jobs.0.try_recv().is_ok() {}
+        let snapshot = restored.snapshot.as_ref();
+        let data = snapshot.map_or(&self.blank[..], |snapshot| &snapshot.data);
+        self.machine.borrow_mut().restore(data)?;
+        self.applied.set(snapshot.map_or(Position::default(), |snapshot| snapshot.position));
+        self.replicas.replace(snapshot.map_or_else(Replicas::default, |snapshot| snapshot.replicas.clone()));
+        self.held.take();
+        self.bytes_since_snapshot.set(0);
+        self.snapshot_running.set(false);
+        let replica = (self.make_replica)(restored, self.clock.now());
+        self.replica.replace(replica);
+        info!("Group {} goes on from its files.", self.id.0);
+        Ok(())
+    }
+
     /// Fetches the history that a received snapshot relies on, then restores it. Nothing about the snapshot
-    /// is acknowledged before that, so a replica that can't fetch counts as down.
-    async fn put_in_place(&self, snapshot: &Snapshot) {
-        let wanted = match self.machine.borrow().history_end(&snapshot.data) {
-            Ok(wanted) => wanted,
-            Err(failure) => {
-                error!("Group {} received a snapshot it can't read: {failure}.", self.id.0);
-                return;
-            }
-        };
+    /// is acknowledged before that, so a replica that can't fetch counts as down. Returns the files that must be
+    /// synced before the snapshot is saved.
+    async fn put_in_place(&self, snapshot: &Snapshot) -> Result<Vec<File>, WriteError> {
+        let wanted = self.machine.borrow().history_end(&snapshot.data).context(UnusableSnafu)?;
         while let Some(offset) = self.history_gap(wanted) {
             match (self.history_source)(offset).await {
                 Some(bytes) if !bytes.is_empty() => self.extend_history(&bytes, wanted),
@@ -201,7 +265,13 @@
                 }
             }
         }
-        self.restore(snapshot);
+        let files = self.flush_history().context(UnflushedSnafu)?;
+        self.restore(snapshot).context(UnusableSnafu)?;
+        Ok(files)
+    }
+
+    fn flush_history(&self) -> Result<Vec<File>, HistoryError> {
+        self.machine.borrow_mut().history().map_or(Ok(Vec::new()), History::flush)
     }
 
     fn history_gap(&self, wanted: u64) -> Option<u64> {
@@ -233,12 +303,7 @@
         }
     }
 
-    fn report(self: &Rc<Self>, done: Done) {
-        if let Some(failure) = done.failure {
-            error!("Group {} could not write its log: {failure}.", self.id.0);
-            self.feed(Input::WriteFailed);
-            return;
-        }
+    fn report(&self, done: Done) {
         if let Some(sequence) = done.written {
             self.feed(Input::Written(sequence));
         }
@@ -396,11 +461,8 @@
         }
     }
 
-    fn restore(&self, snapshot: &Snapshot) {
-        if let Err(failure) = self.machine.borrow_mut().restore(&snapshot.data) {
-            error!("Group {} received a snapshot it can't use: {failure}.", self.id.0);
-            return;
-        }
+    fn restore(&self, snapshot: &Snapshot) -> Result<(), RestoreError> {
+        self.machine.borrow_mut().restore(&snapshot.data)?;
         self.applied.set(snapshot.position);
         self.replicas.replace(snapshot.replicas.clone());
         let held = self.held.take().unwrap_or_default();
@@ -409,6 +471,7 @@
                 self.apply(position, &payload, ticket);
             }
         }
+        Ok(())
     }
 
     fn snapshot_if_due(&self) {
@@ -417,7 +480,7 @@
             return;
         }
         self.bytes_since_snapshot.set(0);
-        let relies_on = match self.machine.borrow_mut().history().map_or(Ok(Vec::new()), History::flush) {
+        let relies_on = match self.flush_history() {
             Ok(files) => files,
             Err(failure) => {
                 error!("Group {} could not write its history: {failure}.", self.id.0);
@@ -451,23 +514,37 @@
         /// What the storage said.
         source: StorageError,
     },
-    /// The history that a snapshot relies on, so that no snapshot is taken.
+    /// The history that a snapshot relies on.
     #[snafu(display("the history can't be synced: {source}"))]
-    History {
+    Unsynced {
         /// What the operating system said.
         source: std::io::Error,
     },
+    /// The history that a received snapshot relies on.
+    #[snafu(display("the history can't be written: {source}"))]
+    Unflushed {
+        /// What the history said.
+        source: HistoryError,
+    },
+    /// A received snapshot.
+    #[snafu(display("a received snapshot can't be used: {source}"))]
+    Unusable {
+        /// What the state machine said.
+        source: RestoreError,
+    },
 }
 
+#[derive(Default)]
 struct Done {
     written: Option<u64>,
     snapshot: Option<Snapshot>,
     snapshot_failure: Option<WriteError>,
-    failure: Option<WriteError>,
 }
 
-fn carry_out(storage: &mut Storage, batch: Vec<Job>) -> Done {
-    let mut done = Done { written: None, snapshot: None, snapshot_failure: None, failure: None };
+/// Makes a batch durable. A snapshot of this replica's own that fails is no failure of the batch, since the log
+/// is whole without it.
+fn carry_out(storage: &mut Storage, relies_on: &[File], batch: Vec<Job>) -> Result<Done, WriteError> {
+    let mut done = Done::default();
     let mut writes = Vec::new();
     let mut snapshots = Vec::new();
     for job in batch {
@@ -476,25 +553,28 @@
             Job::Snapshot { snapshot, relies_on } => snapshots.push((snapshot, relies_on)),
         }
     }
+    sync_all(relies_on).context(UnsyncedSnafu)?;
     if !writes.is_empty() {
-        match storage.write(&writes) {
-            Ok(()) => done.written = writes.last().map(|write| write.sequence),
-            Err(source) => done.failure = Some(WriteError::Log { source }),
-        }
+        storage.write(&writes).context(LogSnafu)?;
+        done.written = writes.last().map(|write| write.sequence);
     }
     for (snapshot, relies_on) in snapshots {
-        if let Err(failure) = sync_all(&relies_on) {
-            done.snapshot_failure = Some(WriteError::History { source: failure });
-            continue;
-        }
-        match storage.save_snapshot(&snapshot) {
+        match save(storage, &snapshot, &relies_on) {
             Ok(()) => done.snapshot = Some(snapshot),
-            Err(source) => done.snapshot_failure = Some(WriteError::Log { source }),
+            Err(failure) => done.snapshot_failure = Some(failure),
         }
     }
-    done
+    Ok(done)
+}
+
+fn save(storage: &mut Storage, snapshot: &Snapshot, relies_on: &[File]) -> Result<(), WriteError> {
+    sync_all(relies_on).context(UnsyncedSnafu)?;
+    storage.save_snapshot(snapshot).context(LogSnafu)
 }
 
 fn sync_all(files: &[File]) -> std::io::Result<()> {
     files.iter().try_for_each(File::sync_all)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/agatetrestle/src/node/group/tests.rs
@@ -0,0 +1,189 @@
+//! Tests of the driver over a disk that runs full.
+
+use std::io;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use smol::LocalExecutor;
+use smol::Timer;
+
+use crate::agreement::Replicas;
+use crate::agreement::Snapshot;
+use crate::agreement::StateMachine;
+use crate::agreement::message::Position;
+use crate::agreement::replica::Replica;
+use crate::agreement::replica::ReplicaConfig;
+use crate::agreement::storage::Storage;
+use crate::agreement::storage::StorageConfig;
+use crate::agreement::storage::disk::Disk;
+use crate::agreement::storage::disk::FileDisk;
+use crate::clock::Clock;
+use crate::codec::encode;
+use crate::control::command::ControlCommand;
+use crate::control::state::ControlState;
+use crate::ids::GroupId;
+use crate::ids::NodeId;
+use crate::node::group::Group;
+use crate::node::group::GroupParts;
+use crate::node::group::Reopen;
+use crate::node::group::Verdict;
+
+const GROUP: GroupId = GroupId(0);
+const TICK: Duration = Duration::from_millis(5);
+const TRIES: u32 = 2_000;
+
+/// Files of the real file system that have no space while the flag is set.
+struct FullDisk {
+    files: FileDisk,
+    full: Arc<AtomicBool>,
+}
+
+impl FullDisk {
+    fn space(&self) -> io::Result<()> {
+        if self.full.load(Ordering::Relaxed) {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        Ok(())
+    }
+}
+
+impl Disk for FullDisk {
+    fn list(&self) -> io::Result<Vec<String>> {
+        self.files.list()
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        self.files.read(name)
+    }
+
+    fn create(&mut self, name: &str) -> io::Result<()> {
+        self.space()?;
+        self.files.create(name)
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.space()?;
+        self.files.append(name, bytes)
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.files.sync(name)
+    }
+
+    fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.files.truncate(name, length)
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.files.rename(from, to)
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.files.remove(name)
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        self.files.sync_folder()
+    }
+}
+
+fn reopen(folder: PathBuf, full: Arc<AtomicBool>) -> Reopen {
+    Rc::new(move || {
+        let (folder, full) = (folder.clone(), full.clone());
+        Box::pin(async move {
+            let files = FileDisk::open(&folder).expect("the temporary folder can be used");
+            let cfg = StorageConfig { group: GROUP, segment_bytes: 1 << 20 };
+            Storage::open_on(Box::new(FullDisk { files, full }), cfg)
+        })
+    })
+}
+
+fn replica_config() -> ReplicaConfig {
+    ReplicaConfig {
+        group: GROUP,
+        node: NodeId(1),
+        leader_interval: Duration::from_millis(20),
+        election_timeout: Duration::from_millis(60),
+        clock_drift: Duration::from_millis(5),
+        seed: 7,
+        max_in_flight: 64,
+        max_batch_bytes: 1 << 16,
+    }
+}
+
+async fn start(executor: &LocalExecutor<'static>, reopen: Reopen) -> Rc<Group<ControlState>> {
+    let (mut storage, mut restored) = reopen().await.unwrap();
+    let machine = ControlState::default();
+    let replicas = Replicas { voters: [NodeId(1)].into(), ..Replicas::default() };
+    let founding = Snapshot {
+        position: Position::default(),
+        replicas: replicas.clone(),
+        data: machine.snapshot().into(),
+    };
+    storage.save_snapshot(&founding).unwrap();
+    restored.snapshot = Some(founding);
+    let clock = Clock::start();
+    let make_replica =
+        Rc::new(|restored, now| Replica::new(replica_config(), Replicas::default(), restored, now));
+    let (group, jobs) = Group::new(GroupParts {
+        id: GROUP,
+        clock,
+        replica: make_replica(restored, clock.now()),
+        machine,
+        outbox: Rc::new(|_| {}),
+        replicas,
+        applied: Position::default(),
+        snapshot_after: u64::MAX,
+        history_source: Rc::new(|_| Box::pin(async { None })),
+        reopen,
+        make_replica,
+        blank: Vec::new(),
+    });
+    executor.spawn(group.clone().run(storage, jobs, TICK)).detach();
+    group
+}
+
+fn change(version: u64) -> Arc<[u8]> {
+    let command = ControlCommand::Apply {
+        scope: "vrsta".into(),
+        text: format!("text {version}").into(),
+        expected: version,
+        change_id: format!("change-{version}").into(),
+    };
+    encode(&command).into()
+}
+
+async fn commit(group: &Group<ControlState>, version: u64) {
+    for _ in 0..TRIES {
+        if let Verdict::Applied(_) = group.submit(change(version)).await {
+            return;
+        }
+        Timer::after(TICK).await;
+    }
+    panic!("change {version} was never applied");
+}
+
+#[test]
+fn a_replica_goes_on_from_its_files_once_a_full_disk_has_space() {
+    let folder = std::env::temp_dir().join(format!("agatetrestle-full-{}", std::process::id()));
+    let full = Arc::new(AtomicBool::new(false));
+    let executor = LocalExecutor::new();
+    smol::block_on(executor.run(async {
+        let group = start(&executor, reopen(folder.clone(), full.clone())).await;
+        commit(&group, 0).await;
+        full.store(true, Ordering::Relaxed);
+        let during = group.submit(change(1)).await;
+        assert_eq!(during, Verdict::Unknown, "the command was in the log when the write failed");
+        assert!(matches!(group.submit(change(1)).await, Verdict::Rejected(_)), "nothing is taken meanwhile");
+        full.store(false, Ordering::Relaxed);
+        commit(&group, 1).await;
+        let version = group.machine(|state| state.configuration().documents["vrsta"].version);
+        assert_eq!(version, 2, "what was accepted before is there, and nothing twice");
+    }));
+    // A folder that stays behind is no failure of the code under test.
+    let _ = std::fs::remove_dir_all(folder);
+}
--- a/agatetrestle/src/node/replicas.rs
+++ b/agatetrestle/src/node/replicas.rs
@@ -22,6 +22,7 @@
 use crate::agreement::replica::Restored;
 use crate::agreement::storage::Storage;
 use crate::agreement::storage::StorageConfig;
+use crate::agreement::storage::error::StorageError;
 use crate::clock::Clock;
 use crate::ids::CONTROL_GROUP;
 use crate::ids::GroupId;
@@ -29,12 +30,15 @@
 use crate::node::NodeError;
 use crate::node::error::MissingSnafu;
 use crate::node::error::NoDataFolderSnafu;
+use crate::node::error::OpenHistorySnafu;
 use crate::node::error::OpenSnafu;
 use crate::node::error::RestoreSnafu;
 use crate::node::group::Group;
 use crate::node::group::GroupParts;
 use crate::node::group::HistorySource;
+use crate::node::group::MakeReplica;
 use crate::node::group::Outbox;
+use crate::node::group::Reopen;
 use crate::node::links::Links;
 use crate::node::peer_link::LinkError;
 use crate::node::peer_link::PeerLink;
@@ -116,7 +120,7 @@
             storage = save(storage, founding.clone(), &folder).await?;
             restored.snapshot = Some(founding);
         }
-        let opened = self.assemble(id, machine, joining, storage, restored)?;
+        let opened = self.assemble(id, machine, &folder, storage, restored)?;
         Ok(Some(opened))
     }
 
@@ -124,7 +128,7 @@
         &self,
         id: GroupId,
         mut machine: M,
-        joining: bool,
+        folder: &Path,
         storage: Storage,
         restored: Restored,
     ) -> Result<Opened<M>, NodeError>
@@ -133,18 +137,19 @@
     {
         let mut replicas = Replicas::default();
         let mut applied = Position::default();
+        let mut blank = Vec::new();
         if let Some(snapshot) = &restored.snapshot {
             machine.restore(&snapshot.data).context(RestoreSnafu { group: id })?;
             applied = snapshot.position;
             replicas = snapshot.replicas.clone();
-        }
-        let cfg = self.replica_config(id);
-        let now = self.clock.now();
-        let replica = if joining {
-            Replica::joining(cfg, now)
         } else {
-            Replica::new(cfg, Replicas::default(), restored, now)
-        };
+            // The log holds everything from its first entry on, which will append to the history again.
+            let emptied = machine.history().map_or(Ok(()), |history| history.truncate(0));
+            emptied.context(OpenHistorySnafu { folder })?;
+            blank = machine.snapshot();
+        }
+        let make_replica = make_replica(self.replica_config(id));
+        let replica = make_replica(restored, self.clock.now());
         let (group, jobs) = Group::new(GroupParts {
             id,
             clock: self.clock,
@@ -155,6 +160,9 @@
             applied,
             snapshot_after: self.settings.storage.snapshot_after,
             history_source: self.history_source(id),
+            reopen: reopen(folder, id, self.settings.storage.segment),
+            make_replica,
+            blank,
         });
         let tick = self.settings.timing.leader_interval / TICKS_PER_INTERVAL;
         let driver = self.executor.spawn(group.clone().run(storage, jobs, tick));
@@ -207,6 +215,24 @@
     }
 }
 
+/// A replica whose storage is empty can only be one that waits to join: founding leaves a snapshot.
+fn make_replica(cfg: ReplicaConfig) -> MakeReplica {
+    Rc::new(move |restored, now| {
+        if is_empty(&restored) {
+            return Replica::joining(cfg.clone(), now);
+        }
+        Replica::new(cfg.clone(), Replicas::default(), restored, now)
+    })
+}
+
+fn reopen(folder: &Path, group: GroupId, segment: u64) -> Reopen {
+    let folder = folder.to_path_buf();
+    Rc::new(move || {
+        let folder = folder.clone();
+        Box::pin(async move { open_files(&folder, group, segment).await })
+    })
+}
+
 fn is_empty(restored: &Restored) -> bool {
     let no_log = restored.snapshot.is_none() && restored.entries.is_empty();
     no_log && restored.hard_state == HardState::default()
@@ -224,11 +250,18 @@
 }
 
 async fn open_storage(folder: &Path, group: GroupId, segment: u64) -> Result<(Storage, Restored), NodeError> {
+    open_files(folder, group, segment).await.context(OpenSnafu { folder })
+}
+
+async fn open_files(
+    folder: &Path,
+    group: GroupId,
+    segment: u64,
+) -> Result<(Storage, Restored), StorageError> {
     let segment_bytes = usize::try_from(segment).unwrap_or(usize::MAX);
     let cfg = StorageConfig { group, segment_bytes };
     let path = folder.to_path_buf();
-    let opened = smol::unblock(move || Storage::open(&path, cfg)).await;
-    opened.context(OpenSnafu { folder })
+    smol::unblock(move || Storage::open(&path, cfg)).await
 }
 
 async fn fetch_history(link: &PeerLink, group: GroupId, offset: u64) -> Result<Vec<u8>, LinkError> {
--- a/agatetrestle/tests/cluster/mod.rs
+++ b/agatetrestle/tests/cluster/mod.rs
@@ -4,6 +4,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -40,6 +41,8 @@
     folder: PathBuf,
     peers: RefCell<Vec<PeerSeed>>,
     nodes: RefCell<Vec<(u64, Running)>>,
+    /// Bytes of commands after which nodes started from now on take a snapshot.
+    pub snapshot_after: Cell<u64>,
     /// What stands between two nodes, by who connects to whom.
     forwarders: RefCell<BTreeMap<(u64, u64), Forwarder>>,
 }
@@ -54,6 +57,7 @@
             folder,
             peers: RefCell::default(),
             nodes: RefCell::default(),
+            snapshot_after: Cell::new(Settings::default().storage.snapshot_after),
             forwarders: RefCell::default(),
         }
     }
@@ -146,6 +150,7 @@
         settings.node.vm = format!("vm-{id}").into();
         settings.node.failure_domain = format!("domain-{id}").into();
         settings.storage.data_folder = Some(self.data_folder(id));
+        settings.storage.snapshot_after = self.snapshot_after.get();
         settings.timing.heartbeat = Duration::from_millis(100);
         settings.timing.peer_call = Duration::from_millis(500);
         settings
--- a/agatetrestle/tests/replacement.rs
+++ b/agatetrestle/tests/replacement.rs
@@ -3,10 +3,13 @@
 mod cluster;
 
 use std::cell::Cell;
+use std::sync::Arc;
 use std::time::Duration;
 
 use agatetrestle::agreement::ReplicaChange;
+use agatetrestle::ids::AttemptId;
 use agatetrestle::ids::CONTROL_GROUP;
+use agatetrestle::ids::CallNumber;
 use agatetrestle::ids::FIRST_STATE_GROUP;
 use agatetrestle::ids::GroupId;
 use agatetrestle::ids::NodeId;
@@ -15,11 +18,13 @@
 use agatetrestle::node::NodeError;
 use agatetrestle::node::replicas::Missing;
 use agatetrestle::ports::ChangeError;
+use agatetrestle::programs::command::Answer;
 use agatetrestle::programs::command::ProgramCommand;
 use agatetrestle::programs::command::ProgramQuery;
 use agatetrestle::programs::command::ProgramReply;
 use agatetrestle::programs::command::ProgramSpec;
 use agatetrestle::programs::command::QueryReply;
+use agatetrestle::programs::command::Repeatable;
 
 use crate::cluster::Cluster;
 
@@ -32,7 +37,7 @@
 
 async fn open(cluster: &Cluster, number: u32) {
     let spec =
-        ProgramSpec { team: "dawn".into(), class: "replacement".into(), budget: 10, turns: 2, parent: None };
+        ProgramSpec { team: "dawn".into(), class: "replacement".into(), budget: 10, turns: 50, parent: None };
     let command = ProgramCommand::Open { program: program(number), key: RequestKey("k".into()), spec, at: 0 };
     cluster::persist("opening a program", async || {
         match cluster.nodes()[0].ledger().commit(command.clone()).await {
@@ -145,3 +150,76 @@
         assert!(is_known(&cluster, 1).await);
     });
 }
+
+const BODY: usize = 2_000;
+const CALLS: u32 = 20;
+
+async fn call(cluster: &Cluster, number: u32) {
+    let attempt = AttemptId { node: NodeId(1), incarnation: 1, sequence: number.into() };
+    let body: Arc<[u8]> = vec![b'x'; BODY].into();
+    let begin = ProgramCommand::Begin {
+        program: program(1),
+        call: CallNumber(number),
+        key: RequestKey(format!("key-{number}").into()),
+        attempt,
+        reserve: 0,
+        repeatable: Repeatable::No,
+        request: body.clone(),
+        digest: number.into(),
+    };
+    let answer = Answer { status: 200, content_type: "text/plain".into(), body };
+    let finish =
+        ProgramCommand::Finish { program: program(1), call: CallNumber(number), attempt, answer, spent: 0 };
+    for command in [begin, finish] {
+        cluster::persist("a call", async || {
+            match cluster.nodes()[0].ledger().commit(command.clone()).await {
+                Ok(ProgramReply::Done(_)) => Some(()),
+                Ok(reply) => panic!("a call was answered by {reply:?}"),
+                Err(_) => None,
+            }
+        })
+        .await;
+    }
+}
+
+fn history_bytes(cluster: &Cluster, node: u64) -> u64 {
+    let files = std::fs::read_dir(cluster.data_folder(node).join("history-1")).unwrap();
+    files.map(|file| file.unwrap().metadata().unwrap().len()).sum()
+}
+
+#[test]
+fn a_joining_replica_gets_the_history_with_its_snapshot() {
+    cluster::run(|executor| async move {
+        let cluster = Cluster::new(&executor, "history");
+        cluster.snapshot_after.set(4 * BODY as u64);
+        cluster.found(3).await;
+        cluster.until_taking_work().await;
+        open(&cluster, 1).await;
+        for number in 1..=CALLS {
+            call(&cluster, number).await;
+        }
+
+        cluster.lose(3).await;
+        cluster.start(4, Missing::Join).await.unwrap();
+        change(&cluster, ReplicaChange::AddLearner(NodeId(4))).await;
+        change(&cluster, ReplicaChange::Promote(NodeId(4))).await;
+        change(&cluster, ReplicaChange::Remove(NodeId(3))).await;
+        let fetched = history_bytes(&cluster, 4);
+        assert!(fetched >= u64::from(CALLS) * BODY as u64, "only {fetched} bytes came with the snapshot");
+
+        // A restart finds what the snapshot relies on, and the loss of node 1 leaves it in the quorum.
+        cluster.lose(4).await;
+        cluster.start(4, Missing::Refuse).await.unwrap();
+        cluster.lose(1).await;
+        let query = ProgramQuery::Request(program(1), RequestKey("key-1".into()));
+        let stored = cluster::persist("the stored answer", async || {
+            match cluster.node(4).ledger().query(query.clone()).await {
+                Ok(QueryReply::One(ProgramReply::Stored(answer))) => Some(answer),
+                Ok(other) => panic!("the request was answered by {other:?}"),
+                Err(_) => None,
+            }
+        })
+        .await;
+        assert_eq!(stored.body.len(), BODY);
+    });
+}
