Tell sound programs from spoilt ones in the runaway workload

Cause: the latency of a class held the programs that loop themselves, so that their effect on others could not be read. Change: runaway_alone is the same trace without the spoilt programs, whose latencies are counted apart by their name.

--- a/agatetrestle_replay/src/main.rs
+++ b/agatetrestle_replay/src/main.rs
@@ -104,7 +104,7 @@
 
 #[derive(Bpaf, Clone, Debug)]
 struct Shape {
-    /// `vrsta`, `lernwerk`, `shared`, `tenfold`, `tenfold_alone` or `runaway`.
+    /// `vrsta`, `lernwerk`, `shared`, `tenfold`, `tenfold_alone`, `runaway` or `runaway_alone`.
     #[bpaf(argument("NAME"))]
     workload: Workload,
     /// Programs that are no sub-agents.
--- a/agatetrestle_replay/src/synth.rs
+++ b/agatetrestle_replay/src/synth.rs
@@ -19,6 +19,9 @@
 const MAX_TURNS: u32 = 580;
 const MAX_HISTORY: u32 = 280_000;
 const EXPECTED_BATCH: u64 = 12;
+/// Ends the names of programs that loop, hang or die, so that the measures can tell them apart.
+pub const SPOILT_SUFFIX: &str = "-spoilt";
+
 const DAWN_SHARE: f64 = 0.5;
 
 /// Which programs a trace holds.
@@ -36,6 +39,8 @@
     TenfoldAlone,
     /// Both on one pool, with programs that loop, hang in a tool or die.
     Runaway,
+    /// Only the sound programs of that, at the same times.
+    RunawayAlone,
 }
 
 /// No workload has this name.
@@ -56,6 +61,7 @@
             "tenfold" => Ok(Self::Tenfold),
             "tenfold_alone" => Ok(Self::TenfoldAlone),
             "runaway" => Ok(Self::Runaway),
+            "runaway_alone" => Ok(Self::RunawayAlone),
             _ => UnknownWorkloadSnafu { name }.fail(),
         }
     }
@@ -161,18 +167,24 @@
 pub fn synthesise(synth: &Synth) -> Vec<TraceCall> {
     let mut rng = Random::new(synth.seed, 1);
     let mut programs = Vec::new();
+    let mut sound = Vec::new();
     let mut work = 0;
     for number in 0..synth.programs {
         let shape = pick(synth.workload, &mut rng);
         let mut builder = Builder::new(shape, format!("{}-{number}", shape.class), &mut rng);
-        if synth.workload == Workload::Runaway {
+        if matches!(synth.workload, Workload::Runaway | Workload::RunawayAlone) {
             builder.spoil(number, &mut rng);
         }
         builder.build(&mut rng);
         work += builder.work;
+        sound.push(builder.spoilt == Spoilt::No);
         programs.push(builder.calls);
     }
     let capacity = u64::from(synth.engines.max(1)) * u64::from(synth.load.max(1));
+    if synth.workload == Workload::RunawayAlone {
+        let mut sound = sound.into_iter();
+        programs.iter_mut().filter(|_| sound.next() == Some(false)).for_each(|calls| calls.truncate(0));
+    }
     let mut calls = place_in_time(work * 100 / capacity, &mut rng, programs);
     if synth.workload == Workload::TenfoldAlone {
         calls.retain(|call| call.partner.as_ref() == REPLACEMENT.partner);
@@ -188,7 +200,7 @@
         Workload::Vrsta => false,
         Workload::Lernwerk => true,
         Workload::Tenfold | Workload::TenfoldAlone => rng.happens(10.0 / 11.0),
-        Workload::Shared | Workload::Runaway => rng.happens(0.5),
+        Workload::Shared | Workload::Runaway | Workload::RunawayAlone => rng.happens(0.5),
     };
     if coaching { lernwerk } else { vrsta }
 }
@@ -197,7 +209,8 @@
     let window = to_seconds(window).max(1.0);
     let mut calls = Vec::new();
     for program in programs {
-        let surge = program[0].class.as_ref() == "replacement" && rng.happens(DAWN_SHARE);
+        let class = program.first().map(|call| call.class.as_ref());
+        let surge = class == Some("replacement") && rng.happens(DAWN_SHARE);
         let share = if surge { 0.4 + 0.1 * rng.unit() } else { rng.unit() };
         let arrival = from_seconds(share * window);
         calls.extend(program.into_iter().map(|call| TraceCall { arrival, ..call }));
@@ -271,6 +284,7 @@
         if self.spoilt == Spoilt::Loops {
             self.turns = MAX_TURNS;
         }
+        self.name.push_str(SPOILT_SUFFIX);
     }
 
     fn build(&mut self, rng: &mut Random) {
--- a/agatetrestle_replay/src/world.rs
+++ b/agatetrestle_replay/src/world.rs
@@ -38,6 +38,7 @@
 use crate::measure::Measures;
 use crate::programs::TracedProgram;
 use crate::random::Random;
+use crate::synth::SPOILT_SUFFIX;
 use crate::tally::Tally;
 
 const REPORT_INTERVAL: u64 = 1_000_000;
@@ -510,7 +511,8 @@
             Fate::Completed => {
                 let whole = self.now - progress.begun.unwrap_or(self.now);
                 let served = whole.saturating_sub(progress.paused);
-                let class = format!("{}/{}", program.id.partner, program.calls[0].class);
+                let suffix = if program.id.name.ends_with(SPOILT_SUFFIX) { SPOILT_SUFFIX } else { "" };
+                let class = format!("{}/{}{suffix}", program.id.partner, program.calls[0].class);
                 let model = program.calls.iter().filter(|call| call.kind == CallKind::Model);
                 self.tally.useful += model.map(|call| u64::from(call.output)).sum::<u64>();
                 self.tally.completed(class.into(), whole, served);
