Give programs that run far beyond their class a lane of their own

Change: a program that attained eight times the usual service of its class goes through a lane that is served first but holds at most one call for two engines, unless fewer than one other call an engine is in service.

--- a/agatetrestle/src/scheduler/classes.rs
+++ b/agatetrestle/src/scheduler/classes.rs
@@ -83,6 +83,12 @@
         self.find(partner, class).map_or(attained, |class| class.residual.expected(attained))
     }
 
+    /// The mean service of programs of a class, if enough are known.
+    #[must_use]
+    pub fn usual_service(&self, partner: &Arc<str>, class: &Arc<str>) -> Option<u64> {
+        self.find(partner, class).and_then(|class| class.residual.mean())
+    }
+
     /// Takes in how many tokens a program held at its end.
     pub fn learn_tokens(&mut self, partner: &Arc<str>, class: &Arc<str>, tokens: u64) {
         if let Some(class) = self.by_name.get_mut(&(partner.clone(), class.clone())) {
--- a/agatetrestle/src/scheduler/config.rs
+++ b/agatetrestle/src/scheduler/config.rs
@@ -40,6 +40,12 @@
     /// The same among the teams of one partner.
     #[serde_as(as = "DurationText")]
     pub team_slack: Duration,
+    /// How many times the usual service of its class a program attains before it counts as an outlier.
+    pub outlier_factor: u64,
+    /// Calls of outliers in service for each ten engines of a pool.
+    pub outliers_per_ten: u64,
+    /// Calls of other programs in service for each engine below which outliers are not held back.
+    pub quiet_calls: u64,
     /// Share of an engine's prefix cache that is planned with, in percent.
     pub cache_fill: u64,
     /// Memory that programs under way may fill together, in percent of the engines' prefix caches;
@@ -88,6 +94,9 @@
             priority_step: Duration::from_secs(50),
             share_slack: Duration::from_secs(10),
             team_slack: Duration::from_mins(5),
+            outlier_factor: 8,
+            outliers_per_ten: 5,
+            quiet_calls: 1,
             cache_fill: 85,
             door_fill: 200,
             door_lent: 75,
--- a/agatetrestle/src/scheduler/core/dispatch.rs
+++ b/agatetrestle/src/scheduler/core/dispatch.rs
@@ -29,19 +29,29 @@
 impl Core {
     /// Sends waiting calls of all pools.
     pub(super) fn pass_all(&mut self, now: Timestamp, decisions: &mut Decisions) {
-        let pools: Vec<PoolKey> = self.queues.keys().collect();
+        let pools: Vec<PoolKey> = self.fleet.pools.keys().collect();
         for pool in pools {
             self.pass(now, pool, decisions);
         }
     }
 
     /// Sends waiting calls of a pool in their order until no server is open or too many had to be
-    /// left behind.
+    /// left behind. Outliers go first, but few at a time, so that they neither starve nor fill every
+    /// batch.
     pub(super) fn pass(&mut self, now: Timestamp, pool: PoolKey, decisions: &mut Decisions) {
+        self.pass_lane(now, pool, true, decisions);
+        self.pass_lane(now, pool, false, decisions);
+    }
+
+    fn pass_lane(&mut self, now: Timestamp, pool: PoolKey, outliers: bool, decisions: &mut Decisions) {
         let mut left: Vec<(Owner, Ticket)> = Vec::new();
         let mut held_for: Vec<BackendKey> = Vec::new();
         while left.len() <= self.cfg.pass_skips && !self.fleet.pools[pool].open.is_empty() {
-            let Some((owner, ticket)) = self.queues.get_mut(pool).and_then(FairQueue::pop) else {
+            if outliers && !self.takes_outliers(pool) {
+                break;
+            }
+            let lane = if outliers { &mut self.outliers } else { &mut self.queues };
+            let Some((owner, ticket)) = lane.get_mut(pool).and_then(FairQueue::pop) else {
                 break;
             };
             if self.too_late(now, ticket.call, decisions) {
@@ -60,8 +70,9 @@
         for server in held_for {
             self.fleet.servers[server].held_back = 0;
         }
+        let lane = if outliers { &mut self.outliers } else { &mut self.queues };
         for (owner, ticket) in left {
-            self.queues[pool].push(&owner, ticket);
+            lane[pool].push(&owner, ticket);
         }
     }
 
@@ -82,6 +93,25 @@
         true
     }
 
+    /// Whether a program has attained so much more than is usual that it may be a loop.
+    pub(super) fn is_outlier(&self, key: CallKey) -> bool {
+        let entry = &self.calls[key];
+        if !self.parts.shares || !matches!(entry.call.work, Work::Model { .. }) {
+            return false;
+        }
+        let usual = self.classes.usual_service(&entry.owner.partner, &entry.call.class);
+        let attained = self.programs.get(entry.root).map_or(0, |root| root.attained);
+        usual.is_some_and(|usual| attained > usual.saturating_mul(self.cfg.outlier_factor))
+    }
+
+    fn takes_outliers(&self, pool: PoolKey) -> bool {
+        let pool = &self.fleet.pools[pool];
+        let engines = u64::try_from(pool.members.len()).unwrap_or(u64::MAX);
+        let others = pool.running.saturating_sub(pool.outliers);
+        let quiet = others < engines * self.cfg.quiet_calls;
+        quiet || pool.outliers < (engines * self.cfg.outliers_per_ten / 10).max(1)
+    }
+
     fn choose(&mut self, now: Timestamp, pool: PoolKey, call: CallKey) -> Choice {
         let entry = &self.calls[call];
         let wanted = wanted(&self.programs, entry, now);
@@ -112,6 +142,8 @@
         };
         let is_model = matches!(entry.call.work, Work::Model { .. });
         let charged = self.expected_service(entry);
+        let outlier = self.is_outlier(call);
+        self.fleet.pools[entry.pool].outliers += u64::from(outlier);
         let root = entry.root;
         let queue_time = now.since(entry.submitted);
         if let Some(root) = self.programs.get_mut(root) {
@@ -131,7 +163,7 @@
         }
         let entry = &mut self.calls[call];
         entry.attempts += 1;
-        let service = InService { server: to, first_token: None, uncached, pinned, charged };
+        let service = InService { server: to, first_token: None, uncached, pinned, charged, outlier };
         entry.state = State::InService(service);
         let priority = self.classes.rule(&entry.call.program.partner, &entry.call.class).priority;
         decisions.actions.push(Action::Dispatch { call: entry.call.id, backend: to, priority });
--- a/agatetrestle/src/scheduler/core/mod.rs
+++ b/agatetrestle/src/scheduler/core/mod.rs
@@ -68,6 +68,7 @@
     uncached: u64,
     pinned: u64,
     charged: u64,
+    outlier: bool,
 }
 
 #[derive(Debug)]
@@ -103,6 +104,7 @@
     calls: SlotMap<CallKey, Entry>,
     ids: HashMap<CallId, CallKey>,
     queues: SecondaryMap<PoolKey, FairQueue>,
+    outliers: SecondaryMap<PoolKey, FairQueue>,
     doors: SecondaryMap<PoolKey, Door>,
     impatient: BTreeSet<(Timestamp, CallKey)>,
     delayed: BTreeSet<(Timestamp, CallKey)>,
@@ -130,6 +132,7 @@
             calls: SlotMap::with_key(),
             ids: HashMap::new(),
             queues: SecondaryMap::new(),
+            outliers: SecondaryMap::new(),
             doors: SecondaryMap::new(),
             impatient: BTreeSet::new(),
             delayed: BTreeSet::new(),
--- a/agatetrestle/src/scheduler/core/outcome.rs
+++ b/agatetrestle/src/scheduler/core/outcome.rs
@@ -146,8 +146,10 @@
         };
         match entry.state {
             State::Waiting(ticket) => {
-                if let Some(queue) = self.queues.get_mut(entry.pool) {
-                    queue.remove(&entry.owner, ticket);
+                for queues in [&mut self.queues, &mut self.outliers] {
+                    if let Some(queue) = queues.get_mut(entry.pool) {
+                        queue.remove(&entry.owner, ticket);
+                    }
                 }
             }
             State::Delayed(due) => {
@@ -201,6 +203,9 @@
             }
         }
         self.fleet.release(service.server);
+        if let Some(pool) = self.fleet.pools.get_mut(entry.pool) {
+            pool.outliers = pool.outliers.saturating_sub(u64::from(service.outlier));
+        }
         Some((entry, service))
     }
 
--- a/agatetrestle/src/scheduler/core/submit.rs
+++ b/agatetrestle/src/scheduler/core/submit.rs
@@ -61,7 +61,12 @@
         entry.state = State::Waiting(ticket);
         let owner = entry.owner.clone();
         let pool = entry.pool;
-        self.queue(pool, &owner).push(&owner, ticket);
+        let outlier = self.is_outlier(key);
+        self.queue(pool, &owner, outlier).push(&owner, ticket);
+    }
+
+    fn waiting(&self, pool: PoolKey) -> usize {
+        [&self.queues, &self.outliers].iter().map(|queues| queues.get(pool).map_or(0, FairQueue::len)).sum()
     }
 
     /// Ranks a call.
@@ -98,16 +103,18 @@
         fresh * self.cfg.prefill_per_token + entry.expected_output * self.token_time()
     }
 
-    fn queue(&mut self, pool: PoolKey, owner: &Owner) -> &mut FairQueue {
-        if !self.queues.contains_key(pool) {
+    /// The queue of a pool, or the one for calls of its outliers.
+    fn queue(&mut self, pool: PoolKey, owner: &Owner, outlier: bool) -> &mut FairQueue {
+        let queues = if outlier { &mut self.outliers } else { &mut self.queues };
+        if !queues.contains_key(pool) {
             let queue = if self.parts.shares {
                 FairQueue::new(micros(self.cfg.share_slack), micros(self.cfg.team_slack))
             } else {
                 FairQueue::new(u64::MAX, u64::MAX)
             };
-            self.queues.insert(pool, queue);
+            queues.insert(pool, queue);
         }
-        let queue = &mut self.queues[pool];
+        let queue = &mut queues[pool];
         let share = self.catalog.shares.get(&owner.partner).copied().unwrap_or(1);
         let team = (owner.partner.clone(), owner.team.clone());
         let weight = self.catalog.teams.get(&team).copied().unwrap_or(1);
@@ -120,7 +127,7 @@
         if call.deadline.is_some_and(|deadline| deadline <= now) {
             return Err(RefusalReason::Deadline);
         }
-        let waiting = self.queues.get(pool).map_or(0, FairQueue::len);
+        let waiting = self.waiting(pool);
         if waiting >= self.cfg.queue_limit {
             return Err(RefusalReason::Overload);
         }
--- a/agatetrestle/src/scheduler/fleet.rs
+++ b/agatetrestle/src/scheduler/fleet.rs
@@ -111,6 +111,10 @@
     pub members: Vec<BackendKey>,
     /// Those that may be sent a call now.
     pub open: Vec<BackendKey>,
+    /// This node's calls in service at all members.
+    pub running: u64,
+    /// Calls in service of programs that attained far more than is usual for their class.
+    pub outliers: u64,
 }
 
 /// All backend servers.
@@ -168,6 +172,7 @@
     pub fn acquire(&mut self, key: BackendKey) {
         if let Some(server) = self.servers.get_mut(key) {
             server.running += 1;
+            self.pools[server.pool].running += 1;
         }
         self.refresh(key);
     }
@@ -176,6 +181,8 @@
     pub fn release(&mut self, key: BackendKey) {
         if let Some(server) = self.servers.get_mut(key) {
             server.running = server.running.saturating_sub(1);
+            let pool = &mut self.pools[server.pool];
+            pool.running = pool.running.saturating_sub(1);
         }
         self.refresh(key);
     }
@@ -291,7 +298,9 @@
         }
         self.refresh(key);
         if let Some(server) = self.servers.remove(key) {
-            self.pools[server.pool].members.retain(|member| *member != key);
+            let pool = &mut self.pools[server.pool];
+            pool.running = pool.running.saturating_sub(server.running.into());
+            pool.members.retain(|member| *member != key);
         }
     }
 }
--- a/agatetrestle/src/scheduler/policy.rs
+++ b/agatetrestle/src/scheduler/policy.rs
@@ -87,6 +87,9 @@
 /// Makes the scheduler of a policy; equal seeds decide equally.
 #[must_use]
 pub fn build(policy: Policy, cfg: SchedulerConfig, seed: u64) -> Box<dyn Scheduler> {
+    // The baselines look at every waiting call, so that no server idles while a call could go there.
+    let thorough = SchedulerConfig { pass_skips: usize::MAX, ..cfg.clone() };
+    let baseline = [Policy::Sticky, Policy::Shortest, Policy::Order].contains(&policy);
     let first_come = || Box::new(FirstCome);
     let attained = |cfg: &SchedulerConfig| Box::new(ByProgram::new(cfg, Measure::Attained));
     let rest = |cfg: &SchedulerConfig| Box::new(ByProgram::new(cfg, Measure::Rest));
@@ -153,5 +156,5 @@
             Parts { order: rest(&cfg), placer: cost(&cfg, true), retention: true, health: true, shares: true }
         }
     };
-    Box::new(Core::new(parts, cfg, seed))
+    Box::new(Core::new(parts, if baseline { thorough } else { cfg }, seed))
 }
--- a/agatetrestle/src/scheduler/residual.rs
+++ b/agatetrestle/src/scheduler/residual.rs
@@ -43,6 +43,13 @@
         self.total = self.buckets.iter().map(|bucket| bucket.count).sum();
     }
 
+    /// The mean service, if enough programs are known.
+    #[must_use]
+    pub fn mean(&self) -> Option<u64> {
+        let sum: u64 = self.buckets.iter().map(|bucket| bucket.sum).sum();
+        (self.total >= ENOUGH).then(|| sum / self.total)
+    }
+
     /// The mean of what is left for programs that have attained so much and did not end; what was
     /// attained itself where too few are known, as the order by attained service would have it.
     #[must_use]
