--- a/agatetrestle_replay/src/world.rs
+++ b/agatetrestle_replay/src/world.rs
@@ -470,9 +470,10 @@
         let program = &self.programs[at];
         self.progress[at].fate = fate;
         self.live -= 1;
-        if fate != Fate::Completed {
-            self.live -= self.never_started(at, self.progress[at].next);
-        }
+        // Sub-agents start after an answer that is followed by another call.
+        let made = self.progress[at].next;
+        let first_unstarted = if fate == Fate::Completed { made } else { made + 1 };
+        self.live -= self.never_started(at, first_unstarted);
         self.plan_check(at);
         let told = program.calls.last().is_some_and(|call| call.ended);
         if told || fate != Fate::Completed {
@@ -494,10 +495,10 @@
         }
     }
 
-    /// Sub-agents, and theirs, that a program would have started after this many calls.
-    fn never_started(&self, at: usize, made: usize) -> usize {
-        let made = u32::try_from(made).unwrap_or(u32::MAX);
-        let children = self.programs[at].children.range(made + 1..).flat_map(|(_, children)| children);
+    /// Sub-agents, and theirs, that a program would have started after this call or a later one.
+    fn never_started(&self, at: usize, call: usize) -> usize {
+        let call = u32::try_from(call).unwrap_or(u32::MAX);
+        let children = self.programs[at].children.range(call..).flat_map(|(_, children)| children);
         children.map(|child| 1 + self.never_started(*child, 0)).sum()
     }
 
--- a/agatetrestle_replay/tests/replay.rs
+++ b/agatetrestle_replay/tests/replay.rs
@@ -58,3 +58,19 @@
         assert_eq!(measures.broken.at_most_once, 0, "{workload:?}");
     }
 }
+
+#[test]
+fn a_sub_agent_that_never_starts_does_not_keep_the_replay_going() {
+    let line = |program: &str, parent: &str| {
+        format!(
+            "{{\"partner\":\"p\",\"program\":\"{program}\",\"team\":\"t\",\"class\":\"c\",{parent}\"call\":1,\
+             \"last\":true,\"kind\":\"model\",\"serves\":\"m\",\"repeatable\":true,\"blocks\":[{}],\
+             \"block_tokens\":512,\"prompt_tokens\":600,\"output\":20,\"arrival\":0,\"ended\":true}}\n",
+            program.len()
+        )
+    };
+    let child = line("child", "\"parent\":{\"program\":\"parent\",\"call\":1},");
+    let calls = trace::parse(&(line("parent", "") + &child)).expect("trace");
+    let measures = replay(&calls, Policy::Adaptive, &options());
+    assert_eq!((measures.programs, measures.completed, measures.calls), (1, 1, 1));
+}
