--- a/agatetrestle_fakes/examples/load/main.rs
+++ b/agatetrestle_fakes/examples/load/main.rs
@@ -1,7 +1,8 @@
 //! Load on a running node: what it adds to a call, what a token costs it, what an idle program weighs.
 //!
-//! `load NODE ENGINE PID [CALLS] [STREAMS] [PROGRAMS]`: address of a node for callers, address of the fake
-//! engine that it was declared, process number of the node. Everything is measured in one run, so that the
+//! `load NODES ENGINE PID [CALLS] [STREAMS] [PROGRAMS]`: addresses of nodes for callers with commas between
+//! them, address of the fake engine that they were declared, process number of the first node. Added time is
+//! measured through the first node and, where there are more, through all in turn. Everything is measured in one run, so that the
 //! ratios hold whatever else the machine does. docs/MEASUREMENTS.md tells how the rest is started.
 
 mod process;
@@ -36,7 +37,7 @@
 /// Why the measurement stopped.
 #[derive(Debug, Snafu)]
 enum LoadError {
-    #[snafu(display("usage: load NODE ENGINE PID [CALLS] [STREAMS] [PROGRAMS]"))]
+    #[snafu(display("usage: load NODES ENGINE PID [CALLS] [STREAMS] [PROGRAMS]"))]
     Usage,
     #[snafu(context(false), display("{source}"))]
     Caller { source: ClientError },
@@ -48,6 +49,7 @@
 
 struct Plan {
     node: Client,
+    nodes: Vec<Client>,
     engine: Client,
     process: Process,
     calls: u32,
@@ -72,11 +74,13 @@
 
 fn plan() -> Option<Plan> {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    let address = |at: usize| args.get(at)?.parse::<SocketAddr>().ok().map(Client::new);
+    let client = |text: &str| text.parse::<SocketAddr>().ok().map(Client::new);
+    let nodes: Vec<Client> = args.first()?.split(',').map(client).collect::<Option<_>>()?;
     let number = |at: usize, default| args.get(at).map_or(Some(default), |text| text.parse().ok());
     Some(Plan {
-        node: address(0)?,
-        engine: address(1)?,
+        node: *nodes.first()?,
+        nodes,
+        engine: client(args.get(1)?)?,
         process: Process { id: args.get(2)?.parse().ok()? },
         calls: number(3, CALLS)?,
         streams: number(4, STREAMS)?,
@@ -87,7 +91,10 @@
 async fn run(executor: &Rc<LocalExecutor<'static>>, plan: Plan) -> Result<(), LoadError> {
     // Memory first: what other measurements have freed would hide it.
     idle_programs(&plan).await?;
-    added_time(&plan).await?;
+    added_time(&plan, "through one node", &plan.nodes[..1]).await?;
+    if plan.nodes.len() > 1 {
+        added_time(&plan, "through all nodes in turn", &plan.nodes).await?;
+    }
     token_cost(executor, &plan).await
 }
 
@@ -110,20 +117,24 @@
     Err(LoadError::Answer { status: reply.status, body: String::from_utf8_lossy(&reply.body).into_owned() })
 }
 
-/// Calls in turn straight to the engine and through the node, so that both meet the same machine.
-async fn added_time(plan: &Plan) -> Result<(), LoadError> {
+/// Calls in turn straight to the engine and through a node, so that both meet the same machine. Each program
+/// is opened on one node and called on the next.
+async fn added_time(plan: &Plan, name: &str, nodes: &[Client]) -> Result<(), LoadError> {
     let form = chat_form(MODEL, "You find replacements.", "Ana is ill.", SHORT_ANSWER);
     let (mut direct, mut through, mut commit) = (Samples::default(), Samples::default(), Samples::default());
     let run = std::process::id();
-    for number in 0..plan.calls {
-        let (program, opening) = open(plan.node, &format!("added-{run}-{number}")).await?;
+    let turns = nodes.iter().cycle().zip(nodes.iter().cycle().skip(1));
+    for (number, (first, second)) in (0..plan.calls).zip(turns) {
+        let key = format!("added-{run}-{}-{number}", nodes.len());
+        let (program, opening) = open(*first, &key).await?;
         commit.add(opening);
         let call = Call { program, number: 1, key: "k1".to_owned() };
         direct.add(chat(plan.engine, &call, &form).await?.1);
-        through.add(chat(plan.node, &call, &form).await?.1);
+        through.add(chat(*second, &call, &form).await?.1);
+        second.end(&call.program).await?;
     }
     println!("added time of a streamed call of {SHORT_ANSWER} token, {} pairs in turn", plan.calls);
-    report::compare("straight to the engine", &mut direct, "through the node", &mut through);
+    report::compare("straight to the engine", &mut direct, name, &mut through);
     report::line("opening a program (one commit)", &mut commit);
     Ok(())
 }
@@ -146,6 +157,7 @@
                 let call = Call { program: program.clone(), number, key: format!("k{number}") };
                 chat(node, &call, &form).await?;
             }
+            node.end(&program).await?;
             Ok::<(), LoadError>(())
         }));
     }
