--- a/agatetrestle/src/node/group.rs
+++ b/agatetrestle/src/node/group.rs
@@ -79,6 +79,12 @@
     ticket: Option<Ticket>,
 }
 
+/// Commands that wait for a received snapshot, and where that one ends.
+struct HeldBack {
+    position: Position,
+    commands: VecDeque<Held>,
+}
+
 /// Fetches history from another replica, from an offset on; none where no replica has it.
 pub type HistorySource = Rc<dyn Fn(u64) -> LocalBoxFuture<'static, Option<Vec<u8>>>>;
 
@@ -111,8 +117,8 @@
     reopen: Reopen,
     make_replica: MakeReplica,
     blank: Vec<u8>,
-    /// Commands that came after a snapshot whose history is still being fetched.
-    held: RefCell<Option<VecDeque<Held>>>,
+    /// Commands that came after a received snapshot that is not in place yet.
+    held: RefCell<Option<HeldBack>>,
 }
 
 /// What a group is made of.
@@ -266,7 +272,11 @@
             }
         }
         let files = self.flush_history().context(UnflushedSnafu)?;
-        self.restore(snapshot).context(UnusableSnafu)?;
+        // A newer snapshot may have come meanwhile; its own write puts it in place.
+        let newest = self.held.borrow().as_ref().is_some_and(|held| held.position == snapshot.position);
+        if newest {
+            self.restore(snapshot).context(UnusableSnafu)?;
+        }
         Ok(files)
     }
 
@@ -417,9 +427,11 @@
             Output::Write(write) => self.enqueue(Job::Write(write)),
             Output::Send(message) => (self.outbox)(message),
             Output::Apply { position, payload, ticket } => self.apply_or_hold(position, payload, ticket),
-            // The write of the same snapshot puts it in place once its history is here.
-            Output::Restore(_) => {
-                self.held.replace(Some(VecDeque::new()));
+            // The write of the same snapshot puts it in place once its history is here. Commands held for an
+            // earlier one are covered by this one.
+            Output::Restore(snapshot) => {
+                let held = HeldBack { position: snapshot.position, commands: VecDeque::new() };
+                self.held.replace(Some(held));
             }
             Output::ReadReady(ticket) => self.answer(ticket, Verdict::Ready),
             Output::Reject { ticket, reason } => self.answer(ticket, Verdict::Rejected(reason)),
@@ -445,7 +457,7 @@
 
     fn apply_or_hold(&self, position: Position, payload: Arc<[u8]>, ticket: Option<Ticket>) {
         if let Some(held) = &mut *self.held.borrow_mut() {
-            held.push_back(Held { position, payload, ticket });
+            held.commands.push_back(Held { position, payload, ticket });
             return;
         }
         self.apply(position, &payload, ticket);
@@ -465,7 +477,7 @@
         self.machine.borrow_mut().restore(&snapshot.data)?;
         self.applied.set(snapshot.position);
         self.replicas.replace(snapshot.replicas.clone());
-        let held = self.held.take().unwrap_or_default();
+        let held = self.held.take().map(|held| held.commands).unwrap_or_default();
         for Held { position, payload, ticket } in held {
             if position.index > snapshot.position.index {
                 self.apply(position, &payload, ticket);
@@ -544,29 +556,36 @@
 /// Makes a batch durable. A snapshot of this replica's own that fails is no failure of the batch, since the log
 /// is whole without it.
 fn carry_out(storage: &mut Storage, relies_on: &[File], batch: Vec<Job>) -> Result<Done, WriteError> {
+    sync_all(relies_on).context(UnsyncedSnafu)?;
     let mut done = Done::default();
     let mut writes = Vec::new();
-    let mut snapshots = Vec::new();
     for job in batch {
         match job {
             Job::Write(write) => writes.push(write),
-            Job::Snapshot { snapshot, relies_on } => snapshots.push((snapshot, relies_on)),
-        }
-    }
-    sync_all(relies_on).context(UnsyncedSnafu)?;
-    if !writes.is_empty() {
-        storage.write(&writes).context(LogSnafu)?;
-        done.written = writes.last().map(|write| write.sequence);
-    }
-    for (snapshot, relies_on) in snapshots {
-        match save(storage, &snapshot, &relies_on) {
-            Ok(()) => done.snapshot = Some(snapshot),
-            Err(failure) => done.snapshot_failure = Some(failure),
+            Job::Snapshot { snapshot, relies_on } => {
+                // In the order in which they were asked for, so that an older snapshot never replaces a newer one.
+                write_out(storage, &mut writes, &mut done)?;
+                match save(storage, &snapshot, &relies_on) {
+                    Ok(()) => done.snapshot = Some(snapshot),
+                    Err(failure) => done.snapshot_failure = Some(failure),
+                }
+            }
         }
     }
+    write_out(storage, &mut writes, &mut done)?;
     Ok(done)
 }
 
+fn write_out(storage: &mut Storage, writes: &mut Vec<Write>, done: &mut Done) -> Result<(), WriteError> {
+    if let Some(last) = writes.last() {
+        let sequence = last.sequence;
+        storage.write(writes).context(LogSnafu)?;
+        done.written = Some(sequence);
+        writes.clear();
+    }
+    Ok(())
+}
+
 fn save(storage: &mut Storage, snapshot: &Snapshot, relies_on: &[File]) -> Result<(), WriteError> {
     sync_all(relies_on).context(UnsyncedSnafu)?;
     storage.save_snapshot(snapshot).context(LogSnafu)
