Hold nothing back for a cache whose size is not declared

Cause: cache_tokens is 0 where operators do not declare it; the door and the placer took that for no memory, so that each engine served one call and each partner one new program at a time. Change: an undeclared size bounds nothing, and the belief about its blocks is bounded at 65,536. Figures: with one engine of 8 slots and no declared cache, 8 of 8 calls are sent at once; the test fails without the change by design of the door.

--- a/agatetrestle/src/scheduler/core/door.rs
+++ b/agatetrestle/src/scheduler/core/door.rs
@@ -119,7 +119,7 @@
         }
         let members = &self.fleet.pools[pool].members;
         let usable = members.iter().map(|key| &self.fleet.servers[*key]).filter(|server| server.usable());
-        let memory: u64 = usable.map(|server| server.backend.cache_tokens).sum();
+        let memory: u64 = usable.map(|server| server.cache_budget(PERCENT)).sum();
         let share = self.catalog.shares.get(partner).copied().unwrap_or(1);
         self.doors[pool].resize(memory * self.cfg.door_fill / PERCENT, self.cfg.door_lent);
         self.doors[pool].weigh(partner, share);
--- a/agatetrestle/src/scheduler/core/outcome.rs
+++ b/agatetrestle/src/scheduler/core/outcome.rs
@@ -18,6 +18,7 @@
 use crate::scheduler::programs::ProgramKey;
 
 const PERCENT: u64 = 100;
+const MOST_BLOCKS: u64 = 1 << 16;
 const FIRST_REST: std::time::Duration = std::time::Duration::from_secs(2);
 const UNSENT_ATTEMPTS: u32 = 10;
 
@@ -40,7 +41,7 @@
         server.pending_prefill = server.pending_prefill.saturating_sub(service.uncached);
         if let Work::Model { blocks, prompt_tokens, .. } = &entry.call.work {
             if let Some(size) = prompt_tokens.checked_div(u32::try_from(blocks.len()).unwrap_or(0)) {
-                let capacity = server.backend.cache_tokens / u64::from(size.max(1));
+                let capacity = (server.cache_budget(PERCENT) / u64::from(size.max(1))).min(MOST_BLOCKS);
                 server.residency.resize(usize::try_from(capacity).unwrap_or(usize::MAX));
             }
             server.residency.insert(blocks);
--- a/agatetrestle/src/scheduler/core/tests.rs
+++ b/agatetrestle/src/scheduler/core/tests.rs
@@ -35,6 +35,10 @@
 const SECOND: u64 = 1_000_000;
 
 fn core(engines: u32, slots: u32) -> Core {
+    core_with_cache(engines, slots, 100_000)
+}
+
+fn core_with_cache(engines: u32, slots: u32, cache_tokens: u64) -> Core {
     let cfg = SchedulerConfig::default();
     let parts = Parts {
         order: Box::new(ByProgram::new(&cfg, Measure::Rest)),
@@ -53,7 +57,7 @@
             vm: format!("vm-{number}").into(),
             failure_domain: "domain-1".into(),
             slots,
-            cache_tokens: 100_000,
+            cache_tokens,
         });
     }
     let rule = ClassRule { priority: 5, deadline: None, keepalive: KEEPALIVE };
@@ -228,3 +232,14 @@
         assert!(oldest <= order.rank(&candidate(bound, 0)), "{rest}");
     }
 }
+
+#[test]
+fn a_cache_of_undeclared_size_holds_nothing_back() {
+    let mut core = core_with_cache(1, 8, 0);
+    let mut sent = 0;
+    for id in 1..=8u64 {
+        let submitted = Event::Submit(call(id, &format!("program-{id}"), id, Repeatable::Yes));
+        sent += dispatched(&core.step(Timestamp(id), submitted)).len();
+    }
+    assert_eq!(sent, 8);
+}
--- a/agatetrestle/src/scheduler/fleet.rs
+++ b/agatetrestle/src/scheduler/fleet.rs
@@ -24,6 +24,7 @@
     pub struct PoolKey;
 }
 
+const UNDECLARED_CACHE: u64 = 1 << 40;
 const NORMAL_PACE: u64 = 100;
 const PACE_WEIGHT: u64 = 8;
 
@@ -86,10 +87,14 @@
         self.backend.kind == BackendKind::Engine
     }
 
-    /// Tokens that its prefix cache may hold for programs, at this share in percent.
+    /// Tokens that its prefix cache may hold for programs, at this share in percent. A size that is not
+    /// declared bounds nothing.
     #[must_use]
     pub fn cache_budget(&self, percent: u64) -> u64 {
-        self.backend.cache_tokens * percent / 100
+        match self.backend.cache_tokens {
+            0 => UNDECLARED_CACHE,
+            tokens => tokens * percent / 100,
+        }
     }
 
     /// Takes in the time of a generated token against what was expected, in percent.
