--- a/agatetrestle/src/agreement/mod.rs
+++ b/agatetrestle/src/agreement/mod.rs
@@ -78,7 +78,8 @@
     Written(u64),
     /// A write failed for want of space or by an I/O error; a leader steps down.
     WriteFailed,
-    /// The driver has a snapshot of the state machine as of this position.
+    /// The driver took a snapshot of the state machine as of this position and has stored it durably;
+    /// there is no [`Output::Write`] for it.
     SnapshotTaken {
         /// The last entry the snapshot covers.
         position: Position,
@@ -107,7 +108,7 @@
     pub truncate_from: Option<u64>,
     /// Entries to append.
     pub entries: Vec<Entry>,
-    /// Replace all entries up to its position by this snapshot; later ones stay unless truncated.
+    /// Replace all entries up to its position by this received snapshot; later ones stay unless truncated.
     pub snapshot: Option<Snapshot>,
 }
 
--- a/agatetrestle/src/agreement/replica/change.rs
+++ b/agatetrestle/src/agreement/replica/change.rs
@@ -19,7 +19,7 @@
 use crate::ids::NodeId;
 
 impl Replica {
-    pub(super) fn change_replicas(&mut self, now: Timestamp, ticket: Ticket, change: ReplicaChange) {
+    pub(super) fn change_replicas(&mut self, ticket: Ticket, change: ReplicaChange) {
         let changed = match self.check_change(change) {
             Ok(changed) => changed,
             Err(reason) => {
@@ -34,7 +34,7 @@
         let index = self.append_own(EntryKind::Replicas, coding::encode_replicas(&changed));
         self.expect_outcome(index, ticket);
         self.add_peers();
-        self.replicate(now);
+        self.replicate();
     }
 
     /// The set after a change, or why there is none.
--- a/agatetrestle/src/agreement/replica/mod.rs
+++ b/agatetrestle/src/agreement/replica/mod.rs
@@ -222,12 +222,12 @@
         match input {
             Input::Tick => self.tick(now),
             Input::Receive(message) => self.receive(now, message),
-            Input::Propose { ticket, payload } => self.propose(now, ticket, payload),
+            Input::Propose { ticket, payload } => self.propose(ticket, payload),
             Input::Read(ticket) => self.read(now, ticket),
             Input::Written(sequence) => self.acknowledge_writes(now, sequence),
             Input::WriteFailed => self.fail(),
             Input::SnapshotTaken { position, data } => self.take_snapshot(position, data),
-            Input::ChangeReplicas { ticket, change } => self.change_replicas(now, ticket, change),
+            Input::ChangeReplicas { ticket, change } => self.change_replicas(ticket, change),
             Input::HandOver => self.hand_over(now),
         }
         self.flush_write();
--- a/agatetrestle/src/agreement/replica/replication.rs
+++ b/agatetrestle/src/agreement/replica/replication.rs
@@ -50,14 +50,14 @@
         index
     }
 
-    pub(super) fn propose(&mut self, now: Timestamp, ticket: Ticket, payload: Arc<[u8]>) {
+    pub(super) fn propose(&mut self, ticket: Ticket, payload: Arc<[u8]>) {
         if let Err(reason) = self.accepts_proposals() {
             self.reject(ticket, reason);
             return;
         }
         let index = self.append_own(EntryKind::Command, payload);
         self.expect_outcome(index, ticket);
-        self.replicate(now);
+        self.replicate();
     }
 
     pub(super) fn accepts_proposals(&self) -> Result<(), Rejection> {
@@ -78,7 +78,7 @@
     }
 
     /// Sends new entries to every peer that can take them at once.
-    pub(super) fn replicate(&mut self, now: Timestamp) {
+    pub(super) fn replicate(&mut self) {
         let Role::Leader(leader) = &self.role else {
             return;
         };
@@ -86,7 +86,6 @@
         for peer in peers {
             self.send_entries(peer);
         }
-        self.advance_commit(now);
     }
 
     /// Sends a message to a peer whatever is under way, since earlier ones may be lost.
--- a/agatetrestle/src/agreement/replica/snapshot.rs
+++ b/agatetrestle/src/agreement/replica/snapshot.rs
@@ -24,7 +24,7 @@
 }
 
 impl Replica {
-    /// Makes the driver's snapshot durable and drops the entries that it covers.
+    /// Drops the entries that a snapshot covers, which the driver has stored.
     pub(super) fn take_snapshot(&mut self, position: Position, data: Arc<[u8]>) {
         let known = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.position.index);
         let held = self.log.term_at(position.index) == Some(position.term);
@@ -32,9 +32,7 @@
             return;
         }
         let replicas = self.sets.at(position.index).clone();
-        let snapshot = Snapshot { position, replicas, data };
-        self.write.snapshot = Some(snapshot.clone());
-        self.snapshot = Some(snapshot);
+        self.snapshot = Some(Snapshot { position, replicas, data });
         self.sets.compact(position.index);
         self.log.compact(position.index.saturating_sub(KEPT_ENTRIES));
     }
--- a/agatetrestle/src/agreement/tests/schedule.rs
+++ b/agatetrestle/src/agreement/tests/schedule.rs
@@ -69,6 +69,8 @@
     Noise(Noise),
     /// A replica is lost and replaced, and another is lost right after.
     Replace(usize, usize),
+    /// A node loses its files, is removed, and joins again under its number.
+    Rejoin(usize),
     /// A leader is paused across its lease while another is elected and commits; then it hears some
     /// old answers and reads.
     Usurp(usize),
@@ -78,6 +80,8 @@
     SplitVote(u64),
     /// A follower that the leader can't reach stands while the lease holds and the voters restart.
     Rival(usize, u64),
+    /// A leader whose disk is slow replicates to some of the others, and all but these restart.
+    Unsynced(usize),
     /// Entries of an older term reach a majority, and a leader of a term between the two comes back.
     Return,
     /// A leader that is cut off is told to remove two others.
@@ -136,11 +140,13 @@
         1 => who().prop_map(Step::FailWrite),
         1 => (node(), node()).prop_map(|(lost, second)| Step::Replace(lost, second)),
         3 => who().prop_map(Step::Bounce),
+        1 => node().prop_map(Step::Rejoin),
         2 => (0..5_usize).prop_map(Step::Usurp),
         1 => Just(Step::Depose),
         2 => (0..90_000_u64).prop_map(Step::SplitVote),
         2 => (node(), 0..40_u64).prop_map(|(node, ticks)| Step::Rival(node, ticks)),
         1 => Just(Step::Return),
+        1 => node().prop_map(Step::Unsynced),
         1 => node().prop_map(Step::RemoveTwo),
     ];
     prop_oneof![5 => network, 3 => clients, 3 => failures]
@@ -193,10 +199,12 @@
         Step::FailWrite(who) => world.fail_write(place(who, world))?,
         Step::Noise(noise) => world.noise = noise,
         Step::Replace(lost, second) => replace(world, lost, second)?,
+        Step::Rejoin(node) => rejoin(world, node)?,
         Step::Usurp(heard) => usurp(world, heard)?,
         Step::Depose => depose(world)?,
         Step::SplitVote(wait) => split_vote(world, wait)?,
         Step::Rival(node, ticks) => rival(world, place(Who::Node(node), world), ticks)?,
+        Step::Unsynced(node) => unsynced(world, place(Who::Node(node), world))?,
         Step::Return => return_of_a_leader(world)?,
         Step::RemoveTwo(node) => remove_two(world, node)?,
     }
@@ -253,6 +261,18 @@
     world.crash(world.find(Who::Node(second)), 0)
 }
 
+fn rejoin(world: &mut World, node: usize) -> Result<(), Violation> {
+    let place = world.find(Who::Node(node));
+    world.lose_files(place);
+    world.restart(place);
+    world.run(ELECTION_TICKS, HOPS)?;
+    for kind in [ReplicaChange::Remove, ReplicaChange::AddLearner, ReplicaChange::Promote] {
+        change(world, node, kind)?;
+        world.run(COMMIT_TICKS, HOPS)?;
+    }
+    Ok(())
+}
+
 fn usurp(world: &mut World, heard: usize) -> Result<(), Violation> {
     let old = world.find(Who::Leader);
     world.pass(HEARTBEAT)?;
@@ -308,6 +328,22 @@
     Ok(())
 }
 
+fn unsynced(world: &mut World, severed: usize) -> Result<(), Violation> {
+    let leader = world.find(Who::Leader);
+    sever(world, severed);
+    world.nodes[leader].slow = true;
+    world.propose(leader)?;
+    world.run(1, HOPS)?;
+    for place in 0..world.nodes.len() {
+        if place != severed {
+            world.crash(place, 0)?;
+        }
+    }
+    world.restart(leader);
+    world.heal();
+    world.run(ELECTION_TICKS, HOPS)
+}
+
 fn return_of_a_leader(world: &mut World) -> Result<(), Violation> {
     let first = world.find(Who::Leader);
     world.isolate(first);
