Give a joining replica no vote before a leader counts it as a voter

Cause: 200,000 cases found a committed entry lost. A replica that had lost its files joined again under its number, restarted in the middle of catching up, and its partial log named it a voter of a set long replaced; with a removed replica, whose log was as old, it was a majority of that set and led beside the present one. Change: HardState holds without_vote, set when a replica without files is admitted and cleared when a leader counts it as a voter, which it does only once the replica's log holds all that was committed. Until then it follows and acknowledges, but neither votes nor stands. A leader now marks its messages to every node that is not a voter, a removed one too, so that its last message does not clear the flag.

--- a/agatetrestle/src/agreement/message.rs
+++ b/agatetrestle/src/agreement/message.rs
@@ -86,7 +86,7 @@
         round: u64,
         /// The entries, in order.
         entries: Vec<Entry>,
-        /// Whether the sender counts the receiver as a learner, which lets a new replica join.
+        /// Whether the sender does not count the receiver as a voter, which lets a new replica join.
         learner: bool,
     },
     /// Answer to entries, given only after they are synced.
--- a/agatetrestle/src/agreement/mod.rs
+++ b/agatetrestle/src/agreement/mod.rs
@@ -36,6 +36,9 @@
     pub term: u64,
     /// The node voted for in that term, if any.
     pub vote: Option<NodeId>,
+    /// Set on a replica that joined without files, until a leader counts it as a voter: it then
+    /// neither votes nor stands, since its log may name it a voter from before it lost its files.
+    pub without_vote: bool,
 }
 
 /// Who takes part in a group.
--- a/agatetrestle/src/agreement/replica/mod.rs
+++ b/agatetrestle/src/agreement/replica/mod.rs
@@ -121,6 +121,8 @@
     failed: bool,
     /// Set on a replica that may once have voted and forgot it, until a leader counts it as a learner.
     joining: bool,
+    /// Set from then on until a leader counts it as a voter; see [`HardState::without_vote`].
+    without_vote: bool,
     /// The write that the present step gathers.
     write: Write,
     sequence: u64,
@@ -171,6 +173,7 @@
             random: cfg.seed ^ cfg.node.0.rotate_left(32) ^ hard_state.term,
             failed,
             joining: false,
+            without_vote: hard_state.without_vote,
             write: Write::default(),
             sequence: 0,
             written: 0,
@@ -190,6 +193,7 @@
     ///
     /// It ignores every message until a leader addresses it as a learner. A leader that still counts
     /// it as a voter, from before it lost its files, thus finds it silent, and its forgotten votes do no harm.
+    /// It then follows without a vote until a leader counts it as a voter.
     #[must_use]
     pub fn joining(cfg: ReplicaConfig, now: Timestamp) -> Self {
         let mut replica = Self::new(cfg, Replicas::default(), Restored::default(), now);
@@ -203,13 +207,28 @@
         self.joining
     }
 
+    /// Whether a message may be acted on; a joining replica waits for one that counts it as a learner.
     fn admits(&mut self, body: &Body) -> bool {
-        if let Body::Append { learner: true, .. } | Body::Snapshot { learner: true, .. } = body {
+        if self.joining
+            && let Body::Append { learner: true, .. } | Body::Snapshot { learner: true, .. } = body
+        {
             self.joining = false;
+            self.without_vote = true;
         }
         !self.joining
     }
 
+    /// Notes that the leader of this term counts this replica as a voter, which it does only once the
+    /// replica's log holds all that was committed.
+    fn note_standing(&mut self, body: &Body) {
+        if self.without_vote
+            && let Body::Append { learner: false, .. } | Body::Snapshot { learner: false, .. } = body
+        {
+            self.without_vote = false;
+            self.save_hard_state();
+        }
+    }
+
     /// Takes one input and says what to do, in order.
     ///
     /// `now` must be read after the input was received, else a pause between the two could make an
@@ -286,6 +305,7 @@
         if term > self.term && !self.adopt_term(now, from, term, &body) {
             return;
         }
+        self.note_standing(&body);
         match body {
             Body::PreVote { last } => self.receive_pre_vote(now, from, term, last),
             Body::PreVoteReply { granted } => self.receive_pre_vote_reply(now, from, term, granted),
--- a/agatetrestle/src/agreement/replica/replication.rs
+++ b/agatetrestle/src/agreement/replica/replication.rs
@@ -149,7 +149,7 @@
         }
         let previous = Position { term, index: previous };
         let round = leader.round;
-        let learner = self.is_learner(peer);
+        let learner = !self.is_voter(peer);
         let body = Body::Append { previous, commit: self.commit, round, entries, learner };
         self.send(peer, body);
     }
--- a/agatetrestle/src/agreement/replica/snapshot.rs
+++ b/agatetrestle/src/agreement/replica/snapshot.rs
@@ -68,7 +68,7 @@
             offset: *offset as u64,
             chunk: bytes[*offset..end].into(),
             last: end == bytes.len(),
-            learner: self.is_learner(peer),
+            learner: !self.is_voter(peer),
             round: leader.round,
         };
         self.send(peer, body);
--- a/agatetrestle/src/agreement/replica/writes.rs
+++ b/agatetrestle/src/agreement/replica/writes.rs
@@ -30,7 +30,8 @@
     }
 
     pub(super) fn save_hard_state(&mut self) {
-        self.write.hard_state = Some(HardState { term: self.term, vote: self.vote });
+        let Self { term, vote, without_vote, .. } = *self;
+        self.write.hard_state = Some(HardState { term, vote, without_vote });
     }
 
     pub(super) fn append(&mut self, entry: Entry) {
--- a/agatetrestle/src/agreement/storage/tests/random.rs
+++ b/agatetrestle/src/agreement/storage/tests/random.rs
@@ -90,7 +90,8 @@
             }
             Step::Vote => {
                 let term = self.model.state.term + 1;
-                let hard_state = Some(HardState { term, vote: Some(NodeId(term % 3)).filter(|n| n.0 > 0) });
+                let vote = Some(NodeId(term % 3)).filter(|node| node.0 > 0);
+                let hard_state = Some(HardState { term, vote, without_vote: term.is_multiple_of(2) });
                 self.write(Write { hard_state, ..Write::default() })?;
             }
             Step::Snapshot { kept } => self.snapshot(*kept)?,
--- a/agatetrestle/src/agreement/tests/schedule.rs
+++ b/agatetrestle/src/agreement/tests/schedule.rs
@@ -412,3 +412,31 @@
     let schedule = Schedule { voters: 3, seed: 2_488_674_998_794_601, steps };
     assert_eq!(run(&schedule, None).err(), None);
 }
+
+/// Found by the test above: a replica that lost its files and joins again holds, after a restart in
+/// the middle of catching up, a log that names it a voter of a set long replaced.
+#[test]
+fn a_joining_replica_has_no_vote_before_it_has_caught_up() {
+    let steps = vec![
+        Step::Bounce(Who::Leader),
+        Step::Pass(141_506),
+        Step::Bounce(Who::Node(7)),
+        Step::Replace(0, 6),
+        Step::Unsynced(0),
+        Step::Run(14, 1),
+        Step::Load(true),
+        Step::CrashAll,
+        Step::Usurp(0),
+        Step::Rival(2, 18),
+        Step::Pass(114_738),
+        Step::Pass(115_718),
+        Step::Rejoin(6),
+        Step::SplitVote(2_435),
+        Step::Crash(Who::Node(1), 0),
+        Step::Run(7, 1),
+        Step::Run(32, 1),
+        Step::Rival(0, 9),
+    ];
+    let schedule = Schedule { voters: 3, seed: 8_026_322_220_794_987_662, steps };
+    assert_eq!(run(&schedule, None).err(), None);
+}
