--- a/agatetrestle/src/node/router.rs
+++ b/agatetrestle/src/node/router.rs
@@ -73,17 +73,18 @@
     pub async fn submit(&self, request: Vec<u8>) -> Result<Vec<u8>, GroupError> {
         let start = self.clock.now();
         let mut ambiguous = false;
+        let mut suspect = None;
         let mut reason: Arc<str> = "the group has no replica".into();
         let mut turn = 0;
         while self.clock.now().since(start) < self.patience.whole && !self.order.is_empty() {
-            let target = self.hint.get().unwrap_or(self.order[turn % self.order.len()]);
+            let target = self.hint.get().unwrap_or_else(|| self.next_holder(&mut turn, suspect));
             match self.try_once(target, &request).await {
                 Submission::Applied(reply) => {
                     self.hint.set(Some(target));
                     return Ok(reply);
                 }
                 Submission::NotLeader(leader) => {
-                    let hint = leader.filter(|leader| *leader != target);
+                    let hint = leader.filter(|leader| *leader != target && Some(*leader) != suspect);
                     self.hint.set(hint);
                     reason = "the group has no leader".into();
                     if hint.is_some() {
@@ -96,11 +97,12 @@
                 }
                 Submission::Unknown(text) => {
                     self.hint.set(None);
+                    // A follower may name a frozen leader until it has elected another.
+                    suspect = Some(target);
                     ambiguous = true;
                     reason = text;
                 }
             }
-            turn += 1;
             Timer::after(PAUSE).await;
         }
         if ambiguous {
@@ -109,6 +111,16 @@
         Err(GroupError::NotProposed { reason })
     }
 
+    /// The next holder in turn, but for the one that just missed its deadline if there are others.
+    fn next_holder(&self, turn: &mut usize, suspect: Option<NodeId>) -> NodeId {
+        let next = self.order[*turn % self.order.len()];
+        *turn += 1;
+        if Some(next) != suspect || self.order.len() == 1 {
+            return next;
+        }
+        self.next_holder(turn, suspect)
+    }
+
     async fn try_once(&self, target: NodeId, request: &[u8]) -> Submission {
         if target == self.node
             && let Some(local) = &self.local
