Give a promoted replica its vote with the entry that promotes it

Cause: with the flag held until the promotion was committed, a leader lost within a heartbeat of it left a quorum of which one member would not vote, and tests/replacement.rs waited for ever for the second loss to be survived. Change: a leader addresses a peer as a learner only while its newest set does not count the peer as a voter. The promotion is appended only once the peer holds all that is committed, so its log can't name it a voter of an older set.

--- a/agatetrestle/src/agreement/message.rs
+++ b/agatetrestle/src/agreement/message.rs
@@ -86,7 +86,7 @@
         round: u64,
         /// The entries, in order.
         entries: Vec<Entry>,
-        /// Whether the receiver is or may still be a learner, which lets a replica without files join.
+        /// Whether the sender counts the receiver as a learner, which lets a replica without files join.
         learner: bool,
     },
     /// Answer to entries, given only after they are synced.
--- a/agatetrestle/src/agreement/replica/election.rs
+++ b/agatetrestle/src/agreement/replica/election.rs
@@ -202,9 +202,10 @@
             && self.sets.since(self.commit).any(|replicas| replicas.voters.contains(&self.cfg.node))
     }
 
-    /// Whether a node is a learner by a set that may be in force, so not yet a voter for certain.
+    /// Whether a node is a learner, also while its removal is not committed; a promotion counts at once.
     pub(super) fn is_learner(&self, node: NodeId) -> bool {
-        self.sets.since(self.commit).any(|replicas| replicas.learners.contains(&node))
+        let mut sets = self.sets.since(self.commit);
+        !self.is_voter(node) && sets.any(|replicas| replicas.learners.contains(&node))
     }
 
     pub(super) fn is_voter(&self, node: NodeId) -> bool {
