--- a/agatetrestle_replay/src/world.rs
+++ b/agatetrestle_replay/src/world.rs
@@ -38,6 +38,7 @@
 use crate::measure::Measures;
 use crate::programs::TracedProgram;
 use crate::random::Random;
+use crate::synth::SPOILT_SUFFIX;
 use crate::tally::Tally;
 
 const REPORT_INTERVAL: u64 = 1_000_000;
@@ -469,9 +470,10 @@
         let program = &self.programs[at];
         self.progress[at].fate = fate;
         self.live -= 1;
-        if fate != Fate::Completed {
-            self.live -= self.never_started(at, self.progress[at].next);
-        }
+        // Sub-agents start after an answer that is followed by another call.
+        let made = self.progress[at].next;
+        let first_unstarted = if fate == Fate::Completed { made } else { made + 1 };
+        self.live -= self.never_started(at, first_unstarted);
         self.plan_check(at);
         let told = program.calls.last().is_some_and(|call| call.ended);
         if told || fate != Fate::Completed {
@@ -493,10 +495,10 @@
         }
     }
 
-    /// Sub-agents, and theirs, that a program would have started after this many calls.
-    fn never_started(&self, at: usize, made: usize) -> usize {
-        let made = u32::try_from(made).unwrap_or(u32::MAX);
-        let children = self.programs[at].children.range(made + 1..).flat_map(|(_, children)| children);
+    /// Sub-agents, and theirs, that a program would have started after this call or a later one.
+    fn never_started(&self, at: usize, call: usize) -> usize {
+        let call = u32::try_from(call).unwrap_or(u32::MAX);
+        let children = self.programs[at].children.range(call..).flat_map(|(_, children)| children);
         children.map(|child| 1 + self.never_started(*child, 0)).sum()
     }
 
@@ -510,7 +512,8 @@
             Fate::Completed => {
                 let whole = self.now - progress.begun.unwrap_or(self.now);
                 let served = whole.saturating_sub(progress.paused);
-                let class = format!("{}/{}", program.id.partner, program.calls[0].class);
+                let suffix = if program.id.name.ends_with(SPOILT_SUFFIX) { SPOILT_SUFFIX } else { "" };
+                let class = format!("{}/{}{suffix}", program.id.partner, program.calls[0].class);
                 let model = program.calls.iter().filter(|call| call.kind == CallKind::Model);
                 self.tally.useful += model.map(|call| u64::from(call.output)).sum::<u64>();
                 self.tally.completed(class.into(), whole, served);
