--- a/agatetrestle/tests/cluster/mod.rs
+++ b/agatetrestle/tests/cluster/mod.rs
@@ -4,6 +4,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -24,6 +25,8 @@
 use smol::Timer;
 
 const POLL: Duration = Duration::from_millis(5);
+/// Tries of a call, each of which may take several seconds itself.
+const TRIES: u32 = 200;
 const EVENT_WITHIN: Duration = Duration::from_mins(1);
 
 /// A node that runs until it is lost.
@@ -38,6 +41,8 @@
     folder: PathBuf,
     peers: RefCell<Vec<PeerSeed>>,
     nodes: RefCell<Vec<(u64, Running)>>,
+    /// Bytes of commands after which nodes started from now on take a snapshot.
+    pub snapshot_after: Cell<u64>,
     /// What stands between two nodes, by who connects to whom.
     forwarders: RefCell<BTreeMap<(u64, u64), Forwarder>>,
 }
@@ -52,6 +57,7 @@
             folder,
             peers: RefCell::default(),
             nodes: RefCell::default(),
+            snapshot_after: Cell::new(Settings::default().storage.snapshot_after),
             forwarders: RefCell::default(),
         }
     }
@@ -144,6 +150,7 @@
         settings.node.vm = format!("vm-{id}").into();
         settings.node.failure_domain = format!("domain-{id}").into();
         settings.storage.data_folder = Some(self.data_folder(id));
+        settings.storage.snapshot_after = self.snapshot_after.get();
         settings.timing.heartbeat = Duration::from_millis(100);
         settings.timing.peer_call = Duration::from_millis(500);
         settings
@@ -195,6 +202,17 @@
     }
 }
 
+/// Tries something until it succeeds; gives up loudly rather than hang.
+pub async fn persist<T>(what: &str, attempt: impl AsyncFn() -> Option<T>) -> T {
+    for _ in 0..TRIES {
+        if let Some(value) = attempt().await {
+            return value;
+        }
+        Timer::after(POLL).await;
+    }
+    panic!("{what} did not succeed");
+}
+
 impl Drop for Cluster {
     fn drop(&mut self) {
         // A folder that stays behind is no failure of the code under test.
