--- a/agatetrestle/src/agreement/mod.rs
+++ b/agatetrestle/src/agreement/mod.rs
@@ -36,6 +36,18 @@
     pub term: u64,
     /// The node voted for in that term, if any.
     pub vote: Option<NodeId>,
+    /// Set on a replica that joined without files, until a later message counts it as a voter: it then
+    /// neither votes nor stands, since its log may name it a voter from before it lost its files.
+    pub without_vote: Option<Admission>,
+}
+
+/// The message by which a leader let a replica without files take part as a learner.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Admission {
+    /// Term of the leader, never 0.
+    pub term: u64,
+    /// Its round.
+    pub round: u64,
 }
 
 /// Who takes part in a group.
@@ -78,7 +90,8 @@
     Written(u64),
     /// A write failed for want of space or by an I/O error; a leader steps down.
     WriteFailed,
-    /// The driver has a snapshot of the state machine as of this position.
+    /// The driver took a snapshot of the state machine as of this position and has stored it durably;
+    /// there is no [`Output::Write`] for it.
     SnapshotTaken {
         /// The last entry the snapshot covers.
         position: Position,
@@ -107,7 +120,7 @@
     pub truncate_from: Option<u64>,
     /// Entries to append.
     pub entries: Vec<Entry>,
-    /// Replace all entries up to its position by this snapshot; later ones stay unless truncated.
+    /// Replace all entries up to its position by this received snapshot; later ones stay unless truncated.
     pub snapshot: Option<Snapshot>,
 }
 
--- a/agatetrestle/src/agreement/replica/mod.rs
+++ b/agatetrestle/src/agreement/replica/mod.rs
@@ -34,6 +34,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::agreement::Admission;
 use crate::agreement::HardState;
 use crate::agreement::Input;
 use crate::agreement::Output;
@@ -121,6 +122,8 @@
     failed: bool,
     /// Set on a replica that may once have voted and forgot it, until a leader counts it as a learner.
     joining: bool,
+    /// Set from then on until a leader counts it as a voter; see [`HardState::without_vote`].
+    without_vote: Option<Admission>,
     /// The write that the present step gathers.
     write: Write,
     sequence: u64,
@@ -171,6 +174,7 @@
             random: cfg.seed ^ cfg.node.0.rotate_left(32) ^ hard_state.term,
             failed,
             joining: false,
+            without_vote: hard_state.without_vote,
             write: Write::default(),
             sequence: 0,
             written: 0,
@@ -190,6 +194,7 @@
     ///
     /// It ignores every message until a leader addresses it as a learner. A leader that still counts
     /// it as a voter, from before it lost its files, thus finds it silent, and its forgotten votes do no harm.
+    /// It then follows without a vote until a leader counts it as a voter.
     #[must_use]
     pub fn joining(cfg: ReplicaConfig, now: Timestamp) -> Self {
         let mut replica = Self::new(cfg, Replicas::default(), Restored::default(), now);
@@ -203,13 +208,31 @@
         self.joining
     }
 
-    fn admits(&mut self, body: &Body) -> bool {
-        if let Body::Append { learner: true, .. } | Body::Snapshot { learner: true, .. } = body {
+    /// Whether a message may be acted on; a joining replica waits for one that counts it as a learner.
+    fn admits(&mut self, term: u64, body: &Body) -> bool {
+        if self.joining
+            && let Body::Append { learner: true, round, .. } | Body::Snapshot { learner: true, round, .. } =
+                body
+        {
             self.joining = false;
+            self.without_vote = Some(Admission { term, round: *round });
         }
         !self.joining
     }
 
+    /// Notes that a leader counts this replica as a voter, which it does only once the replica's log
+    /// holds all that was committed. A message from before the admission is of the lost replica's time.
+    fn note_standing(&mut self, body: &Body) {
+        if let Some(admission) = self.without_vote
+            && let Body::Append { learner: false, round, .. } | Body::Snapshot { learner: false, round, .. } =
+                body
+            && (Admission { term: self.term, round: *round }) > admission
+        {
+            self.without_vote = None;
+            self.save_hard_state();
+        }
+    }
+
     /// Takes one input and says what to do, in order.
     ///
     /// `now` must be read after the input was received, else a pause between the two could make an
@@ -222,7 +245,7 @@
         match input {
             Input::Tick => self.tick(now),
             Input::Receive(message) => self.receive(now, message),
-            Input::Propose { ticket, payload } => self.propose(now, ticket, payload),
+            Input::Propose { ticket, payload } => self.propose(ticket, payload),
             Input::Read(ticket) => self.read(now, ticket),
             Input::Written(sequence) => self.acknowledge_writes(now, sequence),
             Input::WriteFailed => self.fail(),
@@ -276,7 +299,7 @@
             return;
         }
         let Message { from, term, body, .. } = message;
-        if !self.admits(&body) {
+        if !self.admits(term, &body) {
             return;
         }
         if term < self.term {
@@ -286,6 +309,7 @@
         if term > self.term && !self.adopt_term(now, from, term, &body) {
             return;
         }
+        self.note_standing(&body);
         match body {
             Body::PreVote { last } => self.receive_pre_vote(now, from, term, last),
             Body::PreVoteReply { granted } => self.receive_pre_vote_reply(now, from, term, granted),
--- a/agatetrestle/src/agreement/replica/replication.rs
+++ b/agatetrestle/src/agreement/replica/replication.rs
@@ -31,7 +31,7 @@
         self.advance_commit(now);
     }
 
-    /// Begins to keep the progress of every other node that takes part.
+    /// Begins to keep the progress of every other node that takes part, from the next round on.
     pub(super) fn add_peers(&mut self) {
         let next = self.log.last().index + 1;
         let replicas = self.sets.current();
@@ -39,8 +39,9 @@
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
+        let first_round = leader.round + 1;
         for peer in replicas.voters.iter().chain(&replicas.learners).filter(|peer| **peer != node) {
-            leader.progress.entry(*peer).or_insert_with(|| Progress::new(next));
+            leader.progress.entry(*peer).or_insert_with(|| Progress::new(next, first_round));
         }
     }
 
@@ -50,14 +51,14 @@
         index
     }
 
-    pub(super) fn propose(&mut self, now: Timestamp, ticket: Ticket, payload: Arc<[u8]>) {
+    pub(super) fn propose(&mut self, ticket: Ticket, payload: Arc<[u8]>) {
         if let Err(reason) = self.accepts_proposals() {
             self.reject(ticket, reason);
             return;
         }
         let index = self.append_own(EntryKind::Command, payload);
         self.expect_outcome(index, ticket);
-        self.replicate(now);
+        self.replicate();
     }
 
     pub(super) fn accepts_proposals(&self) -> Result<(), Rejection> {
@@ -78,7 +79,7 @@
     }
 
     /// Sends new entries to every peer that can take them at once.
-    pub(super) fn replicate(&mut self, now: Timestamp) {
+    pub(super) fn replicate(&mut self) {
         let Role::Leader(leader) = &self.role else {
             return;
         };
@@ -86,7 +87,6 @@
         for peer in peers {
             self.send_entries(peer);
         }
-        self.advance_commit(now);
     }
 
     /// Sends a message to a peer whatever is under way, since earlier ones may be lost.
@@ -163,6 +163,9 @@
         matched: u64,
         round: u64,
     ) {
+        if !matches!(&self.role, Role::Leader(leader) if leader.knows(from, round)) {
+            return;
+        }
         self.acknowledge_round(now, from, round);
         let last = self.log.last().index;
         let Role::Leader(leader) = &mut self.role else {
--- a/agatetrestle/src/agreement/tests/schedule.rs
+++ b/agatetrestle/src/agreement/tests/schedule.rs
@@ -69,6 +69,8 @@
     Noise(Noise),
     /// A replica is lost and replaced, and another is lost right after.
     Replace(usize, usize),
+    /// A node loses its files, is removed, and joins again under its number.
+    Rejoin(usize),
     /// A leader is paused across its lease while another is elected and commits; then it hears some
     /// old answers and reads.
     Usurp(usize),
@@ -78,6 +80,8 @@
     SplitVote(u64),
     /// A follower that the leader can't reach stands while the lease holds and the voters restart.
     Rival(usize, u64),
+    /// A leader whose disk is slow replicates to some of the others, and all but these restart.
+    Unsynced(usize),
     /// Entries of an older term reach a majority, and a leader of a term between the two comes back.
     Return,
     /// A leader that is cut off is told to remove two others.
@@ -136,11 +140,13 @@
         1 => who().prop_map(Step::FailWrite),
         1 => (node(), node()).prop_map(|(lost, second)| Step::Replace(lost, second)),
         3 => who().prop_map(Step::Bounce),
+        1 => node().prop_map(Step::Rejoin),
         2 => (0..5_usize).prop_map(Step::Usurp),
         1 => Just(Step::Depose),
         2 => (0..90_000_u64).prop_map(Step::SplitVote),
         2 => (node(), 0..40_u64).prop_map(|(node, ticks)| Step::Rival(node, ticks)),
         1 => Just(Step::Return),
+        1 => node().prop_map(Step::Unsynced),
         1 => node().prop_map(Step::RemoveTwo),
     ];
     prop_oneof![5 => network, 3 => clients, 3 => failures]
@@ -193,10 +199,12 @@
         Step::FailWrite(who) => world.fail_write(place(who, world))?,
         Step::Noise(noise) => world.noise = noise,
         Step::Replace(lost, second) => replace(world, lost, second)?,
+        Step::Rejoin(node) => rejoin(world, node)?,
         Step::Usurp(heard) => usurp(world, heard)?,
         Step::Depose => depose(world)?,
         Step::SplitVote(wait) => split_vote(world, wait)?,
         Step::Rival(node, ticks) => rival(world, place(Who::Node(node), world), ticks)?,
+        Step::Unsynced(node) => unsynced(world, place(Who::Node(node), world))?,
         Step::Return => return_of_a_leader(world)?,
         Step::RemoveTwo(node) => remove_two(world, node)?,
     }
@@ -253,6 +261,18 @@
     world.crash(world.find(Who::Node(second)), 0)
 }
 
+fn rejoin(world: &mut World, node: usize) -> Result<(), Violation> {
+    let place = world.find(Who::Node(node));
+    world.lose_files(place);
+    world.restart(place);
+    world.run(ELECTION_TICKS, HOPS)?;
+    for kind in [ReplicaChange::Remove, ReplicaChange::AddLearner, ReplicaChange::Promote] {
+        change(world, node, kind)?;
+        world.run(COMMIT_TICKS, HOPS)?;
+    }
+    Ok(())
+}
+
 fn usurp(world: &mut World, heard: usize) -> Result<(), Violation> {
     let old = world.find(Who::Leader);
     world.pass(HEARTBEAT)?;
@@ -308,6 +328,22 @@
     Ok(())
 }
 
+fn unsynced(world: &mut World, severed: usize) -> Result<(), Violation> {
+    let leader = world.find(Who::Leader);
+    sever(world, severed);
+    world.nodes[leader].slow = true;
+    world.propose(leader)?;
+    world.run(1, HOPS)?;
+    for place in 0..world.nodes.len() {
+        if place != severed {
+            world.crash(place, 0)?;
+        }
+    }
+    world.restart(leader);
+    world.heal();
+    world.run(ELECTION_TICKS, HOPS)
+}
+
 fn return_of_a_leader(world: &mut World) -> Result<(), Violation> {
     let first = world.find(Who::Leader);
     world.isolate(first);
@@ -376,3 +412,67 @@
     let schedule = Schedule { voters: 3, seed: 2_488_674_998_794_601, steps };
     assert_eq!(run(&schedule, None).err(), None);
 }
+
+/// Found by the test above: a replica that lost its files and joins again holds, after a restart in
+/// the middle of catching up, a log that names it a voter of a set long replaced.
+#[test]
+fn a_joining_replica_has_no_vote_before_it_has_caught_up() {
+    let steps = vec![
+        Step::Bounce(Who::Leader),
+        Step::Pass(141_506),
+        Step::Bounce(Who::Node(7)),
+        Step::Replace(0, 6),
+        Step::Unsynced(0),
+        Step::Run(14, 1),
+        Step::Load(true),
+        Step::CrashAll,
+        Step::Usurp(0),
+        Step::Rival(2, 18),
+        Step::Pass(114_738),
+        Step::Pass(115_718),
+        Step::Rejoin(6),
+        Step::SplitVote(2_435),
+        Step::Crash(Who::Node(1), 0),
+        Step::Run(7, 1),
+        Step::Run(32, 1),
+        Step::Rival(0, 9),
+    ];
+    let schedule = Schedule { voters: 3, seed: 8_026_322_220_794_987_662, steps };
+    assert_eq!(run(&schedule, None).err(), None);
+}
+
+/// Found by the test above: a late answer of the process that lost its files made the leader believe
+/// that the one that joined under the same number had caught up.
+#[test]
+fn an_answer_of_the_lost_process_is_not_counted() {
+    let steps = vec![
+        Step::ProposeMany(Who::Leader, 10),
+        Step::Run(7, 2),
+        Step::HandOver,
+        Step::Replace(5, 2),
+        Step::Noise(Noise { lost: 1, late: 5, doubled: 0 }),
+        Step::Rejoin(7),
+        Step::Run(1, 1),
+        Step::Late(4_996_422_483_312_192_610),
+    ];
+    let schedule = Schedule { voters: 3, seed: 3_757_201_964_839_304_188, steps };
+    assert_eq!(run(&schedule, None).err(), None);
+}
+
+/// Found by the test above: a late message to the lost replica, which counted it as a voter, gave a
+/// vote to the one that had joined under the same number.
+#[test]
+fn a_message_from_before_the_admission_gives_no_vote() {
+    let steps = vec![
+        Step::ProposeMany(Who::Leader, 10),
+        Step::Run(8, 2),
+        Step::HandOver,
+        Step::Replace(5, 2),
+        Step::Noise(Noise { lost: 2, late: 5, doubled: 2 }),
+        Step::Rejoin(7),
+        Step::Propose(Who::Leader),
+        Step::Late(12_404_862_201_225_441_547),
+    ];
+    let schedule = Schedule { voters: 3, seed: 3_757_201_964_839_304_188, steps };
+    assert_eq!(run(&schedule, None).err(), None);
+}
