--- a/agatetrestle/examples/quickstart/cluster.rs
+++ b/agatetrestle/examples/quickstart/cluster.rs
@@ -23,7 +23,6 @@
 use smol::LocalExecutor;
 use smol::Task;
 use smol::Timer;
-use snafu::ResultExt;
 use snafu::Snafu;
 use snafu::ensure;
 
@@ -126,11 +125,26 @@
             expected: 0,
             change_id: change_id.into(),
         };
-        let reply = self.nodes[0].node.control().commit(command).await.context(DeclareSnafu)?;
+        let reply = self.commit(command).await?;
         ensure!(matches!(reply, ControlReply::Accepted { .. }), DeclinedSnafu { reply });
         Ok(())
     }
 
+    /// Offers a change again while no quorum took it, as operators do; its id makes that safe.
+    async fn commit(&self, command: ControlCommand) -> Result<ControlReply, QuickstartError> {
+        let control = self.nodes[0].node.control();
+        let mut waited = Duration::ZERO;
+        loop {
+            match control.commit(command.clone()).await {
+                Ok(reply) => return Ok(reply),
+                Err(source) if waited >= START_WITHIN => return Err(QuickstartError::Declare { source }),
+                Err(_) => {}
+            }
+            Timer::after(POLL).await;
+            waited += POLL;
+        }
+    }
+
     fn shared(&self) -> String {
         let mut text = SHARED.to_owned();
         for (index, engine) in self.engines.iter().enumerate() {
