--- /dev/null
+++ b/agatetrestle/src/node/assembly.rs
@@ -0,0 +1,206 @@
+//! The slices of a node, made and connected to each other.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use agatetrestle_config::Settings;
+use agatetrestle_config::settings::Listen;
+
+use crate::attempts::Dispatcher;
+use crate::attempts::SystemTimer;
+use crate::attempts::http::HttpBackends;
+use crate::clock::Clock;
+use crate::clock::micros;
+use crate::entry;
+use crate::entry::Entry;
+use crate::ids::CONTROL_GROUP;
+use crate::ids::FIRST_STATE_GROUP;
+use crate::ids::GroupId;
+use crate::ids::NodeId;
+use crate::members::message::Heartbeat;
+use crate::members::roster::Roster;
+use crate::metrics::Metrics;
+use crate::node::Replicas;
+use crate::node::control_port::ControlPort;
+use crate::node::heartbeats::Heartbeats;
+use crate::node::ledger_port::LedgerPort;
+use crate::node::links::Links;
+use crate::node::listings::BackendListing;
+use crate::node::orders::Orders;
+use crate::node::peer_server::PeerServer;
+use crate::node::registry::Registry;
+use crate::node::replicas;
+use crate::node::router::Patience;
+use crate::node::router::Router;
+use crate::operator::OperatorServer;
+use crate::orders::engines::HttpEngineAdmin;
+use crate::ports::Groups;
+use crate::scheduler;
+use crate::scheduler::Policy;
+use crate::scheduler::Scheduler;
+use crate::scheduler::SchedulerConfig;
+use crate::trace::recorder::Recording;
+use crate::trace::recorder::TraceLog;
+
+/// One try of a request to a group is given up after this many election timeouts.
+const TRY_ELECTION_TIMEOUTS: u32 = 2;
+/// Tries of a request to a group are given up after this many call deadlines.
+const ROUTER_DEADLINES: u32 = 2;
+
+/// The slices of a node, put together.
+pub(super) struct Assembly {
+    node: NodeId,
+    incarnation: u64,
+    clock: Clock,
+    settings: Settings,
+    pub(super) stopping: Rc<Cell<bool>>,
+    scheduler: Rc<RefCell<Box<dyn Scheduler>>>,
+    traces: Rc<TraceLog>,
+    pub(super) calls: Rc<Dispatcher>,
+    pub(super) control: Rc<ControlPort>,
+    pub(super) ledger: Rc<LedgerPort>,
+    registry: Option<Rc<Registry>>,
+    pub(super) heartbeats: Rc<Heartbeats>,
+}
+
+impl Assembly {
+    pub(super) fn new(
+        settings: &Settings,
+        addresses: &Listen,
+        clock: Clock,
+        links: &Rc<Links>,
+        replicas: &Replicas,
+        metrics: &Rc<Metrics>,
+    ) -> Self {
+        let node = NodeId(settings.node.id);
+        let timing = &settings.timing;
+        let incarnation = incarnation();
+        let stopping = Rc::new(Cell::new(false));
+        let router = |group, local| {
+            let holders = replicas::holders(settings, group);
+            let each = timing.election_timeout * TRY_ELECTION_TIMEOUTS;
+            let patience = Patience { each, whole: timing.peer_call * ROUTER_DEADLINES };
+            Rc::new(Router::new(group, node, local, links.clone(), &holders, clock, patience))
+        };
+        let control_router = router(CONTROL_GROUP, replicas.control_service());
+        let control = Rc::new(ControlPort::new(control_router, clock, timing.clock_drift, stopping.clone()));
+        let ledger = Rc::new(LedgerPort::new(router(FIRST_STATE_GROUP, replicas.state_service())));
+        let traces = Rc::new(TraceLog::default());
+        let deciding = scheduler::build(Policy::default(), SchedulerConfig::default(), incarnation);
+        let recording = Recording::new(deciding, traces.clone(), metrics.clone());
+        let scheduler: Rc<RefCell<Box<dyn Scheduler>>> = Rc::new(RefCell::new(Box::new(recording)));
+        let calls = dispatcher(&scheduler, timing.peer_call, clock);
+        let registry = replicas.control.clone().map(|group| {
+            let lease = timing.configuration_lease;
+            Rc::new(Registry::new(group, links.clone(), clock, incarnation, timing.heartbeat, lease))
+        });
+        let heartbeats = Rc::new(Heartbeats {
+            identity: identity(settings, addresses, incarnation),
+            interval: timing.heartbeat,
+            replicas: replicas::holders(settings, CONTROL_GROUP),
+            links: links.clone(),
+            registry: registry.clone(),
+            control: control.clone(),
+            calls: calls.clone(),
+            roster: RefCell::new(Roster::default()),
+            stopping: stopping.clone(),
+            clock,
+        });
+        let settings = settings.clone();
+        Self {
+            node,
+            incarnation,
+            clock,
+            settings,
+            stopping,
+            scheduler,
+            traces,
+            calls,
+            control,
+            ledger,
+            registry,
+            heartbeats,
+        }
+    }
+
+    pub(super) fn entry(&self, metrics: &Rc<Metrics>) -> Entry {
+        Entry {
+            ledger: self.ledger.clone(),
+            control: self.control.clone(),
+            members: self.heartbeats.clone(),
+            calls: self.calls.clone(),
+            recorder: metrics.clone(),
+            timer: Rc::new(SystemTimer),
+            clock: self.clock,
+            node: self.node,
+            incarnation: self.incarnation,
+            limits: self.settings.callers.clone(),
+            stopping: self.stopping.clone(),
+            state: entry::State::default(),
+        }
+    }
+
+    pub(super) fn orders(&self, replicas: &Replicas) -> Option<Orders> {
+        let timing = &self.settings.timing;
+        let engines = Rc::new(HttpEngineAdmin { deadline: timing.peer_call });
+        let wait_out = timing.election_timeout + timing.clock_drift;
+        let group = replicas.control.clone()?;
+        Some(Orders::new(self.node, self.clock, group, self.control.clone(), engines, wait_out))
+    }
+
+    pub(super) fn peer_server(&self, replicas: &Replicas) -> Rc<PeerServer> {
+        let mut server = PeerServer { registry: self.registry.clone(), ..PeerServer::default() };
+        server.receivers = replicas.receivers();
+        let services =
+            [(CONTROL_GROUP, replicas.control_service()), (FIRST_STATE_GROUP, replicas.state_service())];
+        let held = services.into_iter().filter_map(|(id, service): (GroupId, _)| Some((id, service?)));
+        server.services = held.collect();
+        Rc::new(server)
+    }
+
+    pub(super) fn operator_server(&self, groups: &Rc<dyn Groups>) -> Rc<OperatorServer> {
+        let backends = BackendListing { scheduler: self.scheduler.clone(), control: self.control.clone() };
+        Rc::new(OperatorServer {
+            control: self.control.clone(),
+            members: self.heartbeats.clone(),
+            ledger: self.ledger.clone(),
+            backends: Rc::new(backends),
+            groups: groups.clone(),
+            traces: self.traces.clone(),
+            node: self.node,
+        })
+    }
+}
+
+fn dispatcher(
+    scheduler: &Rc<RefCell<Box<dyn Scheduler>>>,
+    connect_within: Duration,
+    clock: Clock,
+) -> Rc<Dispatcher> {
+    let timer: Rc<SystemTimer> = Rc::new(SystemTimer);
+    let backends = Rc::new(HttpBackends::new(timer.clone(), connect_within));
+    Rc::new(Dispatcher::new(scheduler.clone(), backends.clone(), backends, timer, clock))
+}
+
+fn identity(settings: &Settings, addresses: &Listen, incarnation: u64) -> Heartbeat {
+    Heartbeat {
+        node: NodeId(settings.node.id),
+        vm: settings.node.vm.clone(),
+        failure_domain: settings.node.failure_domain.clone(),
+        region: settings.node.region.clone(),
+        incarnation,
+        caller_address: addresses.callers.to_string().into(),
+        peer_address: addresses.peers.to_string().into(),
+        ..Heartbeat::default()
+    }
+}
+
+/// The wall clock at start, in microseconds since 1970: higher after each restart as long as that
+/// clock is not set back by more than the process was down.
+fn incarnation() -> u64 {
+    micros(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default())
+}
--- a/agatetrestle/src/node/group.rs
+++ b/agatetrestle/src/node/group.rs
@@ -1,11 +1,14 @@
 //! The driver of one replica: it feeds the pure state machine of [`crate::agreement`] and carries
 //! out what it asks for. Writes go to a blocking thread, many to one sync.
 
+mod install;
+mod writes;
+
+pub use self::writes::Jobs;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::collections::VecDeque;
-use std::fs::File;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,10 +19,7 @@
 use log::info;
 use log::warn;
 use smol::Timer;
-use smol::channel::Receiver;
 use smol::channel::Sender;
-use snafu::ResultExt;
-use snafu::Snafu;
 
 use crate::agreement::Input;
 use crate::agreement::Output;
@@ -39,18 +39,17 @@
 use crate::agreement::storage::error::StorageError;
 use crate::clock::Clock;
 use crate::clock::Timestamp;
-use crate::history::History;
-use crate::history::HistoryError;
 use crate::ids::GroupId;
 use crate::ids::NodeId;
+use crate::node::group::install::HeldBack;
+use crate::node::group::writes::Done;
+use crate::node::group::writes::Job;
+use crate::node::group::writes::WriteError;
+use crate::node::group::writes::carry_out;
 use crate::ports::GroupView;
 
 /// Pause before the storage is opened again after a write failed.
 const REOPEN_PAUSE: Duration = Duration::from_millis(500);
-/// Pause before history is asked for again.
-const FETCH_PAUSE: Duration = Duration::from_millis(100);
-/// Most history bytes in one answer to another replica.
-const HISTORY_PIECE: usize = 1 << 20;
 
 /// What became of a proposal or read.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -67,24 +66,6 @@
     Unknown,
 }
 
-enum Job {
-    Write(Write),
-    Snapshot { snapshot: Snapshot, relies_on: Vec<File> },
-}
-
-/// A committed command that waits until a received snapshot is in place.
-struct Held {
-    position: Position,
-    payload: Arc<[u8]>,
-    ticket: Option<Ticket>,
-}
-
-/// Commands that wait for a received snapshot, and where that one ends.
-struct HeldBack {
-    position: Position,
-    commands: VecDeque<Held>,
-}
-
 /// Fetches history from another replica, from an offset on; none where no replica has it.
 pub type HistorySource = Rc<dyn Fn(u64) -> LocalBoxFuture<'static, Option<Vec<u8>>>>;
 
@@ -257,62 +238,6 @@
         Ok(())
     }
 
-    /// Fetches the history that a received snapshot relies on, then restores it. Nothing about the snapshot
-    /// is acknowledged before that, so a replica that can't fetch counts as down. Returns the files that must be
-    /// synced before the snapshot is saved.
-    async fn put_in_place(&self, snapshot: &Snapshot) -> Result<Vec<File>, WriteError> {
-        let wanted = self.machine.borrow().history_end(&snapshot.data).context(UnusableSnafu)?;
-        while let Some(offset) = self.history_gap(wanted) {
-            match (self.history_source)(offset).await {
-                Some(bytes) if !bytes.is_empty() => self.extend_history(&bytes, wanted),
-                _ => {
-                    warn!("Group {} waits for history from byte {offset} on.", self.id.0);
-                    Timer::after(FETCH_PAUSE).await;
-                }
-            }
-        }
-        let files = self.flush_history().context(UnflushedSnafu)?;
-        // A newer snapshot may have come meanwhile; its own write puts it in place.
-        let newest = self.held.borrow().as_ref().is_some_and(|held| held.position == snapshot.position);
-        if newest {
-            self.restore(snapshot).context(UnusableSnafu)?;
-        }
-        Ok(files)
-    }
-
-    fn flush_history(&self) -> Result<Vec<File>, HistoryError> {
-        self.machine.borrow_mut().history().map_or(Ok(Vec::new()), History::flush)
-    }
-
-    fn history_gap(&self, wanted: u64) -> Option<u64> {
-        let mut machine = self.machine.borrow_mut();
-        let end = machine.history()?.end();
-        (end < wanted).then_some(end)
-    }
-
-    fn extend_history(&self, bytes: &[u8], wanted: u64) {
-        let mut machine = self.machine.borrow_mut();
-        let Some(history) = machine.history() else {
-            return;
-        };
-        let lacking = usize::try_from(wanted - history.end()).unwrap_or(usize::MAX);
-        history.extend(&bytes[..bytes.len().min(lacking)]);
-    }
-
-    /// Raw history for another replica.
-    pub fn copy_history(&self, offset: u64) -> Vec<u8> {
-        let mut machine = self.machine.borrow_mut();
-        let copied = machine.history().map(|history| history.copy(offset, HISTORY_PIECE));
-        match copied {
-            Some(Ok(bytes)) => bytes,
-            Some(Err(failure)) => {
-                error!("Group {} can't read its history: {failure}.", self.id.0);
-                Vec::new()
-            }
-            None => Vec::new(),
-        }
-    }
-
     fn report(&self, done: Done) {
         if let Some(sequence) = done.written {
             self.feed(Input::Written(sequence));
@@ -430,8 +355,7 @@
             // The write of the same snapshot puts it in place once its history is here. Commands held for an
             // earlier one are covered by this one.
             Output::Restore(snapshot) => {
-                let held = HeldBack { position: snapshot.position, commands: VecDeque::new() };
-                self.held.replace(Some(held));
+                self.held.replace(Some(HeldBack::new(snapshot.position)));
             }
             Output::ReadReady(ticket) => self.answer(ticket, Verdict::Ready),
             Output::Reject { ticket, reason } => self.answer(ticket, Verdict::Rejected(reason)),
@@ -455,14 +379,6 @@
         }
     }
 
-    fn apply_or_hold(&self, position: Position, payload: Arc<[u8]>, ticket: Option<Ticket>) {
-        if let Some(held) = &mut *self.held.borrow_mut() {
-            held.commands.push_back(Held { position, payload, ticket });
-            return;
-        }
-        self.apply(position, &payload, ticket);
-    }
-
     fn apply(&self, position: Position, payload: &Arc<[u8]>, ticket: Option<Ticket>) {
         let reply = self.machine.borrow_mut().apply(position, payload);
         self.applied.set(position);
@@ -473,19 +389,6 @@
         }
     }
 
-    fn restore(&self, snapshot: &Snapshot) -> Result<(), RestoreError> {
-        self.machine.borrow_mut().restore(&snapshot.data)?;
-        self.applied.set(snapshot.position);
-        self.replicas.replace(snapshot.replicas.clone());
-        let held = self.held.take().map(|held| held.commands).unwrap_or_default();
-        for Held { position, payload, ticket } in held {
-            if position.index > snapshot.position.index {
-                self.apply(position, &payload, ticket);
-            }
-        }
-        Ok(())
-    }
-
     fn snapshot_if_due(&self) {
         let due = self.bytes_since_snapshot.get() >= self.snapshot_after;
         if !due || self.snapshot_running.get() || self.held.borrow().is_some() {
@@ -514,86 +417,5 @@
     }
 }
 
-/// The queue of writes between a group and its storage.
-pub struct Jobs(Receiver<Job>);
-
-/// What could not be made durable.
-#[derive(Debug, Snafu)]
-enum WriteError {
-    /// The log or a snapshot.
-    #[snafu(display("{source}"))]
-    Log {
-        /// What the storage said.
-        source: StorageError,
-    },
-    /// The history that a snapshot relies on.
-    #[snafu(display("the history can't be synced: {source}"))]
-    Unsynced {
-        /// What the operating system said.
-        source: std::io::Error,
-    },
-    /// The history that a received snapshot relies on.
-    #[snafu(display("the history can't be written: {source}"))]
-    Unflushed {
-        /// What the history said.
-        source: HistoryError,
-    },
-    /// A received snapshot.
-    #[snafu(display("a received snapshot can't be used: {source}"))]
-    Unusable {
-        /// What the state machine said.
-        source: RestoreError,
-    },
-}
-
-#[derive(Default)]
-struct Done {
-    written: Option<u64>,
-    snapshot: Option<Snapshot>,
-    snapshot_failure: Option<WriteError>,
-}
-
-/// Makes a batch durable. A snapshot of this replica's own that fails is no failure of the batch, since the log
-/// is whole without it.
-fn carry_out(storage: &mut Storage, relies_on: &[File], batch: Vec<Job>) -> Result<Done, WriteError> {
-    sync_all(relies_on).context(UnsyncedSnafu)?;
-    let mut done = Done::default();
-    let mut writes = Vec::new();
-    for job in batch {
-        match job {
-            Job::Write(write) => writes.push(write),
-            Job::Snapshot { snapshot, relies_on } => {
-                // In the order in which they were asked for, so that an older snapshot never replaces a newer one.
-                write_out(storage, &mut writes, &mut done)?;
-                match save(storage, &snapshot, &relies_on) {
-                    Ok(()) => done.snapshot = Some(snapshot),
-                    Err(failure) => done.snapshot_failure = Some(failure),
-                }
-            }
-        }
-    }
-    write_out(storage, &mut writes, &mut done)?;
-    Ok(done)
-}
-
-fn write_out(storage: &mut Storage, writes: &mut Vec<Write>, done: &mut Done) -> Result<(), WriteError> {
-    if let Some(last) = writes.last() {
-        let sequence = last.sequence;
-        storage.write(writes).context(LogSnafu)?;
-        done.written = Some(sequence);
-        writes.clear();
-    }
-    Ok(())
-}
-
-fn save(storage: &mut Storage, snapshot: &Snapshot, relies_on: &[File]) -> Result<(), WriteError> {
-    sync_all(relies_on).context(UnsyncedSnafu)?;
-    storage.save_snapshot(snapshot).context(LogSnafu)
-}
-
-fn sync_all(files: &[File]) -> std::io::Result<()> {
-    files.iter().try_for_each(File::sync_all)
-}
-
 #[cfg(test)]
 mod tests;
