--- a/agatetrestle/src/node/peer_server.rs
+++ b/agatetrestle/src/node/peer_server.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use agatetrestle_schema::peer_capnp::peer;
 use capnp_rpc::RpcSystem;
@@ -12,6 +13,7 @@
 use log::debug;
 use log::warn;
 use smol::LocalExecutor;
+use smol::Timer;
 use smol::net::TcpListener;
 use smol::net::TcpStream;
 
@@ -28,6 +30,9 @@
 
 /// Connections that may be open at once; 400 nodes with a reconnect each stay well below.
 const CONNECTIONS: usize = 2_048;
+/// Pause after a connection that could not be accepted, such as when no file descriptor is left; without
+/// it the loop would take the whole thread until one is.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Largest call in 8-byte words: 64 MiB, above the largest batch and snapshot piece.
 const CALL_WORDS: usize = 8 << 20;
 
@@ -151,6 +156,7 @@
             Ok((stream, _)) => stream,
             Err(failure) => {
                 warn!("A connection of a peer could not be accepted: {failure}.");
+                Timer::after(ACCEPT_PAUSE).await;
                 continue;
             }
         };
