Add routes, turns with budgets, and dispatch as pure slices

Cause: the product had no table of routes by host and prefix, no replicated turns that callers go on from, and no decision for requests outside a program's call order. Each is a slice without I/O, with its tests; nothing uses them yet. The control state takes a table by its highest version and names the first voters of the state group once. Settings read fractions of a unit, as 4.5s.

--- a/agatetrestle/src/control/command.rs
+++ b/agatetrestle/src/control/command.rs
@@ -1,6 +1,7 @@
 //! Commands of the control group and their replies.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -29,6 +30,19 @@
         /// Incarnation that leaves; a newer one is live again.
         incarnation: u64,
     },
+    /// Replace the table of routes if this version is higher than the one in force; else nothing changes.
+    Publish {
+        /// The operators' number of the table.
+        version: u64,
+        /// The checked table as the operators sent it.
+        text: Arc<str>,
+    },
+    /// Say who holds the first replicas of the first state group. The first such command stands for good, since
+    /// a second group of other replicas would not know what the first accepted.
+    Found {
+        /// The first voters.
+        voters: BTreeSet<NodeId>,
+    },
     /// Claim the right to give orders to engines; the reply holds a fencing number.
     Fence {
         /// The control leader that claims it.
@@ -55,6 +69,16 @@
         /// Text in force.
         text: Arc<str>,
     },
+    /// The table of routes in force has this version, which is the one published or a higher one.
+    Published {
+        /// The version in force.
+        version: u64,
+    },
+    /// The first voters of the first state group.
+    Founded {
+        /// Those of the first such command.
+        voters: BTreeSet<NodeId>,
+    },
     /// The leaving mark was taken.
     Leaving {
         /// The highest incarnation marked.
@@ -66,6 +90,9 @@
     Refused,
 }
 
+/// Scope of the document that holds the table of routes.
+pub const ROUTES_SCOPE: &str = "routes";
+
 /// A document in force.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Document {
--- a/agatetrestle/src/control/state.rs
+++ b/agatetrestle/src/control/state.rs
@@ -1,6 +1,7 @@
 //! State of the control group: documents by version, leaving marks and the fencing number.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -19,6 +20,7 @@
 use crate::control::command::ControlCommand;
 use crate::control::command::ControlReply;
 use crate::control::command::Document;
+use crate::control::command::ROUTES_SCOPE;
 use crate::ids::NodeId;
 
 /// How many first results are kept for each scope. At 1,100 changes a day this covers days of
@@ -45,9 +47,23 @@
     configuration: Arc<Configuration>,
     results: BTreeMap<Arc<str>, VecDeque<FirstResult>>,
     fence: Fence,
+    #[serde(default)]
+    founding: BTreeSet<NodeId>,
 }
 
 impl ControlState {
+    /// The first voters of the first state group; none before they were agreed on.
+    #[must_use]
+    pub fn founding(&self) -> &BTreeSet<NodeId> {
+        &self.founding
+    }
+
+    /// The table of routes in force, as published.
+    #[must_use]
+    pub fn routes(&self) -> Option<&Document> {
+        self.configuration.documents.get(ROUTES_SCOPE)
+    }
+
     /// Everything in force as of the last applied command.
     #[must_use]
     pub fn configuration(&self) -> Arc<Configuration> {
@@ -61,6 +77,8 @@
                 self.replace_document(scope, text, expected, change_id)
             }
             ControlCommand::Leave { name, incarnation } => self.mark_leaving(name, incarnation),
+            ControlCommand::Publish { version, text } => self.publish(version, text),
+            ControlCommand::Found { voters } => self.found(voters),
             ControlCommand::Fence { node, term } => self.issue_fence(node, term),
         }
     }
@@ -95,6 +113,27 @@
         reply
     }
 
+    fn publish(&mut self, version: u64, text: Arc<str>) -> ControlReply {
+        let known = self.routes().map(|document| document.version);
+        if let Some(known) = known
+            && version <= known
+        {
+            return ControlReply::Published { version: known };
+        }
+        let configuration = Arc::make_mut(&mut self.configuration);
+        configuration.revision += 1;
+        let document = Document { version, text, revision: configuration.revision };
+        configuration.documents.insert(ROUTES_SCOPE.into(), document);
+        ControlReply::Published { version }
+    }
+
+    fn found(&mut self, voters: BTreeSet<NodeId>) -> ControlReply {
+        if self.founding.is_empty() {
+            self.founding = voters;
+        }
+        ControlReply::Founded { voters: self.founding.clone() }
+    }
+
     fn mark_leaving(&mut self, name: Arc<str>, incarnation: u64) -> ControlReply {
         let marked = self.configuration.leaving.get(&name).copied();
         let highest = marked.map_or(incarnation, |marked| marked.max(incarnation));
--- a/agatetrestle/src/control/tests.rs
+++ b/agatetrestle/src/control/tests.rs
@@ -124,3 +124,28 @@
     assert!(in_force.adopt_changes(changes));
     assert_eq!(*in_force.configuration(), *whole);
 }
+
+fn publish(version: u64, text: &str) -> ControlCommand {
+    ControlCommand::Publish { version, text: text.into() }
+}
+
+#[test]
+fn the_highest_table_of_routes_is_in_force_whatever_the_order() {
+    let mut state = ControlState::default();
+    assert_eq!(state.execute(publish(7, "seven")), ControlReply::Published { version: 7 });
+    assert_eq!(state.execute(publish(3, "three")), ControlReply::Published { version: 7 });
+    assert_eq!(state.execute(publish(7, "other")), ControlReply::Published { version: 7 });
+    assert_eq!(state.routes().map(|document| &*document.text), Some("seven"), "a number keeps its content");
+    assert_eq!(state.configuration().revision, 1);
+    assert_eq!(state.execute(publish(12, "twelve")), ControlReply::Published { version: 12 });
+    assert_eq!(state.routes().map(|document| &*document.text), Some("twelve"));
+}
+
+#[test]
+fn the_first_voters_of_the_state_group_are_named_once() {
+    let mut state = ControlState::default();
+    let found = |nodes: [u64; 3]| ControlCommand::Found { voters: nodes.map(NodeId).into() };
+    state.execute(found([1, 2, 3]));
+    let again = state.execute(found([4, 5, 6]));
+    assert_eq!(again, ControlReply::Founded { voters: [1, 2, 3].map(NodeId).into() });
+}
--- /dev/null
+++ b/agatetrestle/src/dispatch/mod.rs
@@ -0,0 +1,329 @@
+//! Which waiting request goes next to which backend server, and which is turned away.
+//!
+//! Every node decides alone, with what it sends itself and what answers tell of the load by others. The slice is
+//! pure: time comes in as an argument. What each rule answers stands in docs/design/012-a-deployment-of-three-roles.md.
+
+mod server;
+#[cfg(test)]
+mod tests;
+
+pub use self::server::Instance;
+pub use self::server::Load;
+pub use self::server::Outcome;
+pub use self::server::ServerKey;
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use slotmap::SlotMap;
+
+use crate::clock::Timestamp;
+use crate::dispatch::server::Server;
+use crate::dispatch::server::affinity;
+use crate::scheduler::random::Random;
+
+/// Requests that may wait for one service on one node. Each holds its body in memory; 512 of some 20 KB stay
+/// within a tenth of the smallest VM.
+const QUEUE_LIMIT: usize = 512;
+/// The time a request is expected to take at a server before any was measured.
+const FIRST_ESTIMATE: Duration = Duration::from_millis(200);
+/// Share of a new time in the running mean, as a divisor: 16 requests are a fraction of a second under load.
+const MEAN_WEIGHT: u32 = 16;
+/// Shortest and longest wait that a caller is told. Below, coming back costs more than it gains; above, the caller's
+/// own deadline ends first.
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+/// Requests by which a server's load may exceed the least loaded one's before its cached prompts no longer
+/// speak for it. Reading a prompt again costs as much as some two requests of a batch slow the others.
+const AFFINITY_SLACK: f64 = 2.0;
+
+/// A request that wants to be sent.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Chosen by the driver, unique in the process.
+    pub ticket: u64,
+    /// The service that it goes to.
+    pub service: Arc<str>,
+    /// 0 for the most urgent.
+    pub priority: u8,
+    /// Whether its program has begun, so that turning it away wastes what was done.
+    pub begun: bool,
+    /// When its answer is no longer of use.
+    pub deadline: Timestamp,
+    /// When its program should be finished; the least time left goes first.
+    pub finish_by: Timestamp,
+    /// What requests have in common that share a prompt; none where that does not matter.
+    pub session: Option<u64>,
+    /// Servers that must not get it, since they had it before.
+    pub avoid: Vec<ServerKey>,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// Send it.
+    Send {
+        /// The request.
+        ticket: u64,
+        /// Where to.
+        server: ServerKey,
+    },
+    /// Turn it away; it was not sent.
+    Reject {
+        /// The request.
+        ticket: u64,
+        /// When it is worth coming back.
+        retry_after: Duration,
+        /// Why.
+        reason: Reason,
+    },
+}
+
+/// Why a request is turned away.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reason {
+    /// No server of the service takes requests.
+    NoServer,
+    /// It would not be answered in time.
+    TooLate,
+    /// Too many wait.
+    QueueFull,
+}
+
+/// Order of service: urgent kinds first, then programs that have begun, then the least time left.
+type Rank = (u8, bool, Timestamp, u64);
+
+#[derive(Debug)]
+struct Queue {
+    waiting: BTreeMap<Rank, Request>,
+    mean: Duration,
+}
+
+impl Default for Queue {
+    fn default() -> Self {
+        Self { waiting: BTreeMap::new(), mean: FIRST_ESTIMATE }
+    }
+}
+
+/// The decisions of one node.
+#[derive(Debug)]
+pub struct Dispatch {
+    servers: SlotMap<ServerKey, Server>,
+    by_id: HashMap<Arc<str>, ServerKey>,
+    queues: HashMap<Arc<str>, Queue>,
+    zone: Arc<str>,
+    rng: Random,
+}
+
+impl Dispatch {
+    /// Decisions for a node in a failure domain.
+    #[must_use]
+    pub fn new(zone: Arc<str>, seed: u64) -> Self {
+        Self {
+            servers: SlotMap::default(),
+            by_id: HashMap::new(),
+            queues: HashMap::new(),
+            zone,
+            rng: Random::new(seed),
+        }
+    }
+
+    /// Takes in the list of backend servers. One that is not in it any more gets nothing, and neither does one that
+    /// once was told to leave: the list lags, so only signs of leaving are believed.
+    pub fn replace_instances(&mut self, now: Timestamp, instances: &[Instance]) -> Vec<Decision> {
+        for server in self.servers.values_mut() {
+            server.listed = false;
+        }
+        for instance in instances {
+            match self.by_id.get(&instance.id) {
+                Some(key) => self.servers[*key].update(instance),
+                None => {
+                    let key = self.servers.insert(Server::new(instance));
+                    self.by_id.insert(instance.id.clone(), key);
+                }
+            }
+        }
+        let by_id = &mut self.by_id;
+        self.servers.retain(|_, server| {
+            let stays = server.listed || server.running > 0;
+            if !stays {
+                by_id.remove(&server.instance.id);
+            }
+            stays
+        });
+        self.pass_all(now)
+    }
+
+    /// The instance behind a key.
+    #[must_use]
+    pub fn instance(&self, key: ServerKey) -> Option<&Instance> {
+        self.servers.get(key).map(|server| &server.instance)
+    }
+
+    /// All known instances with this node's requests in service there.
+    pub fn instances(&self) -> impl Iterator<Item = (&Instance, u32)> {
+        self.servers.values().map(|server| (&server.instance, server.running))
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queues.values().map(|queue| queue.waiting.len()).sum()
+    }
+
+    /// Takes in a request: it is sent, turned away at once, or waits for a later decision.
+    pub fn submit(&mut self, now: Timestamp, request: Request) -> Vec<Decision> {
+        let service = request.service.clone();
+        let usable = self.servers.values().filter(|server| server.serves(&service) && server.usable(now)).count();
+        let queue = self.queues.entry(service.clone()).or_default();
+        let ticket = request.ticket;
+        let retry_after = queue.mean.clamp(RETRY_AFTER.0, RETRY_AFTER.1);
+        if usable == 0 && !self.servers.values().any(|server| server.serves(&service) && server.resting(now)) {
+            return vec![Decision::Reject { ticket, retry_after, reason: Reason::NoServer }];
+        }
+        if queue.waiting.len() >= QUEUE_LIMIT {
+            return vec![Decision::Reject { ticket, retry_after, reason: Reason::QueueFull }];
+        }
+        let rank = (request.priority, !request.begun, request.finish_by, ticket);
+        queue.waiting.insert(rank, request);
+        self.pass(now, &service, Some(ticket))
+    }
+
+    /// Drops a request whose caller is gone.
+    pub fn withdraw(&mut self, ticket: u64) {
+        for queue in self.queues.values_mut() {
+            queue.waiting.retain(|_, request| request.ticket != ticket);
+        }
+    }
+
+    /// Takes in what the head of an answer tells of a server's load.
+    pub fn observe(&mut self, now: Timestamp, key: ServerKey, load: Load) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.observe(now, load);
+        }
+    }
+
+    /// Takes in that a server said it leaves or is another one.
+    pub fn leaving(&mut self, key: ServerKey) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.instance.leaving = true;
+        }
+    }
+
+    /// Takes in that a request is no longer in service.
+    pub fn finish(&mut self, now: Timestamp, key: ServerKey, outcome: Outcome) -> Vec<Decision> {
+        let Some(server) = self.servers.get_mut(key) else {
+            return Vec::new();
+        };
+        let service = server.instance.service.clone();
+        server.finish(now, outcome);
+        if let Outcome::Whole(took) = outcome {
+            let queue = self.queues.entry(service.clone()).or_default();
+            queue.mean = (queue.mean * (MEAN_WEIGHT - 1) + took) / MEAN_WEIGHT;
+        }
+        self.pass(now, &service, None)
+    }
+
+    /// Lets time pass: rests end, and what can no longer be served is turned away.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<Decision> {
+        self.pass_all(now)
+    }
+
+    fn pass_all(&mut self, now: Timestamp) -> Vec<Decision> {
+        let services: Vec<Arc<str>> = self.queues.keys().cloned().collect();
+        services.iter().flat_map(|service| self.pass(now, service, None)).collect()
+    }
+
+    /// Sends what can be sent in the order of service, then turns away what would come too late.
+    fn pass(&mut self, now: Timestamp, service: &Arc<str>, newcomer: Option<u64>) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        let Some(mut queue) = self.queues.remove(service) else {
+            return decisions;
+        };
+        let mut left = BTreeMap::new();
+        while let Some((rank, request)) = queue.waiting.pop_first() {
+            if request.deadline <= now {
+                decisions.push(reject(&request, queue.mean, Reason::TooLate));
+                continue;
+            }
+            match self.choose(now, &request) {
+                Some(server) => {
+                    self.servers[server].running += 1;
+                    decisions.push(Decision::Send { ticket: request.ticket, server });
+                }
+                None if request.avoid.is_empty() => {
+                    left.insert(rank, request);
+                    left.append(&mut queue.waiting);
+                }
+                None => {
+                    left.insert(rank, request);
+                }
+            }
+        }
+        queue.waiting = left;
+        decisions.extend(self.turn_away(now, service, &mut queue, newcomer));
+        self.queues.insert(service.clone(), queue);
+        decisions
+    }
+
+    /// Turns away at once what would wait beyond its deadline at the present pace. What was let in before is kept
+    /// until the pace has fallen to half of what it was let in by, since answers that come in waves make the pace
+    /// look slower for a moment; but never beyond the time at which it could still be served.
+    fn turn_away(
+        &self,
+        now: Timestamp,
+        service: &Arc<str>,
+        queue: &mut Queue,
+        newcomer: Option<u64>,
+    ) -> Vec<Decision> {
+        if queue.waiting.is_empty() {
+            return Vec::new();
+        }
+        let in_service: u32 =
+            self.servers.values().filter(|server| server.serves(service)).map(|server| server.running).sum();
+        let places = in_service.max(1);
+        let mut decisions = Vec::new();
+        let mut ahead = 0_u32;
+        queue.waiting.retain(|_, request| {
+            let wait = queue.mean * (ahead + 1) / places;
+            let newcomer = Some(request.ticket) == newcomer;
+            let expected = if newcomer { wait } else { wait / 2 };
+            if now + expected + queue.mean <= request.deadline {
+                ahead += 1;
+                return true;
+            }
+            decisions.push(reject(request, wait, Reason::TooLate));
+            false
+        });
+        decisions
+    }
+
+    /// The server with the least load, unless the one that has the prompt is hardly worse. Among equals the
+    /// own failure domain goes first, since bytes between domains cost; the rest is drawn by lot, so that many
+    /// nodes don't all see the same free place.
+    fn choose(&mut self, now: Timestamp, request: &Request) -> Option<ServerKey> {
+        let draw = self.rng.below(u64::MAX);
+        let open = self.servers.iter().filter(|(key, server)| {
+            server.serves(&request.service) && server.open(now) && !request.avoid.contains(key)
+        });
+        let scored: Vec<(ServerKey, f64, u64)> = open
+            .map(|(key, server)| {
+                let far = if server.instance.zone == self.zone { 0.0 } else { 0.25 };
+                let lot = affinity(draw, &server.instance.id);
+                (key, server.load(now) + far, lot)
+            })
+            .collect();
+        let best = scored.iter().min_by(|a, b| a.1.total_cmp(&b.1).then(a.2.cmp(&b.2)))?;
+        let Some(session) = request.session else {
+            return Some(best.0);
+        };
+        let home = scored.iter().max_by_key(|(key, ..)| affinity(session, &self.servers[*key].instance.id))?;
+        Some(if home.1 <= best.1 + AFFINITY_SLACK { home.0 } else { best.0 })
+    }
+}
+
+fn reject(request: &Request, wait: Duration, reason: Reason) -> Decision {
+    let retry_after = wait.clamp(RETRY_AFTER.0, RETRY_AFTER.1);
+    Decision::Reject { ticket: request.ticket, retry_after, reason }
+}
--- /dev/null
+++ b/agatetrestle/src/dispatch/server.rs
@@ -0,0 +1,157 @@
+//! One backend server as a node sees it.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use slotmap::new_key_type;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::clock::Timestamp;
+
+/// Time in which what answers told of the load by others loses its weight: a request takes about this long.
+const LOAD_MEMORY: Duration = Duration::from_millis(300);
+/// How long a server rests after a failure that points at the server, doubled with each further one in a row.
+const REST: Duration = Duration::from_millis(250);
+/// Doublings of [`REST`]: 4 s at the most, since a replica that crashed stays listed for some seconds.
+const MOST_DOUBLINGS: u32 = 4;
+/// Failures in a row, other than of connecting, that are put down to chance: some replicas spoil 2 to 5 in a
+/// hundred answers, so three in a row are chance once in 8,000.
+const CHANCE_FAILURES: u32 = 2;
+
+new_key_type! {
+    /// Key of a backend server while it is known.
+    pub struct ServerKey;
+}
+
+/// One life of a backend server, as the platform lists it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Instance {
+    /// Identity of this life; another one after each restart.
+    pub id: Arc<str>,
+    /// The service that it serves.
+    pub service: Arc<str>,
+    /// Where it listens; used again by another instance once this one is gone.
+    pub address: SocketAddrV4,
+    /// Its failure domain.
+    pub zone: Arc<str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+}
+
+/// What an answer tells of a server's load, by all nodes together.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Load {
+    /// Requests in service.
+    pub running: u32,
+    /// Requests that wait inside the server.
+    pub waiting: u32,
+}
+
+/// How a request at a server ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// Whole, in this time.
+    Whole(Duration),
+    /// No connection could be made.
+    Unreachable,
+    /// The server said that it has no room.
+    Full,
+    /// It broke off or answered what is no answer.
+    Failed,
+    /// The caller went away, or the node gave up for a reason of its own.
+    Abandoned,
+}
+
+/// A server with all that this node knows of it.
+#[derive(Debug)]
+pub(super) struct Server {
+    pub(super) instance: Instance,
+    pub(super) listed: bool,
+    /// This node's requests in service.
+    pub(super) running: u32,
+    others: f64,
+    observed_at: Timestamp,
+    rests_until: Timestamp,
+    failures: u32,
+}
+
+impl Server {
+    pub(super) fn new(instance: &Instance) -> Self {
+        Self {
+            instance: instance.clone(),
+            listed: true,
+            running: 0,
+            others: 0.0,
+            observed_at: Timestamp(0),
+            rests_until: Timestamp(0),
+            failures: 0,
+        }
+    }
+
+    pub(super) fn update(&mut self, instance: &Instance) {
+        self.listed = true;
+        let leaving = self.instance.leaving || instance.leaving;
+        self.instance = Instance { leaving, ..instance.clone() };
+    }
+
+    pub(super) fn serves(&self, service: &Arc<str>) -> bool {
+        self.instance.service == *service
+    }
+
+    /// Whether it takes requests at all.
+    pub(super) fn usable(&self, now: Timestamp) -> bool {
+        self.listed && !self.instance.leaving && now >= self.rests_until
+    }
+
+    /// Whether it will take requests again after a rest.
+    pub(super) fn resting(&self, now: Timestamp) -> bool {
+        self.listed && !self.instance.leaving && now < self.rests_until
+    }
+
+    /// Whether it has a free place as far as is known.
+    pub(super) fn open(&self, now: Timestamp) -> bool {
+        self.usable(now) && self.load(now) < f64::from(self.instance.slots)
+    }
+
+    /// Requests there, those of others as far as answers told lately.
+    pub(super) fn load(&self, now: Timestamp) -> f64 {
+        let age = now.since(self.observed_at).as_secs_f64() / LOAD_MEMORY.as_secs_f64();
+        f64::from(self.running) + self.others * (1.0 - age).max(0.0)
+    }
+
+    pub(super) fn observe(&mut self, now: Timestamp, load: Load) {
+        let told = f64::from(load.running.saturating_add(load.waiting));
+        self.others = (told - f64::from(self.running)).max(0.0);
+        self.observed_at = now;
+    }
+
+    pub(super) fn finish(&mut self, now: Timestamp, outcome: Outcome) {
+        self.running = self.running.saturating_sub(1);
+        match outcome {
+            Outcome::Whole(_) => self.failures = 0,
+            Outcome::Abandoned => {}
+            Outcome::Full => self.rests_until = now + REST / 4,
+            Outcome::Unreachable => self.rest(now, 0),
+            Outcome::Failed => self.rest(now, CHANCE_FAILURES),
+        }
+    }
+
+    fn rest(&mut self, now: Timestamp, by_chance: u32) {
+        self.failures += 1;
+        if self.failures > by_chance {
+            let doublings = (self.failures - by_chance - 1).min(MOST_DOUBLINGS);
+            self.rests_until = now + REST * 2_u32.pow(doublings);
+        }
+    }
+}
+
+/// How much a server is preferred by what a seed stands for; the same on every node, so that requests that share a
+/// prompt meet at one server whichever node they come through (rendezvous hashing).
+pub(super) fn affinity(seed: u64, id: &str) -> u64 {
+    xxh3_64_with_seed(id.as_bytes(), seed)
+}
--- /dev/null
+++ b/agatetrestle/src/dispatch/tests.rs
@@ -0,0 +1,167 @@
+//! Tests of the decisions of a node, among them the loads that they answer.
+
+use super::*;
+
+const SERVICE: &str = "engines";
+
+fn instance(id: &str, slots: u32, zone: &str) -> Instance {
+    Instance {
+        id: id.into(),
+        service: SERVICE.into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: zone.into(),
+        slots,
+        leaving: false,
+    }
+}
+
+fn dispatch(instances: &[Instance]) -> Dispatch {
+    let mut dispatch = Dispatch::new("a".into(), 1);
+    dispatch.replace_instances(at(0), instances);
+    dispatch
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp(millis * 1_000)
+}
+
+fn request(ticket: u64, deadline: u64) -> Request {
+    Request {
+        ticket,
+        service: SERVICE.into(),
+        priority: 1,
+        begun: false,
+        deadline: at(deadline),
+        finish_by: at(deadline),
+        session: None,
+        avoid: Vec::new(),
+    }
+}
+
+fn sent(decisions: &[Decision]) -> Vec<u64> {
+    let sent = |decision: &Decision| match decision {
+        Decision::Send { ticket, .. } => Some(*ticket),
+        Decision::Reject { .. } => None,
+    };
+    decisions.iter().filter_map(sent).collect()
+}
+
+fn server_of(decisions: &[Decision]) -> ServerKey {
+    match decisions {
+        [Decision::Send { server, .. }] => *server,
+        other => panic!("not sent alone: {other:?}"),
+    }
+}
+
+const WHOLE: Outcome = Outcome::Whole(Duration::from_millis(100));
+
+#[test]
+fn requests_spread_over_the_servers_and_then_wait() {
+    let mut dispatch = dispatch(&[instance("x", 2, "a"), instance("y", 2, "a")]);
+    for ticket in 0..4 {
+        assert_eq!(sent(&dispatch.submit(at(1), request(ticket, 4_000))), [ticket]);
+    }
+    assert!(dispatch.instances().all(|(_, running)| running == 2));
+    assert_eq!(dispatch.submit(at(1), request(4, 4_000)), []);
+    assert_eq!(dispatch.waiting(), 1);
+}
+
+#[test]
+fn a_free_place_goes_to_the_urgent_then_to_begun_programs_then_to_the_least_time_left() {
+    let mut dispatch = dispatch(&[instance("x", 1, "a")]);
+    let server = server_of(&dispatch.submit(at(0), request(0, 9_000)));
+    dispatch.submit(at(0), request(1, 9_000));
+    dispatch.submit(at(0), request(2, 8_000));
+    dispatch.submit(at(0), Request { begun: true, ..request(3, 9_500) });
+    dispatch.submit(at(0), Request { priority: 0, ..request(4, 9_900) });
+    let mut order = Vec::new();
+    for step in 1..=4 {
+        order.extend(sent(&dispatch.finish(at(step), server, WHOLE)));
+    }
+    assert_eq!(order, [4, 3, 2, 1]);
+}
+
+#[test]
+fn what_can_not_be_served_in_time_is_turned_away_at_once() {
+    let mut dispatch = dispatch(&[instance("x", 1, "a")]);
+    dispatch.submit(at(0), request(0, 4_000));
+    let decisions = dispatch.submit(at(0), request(1, 150));
+    assert!(matches!(decisions[..], [Decision::Reject { ticket: 1, reason: Reason::TooLate, .. }]), "{decisions:?}");
+}
+
+#[test]
+fn a_burst_beyond_the_places_turns_away_the_rest_at_once_and_serves_what_it_took() {
+    // 8 places of 100 ms serve 80 requests a second; 400 come at once, each with a second left.
+    let mut dispatch = dispatch(&[instance("x", 4, "a"), instance("y", 4, "a")]);
+    let mut in_service = Vec::new();
+    let mut rejected = 0;
+    let mut take = |decisions: Vec<Decision>, now: u64, in_service: &mut Vec<(u64, ServerKey)>| {
+        for decision in decisions {
+            match decision {
+                Decision::Send { server, .. } => in_service.push((now + 100, server)),
+                Decision::Reject { retry_after, .. } => {
+                    assert!(retry_after >= RETRY_AFTER.0 && retry_after <= RETRY_AFTER.1);
+                    assert_eq!(now, 0, "a request is turned away when it comes, not while it waits");
+                    rejected += 1;
+                }
+            }
+        }
+    };
+    for ticket in 0..400 {
+        take(dispatch.submit(at(0), request(ticket, 1_000)), 0, &mut in_service);
+    }
+    let mut served = 0;
+    for now in 1..1_000 {
+        while let Some(place) = in_service.iter().position(|(end, _)| *end <= now) {
+            let (_, server) = in_service.swap_remove(place);
+            served += 1;
+            take(dispatch.finish(at(now), server, WHOLE), now, &mut in_service);
+        }
+    }
+    assert_eq!(served + rejected, 400);
+    assert!(served >= 30, "{served} were served");
+    assert_eq!(dispatch.waiting(), 0);
+}
+
+#[test]
+fn a_leaving_server_gets_nothing_even_if_a_lagging_list_calls_it_ready() {
+    let mut dispatch = dispatch(&[instance("x", 4, "a")]);
+    let server = server_of(&dispatch.submit(at(0), request(0, 4_000)));
+    dispatch.leaving(server);
+    dispatch.replace_instances(at(1), &[instance("x", 4, "a")]);
+    let decisions = dispatch.submit(at(1), request(1, 4_000));
+    assert!(matches!(decisions[..], [Decision::Reject { reason: Reason::NoServer, .. }]));
+}
+
+#[test]
+fn an_unreachable_server_rests_and_its_requests_wait_for_it_if_it_is_the_only_one() {
+    let mut dispatch = dispatch(&[instance("x", 4, "a")]);
+    let server = server_of(&dispatch.submit(at(0), request(0, 4_000)));
+    dispatch.finish(at(1), server, Outcome::Unreachable);
+    assert_eq!(dispatch.submit(at(2), request(1, 4_000)), []);
+    assert_eq!(sent(&dispatch.tick(at(300))), [1]);
+}
+
+#[test]
+fn a_server_that_is_busy_with_the_requests_of_other_nodes_is_left_alone() {
+    let mut dispatch = dispatch(&[instance("x", 4, "a"), instance("y", 4, "a")]);
+    let first = server_of(&dispatch.submit(at(0), request(0, 4_000)));
+    dispatch.observe(at(0), first, Load { running: 4, waiting: 1 });
+    for ticket in 1..4 {
+        assert_ne!(server_of(&dispatch.submit(at(1), request(ticket, 4_000))), first);
+    }
+}
+
+#[test]
+fn requests_that_share_a_prompt_meet_at_one_server_whichever_node_they_come_through() {
+    let instances: Vec<Instance> = (0..9).map(|n| instance(&format!("i-{n}"), 16, "a")).collect();
+    let place = |seed: u64, session: u64| {
+        let mut dispatch = Dispatch::new("a".into(), seed);
+        dispatch.replace_instances(at(0), &instances);
+        let decisions = dispatch.submit(at(0), Request { session: Some(session), ..request(0, 4_000) });
+        dispatch.instance(server_of(&decisions)).unwrap().id.clone()
+    };
+    for session in 0..20 {
+        assert_eq!(place(1, session), place(2, session));
+    }
+}
--- /dev/null
+++ b/agatetrestle/src/routing/mod.rs
@@ -0,0 +1,172 @@
+//! Which backend servers a caller's request may go to: the table of routes that operators declare.
+//!
+//! A table is checked as a whole before the control group accepts it, so that a node never has to judge one;
+//! see docs/design/012-a-deployment-of-three-roles.md.
+
+mod check;
+#[cfg(test)]
+mod tests;
+
+pub use self::check::InvalidTable;
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What may be repeated on a route.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RouteKind {
+    /// A request may run more than once.
+    Idempotent,
+    /// A request runs at most once.
+    NonIdempotent,
+    /// The answer is a stream of events.
+    Streaming {
+        /// Whether another run may go on after the last event that the caller has; if not, a request runs at
+        /// most once.
+        resumable: bool,
+    },
+}
+
+/// A share of a route's requests.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Target {
+    /// The service that gets them.
+    pub service: Arc<str>,
+    /// Its share in relation to the other targets.
+    pub weight: u64,
+}
+
+/// One route.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Route {
+    /// Declared name, for logs.
+    pub name: Arc<str>,
+    /// Host that callers name, in lower case.
+    pub host: Arc<str>,
+    /// Start of the path, with a slash at both ends.
+    pub prefix: Arc<str>,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Longest time that a caller is kept waiting for the whole answer.
+    pub timeout: Duration,
+    /// Time within which an answer has its full worth; for a stream, its first event.
+    pub objective: Duration,
+    /// Rank, 0 for the most urgent.
+    pub priority: u8,
+    /// Where requests go.
+    pub targets: Vec<Target>,
+    /// Most backend servers that one request may run on.
+    pub max_attempts: u32,
+    /// How long a turn that ended can be gone on from; none where the route keeps no turns.
+    pub retention: Option<Duration>,
+    /// Whether requests share prompts, so that it matters which replica gets which.
+    pub sticky: bool,
+}
+
+/// What is declared of a service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Service {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Connections that one of its backend servers takes from all nodes together.
+    pub max_connections: u32,
+    /// Tokens in each event, for a service of model engines.
+    pub tokens_per_event: Option<u64>,
+}
+
+/// Bounds on what callers may send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallerLimits {
+    /// Largest request head in bytes.
+    pub head: usize,
+    /// Largest request body in bytes.
+    pub body: usize,
+    /// Time for the head to arrive.
+    pub head_time: Duration,
+    /// Time for which a connection may stay idle.
+    pub idle: Duration,
+}
+
+/// Everything that operators declare of routes, at one version.
+#[derive(Clone, Debug)]
+pub struct RouteTable {
+    /// The operators' number of the table; a higher one replaces a lower one.
+    pub version: u64,
+    /// Bounds on callers.
+    pub limits: CallerLimits,
+    routes: Vec<Arc<Route>>,
+    services: BTreeMap<Arc<str>, Service>,
+    by_host: HashMap<Arc<str>, HashMap<Arc<str>, usize>>,
+}
+
+impl RouteTable {
+    /// Checks the parts of a table and puts them together.
+    ///
+    /// # Errors
+    ///
+    /// Says what makes the table unusable, with the route that it is about.
+    pub fn new(
+        version: u64,
+        routes: Vec<Route>,
+        services: Vec<Service>,
+        limits: CallerLimits,
+    ) -> Result<Self, InvalidTable> {
+        let services = services.into_iter().map(|service| (service.name.clone(), service)).collect();
+        let by_host = check::index(&routes, &services)?;
+        let routes = routes.into_iter().map(Arc::new).collect();
+        Ok(Self { version, limits, routes, services, by_host })
+    }
+
+    /// The route of a request: among those of its host the one with the longest prefix of its path.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let prefixes = self.by_host.get(name.to_ascii_lowercase().as_str())?;
+        // Every prefix ends with a slash, so only those ends are worth a look.
+        let ends = path.rmatch_indices('/').map(|(at, _)| &path[..=at]);
+        let index = ends.filter_map(|prefix| prefixes.get(prefix)).next()?;
+        Some(&self.routes[*index])
+    }
+
+    /// What is declared of a service.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(name)
+    }
+
+    /// All routes in declared order.
+    #[must_use]
+    pub fn routes(&self) -> &[Arc<Route>] {
+        &self.routes
+    }
+}
+
+impl Route {
+    /// The service that a request goes to, by a number drawn evenly from all `u64`.
+    #[must_use]
+    pub fn pick(&self, draw: u64) -> &Arc<str> {
+        let total: u64 = self.targets.iter().map(|target| target.weight).sum();
+        let mut place = draw % total.max(1);
+        for target in &self.targets {
+            if place < target.weight {
+                return &target.service;
+            }
+            place -= target.weight;
+        }
+        &self.targets[0].service
+    }
+
+    /// Whether a request that may have run must not be sent again.
+    #[must_use]
+    pub fn runs_once(&self) -> bool {
+        !matches!(self.kind, RouteKind::Idempotent | RouteKind::Streaming { resumable: true })
+    }
+
+    /// Whether answers are streams of events.
+    #[must_use]
+    pub fn is_streaming(&self) -> bool {
+        matches!(self.kind, RouteKind::Streaming { .. })
+    }
+}
--- /dev/null
+++ b/agatetrestle/src/turns/state.rs
@@ -0,0 +1,207 @@
+//! The state that every replica of a state group computes from the same commands.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+use snafu::ResultExt;
+
+use crate::agreement::CodedSnafu;
+use crate::agreement::RestoreError;
+use crate::agreement::StateMachine;
+use crate::agreement::message::Position;
+use crate::codec::Blob;
+use crate::codec::decode;
+use crate::codec::encode;
+use crate::turns::command::Begin;
+use crate::turns::command::Finish;
+use crate::turns::command::Kept;
+use crate::turns::command::TurnCommand;
+use crate::turns::command::TurnName;
+use crate::turns::command::TurnReply;
+
+/// Milliseconds beyond its retention for which a turn stays: wall clocks of nodes differ by seconds, and the
+/// caller counts from when the end of the answer reached it.
+const MARGIN: u64 = 30_000;
+/// Milliseconds without a turn after which a program's budget is forgotten. A program may come back within a
+/// retention, which operators set to about a minute.
+const ACCOUNT_LIFE: u64 = 300_000;
+/// What a kept turn costs beside its text, in bytes: names, maps and allocations.
+const TURN_OVERHEAD: usize = 400;
+
+/// What one program may still spend.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+struct Account {
+    spent: u64,
+    /// Turns that have not ended, with their most tokens.
+    open: BTreeMap<TurnName, u64>,
+    last_used: u64,
+}
+
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct Turn {
+    previous: Option<TurnName>,
+    text: Blob,
+    until: u64,
+}
+
+/// Turns and budgets of all programs.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TurnState {
+    /// Highest wall-clock time that a command carried; it never falls, so that all replicas forget alike.
+    now: u64,
+    accounts: HashMap<Arc<str>, Account>,
+    turns: HashMap<TurnName, Turn>,
+    turns_by_end: BTreeSet<(u64, TurnName)>,
+    accounts_by_use: BTreeSet<(u64, Arc<str>)>,
+    kept_bytes: usize,
+    /// Bytes of turns beyond which no turn begins that would have to be kept; 0 for no bound.
+    room: usize,
+}
+
+impl TurnState {
+    /// A state that holds at most this many bytes of turns. Every replica must be given the same bound, which is
+    /// why it is coded with the state.
+    #[must_use]
+    pub fn with_room(room: usize) -> Self {
+        Self { room, ..Self::default() }
+    }
+
+    /// Applies a command; the reply is the same on every replica.
+    pub fn execute(&mut self, command: TurnCommand) -> TurnReply {
+        match command {
+            TurnCommand::Begin(begin) => {
+                self.forget(begin.at);
+                self.begin(begin)
+            }
+            TurnCommand::Finish(finish) => {
+                self.forget(finish.at);
+                self.finish(finish)
+            }
+        }
+    }
+
+    /// Turns that are kept, and the bytes they take.
+    #[must_use]
+    pub fn kept(&self) -> (usize, usize) {
+        (self.turns.len(), self.kept_bytes)
+    }
+
+    fn begin(&mut self, begin: Begin) -> TurnReply {
+        let Some(chain) = self.chain(begin.previous.as_ref()) else {
+            return TurnReply::NoSuchTurn;
+        };
+        if self.room > 0 && self.kept_bytes > self.room {
+            return TurnReply::Full;
+        }
+        let account = self.accounts.entry(begin.program.clone()).or_default();
+        let reserved: u64 = account.open.values().sum();
+        let known = account.open.contains_key(&begin.turn);
+        let wanted = account.spent.saturating_add(reserved).saturating_add(begin.most);
+        let reply = if !known && begin.budget.is_some_and(|budget| wanted > budget) {
+            TurnReply::Spent
+        } else {
+            account.open.entry(begin.turn).or_insert(begin.most);
+            TurnReply::Begun { chain }
+        };
+        self.touch(&begin.program);
+        reply
+    }
+
+    fn finish(&mut self, finish: Finish) -> TurnReply {
+        if let Some(account) = self.accounts.get_mut(&finish.program)
+            && account.open.remove(&finish.turn).is_some()
+        {
+            account.spent = account.spent.saturating_add(finish.spent);
+        }
+        self.touch(&finish.program);
+        if let Some(kept) = finish.kept {
+            self.keep(finish.turn, kept);
+        }
+        TurnReply::Settled
+    }
+
+    /// Keeps a turn, and everything that it goes on from for as long.
+    fn keep(&mut self, name: TurnName, kept: Kept) {
+        let until = self.now.saturating_add(kept.retention).saturating_add(MARGIN);
+        if let std::collections::hash_map::Entry::Vacant(vacant) = self.turns.entry(name.clone()) {
+            self.kept_bytes += kept.text.0.len() + TURN_OVERHEAD;
+            vacant.insert(Turn { previous: kept.previous, text: kept.text, until: 0 });
+        }
+        let mut next = Some(name);
+        while let Some(name) = next.take() {
+            let Some(turn) = self.turns.get_mut(&name) else {
+                return;
+            };
+            if turn.until >= until {
+                return;
+            }
+            self.turns_by_end.remove(&(turn.until, name.clone()));
+            turn.until = until;
+            next.clone_from(&turn.previous);
+            self.turns_by_end.insert((until, name));
+        }
+    }
+
+    /// The texts of a turn and of all before it, oldest first; none if there is no such turn.
+    fn chain(&self, last: Option<&TurnName>) -> Option<Vec<Blob>> {
+        let mut texts = Vec::new();
+        let mut next = last;
+        while let Some(name) = next {
+            let turn = self.turns.get(name)?;
+            texts.push(turn.text.clone());
+            next = turn.previous.as_ref();
+        }
+        texts.reverse();
+        Some(texts)
+    }
+
+    fn touch(&mut self, program: &Arc<str>) {
+        let now = self.now;
+        if let Some(account) = self.accounts.get_mut(program) {
+            self.accounts_by_use.remove(&(account.last_used, program.clone()));
+            account.last_used = now;
+            self.accounts_by_use.insert((now, program.clone()));
+        }
+    }
+
+    fn forget(&mut self, at: u64) {
+        self.now = self.now.max(at);
+        while let Some((until, _)) = self.turns_by_end.first()
+            && *until < self.now
+            && let Some((_, name)) = self.turns_by_end.pop_first()
+        {
+            if let Some(turn) = self.turns.remove(&name) {
+                self.kept_bytes -= turn.text.0.len() + TURN_OVERHEAD;
+            }
+        }
+        while let Some((used, _)) = self.accounts_by_use.first()
+            && used.saturating_add(ACCOUNT_LIFE) < self.now
+            && let Some((_, program)) = self.accounts_by_use.pop_first()
+        {
+            self.accounts.remove(&program);
+        }
+    }
+}
+
+impl StateMachine for TurnState {
+    fn apply(&mut self, _position: Position, payload: &[u8]) -> Vec<u8> {
+        let reply = match decode::<TurnCommand>(payload) {
+            Ok(command) => self.execute(command),
+            Err(_) => TurnReply::Refused,
+        };
+        encode(&reply)
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        encode(self)
+    }
+
+    fn restore(&mut self, data: &[u8]) -> Result<(), RestoreError> {
+        *self = decode(data).context(CodedSnafu)?;
+        Ok(())
+    }
+}
--- a/agatetrestle_config/src/lib.rs
+++ b/agatetrestle_config/src/lib.rs
@@ -5,10 +5,12 @@
 
 mod check;
 pub mod declarations;
+pub mod deployment;
 pub mod error;
 pub mod settings;
 pub mod units;
 
 pub use declarations::Declarations;
+pub use deployment::Deployment;
 pub use error::ConfigError;
 pub use settings::Settings;
--- a/agatetrestle_config/src/units.rs
+++ b/agatetrestle_config/src/units.rs
@@ -24,11 +24,22 @@
 pub struct SizeText;
 
 fn parse_with_unit(text: &str, units: &[(&str, u64)]) -> Option<u64> {
-    let digits = text.find(|c: char| !c.is_ascii_digit())?;
-    let number: u64 = text[..digits].parse().ok()?;
+    let digits = text.find(|c: char| !c.is_ascii_digit() && c != '.')?;
+    let (whole, fraction) = text[..digits].split_once('.').unwrap_or((&text[..digits], ""));
+    let number: u64 = whole.parse().ok()?;
     let unit = text[digits..].trim_start();
     let (_, factor) = units.iter().find(|(name, _)| *name == unit)?;
-    number.checked_mul(*factor)
+    number.checked_mul(*factor)?.checked_add(parse_fraction(fraction, *factor)?)
+}
+
+/// Reads the digits after a decimal point as a part of the unit; none where the part is not whole.
+fn parse_fraction(digits: &str, factor: u64) -> Option<u64> {
+    if digits.is_empty() {
+        return Some(0);
+    }
+    let scale = 10_u64.checked_pow(u32::try_from(digits.len()).ok()?)?;
+    let part = digits.parse::<u64>().ok()?.checked_mul(factor)?;
+    part.is_multiple_of(scale).then_some(part / scale)
 }
 
 fn format_with_unit(value: u64, units: &[(&str, u64)]) -> String {
--- a/agatetrestle_config/src/units/tests.rs
+++ b/agatetrestle_config/src/units/tests.rs
@@ -20,3 +20,12 @@
         assert_eq!(parse_with_unit(text, &DURATION_UNITS), None, "{text}");
     }
 }
+
+#[test]
+fn a_fraction_is_read_where_it_is_a_whole_part_of_the_unit() {
+    assert_eq!(parse_with_unit("4.5s", &DURATION_UNITS), Some(4_500_000));
+    assert_eq!(parse_with_unit("0.25ms", &DURATION_UNITS), Some(250));
+    for text in ["1.5us", "1.2.3s", ".5s", "1.s2"] {
+        assert_eq!(parse_with_unit(text, &DURATION_UNITS), None, "{text}");
+    }
+}
--- a/agatetrestle_schema/schema/peer.capnp
+++ b/agatetrestle_schema/schema/peer.capnp
@@ -140,6 +140,9 @@
   heartbeat @2 (beat :Heartbeat) -> (digest :Digest);
   configuration @3 (known :UInt64) -> (revision :UInt64, documents :List(Document));
   history @4 (group :UInt32, offset :UInt64) -> (bytes :Data);
+  report @5 (report :Data) -> (bulletin :Data);
+  # Where members find each other by seeds: what a process tells of itself, and what it lacks, in CBOR. The call is
+  # held until there is something new or the time that the report allows has passed.
 
   struct Document {
     scope @0 :Text;
