--- a/agatetrestle/src/cluster/board.rs
+++ b/agatetrestle/src/cluster/board.rs
@@ -128,12 +128,11 @@
             return;
         }
         let until = self.clock.now() + INHERITED;
-        let mut seen = self.seen.borrow_mut();
-        for member in members {
-            let entry = Seen { member: member.clone(), until, voters: None };
-            seen.entry(member.node).or_insert(entry).until = until;
-        }
-        drop(seen);
+        let inherited = members.iter().map(|member| {
+            let seen = Seen { member: member.clone(), until, voters: None };
+            (member.node, seen)
+        });
+        self.seen.replace(inherited.collect());
         self.relist();
     }
 
--- a/agatetrestle/src/deployment/control.rs
+++ b/agatetrestle/src/deployment/control.rs
@@ -16,7 +16,6 @@
 use crate::cluster::message::Member;
 use crate::cluster::service::ControlDesk;
 use crate::cluster::subscriber::Subscriber;
-use crate::cluster::view::Watcher;
 use crate::cluster::voters::Wanted;
 use crate::codec::encode;
 use crate::control::command::ControlCommand;
@@ -56,15 +55,6 @@
     subscriber: Rc<Subscriber>,
 }
 
-/// A follower hands what it is told to its board, which goes on from there if it comes to lead.
-struct ControlWatcher(Rc<Board>);
-
-impl Watcher for ControlWatcher {
-    fn members(&self, members: &[Member]) {
-        self.0.inherit(members);
-    }
-}
-
 pub(super) async fn start(frame: &Frame) -> Result<Control, NodeError> {
     let group = open(frame).await?;
     let member = Member { ready: true, ..frame.member() };
@@ -76,7 +66,6 @@
     server.receivers.insert(CONTROL_GROUP, Rc::new(move |message| receiving.receive(message)));
     server.services.insert(CONTROL_GROUP, desk.clone());
     frame.serve_peers(server);
-    frame.view.watch(Rc::new(ControlWatcher(board.clone())));
     let subscriber = frame.subscriber(Rc::new(move || (member.clone(), None)), Some(board.clone()));
     let links = frame.links.clone();
     let router = Router::new(CONTROL_GROUP, frame.node, Some(desk), links, &[], frame.clock, PATIENCE);
@@ -111,6 +100,8 @@
     let (links, view) = (frame.links.clone(), frame.view.clone());
     let refreshing = async move {
         loop {
+            // A follower that can't reach the leader goes on with the last list: some address is better than none.
+            board.inherit(&view.members());
             board.refresh();
             let voters: Vec<NodeId> = group.replicas().voters.into_iter().collect();
             router.set_holders(&voters);
