--- a/agatetrestle/src/cluster/board.rs
+++ b/agatetrestle/src/cluster/board.rs
@@ -232,12 +232,7 @@
         let listed = self.instances_count.get() > 0;
         now.revision > report.known.revision
             || (listed && now.backends != report.known.backends)
-            || (now.members != report.known.members && self.concerns(report))
-    }
-
-    /// Whether the process has to know of other members at once: entries look for stores, control for everyone.
-    fn concerns(&self, report: &Report) -> bool {
-        report.member.role != Role::Entry || report.known.members == Edition::default()
+            || (now.members != report.known.members && concerns(report))
     }
 
     fn tell(&self, report: &Report, mut bulletin: Bulletin) -> Bulletin {
@@ -280,3 +275,8 @@
         voters.into_iter().filter_map(|node| Some((node, self.address(node)?))).collect()
     }
 }
+
+/// Whether the process has to know of other members at once: entries look for stores, control for everyone.
+fn concerns(report: &Report) -> bool {
+    report.member.role != Role::Entry || report.known.members == Edition::default()
+}
--- a/agatetrestle/src/cluster/subscriber.rs
+++ b/agatetrestle/src/cluster/subscriber.rs
@@ -99,7 +99,8 @@
 
     /// The last leader, then the known control replicas, then the seeds.
     fn contacts(&self) -> Vec<SocketAddrV4> {
-        let mut contacts: Vec<SocketAddrV4> = self.view.leader().map(|(_, address)| address).into_iter().collect();
+        let mut contacts: Vec<SocketAddrV4> =
+            self.view.leader().map(|(_, address)| address).into_iter().collect();
         contacts.extend(self.view.control().values());
         contacts.extend(&*self.seeds.borrow());
         contacts
--- a/agatetrestle/src/cluster/tests.rs
+++ b/agatetrestle/src/cluster/tests.rs
@@ -20,7 +20,8 @@
 }
 
 fn candidates(nodes: &[(u64, &str)]) -> Vec<Candidate> {
-    let candidate = |(node, zone): &(u64, &str)| Candidate { node: NodeId(*node), zone: (*zone).into(), leaving: false };
+    let candidate =
+        |(node, zone): &(u64, &str)| Candidate { node: NodeId(*node), zone: (*zone).into(), leaving: false };
     nodes.iter().map(candidate).collect()
 }
 
--- a/agatetrestle/src/cluster/voters.rs
+++ b/agatetrestle/src/cluster/voters.rs
@@ -69,7 +69,8 @@
     fit: &BTreeMap<NodeId, &Candidate>,
     sound: &[NodeId],
 ) -> Option<NodeId> {
-    let in_zone = |zone: &str| sound.iter().filter(|voter| fit.get(voter).is_some_and(|c| &*c.zone == zone)).count();
+    let in_zone =
+        |zone: &str| sound.iter().filter(|voter| fit.get(voter).is_some_and(|c| &*c.zone == zone)).count();
     let outside = fit.values().filter(|candidate| !replicas.voters.contains(&candidate.node));
     outside.min_by_key(|candidate| (in_zone(&candidate.zone), candidate.node)).map(|candidate| candidate.node)
 }
--- a/agatetrestle/src/deployment/control.rs
+++ b/agatetrestle/src/deployment/control.rs
@@ -1,5 +1,6 @@
 //! A control replica: what is in force, who is there, and which backend servers the platform lists.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use crate::cluster::message::Member;
 use crate::cluster::service::ControlDesk;
 use crate::cluster::subscriber::Subscriber;
+use crate::cluster::voters::Candidate;
 use crate::cluster::voters::Wanted;
 use crate::codec::encode;
 use crate::control::command::ControlCommand;
@@ -59,8 +61,11 @@
     let group = open(frame).await?;
     let member = Member { ready: true, ..frame.member() };
     let board = Board::new(&member, group.clone(), frame.links.clone(), frame.clock);
-    let desk: Rc<dyn GroupService> =
-        Rc::new(ControlDesk { group: group.clone(), board: board.clone(), least_stores: frame.quorum_base() });
+    let desk: Rc<dyn GroupService> = Rc::new(ControlDesk {
+        group: group.clone(),
+        board: board.clone(),
+        least_stores: frame.quorum_base(),
+    });
     let mut server = PeerServer { board: Some(board.clone()), ..PeerServer::default() };
     let receiving = group.clone();
     server.receivers.insert(CONTROL_GROUP, Rc::new(move |message| receiving.receive(message)));
@@ -139,8 +144,8 @@
 }
 
 /// As many stores as are wanted, from as many failure domains as possible.
-fn spread(stores: Vec<crate::cluster::voters::Candidate>, wanted: usize) -> Vec<NodeId> {
-    let mut chosen: Vec<crate::cluster::voters::Candidate> = Vec::new();
+fn spread(stores: Vec<Candidate>, wanted: usize) -> Vec<NodeId> {
+    let mut chosen: Vec<Candidate> = Vec::new();
     let mut left = stores;
     while chosen.len() < wanted && !left.is_empty() {
         let used = |zone: &str| chosen.iter().filter(|store| &*store.zone == zone).count();
@@ -164,14 +169,14 @@
     let founders: Vec<NodeId> =
         frame.settings.seeds.iter().map(|seed| identity::founding_number(*seed.ip())).collect();
     for seed in &frame.settings.seeds {
-        let address = std::net::SocketAddr::from((*seed.ip(), port));
+        let address = SocketAddr::from((*seed.ip(), port));
         frame.links.learn(identity::founding_number(*seed.ip()), address);
     }
     let founds = frame.settings.founding && founders.contains(&frame.node);
     let missing = if founds { Missing::Bootstrap } else { Missing::Join };
-    let opened = opener.open(CONTROL_GROUP, ControlState::default(), &founders, missing).await?;
-    opened.driver.detach();
-    Ok(opened.group)
+    let replica = opener.open(CONTROL_GROUP, ControlState::default(), &founders, missing).await?;
+    replica.driver.detach();
+    Ok(replica.group)
 }
 
 impl RunningRole for Control {
--- a/agatetrestle/src/deployment/directory.rs
+++ b/agatetrestle/src/deployment/directory.rs
@@ -52,7 +52,8 @@
 
 /// The entries that take requests: those of the caller's failure domain if they are enough, else all.
 pub(super) fn addresses(members: &[Member], zone: &str) -> Vec<SocketAddrV4> {
-    let entries: Vec<&Member> = members.iter().filter(|member| member.role == Role::Entry && member.ready).collect();
+    let entries: Vec<&Member> =
+        members.iter().filter(|member| member.role == Role::Entry && member.ready).collect();
     let near: Vec<&Member> = entries.iter().copied().filter(|entry| &*entry.zone == zone).collect();
     let chosen = if near.len() >= ENOUGH { near } else { entries };
     chosen.into_iter().filter_map(|entry| entry.callers).take(MOST).collect()
--- a/agatetrestle/src/deployment/entry.rs
+++ b/agatetrestle/src/deployment/entry.rs
@@ -67,7 +67,8 @@
     }
 
     fn members(&self, members: &[Member]) {
-        let stores = members.iter().filter(|member| member.role == agatetrestle_config::deployment::Role::Store);
+        let stores =
+            members.iter().filter(|member| member.role == agatetrestle_config::deployment::Role::Store);
         let stores: Vec<NodeId> = stores.map(|member| member.node).collect();
         info!("{} stores are there: {stores:?}.", stores.len());
         // A list without stores is of a control leader that has not heard from them yet.
--- a/agatetrestle/src/deployment/mod.rs
+++ b/agatetrestle/src/deployment/mod.rs
@@ -55,8 +55,7 @@
 const PEER_CALL: Duration = Duration::from_millis(600);
 /// How long one try at a group's leader lasts, and all tries together. A new leader is there about a second after
 /// one was lost.
-const PATIENCE: Patience =
-    Patience { each: Duration::from_millis(400), whole: Duration::from_millis(1_800) };
+const PATIENCE: Patience = Patience { each: Duration::from_millis(400), whole: Duration::from_millis(1_800) };
 /// Size of a log segment; a snapshot frees whole ones.
 const SEGMENT: u64 = 4 << 20;
 /// Time without a confirmed bulletin after which the settings are read again, since the seeds may have changed.
--- a/agatetrestle/src/deployment/store.rs
+++ b/agatetrestle/src/deployment/store.rs
@@ -59,8 +59,11 @@
     let view = frame.view.clone();
     let candidates = Rc::new(move || {
         let stores = view.stores().into_iter().filter(|store| store.ready);
-        let candidate =
-            |store: Member| Candidate { node: store.node, leaving: view.is_leaving(&store.vm), zone: store.zone };
+        let candidate = |store: Member| Candidate {
+            node: store.node,
+            leaving: view.is_leaving(&store.vm),
+            zone: store.zone,
+        };
         stores.map(candidate).collect()
     });
     let wanted = Wanted { most: frame.quorum_base(), least: frame.quorum_base() };
@@ -95,9 +98,9 @@
         }
         info!("The state group is opened by {missing:?}; its founders are {founders:?}.");
     }
-    let opened = opener.open(FIRST_STATE_GROUP, TurnState::with_room(room), &founders, missing).await?;
-    opened.driver.detach();
-    Ok(opened.group)
+    let replica = opener.open(FIRST_STATE_GROUP, TurnState::with_room(room), &founders, missing).await?;
+    replica.driver.detach();
+    Ok(replica.group)
 }
 
 impl RunningRole for Store {
--- a/agatetrestle/src/dispatch/mod.rs
+++ b/agatetrestle/src/dispatch/mod.rs
@@ -54,7 +54,7 @@
     /// When its program should be finished; the least time left goes first.
     pub finish_by: Timestamp,
     /// What requests have in common that share a prompt; none where that does not matter.
-    pub session: Option<u64>,
+    pub affinity: Option<u64>,
     /// Servers that must not get it, since they had it before.
     pub avoid: Vec<ServerKey>,
 }
@@ -136,12 +136,11 @@
             server.listed = false;
         }
         for instance in instances {
-            match self.by_id.get(&instance.id) {
-                Some(key) => self.servers[*key].update(instance),
-                None => {
-                    let key = self.servers.insert(Server::new(instance));
-                    self.by_id.insert(instance.id.clone(), key);
-                }
+            if let Some(key) = self.by_id.get(&instance.id) {
+                self.servers[*key].update(instance);
+            } else {
+                let key = self.servers.insert(Server::new(instance));
+                self.by_id.insert(instance.id.clone(), key);
             }
         }
         let by_id = &mut self.by_id;
@@ -175,11 +174,13 @@
     /// Takes in a request: it is sent, turned away at once, or waits for a later decision.
     pub fn submit(&mut self, now: Timestamp, request: Request) -> Vec<Decision> {
         let service = request.service.clone();
-        let usable = self.servers.values().filter(|server| server.serves(&service) && server.usable(now)).count();
+        let usable =
+            self.servers.values().filter(|server| server.serves(&service) && server.usable(now)).count();
         let queue = self.queues.entry(service.clone()).or_default();
         let ticket = request.ticket;
         let retry_after = queue.mean.clamp(RETRY_AFTER.0, RETRY_AFTER.1);
-        if usable == 0 && !self.servers.values().any(|server| server.serves(&service) && server.resting(now)) {
+        if usable == 0 && !self.servers.values().any(|server| server.serves(&service) && server.resting(now))
+        {
             return vec![Decision::Reject { ticket, retry_after, reason: Reason::NoServer }];
         }
         if queue.waiting.len() >= QUEUE_LIMIT {
@@ -315,10 +316,10 @@
             })
             .collect();
         let best = scored.iter().min_by(|a, b| a.1.total_cmp(&b.1).then(a.2.cmp(&b.2)))?;
-        let Some(session) = request.session else {
+        let Some(shared) = request.affinity else {
             return Some(best.0);
         };
-        let home = scored.iter().max_by_key(|(key, ..)| affinity(session, &self.servers[*key].instance.id))?;
+        let home = scored.iter().max_by_key(|(key, ..)| affinity(shared, &self.servers[*key].instance.id))?;
         Some(if home.1 <= best.1 + AFFINITY_SLACK { home.0 } else { best.0 })
     }
 }
--- a/agatetrestle/src/gateway/attempt.rs
+++ b/agatetrestle/src/gateway/attempt.rs
@@ -28,7 +28,7 @@
     pub(super) place: Place,
     pub(super) lease: Lease,
     pub(super) response: Response<Incoming>,
-    pub(super) sent_at: Timestamp,
+    pub(super) at: Timestamp,
 }
 
 /// Why there is no answer to pass on.
@@ -74,7 +74,7 @@
         }
         Some(Ok(response)) => response,
     };
-    check(gateway, job, Sent { place, lease, response, sent_at })
+    check(gateway, job, Sent { place, lease, response, at: sent_at })
 }
 
 /// Urgent kinds first; of one kind, programs that have begun.
--- a/agatetrestle/src/gateway/events.rs
+++ b/agatetrestle/src/gateway/events.rs
@@ -32,6 +32,7 @@
     }
 
     /// What is left after the last whole event.
+    #[must_use]
     pub fn rest(self) -> Bytes {
         self.buf.freeze()
     }
--- a/agatetrestle/src/gateway/mod.rs
+++ b/agatetrestle/src/gateway/mod.rs
@@ -174,7 +174,8 @@
     fn give_back(&self, decision: Decision) {
         if let Decision::Send { server, .. } = decision {
             let now = self.clock.now();
-            let decisions = self.dispatch.borrow_mut().finish(now, server, crate::dispatch::Outcome::Abandoned);
+            let decisions =
+                self.dispatch.borrow_mut().finish(now, server, crate::dispatch::Outcome::Abandoned);
             self.carry_out(decisions);
         }
     }
--- a/agatetrestle/src/gateway/place.rs
+++ b/agatetrestle/src/gateway/place.rs
@@ -56,7 +56,9 @@
         gateway.carry_out(decisions);
         let decision = (&mut waiting.decision).await;
         match decision {
-            Ok(Decision::Send { server, .. }) => Ok(Self { gateway: gateway.clone(), server, released: false }),
+            Ok(Decision::Send { server, .. }) => {
+                Ok(Self { gateway: gateway.clone(), server, released: false })
+            }
             Ok(Decision::Reject { retry_after, reason, .. }) => Err(TurnedAway { retry_after, reason }),
             Err(oneshot::Canceled) => {
                 Err(TurnedAway { retry_after: Duration::from_millis(100), reason: Reason::QueueFull })
--- a/agatetrestle/src/gateway/relay.rs
+++ b/agatetrestle/src/gateway/relay.rs
@@ -108,7 +108,7 @@
     turn: &mut Option<OpenTurn>,
     trail: &Trail,
 ) -> Result<Response<AnswerBody>, String> {
-    let Sent { place, lease, response, sent_at } = sent;
+    let Sent { place, lease, response, at: sent_at } = sent;
     let (mut head, body) = response.into_parts();
     let status = head.status;
     let headers = head.headers.clone();
@@ -198,7 +198,10 @@
             let mut stream = stream?;
             match stream.next().await {
                 Ok(Some(bytes)) => Some((Ok(bytes), Some(stream))),
-                Ok(None) => stream.end().await.err().map(|cut| (Err(cut), None)),
+                Ok(None) => {
+                    let ended = stream.end().await;
+                    ended.err().map(|cut| (Err(cut), None))
+                }
                 Err(reason) => {
                     stream.flow.fail();
                     stream.flow.log(reason);
@@ -228,14 +231,12 @@
             if self.reader.pending() > LONGEST_EVENT {
                 return Err("an event is too long");
             }
-            match self.flow.next().await? {
-                Some(data) => self.reader.push(&data),
-                None => {
-                    self.ended = true;
-                    let rest = std::mem::take(&mut self.reader).rest();
-                    return Ok((!rest.is_empty()).then_some(rest));
-                }
-            }
+            let Some(data) = self.flow.next().await? else {
+                self.ended = true;
+                let rest = std::mem::take(&mut self.reader).rest();
+                return Ok((!rest.is_empty()).then_some(rest));
+            };
+            self.reader.push(&data);
         }
     }
 
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -171,7 +171,8 @@
 }
 
 fn read_head(gateway: &Gateway, head: &Parts) -> Result<CallHead, Problem> {
-    let framed_twice = head.headers.contains_key(TRANSFER_ENCODING) && head.headers.contains_key(CONTENT_LENGTH);
+    let framed_twice =
+        head.headers.contains_key(TRANSFER_ENCODING) && head.headers.contains_key(CONTENT_LENGTH);
     if framed_twice || head.headers.get_all(HOST).iter().count() > 1 {
         return Err(Problem::new(StatusCode::BAD_REQUEST, "the request can be read in two ways"));
     }
@@ -245,12 +246,16 @@
 }
 
 /// Tries servers until one answers, the request must not be sent again, or time is up.
-async fn run(gateway: &Rc<Gateway>, mut job: Job, trail: &mut Trail) -> Result<Response<AnswerBody>, Problem> {
+async fn run(
+    gateway: &Rc<Gateway>,
+    mut job: Job,
+    trail: &mut Trail,
+) -> Result<Response<AnswerBody>, Problem> {
     let mut avoid: Vec<ServerKey> = Vec::new();
     let mut not_run = 0;
     let mut ran = 0;
     let mut turn: Option<OpenTurn> = None;
-    let mut began = !needs_turn(&job);
+    let mut reserved = !needs_turn(&job);
     loop {
         let asked = gateway.clock.now();
         let place = match Place::find(gateway, wanted(&job, asked, &avoid)).await {
@@ -258,14 +263,16 @@
             Err(away) if ran == 0 => {
                 return Err(Problem::not_run(format!("{:?}", away.reason), away.retry_after));
             }
-            Err(_) => return Err(Problem::new(StatusCode::BAD_GATEWAY, "no further server takes the request")),
+            Err(_) => {
+                return Err(Problem::new(StatusCode::BAD_GATEWAY, "no further server takes the request"));
+            }
         };
         trail.wait += gateway.clock.now().since(asked);
-        if !began {
-            let begun = gateway.clock.now();
+        if !reserved {
+            let asked = gateway.clock.now();
             turn = Some(begin(gateway, &mut job).await?);
-            trail.begin = gateway.clock.now().since(begun);
-            began = true;
+            trail.begin = gateway.clock.now().since(asked);
+            reserved = true;
         }
         trail.tries += 1;
         let server = place.server;
@@ -314,7 +321,7 @@
         begun: job.call.previous.is_some(),
         deadline: job.until,
         finish_by: job.arrived + finish_in,
-        session: job.call.session.filter(|_| job.route.sticky),
+        affinity: job.call.line.filter(|_| job.route.sticky),
         avoid: avoid.to_vec(),
     }
 }
@@ -327,7 +334,7 @@
 
 /// Reserves the turn and puts what it goes on from before what the caller sent.
 async fn begin(gateway: &Rc<Gateway>, job: &mut Job) -> Result<OpenTurn, Problem> {
-    let begin = Begin {
+    let reservation = Begin {
         program: job.call.program.clone().unwrap_or_default(),
         turn: job.attempt.clone(),
         budget: job.call.budget,
@@ -335,7 +342,7 @@
         previous: job.call.previous.clone().filter(|_| job.route.retention.is_some()),
         at: wall_millis(),
     };
-    let (turn, reply) = OpenTurn::begin(gateway, begin).await;
+    let (turn, reply) = OpenTurn::begin(gateway, reservation).await;
     match reply {
         Ok(TurnReply::Begun { chain }) => {
             job.chain = chain.iter().map(|text| text.0.len()).sum();
--- a/agatetrestle/src/gateway/turn.rs
+++ b/agatetrestle/src/gateway/turn.rs
@@ -54,10 +54,7 @@
 impl OpenTurn {
     /// Reserves a turn's tokens and returns what it goes on from. Whatever the reply, and also where it is unknown, the
     /// turn that is returned must be kept until the request ended, since the reservation may stand.
-    pub async fn begin(
-        gateway: &Rc<Gateway>,
-        begin: Begin,
-    ) -> (Self, Result<TurnReply, GroupError>) {
+    pub async fn begin(gateway: &Rc<Gateway>, begin: Begin) -> (Self, Result<TurnReply, GroupError>) {
         let turn = Self {
             gateway: gateway.clone(),
             program: begin.program.clone(),
--- a/agatetrestle/src/gateway/wire.rs
+++ b/agatetrestle/src/gateway/wire.rs
@@ -35,7 +35,7 @@
     /// The turn that it goes on from.
     pub previous: Option<Arc<str>>,
     /// Stands for the line of turns or prompt that the request shares with others.
-    pub session: Option<u64>,
+    pub line: Option<u64>,
 }
 
 /// What a request to a backend server says beside what the caller sent.
--- a/agatetrestle/src/node/mod.rs
+++ b/agatetrestle/src/node/mod.rs
@@ -252,16 +252,16 @@
         let mut replicas = Self { control: None, state: None, tasks: Vec::new() };
         let holders = replicas::holders(settings, CONTROL_GROUP);
         if holders.contains(&opener.node) {
-            let opened = opener.open(CONTROL_GROUP, ControlState::default(), &holders, missing).await?;
-            replicas.control = Some(opened.group);
-            replicas.tasks.push(opened.driver);
+            let held = opener.open(CONTROL_GROUP, ControlState::default(), &holders, missing).await?;
+            replicas.control = Some(held.group);
+            replicas.tasks.push(held.driver);
         }
         let holders = replicas::holders(settings, FIRST_STATE_GROUP);
         if holders.contains(&opener.node) {
             let ledger = open_ledger(settings)?;
-            let opened = opener.open(FIRST_STATE_GROUP, ledger, &holders, missing).await?;
-            replicas.state = Some(opened.group);
-            replicas.tasks.push(opened.driver);
+            let held = opener.open(FIRST_STATE_GROUP, ledger, &holders, missing).await?;
+            replicas.state = Some(held.group);
+            replicas.tasks.push(held.driver);
         }
         Ok(replicas)
     }
--- a/agatetrestle/src/routing/check.rs
+++ b/agatetrestle/src/routing/check.rs
@@ -1,12 +1,12 @@
 //! What a table of routes must hold as a whole.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::sync::Arc;
 
 use snafu::Snafu;
 use snafu::ensure;
 
+use crate::routing::ByHost;
 use crate::routing::Route;
 use crate::routing::Service;
 
@@ -52,8 +52,8 @@
 pub(super) fn index(
     routes: &[Route],
     services: &BTreeMap<Arc<str>, Service>,
-) -> Result<HashMap<Arc<str>, HashMap<Arc<str>, usize>>, InvalidTable> {
-    let mut by_host: HashMap<Arc<str>, HashMap<Arc<str>, usize>> = HashMap::new();
+) -> Result<ByHost, InvalidTable> {
+    let mut by_host = ByHost::new();
     for (at, route) in routes.iter().enumerate() {
         check_route(route, services)?;
         let taken = by_host.entry(route.host.clone()).or_default().insert(route.prefix.clone(), at);
--- a/agatetrestle/src/routing/mod.rs
+++ b/agatetrestle/src/routing/mod.rs
@@ -89,6 +89,9 @@
     pub idle: Duration,
 }
 
+/// Places of routes by host and prefix.
+type ByHost = HashMap<Arc<str>, HashMap<Arc<str>, usize>>;
+
 /// Everything that operators declare of routes, at one version.
 #[derive(Clone, Debug)]
 pub struct RouteTable {
@@ -98,7 +101,7 @@
     pub limits: CallerLimits,
     routes: Vec<Arc<Route>>,
     services: BTreeMap<Arc<str>, Service>,
-    by_host: HashMap<Arc<str>, HashMap<Arc<str>, usize>>,
+    by_host: ByHost,
 }
 
 impl RouteTable {
@@ -126,7 +129,7 @@
         let prefixes = self.by_host.get(name.to_ascii_lowercase().as_str())?;
         // Every prefix ends with a slash, so only those ends are worth a look.
         let ends = path.rmatch_indices('/').map(|(at, _)| &path[..=at]);
-        let index = ends.filter_map(|prefix| prefixes.get(prefix)).next()?;
+        let index = ends.into_iter().find_map(|prefix| prefixes.get(prefix))?;
         Some(&self.routes[*index])
     }
 
--- a/agatetrestle/src/routing/tests.rs
+++ b/agatetrestle/src/routing/tests.rs
@@ -18,7 +18,10 @@
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(200),
         priority: 0,
-        targets: targets.iter().map(|(name, weight)| Target { service: (*name).into(), weight: *weight }).collect(),
+        targets: targets
+            .iter()
+            .map(|(name, weight)| Target { service: (*name).into(), weight: *weight })
+            .collect(),
         max_attempts: 2,
         retention: None,
         sticky: false,
--- a/agatetrestle/src/transport/body.rs
+++ b/agatetrestle/src/transport/body.rs
@@ -53,9 +53,9 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| u64::try_from(bytes.len()).unwrap_or(u64::MAX)))
-            }
+            Self::Whole(bytes) => SizeHint::with_exact(
+                bytes.as_ref().map_or(0, |bytes| u64::try_from(bytes.len()).unwrap_or(u64::MAX)),
+            ),
             Self::Pieces(_, Some(length)) => SizeHint::with_exact(*length),
             Self::Pieces(_, None) => SizeHint::default(),
         }
--- a/agatetrestle/src/transport/client.rs
+++ b/agatetrestle/src/transport/client.rs
@@ -142,7 +142,8 @@
 
     /// Keeps a connection for the next request. Only one whose answer was read to its end may be kept.
     pub fn keep(&self, lease: Lease, headers: &HeaderMap) {
-        let closes = headers.get(CONNECTION).is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
+        let closes =
+            headers.get(CONNECTION).is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
         if closes {
             return;
         }
--- a/agatetrestle/src/turns/tests.rs
+++ b/agatetrestle/src/turns/tests.rs
@@ -15,7 +15,14 @@
 
 fn begin(turn: &str, budget: u64, most: u64, previous: Option<&str>, at: u64) -> TurnCommand {
     let previous = previous.map(Into::into);
-    TurnCommand::Begin(Begin { program: "p".into(), turn: turn.into(), budget: Some(budget), most, previous, at })
+    TurnCommand::Begin(Begin {
+        program: "p".into(),
+        turn: turn.into(),
+        budget: Some(budget),
+        most,
+        previous,
+        at,
+    })
 }
 
 fn finish(turn: &str, spent: u64, kept: Option<(&str, Option<&str>)>, at: u64) -> TurnCommand {
@@ -97,7 +104,8 @@
         .prop_map(|(turn, most, previous, at)| begin(&turn, 100, most, previous.as_deref(), at));
     let finishes = (turn, 0_u64..40, prop::option::of(prop::option::of(turn)), 0_u64..400_000).prop_map(
         |(turn, spent, kept, at)| {
-            let previous = kept.as_ref().map(|previous| ("text", previous.as_deref().filter(|p| **p < *turn)));
+            let previous =
+                kept.as_ref().map(|previous| ("text", previous.as_deref().filter(|p| **p < *turn)));
             finish(&turn, spent, previous, at)
         },
     );
