Place by what is usual where nothing was heard, and serve what can still end in time

The load of others that answers tell was forgotten within 300 ms, so a server of which a node had heard nothing for a while looked idle to it and to all other nodes. Programs whose time was up went first, as theirs was the least time left. Programs that had not begun waited up to their deadline in front of those that had. Now old loads fade into what is usual among the servers of the service, lost programs go last, and a new program waits half its objective at most.

--- a/agatetrestle/src/cluster/subscriber.rs
+++ b/agatetrestle/src/cluster/subscriber.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 
 use agatetrestle_config::deployment::Role;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use log::info;
 use log::warn;
 use smol::Timer;
@@ -73,35 +75,40 @@
         }
     }
 
-    /// Reports once to the leader, which is looked for among all known control replicas.
+    /// Reports once to the last leader. If it does not answer as one, all known control replicas are asked at once, since some
+    /// may be dark and each would take its full time.
     async fn round(&self) -> Option<SocketAddrV4> {
-        let mut asked = BTreeSet::new();
-        let mut next: Vec<SocketAddrV4> = self.contacts();
-        next.reverse();
-        while let Some(contact) = next.pop() {
-            if !asked.insert(contact) {
-                continue;
-            }
-            let sent = self.clock.now();
-            let Some(bulletin) = self.ask(contact).await else {
-                continue;
-            };
-            let (confirmed, leader) = (bulletin.confirmed, bulletin.leader);
-            self.learn(&bulletin);
-            self.view.adopt(sent, bulletin);
+        if let Some((_, leader)) = self.view.leader()
+            && self.report_to(leader).await
+        {
+            return Some(leader);
+        }
+        let contacts = self.contacts();
+        let asked = contacts.iter().map(|contact| async move { (*contact, self.report_to(*contact).await) });
+        let mut answers: FuturesUnordered<_> = asked.collect();
+        while let Some((contact, confirmed)) = answers.next().await {
             if confirmed {
                 return Some(contact);
             }
-            next.extend(leader.map(|(_, address)| address));
         }
         None
     }
 
-    /// The last leader, then the known control replicas, then the seeds.
-    fn contacts(&self) -> Vec<SocketAddrV4> {
-        let mut contacts: Vec<SocketAddrV4> =
-            self.view.leader().map(|(_, address)| address).into_iter().collect();
-        contacts.extend(self.view.control().values());
+    /// Reports to a control replica; whether it answered as the leader.
+    async fn report_to(&self, contact: SocketAddrV4) -> bool {
+        let sent = self.clock.now();
+        let Some(bulletin) = self.ask(contact).await else {
+            return false;
+        };
+        let confirmed = bulletin.confirmed;
+        self.learn(&bulletin);
+        self.view.adopt(sent, bulletin);
+        confirmed
+    }
+
+    /// The known control replicas and the seeds.
+    fn contacts(&self) -> BTreeSet<SocketAddrV4> {
+        let mut contacts: BTreeSet<SocketAddrV4> = self.view.control().values().copied().collect();
         contacts.extend(&*self.seeds.borrow());
         contacts
     }
--- a/agatetrestle/src/deployment/listing.rs
+++ b/agatetrestle/src/deployment/listing.rs
@@ -31,6 +31,8 @@
 /// Time between two readings: a leaving server may get requests for 3 s after it is listed so, and the list itself
 /// lags by nearly one.
 const INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two looks whether this replica has come to lead: a new leader reads at once.
+const LOOK: Duration = Duration::from_millis(50);
 /// Most that all readings may use of the calls that the list takes; the rest is left for a successor.
 const RATE_SHARE: f64 = 0.5;
 /// Time for one page.
@@ -67,8 +69,8 @@
         let mut reachable = None;
         let mut pages = 1;
         loop {
-            Timer::after(self.pause(pages)).await;
             if !self.group.leads() {
+                Timer::after(LOOK).await;
                 continue;
             }
             match self.read(&client).await {
@@ -85,6 +87,7 @@
                     }
                 }
             }
+            Timer::after(self.pause(pages)).await;
         }
     }
 
--- a/agatetrestle/src/deployment/mod.rs
+++ b/agatetrestle/src/deployment/mod.rs
@@ -263,9 +263,9 @@
 /// Time bounds of the groups of a deployment.
 fn timing() -> Timing {
     Timing {
-        leader_interval: Duration::from_millis(100),
-        election_timeout: Duration::from_millis(500),
-        clock_drift: Duration::from_millis(30),
+        leader_interval: Duration::from_millis(60),
+        election_timeout: Duration::from_millis(250),
+        clock_drift: Duration::from_millis(20),
         peer_call: PEER_CALL,
         ..Timing::default()
     }
--- a/agatetrestle/src/dispatch/mod.rs
+++ b/agatetrestle/src/dispatch/mod.rs
@@ -49,6 +49,8 @@
     pub priority: u8,
     /// Whether its program has begun, so that turning it away wastes what was done.
     pub begun: bool,
+    /// Longest wait that is better than to be told to come back; for a program that has not begun.
+    pub patience: Duration,
     /// When its answer is no longer of use.
     pub deadline: Timestamp,
     /// When its program should be finished; the least time left goes first.
@@ -91,8 +93,9 @@
     QueueFull,
 }
 
-/// Order of service: urgent kinds first, then programs that have begun, then the least time left.
-type Rank = (u8, bool, Timestamp, u64);
+/// Order of service: what is lost already goes last, urgent kinds first, then programs that have begun, then the least
+/// time left. A program whose time is up earns little, and each one that goes before others makes them late as well.
+type Rank = (bool, u8, bool, Timestamp, u64);
 
 #[derive(Debug)]
 struct Queue {
@@ -186,7 +189,8 @@
         if queue.waiting.len() >= QUEUE_LIMIT {
             return vec![Decision::Reject { ticket, retry_after, reason: Reason::QueueFull }];
         }
-        let rank = (request.priority, !request.begun, request.finish_by, ticket);
+        let lost = request.finish_by < now + queue.mean;
+        let rank = (lost, request.priority, !request.begun, request.finish_by, ticket);
         queue.waiting.insert(rank, request);
         self.pass(now, &service, Some(ticket))
     }
@@ -281,16 +285,16 @@
         if queue.waiting.is_empty() {
             return Vec::new();
         }
-        let in_service: u32 =
-            self.servers.values().filter(|server| server.serves(service)).map(|server| server.running).sum();
-        let places = in_service.max(1);
+        let places = self.running(service).max(1);
         let mut decisions = Vec::new();
         let mut ahead = 0_u32;
         queue.waiting.retain(|_, request| {
             let wait = queue.mean * (ahead + 1) / places;
             let newcomer = Some(request.ticket) == newcomer;
             let expected = if newcomer { wait } else { wait / 2 };
-            if now + expected + queue.mean <= request.deadline {
+            let in_time = now + expected + queue.mean <= request.deadline;
+            let worth_waiting = request.begun || !newcomer || wait <= request.patience;
+            if in_time && worth_waiting {
                 ahead += 1;
                 return true;
             }
@@ -300,19 +304,37 @@
         decisions
     }
 
+    /// This node's requests in service at all servers of a service.
+    fn running(&self, service: &Arc<str>) -> u32 {
+        self.servers.values().filter(|server| server.serves(service)).map(|server| server.running).sum()
+    }
+
+    /// Requests of other nodes at one server of a service, by what answers told lately.
+    fn usual_others(&self, now: Timestamp, service: &Arc<str>) -> f64 {
+        let servers = self.servers.values().filter(|server| server.serves(service));
+        let (mut sum, mut count) = (0.0, 0.0);
+        for others in servers.filter_map(|server| server.recent_others(now)) {
+            sum += others;
+            count += 1.0;
+        }
+        if count > 0.0 { sum / count } else { 0.0 }
+    }
+
     /// The server with the least load, unless the one that has the prompt is hardly worse. Among equals the
     /// own failure domain goes first, since bytes between domains cost; the rest is drawn by lot, so that many
     /// nodes don't all see the same free place.
     fn choose(&mut self, now: Timestamp, request: &Request) -> Option<ServerKey> {
         let draw = self.rng.below(u64::MAX);
+        let usual = self.usual_others(now, &request.service);
         let open = self.servers.iter().filter(|(key, server)| {
-            server.serves(&request.service) && server.open(now) && !request.avoid.contains(key)
+            let able = server.serves(&request.service) && server.usable(now);
+            able && !request.avoid.contains(key) && server.load(now, usual) < f64::from(server.instance.slots)
         });
         let scored: Vec<(ServerKey, f64, u64)> = open
             .map(|(key, server)| {
                 let far = if server.instance.zone == self.zone { 0.0 } else { 0.25 };
                 let lot = affinity(draw, &server.instance.id);
-                (key, server.load(now) + far, lot)
+                (key, server.load(now, usual) + far, lot)
             })
             .collect();
         let best = scored.iter().min_by(|a, b| a.1.total_cmp(&b.1).then(a.2.cmp(&b.2)))?;
--- a/agatetrestle/src/dispatch/server.rs
+++ b/agatetrestle/src/dispatch/server.rs
@@ -113,15 +113,18 @@
         self.listed && !self.instance.leaving && now < self.rests_until
     }
 
-    /// Whether it has a free place as far as is known.
-    pub(super) fn open(&self, now: Timestamp) -> bool {
-        self.usable(now) && self.load(now) < f64::from(self.instance.slots)
+    /// Requests there; those of others as far as answers told lately, and as `usual` among servers of the service
+    /// once that is old.
+    pub(super) fn load(&self, now: Timestamp, usual: f64) -> f64 {
+        let age = now.since(self.observed_at).as_secs_f64() / LOAD_MEMORY.as_secs_f64();
+        let trust = (1.0 - age).max(0.0);
+        f64::from(self.running) + self.others * trust + usual * (1.0 - trust)
     }
 
-    /// Requests there, those of others as far as answers told lately.
-    pub(super) fn load(&self, now: Timestamp) -> f64 {
-        let age = now.since(self.observed_at).as_secs_f64() / LOAD_MEMORY.as_secs_f64();
-        f64::from(self.running) + self.others * (1.0 - age).max(0.0)
+    /// Requests of other nodes there as last told, if that is recent enough to say what is usual.
+    pub(super) fn recent_others(&self, now: Timestamp) -> Option<f64> {
+        (self.observed_at > Timestamp(0) && now.since(self.observed_at) < LOAD_MEMORY * 4)
+            .then_some(self.others)
     }
 
     pub(super) fn observe(&mut self, now: Timestamp, load: Load) {
--- a/agatetrestle/src/dispatch/tests.rs
+++ b/agatetrestle/src/dispatch/tests.rs
@@ -31,6 +31,7 @@
         service: SERVICE.into(),
         priority: 1,
         begun: false,
+        patience: Duration::from_secs(10),
         deadline: at(deadline),
         finish_by: at(deadline),
         affinity: None,
@@ -168,3 +169,55 @@
         assert_eq!(place(1, shared), place(2, shared));
     }
 }
+
+#[test]
+fn a_program_whose_time_is_up_goes_after_all_that_can_still_end_in_time() {
+    let mut dispatch = dispatch(&[instance("x", 1, "a")]);
+    let server = server_of(&dispatch.submit(at(0), request(0, 9_000)));
+    let lost = Request { finish_by: at(1), priority: 0, begun: true, ..request(1, 9_000) };
+    dispatch.submit(at(10), lost);
+    dispatch.submit(at(10), request(2, 9_000));
+    assert_eq!(sent(&dispatch.finish(at(20), server, WHOLE)), [2]);
+    assert_eq!(sent(&dispatch.finish(at(30), server, WHOLE)), [1]);
+}
+
+#[test]
+fn in_a_burst_new_programs_are_told_at_once_to_come_back_and_begun_ones_wait() {
+    let mut dispatch = dispatch(&[instance("x", 2, "a")]);
+    for ticket in 0..2 {
+        dispatch.submit(at(0), request(ticket, 9_000));
+    }
+    let patience = Duration::from_millis(100);
+    for ticket in 2..6 {
+        let begun = Request { begun: true, patience, ..request(ticket, 9_000) };
+        assert_eq!(dispatch.submit(at(1), begun), []);
+    }
+    let decisions = dispatch.submit(at(1), Request { patience, ..request(6, 9_000) });
+    let [Decision::Reject { ticket: 6, retry_after, .. }] = decisions[..] else {
+        panic!("not turned away: {decisions:?}");
+    };
+    assert!(retry_after > patience, "it comes back when a place is expected, not before");
+    assert_eq!(dispatch.waiting(), 4);
+}
+
+#[test]
+fn a_server_of_which_nothing_was_heard_is_taken_to_be_as_busy_as_the_others() {
+    // Two servers told lately of 6 requests of other nodes each; this node sends them 2 each. The third told of 6 too,
+    // but so long ago that forgetting it would make it look idle and draw every request of every node.
+    let mut dispatch = dispatch(&[instance("x", 16, "a"), instance("y", 16, "a"), instance("z", 16, "a")]);
+    let mut servers = Vec::new();
+    for ticket in 0..3 {
+        servers.push(server_of(&dispatch.submit(at(0), request(ticket, 9_000))));
+    }
+    for server in &servers {
+        dispatch.observe(at(0), *server, Load { running: 7, waiting: 0 });
+    }
+    for server in &servers[..2] {
+        dispatch.observe(at(1_000), *server, Load { running: 7, waiting: 0 });
+    }
+    let mut to_third = 0;
+    for ticket in 10..16 {
+        to_third += u32::from(server_of(&dispatch.submit(at(1_000), request(ticket, 9_000))) == servers[2]);
+    }
+    assert_eq!(to_third, 2, "each gets its third");
+}
--- a/agatetrestle/src/gateway/attempt.rs
+++ b/agatetrestle/src/gateway/attempt.rs
@@ -79,7 +79,7 @@
 
 /// Urgent kinds first; of one kind, programs that have begun.
 fn rank(job: &Job) -> u8 {
-    let fresh = u8::from(job.call.previous.is_none());
+    let fresh = u8::from(!job.begun);
     job.route.priority.saturating_mul(2).saturating_add(fresh).min(LEAST_URGENT)
 }
 
--- a/agatetrestle/src/gateway/mod.rs
+++ b/agatetrestle/src/gateway/mod.rs
@@ -31,12 +31,14 @@
 use smol::Timer;
 
 use crate::clock::Clock;
+use crate::clock::Timestamp;
 use crate::cluster::view::Watcher;
 use crate::control::command::Document;
 use crate::dispatch::Decision;
 use crate::dispatch::Dispatch;
 use crate::dispatch::Instance;
 use crate::gateway::turn::Turns;
+use crate::gateway::wire::CallHead;
 use crate::gateway::wire::Wire;
 use crate::routing::RouteTable;
 use crate::scheduler::random::Random;
@@ -46,6 +48,8 @@
 
 /// How often waiting requests are looked at though nothing happened.
 const TICK: Duration = Duration::from_millis(20);
+/// Time for which a node remembers that it served a turn of a program: pauses between turns are shorter.
+const PROGRAM_MEMORY: Duration = Duration::from_secs(20);
 /// How often old connections are closed.
 const SWEEP_TICKS: u32 = 25;
 
@@ -83,6 +87,8 @@
     random: RefCell<Random>,
     body_room: Cell<usize>,
     in_flight: Cell<usize>,
+    /// Programs of which a turn ended whole here, by when that was.
+    programs: RefCell<HashMap<Arc<str>, Timestamp>>,
     stopping: Cell<bool>,
     executor: Rc<LocalExecutor<'static>>,
 }
@@ -105,6 +111,7 @@
             random: RefCell::new(Random::new(seed)),
             body_room: Cell::new(body_room),
             in_flight: Cell::new(0),
+            programs: RefCell::default(),
             stopping: Cell::new(false),
             executor,
         })
@@ -122,6 +129,8 @@
             }
             if ticks.is_multiple_of(SWEEP_TICKS) {
                 self.client.sweep();
+                let now = self.clock.now();
+                self.programs.borrow_mut().retain(|_, last| now.since(*last) < PROGRAM_MEMORY);
             }
         }
     }
@@ -150,6 +159,18 @@
         self.in_flight.get()
     }
 
+    /// Notes that a turn of a program ended whole here.
+    fn note_turn(&self, program: Option<&Arc<str>>) {
+        if let Some(program) = program {
+            self.programs.borrow_mut().insert(program.clone(), self.clock.now());
+        }
+    }
+
+    /// Whether a turn of the request's program ended whole here lately.
+    fn has_seen(&self, call: &CallHead) -> bool {
+        call.program.as_ref().is_some_and(|program| self.programs.borrow().contains_key(program))
+    }
+
     /// Version of the table in force, if any.
     #[must_use]
     pub fn version(&self) -> Option<u64> {
--- a/agatetrestle/src/gateway/relay.rs
+++ b/agatetrestle/src/gateway/relay.rs
@@ -1,6 +1,7 @@
 //! Passing an answer on: whole if it is short, event by event if it is a stream.
 
 use std::rc::Rc;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -134,6 +135,7 @@
             turn: turn.take(),
             keeping: keeping(job),
             tokens_per_event: job.tokens_per_event,
+            program: job.call.program.clone(),
             ended: false,
         };
         let body = AnswerBody::Pieces(stream.into_pieces(), None);
@@ -189,6 +191,7 @@
     turn: Option<OpenTurn>,
     keeping: Option<Keeping>,
     tokens_per_event: u64,
+    program: Option<Arc<str>>,
     ended: bool,
 }
 
@@ -243,6 +246,7 @@
     /// Ends the answer once the turn is kept, if it is to be: from then on the caller may go on from it.
     async fn end(mut self) -> Result<(), Cut> {
         self.flow.complete();
+        self.flow.gateway.note_turn(self.program.as_ref());
         let (Some(turn), Some(keeping)) = (self.turn.take(), self.keeping.take()) else {
             self.flow.log("whole");
             return Ok(());
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -44,6 +44,9 @@
 
 /// Servers that may say in turn that they did not run a request before it is turned away.
 const MOST_NOT_RUN: u32 = 4;
+/// Share of a route's objective, as a divisor, that a program may wait before its first turn. Told at once to come back,
+/// it still ends in time if it then gets a place; and what waits longer delays the programs that have begun.
+const PATIENCE_DIVISOR: u32 = 2;
 /// When a caller may come back after a refusal that has nothing to do with load: a change of leader takes about so
 /// long.
 const COME_BACK: Duration = Duration::from_millis(300);
@@ -82,6 +85,8 @@
     pub(super) body: Bytes,
     /// Bytes of the chain at its start.
     pub(super) chain: usize,
+    /// Whether its program has begun, as far as this node can tell.
+    pub(super) begun: bool,
 }
 
 /// Where the time of a request went, for its line in the log.
@@ -164,9 +169,12 @@
     let draw = gateway.random.borrow_mut().below(u64::MAX);
     let service = route.pick(draw).clone();
     trail.service = service.clone();
+    // A call of a tool belongs to a program that has had a turn.
+    let begun = !route.is_streaming() || call.previous.is_some() || gateway.has_seen(&call);
     let declared = table.service(&service).and_then(|service| service.tokens_per_event);
     let tokens_per_event = declared.unwrap_or(1);
-    let job = Job { head, call, attempt, route, service, tokens_per_event, arrived, until, body, chain: 0 };
+    let job =
+        Job { head, call, attempt, route, service, tokens_per_event, arrived, until, body, chain: 0, begun };
     run(gateway, job, trail).await
 }
 
@@ -318,7 +326,8 @@
         ticket: 0,
         service: job.service.clone(),
         priority: job.route.priority,
-        begun: job.call.previous.is_some(),
+        begun: job.begun,
+        patience: job.route.objective / PATIENCE_DIVISOR,
         deadline: job.until,
         finish_by: job.arrived + finish_in,
         affinity: job.call.line.filter(|_| job.route.sticky),
--- a/agatetrestle/src/transport/tests.rs
+++ b/agatetrestle/src/transport/tests.rs
@@ -185,14 +185,13 @@
 fn what_is_no_request_gets_a_4xx_or_a_closed_connection() {
     run(|executor| async move {
         let (listener, address) = bind().await;
-        let seen: Rc<RefCell<Vec<String>>> = Rc::default();
-        let log = seen.clone();
+        let taken: Rc<RefCell<Vec<String>>> = Rc::default();
+        let noting = taken.clone();
         let handler: server::Handler = Rc::new(move |request| {
-            log.borrow_mut().push(request.uri().path().into());
+            noting.borrow_mut().push(request.uri().path().into());
             Box::pin(async { Response::new(AnswerBody::whole("ok")) })
         });
-        let accepting = server::serve(listener, handler, Bounds::new(8), Rc::downgrade(&executor));
-        executor.spawn(accepting).detach();
+        executor.spawn(server::serve(listener, handler, Bounds::new(8), Rc::downgrade(&executor))).detach();
         let long = format!("GET / HTTP/1.1\r\nhost: test\r\nx: {}\r\n\r\n", "y".repeat(40_000));
         for bad in
             ["no request at all\r\n\r\n", "GET /\r\n\r\n", "GET / HTTP/1.1\r\nbad header\r\n\r\n", &long]
@@ -205,6 +204,6 @@
             let text = String::from_utf8_lossy(&answer);
             assert!(answer.is_empty() || text.starts_with("HTTP/1.1 4"), "{text}");
         }
-        assert!(seen.borrow().is_empty(), "none of it was taken for a request");
+        assert!(taken.borrow().is_empty(), "none of it was taken for a request");
     });
 }
