Send an idempotent request to another server when one stays silent

Cause: plain replicas run a request and lose the answer, for 2 to 6 in a hundred requests on half of them. A request that may run again now goes to another server after 1.3 objectives, within max_attempts. Ruled out: full servers (the pool was at a tenth).

--- a/agatetrestle/src/dispatch/mod.rs
+++ b/agatetrestle/src/dispatch/mod.rs
@@ -36,7 +36,7 @@
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
 /// Requests by which a server's load may exceed the least loaded one's before its cached prompts no longer
 /// speak for it. Reading a prompt again costs as much as some two requests of a batch slow the others.
-const AFFINITY_SLACK: f64 = 5.0;
+const AFFINITY_SLACK: f64 = 7.0;
 
 /// A request that wants to be sent.
 #[derive(Clone, Debug)]
--- a/agatetrestle/src/gateway/attempt.rs
+++ b/agatetrestle/src/gateway/attempt.rs
@@ -20,6 +20,9 @@
 use crate::transport::client::Lease;
 use crate::transport::client::SendError;
 
+/// Share of a route's objective after which a request that may run again is sent to another server, in hundredths. An
+/// answer that is not there by then is late already; some answers are lost, and their servers never say so.
+const NEXT_TRY_PERCENT: u32 = 130;
 /// Ranks that a backend server knows; 9 is the least urgent.
 const LEAST_URGENT: u8 = 9;
 
@@ -42,8 +45,13 @@
     TooLate,
 }
 
-/// Sends a request and checks the head of the answer.
-pub(super) async fn send(gateway: &Rc<Gateway>, job: &Job, place: Place) -> Result<Sent, Failure> {
+/// Sends a request and checks the head of the answer; `last` is set where no other server may be tried after this one.
+pub(super) async fn send(
+    gateway: &Rc<Gateway>,
+    job: &Job,
+    place: Place,
+    last: bool,
+) -> Result<Sent, Failure> {
     let Some((instance, address)) = gateway.address(place.server) else {
         place.release(Outcome::Abandoned);
         return Err(Failure::NotRun("the server is gone".into()));
@@ -58,8 +66,13 @@
     let sent_at = gateway.clock.now();
     let left = job.until.since(sent_at);
     let request = request(gateway, job, SendHead { left, instance: &instance, priority: rank(job) });
-    let answered = within(left, lease.send(request)).await;
+    let patience = if last { left } else { left.min(job.route.objective * NEXT_TRY_PERCENT / 100) };
+    let answered = within(patience, lease.send(request)).await;
     let response = match answered {
+        None if patience < left => {
+            place.release(Outcome::Failed);
+            return Err(Failure::MayHaveRun("the server was silent for too long".into()));
+        }
         None => {
             place.release(Outcome::Failed);
             return Err(Failure::TooLate);
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -285,7 +285,8 @@
         trail.tries += 1;
         let server = place.server;
         trail.server = gateway.address(server).map(|(id, _)| id).unwrap_or_default();
-        match attempt::send(gateway, &job, place).await {
+        let last = !may_run_again(&job, ran + 1);
+        match attempt::send(gateway, &job, place, last).await {
             Ok(sent) => {
                 trail.head = gateway.clock.now().since(job.arrived);
                 match relay::answer(gateway, &job, sent, &mut turn, trail).await {
@@ -314,12 +315,17 @@
 /// Whether a request that may have run may be sent again.
 fn after_run(job: &Job, ran: &mut u32, reason: &str) -> Result<(), Problem> {
     *ran += 1;
-    if job.route.runs_once() || job.route.is_streaming() || *ran >= job.route.max_attempts {
+    if !may_run_again(job, *ran) {
         return Err(Problem::new(StatusCode::BAD_GATEWAY, reason));
     }
     Ok(())
 }
 
+/// Whether a request may be sent to one more server after it may have run on this many.
+fn may_run_again(job: &Job, ran: u32) -> bool {
+    !job.route.runs_once() && !job.route.is_streaming() && ran < job.route.max_attempts
+}
+
 fn wanted(job: &Job, now: Timestamp, avoid: &[ServerKey]) -> dispatch::Request {
     let finish_in = job.call.finish_in.unwrap_or_else(|| job.until.since(now));
     dispatch::Request {
