Never wait for the reader of the logs, and give out metrics

Cause: each log line was one write to a pipe, which holds the process up when its reader is slow, and counters and histograms of a deployment were given out nowhere. Lines now gather in a bounded queue that a thread writes out; what does not fit is counted. The test writes 20,000 lines to a reader that takes none; against the direct writer it can't end. An idle gateway wakes up a third as often. An entry is dropped after 1.2 s of silence, not 1.6.

--- a/agatetrestle/src/cluster/board.rs
+++ b/agatetrestle/src/cluster/board.rs
@@ -31,8 +31,9 @@
 use crate::node::links::Links;
 use crate::node::peer_link::within;
 
-/// Silence after which a process is held to be gone. Reports come every half second, so three are missing.
-pub const SILENCE: Duration = Duration::from_millis(1_600);
+/// Silence after which a process is held to be gone. Reports come every half second, so two are missing; an entry that is
+/// dropped by mistake is back with its next report.
+pub const SILENCE: Duration = Duration::from_millis(1_200);
 /// Time for which a new leader believes the list that it was told as a follower, so that callers keep their
 /// addresses while the processes find it.
 const INHERITED: Duration = Duration::from_secs(3);
--- a/agatetrestle/src/deployment/entry.rs
+++ b/agatetrestle/src/deployment/entry.rs
@@ -91,6 +91,7 @@
         clock: frame.clock,
         bounds: bounds.clone(),
         body_room: frame.memory() / BODY_SHARE,
+        recorder: frame.metrics.clone(),
         executor: frame.executor.clone(),
     });
     frame.executor.spawn(gateway.clone().run()).detach();
--- a/agatetrestle/src/deployment/mod.rs
+++ b/agatetrestle/src/deployment/mod.rs
@@ -43,6 +43,9 @@
 use crate::cluster::view::View;
 use crate::gateway::wire::Wire;
 use crate::ids::NodeId;
+use crate::metrics;
+use crate::metrics::Metrics;
+use crate::metrics::MetricsError;
 use crate::node::NodeError;
 use crate::node::links::Links;
 use crate::node::peer_server;
@@ -78,6 +81,12 @@
         /// What the operating system said.
         source: io::Error,
     },
+    /// The metrics can't be set up.
+    #[snafu(display("the metrics can't be set up: {source}"))]
+    Measures {
+        /// What the library said.
+        source: MetricsError,
+    },
     /// A replica can't be opened.
     #[snafu(display("{source}"))]
     Replica {
@@ -96,6 +105,7 @@
     node: NodeId,
     links: Rc<Links>,
     view: Rc<View>,
+    metrics: Rc<Metrics>,
 }
 
 /// Runs the process of a settings file until a signal asks it to stop.
@@ -122,8 +132,10 @@
         node,
         links,
         view: Rc::default(),
+        metrics: Rc::new(Metrics::new().context(MeasuresSnafu)?),
         settings,
     };
+    frame.serve_metrics();
     let process: Rc<dyn RunningRole> = match frame.settings.process.role {
         Role::Entry => Rc::new(entry::start(&frame)),
         Role::Control => Rc::new(control::start(&frame).await.context(ReplicaSnafu)?),
@@ -215,6 +227,20 @@
         subscriber
     }
 
+    /// Serves the scrape of metrics, if it has an address.
+    fn serve_metrics(&self) {
+        let Some(port) = self.settings.listen.metrics_port else {
+            return;
+        };
+        let address = std::net::SocketAddrV4::new(self.settings.process.ip, port);
+        let (metrics, executor) = (self.metrics.clone(), self.executor.clone());
+        let serving = async move {
+            let listener = listen(address).await;
+            metrics::serve(metrics, listener, executor).await;
+        };
+        self.executor.spawn(serving).detach();
+    }
+
     /// Serves calls of our own processes.
     fn serve_peers(&self, server: PeerServer) {
         self.links.set_receivers(server.receivers.clone());
--- a/agatetrestle/src/gateway/mod.rs
+++ b/agatetrestle/src/gateway/mod.rs
@@ -40,14 +40,17 @@
 use crate::gateway::turn::Turns;
 use crate::gateway::wire::CallHead;
 use crate::gateway::wire::Wire;
+use crate::ports::Recorder;
 use crate::routing::RouteTable;
 use crate::scheduler::random::Random;
 use crate::transport::body::AnswerBody;
 use crate::transport::client::Client;
 use crate::transport::server::Bounds;
 
-/// How often waiting requests are looked at though nothing happened.
+/// How often waiting requests are looked at though nothing happened, and how often it is looked whether any wait. Waking up
+/// costs processor time, and a request seldom waits.
 const TICK: Duration = Duration::from_millis(20);
+const IDLE_TICK: Duration = Duration::from_millis(60);
 /// Time for which a node remembers that it served a turn of a program: pauses between turns are shorter.
 const PROGRAM_MEMORY: Duration = Duration::from_secs(20);
 /// How often old connections are closed.
@@ -69,6 +72,8 @@
     pub bounds: Rc<Bounds>,
     /// Bytes of bodies that may be held at once.
     pub body_room: usize,
+    /// Where counters and histograms go.
+    pub recorder: Rc<dyn Recorder>,
     /// Where tasks run that outlive a request.
     pub executor: Rc<LocalExecutor<'static>>,
 }
@@ -90,6 +95,7 @@
     /// Programs of which a turn ended whole here, by when that was.
     programs: RefCell<HashMap<Arc<str>, Timestamp>>,
     stopping: Cell<bool>,
+    recorder: Rc<dyn Recorder>,
     executor: Rc<LocalExecutor<'static>>,
 }
 
@@ -97,7 +103,7 @@
     /// A gateway that knows no table and no backend server yet.
     #[must_use]
     pub fn new(parts: GatewayParts) -> Rc<Self> {
-        let GatewayParts { wire, turns, zone, seed, clock, bounds, body_room, executor } = parts;
+        let GatewayParts { wire, turns, zone, seed, clock, bounds, body_room, recorder, executor } = parts;
         Rc::new(Self {
             wire,
             turns,
@@ -113,6 +119,7 @@
             in_flight: Cell::new(0),
             programs: RefCell::default(),
             stopping: Cell::new(false),
+            recorder,
             executor,
         })
     }
@@ -121,7 +128,8 @@
     pub async fn run(self: Rc<Self>) {
         let mut ticks = 0_u32;
         loop {
-            Timer::after(TICK).await;
+            let waiting = self.dispatch.borrow().waiting() > 0;
+            Timer::after(if waiting { TICK } else { IDLE_TICK }).await;
             ticks = ticks.wrapping_add(1);
             if self.dispatch.borrow().waiting() > 0 {
                 let decisions = self.dispatch.borrow_mut().tick(self.clock.now());
--- a/agatetrestle/src/gateway/relay.rs
+++ b/agatetrestle/src/gateway/relay.rs
@@ -93,7 +93,7 @@
 
     fn log(&self, outcome: &str) {
         let took = self.gateway.clock.now().since(self.arrived);
-        self.trail.end(self.status, outcome, took);
+        self.trail.end(&self.gateway, self.status, outcome, took);
     }
 }
 
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -36,6 +36,8 @@
 use crate::gateway::wire::CallHead;
 use crate::node::peer_link::within;
 use crate::ports::GroupError;
+use crate::ports::Labels;
+use crate::ports::Measure;
 use crate::routing::Route;
 use crate::routing::RouteTable;
 use crate::transport::body::AnswerBody;
@@ -103,9 +105,10 @@
 }
 
 impl Trail {
-    /// Writes the one line that tells what became of a request.
-    pub(super) fn end(&self, status: u16, outcome: impl fmt::Display, took: Duration) {
+    /// Writes the one line that tells what became of a request, and counts it.
+    pub(super) fn end(&self, gateway: &Gateway, status: u16, outcome: impl fmt::Display, took: Duration) {
         let Self { attempt, route, service, server, tries, begin, wait, head } = self;
+        self.count(gateway, status);
         info!(
             "request={attempt} route={route} service={service} server={server} tries={tries} status={status} \
              outcome=\"{outcome}\" wait_us={} begin_us={} head_us={} total_us={}",
@@ -117,6 +120,30 @@
     }
 }
 
+impl Trail {
+    /// The series are those of the entry for calls; here a service stands for the partner and a route for the class.
+    fn count(&self, gateway: &Gateway, status: u16) {
+        let labels = Labels { partner: self.service.clone(), class: self.route.clone() };
+        let record = |measure| gateway.recorder.record(&labels, &measure);
+        record(Measure::QueueWait(self.wait));
+        if !self.begin.is_zero() {
+            record(Measure::Commit(self.begin));
+        }
+        if !self.head.is_zero() {
+            record(Measure::FirstToken(self.head));
+        }
+        for _ in 1..self.tries {
+            record(Measure::Retried("failed"));
+        }
+        match StatusCode::from_u16(status) {
+            Ok(StatusCode::SERVICE_UNAVAILABLE) => record(Measure::Refused("overload")),
+            Ok(StatusCode::PAYMENT_REQUIRED) => record(Measure::Refused("budget")),
+            Ok(StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT) => record(Measure::Unknown),
+            _ => {}
+        }
+    }
+}
+
 /// Answers a request.
 pub(super) async fn answer(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
     let arrived = gateway.clock.now();
@@ -125,7 +152,7 @@
         Ok(response) => response,
         Err(problem) => {
             let took = gateway.clock.now().since(arrived);
-            trail.end(problem.status.as_u16(), &problem.reason, took);
+            trail.end(gateway, problem.status.as_u16(), &problem.reason, took);
             write_problem(&problem)
         }
     };
--- a/agatetrestle/src/logging.rs
+++ b/agatetrestle/src/logging.rs
@@ -3,6 +3,8 @@
 //! The prefix is the slice's name, taken from the log target, so that no call has to repeat it; see
 //! docs/operators/metrics-and-logs.md.
 
+mod queue;
+
 use std::io;
 use std::io::Write;
 
@@ -21,6 +23,8 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 
+use crate::logging::queue::QueueWriter;
+
 /// Why the logs could not be set up.
 #[derive(Debug, Snafu)]
 pub enum LoggingError {
@@ -30,6 +34,12 @@
         /// What the library expected.
         source: FlexiLoggerError,
     },
+    /// No thread can be started to write the lines.
+    #[snafu(display("logging: no thread can be started: {source}"))]
+    Thread {
+        /// What the operating system said.
+        source: io::Error,
+    },
     /// The folder can't be written, or a logger was started before.
     #[snafu(display("logging: {source}"))]
     Start {
@@ -57,13 +67,15 @@
     logger.start().context(StartSnafu)
 }
 
-/// Starts the logs of a deployment's process, as lines on the standard output stream.
+/// Starts the logs of a deployment's process, as lines on the standard output stream. They never hold up the process;
+/// see [`queue`].
 ///
 /// # Errors
 ///
-/// Fails as [`init`] does.
+/// Fails as [`init`] does, and if no thread can be started.
 pub fn init_on_stdout(level: &str) -> Result<LoggerHandle, LoggingError> {
-    let logger = Logger::try_with_str(level).context(LevelSnafu)?.format(text_line).log_to_stdout();
+    let writer = QueueWriter::start(Box::new(io::stdout())).context(ThreadSnafu)?;
+    let logger = Logger::try_with_str(level).context(LevelSnafu)?.log_to_writer(Box::new(writer));
     logger.start().context(StartSnafu)
 }
 
--- a/agatetrestle/src/logging/tests.rs
+++ b/agatetrestle/src/logging/tests.rs
@@ -41,3 +41,45 @@
     let logging = Logging { level: "info, agatetrestle::entry=loud".into(), ..Logging::default() };
     assert!(matches!(init(&logging), Err(LoggingError::Level { .. })));
 }
+
+/// An output that takes nothing before it is let.
+struct Stuck(std::sync::mpsc::Receiver<()>, std::sync::mpsc::Sender<Vec<u8>>);
+
+impl Write for Stuck {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.recv().map_err(io::Error::other)?;
+        self.1.send(bytes.to_vec()).map_err(io::Error::other)?;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_reader_that_stops_reading_costs_lines_and_never_time() {
+    use flexi_logger::writers::LogWriter;
+
+    let (let_go, waits) = std::sync::mpsc::channel();
+    let (tx, written) = std::sync::mpsc::channel();
+    let queue = QueueWriter::start(Box::new(Stuck(waits, tx))).unwrap();
+    let say = |text: &str| {
+        let args = format_args!("{text}");
+        let record = Record::builder().level(Level::Info).target("agatetrestle::gateway").args(args).build();
+        queue.write(&mut DeferredNow::new(), &record).unwrap();
+    };
+    // Far more than the queue holds; each call returns though nobody reads.
+    for _ in 0..20_000 {
+        say("a line of some length that stands for one request of a caller");
+    }
+    // The first piece is written out, and with it what came while it was stuck.
+    let mut text = String::new();
+    while !text.contains(" lines were lost.") {
+        let_go.send(()).unwrap();
+        text.push_str(&String::from_utf8(written.recv().unwrap()).unwrap());
+        say("one more");
+    }
+    assert!(text.starts_with(|first: char| first.is_ascii_digit()), "lines begin with their time");
+    assert!(text.len() < 2 << 20, "what waits is bounded");
+}
--- a/agatetrestle_config/src/deployment.rs
+++ b/agatetrestle_config/src/deployment.rs
@@ -89,6 +89,8 @@
     pub operators: Option<SocketAddrV4>,
     /// HTTP for callers that ask which address to use, on control.
     pub directory: Option<SocketAddrV4>,
+    /// Port of the scrape of metrics, on the process's own IP.
+    pub metrics_port: Option<u16>,
 }
 
 /// What may be lost at once.
