--- a/agatetrestle/src/dispatch/mod.rs
+++ b/agatetrestle/src/dispatch/mod.rs
@@ -341,8 +341,15 @@
         let Some(shared) = request.affinity else {
             return Some(best.0);
         };
-        let home = scored.iter().max_by_key(|(key, ..)| affinity(shared, &self.servers[*key].instance.id))?;
-        Some(if home.1 <= best.1 + AFFINITY_SLACK { home.0 } else { best.0 })
+        let home = |near: bool| {
+            let able =
+                scored.iter().filter(|(key, ..)| !near || self.servers[*key].instance.zone == self.zone);
+            able.max_by_key(|(key, ..)| affinity(shared, &self.servers[*key].instance.id))
+        };
+        // A program comes through the entries of one failure domain as long as they serve, so its home is there too.
+        let homes = [home(true), home(false)];
+        let fit = homes.into_iter().flatten().find(|home| home.1 <= best.1 + AFFINITY_SLACK);
+        Some(fit.unwrap_or(best).0)
     }
 }
 
