Prefer servers to which a connection is open

Cause: among servers of equal load one was drawn by lot, so that connections grew old before they were used again.

--- a/agatetrestle/src/dispatch/mod.rs
+++ b/agatetrestle/src/dispatch/mod.rs
@@ -34,6 +34,10 @@
 /// Shortest and longest wait that a caller is told. Below, coming back costs more than it gains; above, the caller's
 /// own deadline ends first.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+/// What a server in another failure domain, and one to which no connection is open, count as in requests: bytes between domains
+/// and new connections cost, but less than to wait behind one more request.
+const FAR: f64 = 0.25;
+const COLD: f64 = 0.3;
 /// Requests by which a server's load may exceed the least loaded one's before its cached prompts no longer
 /// speak for it. Reading a prompt again costs as much as some two requests of a batch slow the others.
 const AFFINITY_SLACK: f64 = 7.0;
@@ -321,7 +325,7 @@
     }
 
     /// The server with the least load, unless the one that has the prompt is hardly worse. Among equals the
-    /// own failure domain goes first, since bytes between domains cost; the rest is drawn by lot, so that many
+    /// own failure domain and open connections go first; the rest is drawn by lot, so that many
     /// nodes don't all see the same free place.
     fn choose(&mut self, now: Timestamp, request: &Request) -> Option<ServerKey> {
         let draw = self.rng.below(u64::MAX);
@@ -332,9 +336,10 @@
         });
         let scored: Vec<(ServerKey, f64, u64)> = open
             .map(|(key, server)| {
-                let far = if server.instance.zone == self.zone { 0.0 } else { 0.25 };
+                let far = if server.instance.zone == self.zone { 0.0 } else { FAR };
+                let cold = if server.is_warm(now) { 0.0 } else { COLD };
                 let lot = affinity(draw, &server.instance.id);
-                (key, server.load(now, usual) + far, lot)
+                (key, server.load(now, usual) + far + cold, lot)
             })
             .collect();
         let best = scored.iter().min_by(|a, b| a.1.total_cmp(&b.1).then(a.2.cmp(&b.2)))?;
--- a/agatetrestle/src/dispatch/server.rs
+++ b/agatetrestle/src/dispatch/server.rs
@@ -10,6 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Timestamp;
+use crate::transport::client::FRESH;
 
 /// Time in which what answers told of the load by others loses its weight: a request takes about this long.
 const LOAD_MEMORY: Duration = Duration::from_millis(300);
@@ -78,6 +79,8 @@
     observed_at: Timestamp,
     rests_until: Timestamp,
     failures: u32,
+    /// When an answer last left a connection that can be used again.
+    answered_at: Option<Timestamp>,
 }
 
 impl Server {
@@ -90,6 +93,7 @@
             observed_at: Timestamp(0),
             rests_until: Timestamp(0),
             failures: 0,
+            answered_at: None,
         }
     }
 
@@ -136,7 +140,10 @@
     pub(super) fn finish(&mut self, now: Timestamp, outcome: Outcome) {
         self.running = self.running.saturating_sub(1);
         match outcome {
-            Outcome::Whole(_) => self.failures = 0,
+            Outcome::Whole(_) => {
+                self.failures = 0;
+                self.answered_at = Some(now);
+            }
             Outcome::Abandoned => {}
             Outcome::Full => self.rests_until = now + REST / 4,
             Outcome::Unreachable => self.rest(now, 0),
@@ -144,6 +151,11 @@
         }
     }
 
+    /// Whether a connection to it is most likely open.
+    pub(super) fn is_warm(&self, now: Timestamp) -> bool {
+        self.answered_at.is_some_and(|at| now.since(at) < FRESH)
+    }
+
     fn rest(&mut self, now: Timestamp, by_chance: u32) {
         self.failures += 1;
         if self.failures > by_chance {
--- a/agatetrestle/src/dispatch/tests.rs
+++ b/agatetrestle/src/dispatch/tests.rs
@@ -221,3 +221,22 @@
     }
     assert_eq!(to_third, 2, "each gets its third");
 }
+
+#[test]
+fn of_idle_servers_the_one_with_an_open_connection_is_used_again() {
+    let instances: Vec<Instance> = (0..9).map(|n| instance(&format!("i-{n}"), 6, "a")).collect();
+    let mut dispatch = dispatch(&instances);
+    let first = server_of(&dispatch.submit(at(0), request(0, 9_000)));
+    dispatch.finish(at(100), first, WHOLE);
+    for ticket in 1..6 {
+        let now = 100 + ticket * 100;
+        assert_eq!(server_of(&dispatch.submit(at(now), request(ticket, 9_000))), first);
+        dispatch.finish(at(now + 50), first, WHOLE);
+    }
+    let busy = server_of(&dispatch.submit(at(800), request(7, 9_000)));
+    assert_ne!(
+        server_of(&dispatch.submit(at(800), request(8, 9_000))),
+        busy,
+        "but not behind another request"
+    );
+}
--- a/agatetrestle/src/transport/client.rs
+++ b/agatetrestle/src/transport/client.rs
@@ -36,7 +36,7 @@
 const CONNECT: Duration = Duration::from_millis(400);
 /// Idle time after which a connection is not used again: it may have gone silent or be about to be closed by the
 /// server. Servers close theirs after some seconds.
-const FRESH: Duration = Duration::from_millis(1_500);
+pub const FRESH: Duration = Duration::from_millis(1_500);
 /// Connections kept for one server. Servers take a few hundred from all nodes together.
 const KEPT: usize = 6;
 /// Largest head of an answer.
