--- a/agatetrestle/src/gateway/relay.rs
+++ b/agatetrestle/src/gateway/relay.rs
@@ -265,8 +265,10 @@
             self.flow.log("whole");
             return Ok(());
         };
-        let left = self.flow.until.since(self.flow.gateway.clock.now());
-        match within(left, turn.keep(keeping)).await {
+        let asked = self.flow.gateway.clock.now();
+        let kept = within(self.flow.until.since(asked), turn.keep(keeping)).await;
+        self.flow.trail.finish = self.flow.gateway.clock.now().since(asked);
+        match kept {
             Some(Ok(())) => {
                 self.flow.log("whole and kept");
                 Ok(())
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -109,19 +109,22 @@
     pub(super) begin: Duration,
     pub(super) wait: Duration,
     pub(super) head: Duration,
+    /// Time of the commit that keeps a turn.
+    pub(super) finish: Duration,
 }
 
 impl Trail {
     /// Writes the one line that tells what became of a request, and counts it.
     pub(super) fn end(&self, gateway: &Gateway, status: u16, outcome: impl fmt::Display, took: Duration) {
-        let Self { attempt, version, route, service, server, tries, begin, wait, head } = self;
+        let Self { attempt, version, route, service, server, tries, begin, wait, head, finish } = self;
         self.count(gateway, status);
         info!(
             "request={attempt} version={version} route={route} service={service} server={server} tries={tries} status={status} \
-             outcome=\"{outcome}\" wait_us={} begin_us={} head_us={} total_us={}",
+             outcome=\"{outcome}\" wait_us={} begin_us={} head_us={} finish_us={} total_us={}",
             wait.as_micros(),
             begin.as_micros(),
             head.as_micros(),
+            finish.as_micros(),
             took.as_micros(),
         );
     }
