--- a/agatetrestle/src/deployment/entry.rs
+++ b/agatetrestle/src/deployment/entry.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use agatetrestle_config::deployment::Role;
 use futures::future::LocalBoxFuture;
 use http::Response;
 use http::StatusCode;
@@ -30,6 +31,7 @@
 use crate::node::router::Router;
 use crate::transport::body::AnswerBody;
 use crate::transport::server::Bounds;
+use crate::transport::server::Handler;
 
 /// Share of the memory that bodies of requests may take at once, as a divisor.
 const BODY_SHARE: usize = 4;
@@ -67,8 +69,7 @@
     }
 
     fn members(&self, members: &[Member]) {
-        let stores =
-            members.iter().filter(|member| member.role == agatetrestle_config::deployment::Role::Store);
+        let stores = members.iter().filter(|member| member.role == Role::Store);
         let stores: Vec<NodeId> = stores.map(|member| member.node).collect();
         info!("{} stores are there: {stores:?}.", stores.len());
         // A list without stores is of a control leader that has not heard from them yet.
@@ -108,7 +109,7 @@
 
 fn serve_callers(frame: &Frame, gateway: &Rc<Gateway>, bounds: &Rc<Bounds>) {
     let gateway = gateway.clone();
-    let handler: crate::transport::server::Handler = Rc::new(move |request| {
+    let handler: Handler = Rc::new(move |request| {
         let gateway = gateway.clone();
         Box::pin(async move { gateway.answer(request).await })
     });
@@ -117,7 +118,7 @@
 
 fn serve_readiness(frame: &Frame, gateway: &Rc<Gateway>) {
     let (gateway, wire) = (gateway.clone(), frame.wire.clone());
-    let handler: crate::transport::server::Handler = Rc::new(move |request| {
+    let handler: Handler = Rc::new(move |request| {
         let known = wire.is_readiness(request.uri());
         let status = match (known, gateway.ready()) {
             (false, _) => StatusCode::NOT_FOUND,
--- a/agatetrestle/src/deployment/listing.rs
+++ b/agatetrestle/src/deployment/listing.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use agatetrestle_config::deployment::BackendList;
@@ -99,7 +100,7 @@
 
     async fn read(&self, client: &Client) -> Result<(Vec<Instance>, usize), ListError> {
         let mut instances = Vec::new();
-        let mut page: Option<std::sync::Arc<str>> = None;
+        let mut page: Option<Arc<str>> = None;
         for count in 1..=MOST_PAGES {
             let path = self.wire.list_path(page.as_deref());
             let reading = within(PAGE_TIME, get(client, self.settings.address, &path)).await;
--- a/agatetrestle/src/deployment/mod.rs
+++ b/agatetrestle/src/deployment/mod.rs
@@ -15,6 +15,7 @@
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
+use std::net::SocketAddrV4;
 use std::path::Path;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -27,6 +28,7 @@
 use async_signal::Signal;
 use async_signal::Signals;
 use futures::StreamExt;
+use futures::future::LocalBoxFuture;
 use log::info;
 use log::warn;
 use smol::LocalExecutor;
@@ -51,6 +53,9 @@
 use crate::node::peer_server;
 use crate::node::peer_server::PeerServer;
 use crate::node::router::Patience;
+use crate::transport::server;
+use crate::transport::server::Bounds;
+use crate::transport::server::Handler;
 use crate::transport::server::listen;
 
 /// Bound on connecting to another process and on each call without a bound of its own. Domains are 1.5 ms apart and a
@@ -162,7 +167,7 @@
     fn subscriber(&self) -> &Rc<Subscriber>;
 
     /// A planned stop: what is under way is finished, what it leads is handed over.
-    fn stop(&self) -> futures::future::LocalBoxFuture<'_, ()>;
+    fn stop(&self) -> LocalBoxFuture<'_, ()>;
 }
 
 /// The number of the process; a new one with each empty disk, and with each start where there is no disk.
@@ -186,7 +191,7 @@
             vm: process.vm.clone(),
             role: process.role,
             zone: process.failure_domain.clone(),
-            peer: std::net::SocketAddrV4::new(process.ip, process.peer_port),
+            peer: SocketAddrV4::new(process.ip, process.peer_port),
             callers: self.settings.listen.callers,
             ready: false,
         }
@@ -232,7 +237,7 @@
         let Some(port) = self.settings.listen.metrics_port else {
             return;
         };
-        let address = std::net::SocketAddrV4::new(self.settings.process.ip, port);
+        let address = SocketAddrV4::new(self.settings.process.ip, port);
         let (metrics, executor) = (self.metrics.clone(), self.executor.clone());
         let serving = async move {
             let listener = listen(address).await;
@@ -255,8 +260,8 @@
 }
 
 /// The seeds as our own processes reach them: control's port is the same everywhere, and so is ours.
-fn peer_addresses(settings: &Deployment, port: u16) -> Vec<std::net::SocketAddrV4> {
-    settings.seeds.iter().map(|seed| std::net::SocketAddrV4::new(*seed.ip(), port)).collect()
+fn peer_addresses(settings: &Deployment, port: u16) -> Vec<SocketAddrV4> {
+    settings.seeds.iter().map(|seed| SocketAddrV4::new(*seed.ip(), port)).collect()
 }
 
 impl Subscriber {
@@ -298,12 +303,7 @@
 }
 
 /// Listens, once the address is free, and serves HTTP there.
-fn serve_http(
-    frame: &Frame,
-    address: Option<std::net::SocketAddrV4>,
-    handler: crate::transport::server::Handler,
-    bounds: Rc<crate::transport::server::Bounds>,
-) {
+fn serve_http(frame: &Frame, address: Option<SocketAddrV4>, handler: Handler, bounds: Rc<Bounds>) {
     let Some(address) = address else {
         warn!("An address of this role is not set, so nothing is served there.");
         return;
@@ -311,7 +311,7 @@
     let executor = Rc::downgrade(&frame.executor);
     let serving = async move {
         let listener = listen(address).await;
-        crate::transport::server::serve(listener, handler, bounds, executor).await;
+        server::serve(listener, handler, bounds, executor).await;
     };
     frame.executor.spawn(serving).detach();
 }
--- a/agatetrestle/src/deployment/store.rs
+++ b/agatetrestle/src/deployment/store.rs
@@ -1,5 +1,6 @@
 //! A store: a replica of the state group that holds turns and budgets.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use log::info;
 use smol::Timer;
 
+use crate::agreement::StateMachine;
 use crate::cluster::keeper;
 use crate::cluster::message::Member;
 use crate::cluster::service::TurnDesk;
@@ -40,7 +42,7 @@
 }
 
 pub(super) async fn start(frame: &Frame) -> Result<Store, NodeError> {
-    let group: Rc<std::cell::RefCell<Option<Rc<Group<TurnState>>>>> = Rc::default();
+    let group: Rc<RefCell<Option<Rc<Group<TurnState>>>>> = Rc::default();
     let (introduced, member) = (group.clone(), frame.member());
     let introduce = Rc::new(move || {
         let group = introduced.borrow();
@@ -114,7 +116,7 @@
 }
 
 /// Hands leadership over and waits until another replica leads.
-pub(super) async fn hand_over<M: crate::agreement::StateMachine + 'static>(group: Rc<Group<M>>) {
+pub(super) async fn hand_over<M: StateMachine + 'static>(group: Rc<Group<M>>) {
     const POLL: Duration = Duration::from_millis(20);
     if !group.leads() {
         return;
--- a/agatetrestle/src/deployment/tests.rs
+++ b/agatetrestle/src/deployment/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the answers to callers that ask for addresses.
 
+use std::net::SocketAddrV4;
+
 use agatetrestle_config::deployment::Role;
 
 use crate::cluster::message::Member;
@@ -12,8 +14,8 @@
         vm: format!("entry-{number}").into(),
         role: Role::Entry,
         zone: zone.into(),
-        peer: std::net::SocketAddrV4::new([10, 0, 0, number].into(), 7380),
-        callers: Some(std::net::SocketAddrV4::new([10, 0, 0, number].into(), 80)),
+        peer: SocketAddrV4::new([10, 0, 0, number].into(), 7380),
+        callers: Some(SocketAddrV4::new([10, 0, 0, number].into(), 80)),
         ready,
     }
 }
--- a/agatetrestle/src/gateway/mod.rs
+++ b/agatetrestle/src/gateway/mod.rs
@@ -37,6 +37,8 @@
 use crate::dispatch::Decision;
 use crate::dispatch::Dispatch;
 use crate::dispatch::Instance;
+use crate::dispatch::Outcome;
+use crate::dispatch::ServerKey;
 use crate::gateway::turn::Turns;
 use crate::gateway::wire::CallHead;
 use crate::gateway::wire::Wire;
@@ -203,14 +205,13 @@
     fn give_back(&self, decision: Decision) {
         if let Decision::Send { server, .. } = decision {
             let now = self.clock.now();
-            let decisions =
-                self.dispatch.borrow_mut().finish(now, server, crate::dispatch::Outcome::Abandoned);
+            let decisions = self.dispatch.borrow_mut().finish(now, server, Outcome::Abandoned);
             self.carry_out(decisions);
         }
     }
 
     /// Where an instance listens, if it is known.
-    fn address(&self, server: crate::dispatch::ServerKey) -> Option<(Arc<str>, SocketAddrV4)> {
+    fn address(&self, server: ServerKey) -> Option<(Arc<str>, SocketAddrV4)> {
         let dispatch = self.dispatch.borrow();
         dispatch.instance(server).map(|instance| (instance.id.clone(), instance.address))
     }
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -310,62 +310,77 @@
     }
 }
 
+/// How far a request has come with the servers.
+#[derive(Default)]
+struct Progress {
+    /// Servers that had it.
+    avoid: Vec<ServerKey>,
+    /// Servers that said that they did not run it.
+    not_run: u32,
+    /// Servers that may have run it.
+    ran: u32,
+}
+
+impl Progress {
+    /// Notes a sending that came to nothing, and says whether there may be another.
+    fn note(&mut self, job: &Job, failure: Failure) -> Result<(), Problem> {
+        match failure {
+            Failure::TooLate => Err(Problem::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time")),
+            Failure::MayHaveRun(reason) => after_run(job, &mut self.ran, &reason),
+            Failure::NotRun(reason) => {
+                self.not_run += 1;
+                if self.not_run < MOST_NOT_RUN {
+                    return Ok(());
+                }
+                Err(self.give_up(reason, COME_BACK))
+            }
+        }
+    }
+
+    /// The answer where no server is left: a promise that the request was not run, if that is true.
+    fn give_up(&self, reason: impl fmt::Display, retry_after: Duration) -> Problem {
+        match self.ran {
+            0 => Problem::not_run(reason, retry_after),
+            _ => Problem::new(StatusCode::BAD_GATEWAY, reason),
+        }
+    }
+}
+
 /// Tries servers until one answers, the request must not be sent again, or time is up.
 async fn run(
     gateway: &Rc<Gateway>,
     mut job: Job,
     trail: &mut Trail,
 ) -> Result<Response<AnswerBody>, Problem> {
-    let mut avoid: Vec<ServerKey> = Vec::new();
-    let mut not_run = 0;
-    let mut ran = 0;
+    let mut progress = Progress::default();
     let mut turn: Option<OpenTurn> = None;
     let mut reserved = !needs_turn(&job);
     loop {
         let asked = gateway.clock.now();
-        let place = match Place::find(gateway, wanted(&job, asked, &avoid)).await {
-            Ok(place) => place,
-            Err(away) if ran == 0 => {
-                return Err(Problem::not_run(format!("{:?}", away.reason), away.retry_after));
-            }
-            Err(_) => {
-                return Err(Problem::new(StatusCode::BAD_GATEWAY, "no further server takes the request"));
-            }
-        };
-        trail.wait += gateway.clock.now().since(asked);
+        let place = Place::find(gateway, wanted(&job, asked, &progress.avoid)).await;
+        let place = place.map_err(|away| progress.give_up(format!("{:?}", away.reason), away.retry_after))?;
+        let found = gateway.clock.now();
+        trail.wait += found.since(asked);
         if !reserved {
-            let asked = gateway.clock.now();
             turn = Some(begin(gateway, &mut job).await?);
-            trail.begin = gateway.clock.now().since(asked);
+            trail.begin = gateway.clock.now().since(found);
             reserved = true;
         }
         trail.tries += 1;
-        let server = place.server;
-        trail.server = gateway.address(server).map(|(id, _)| id).unwrap_or_default();
-        let last = !may_run_again(&job, ran + 1);
-        match attempt::send(gateway, &job, place, last).await {
+        progress.avoid.push(place.server);
+        trail.server = gateway.address(place.server).map(|(id, _)| id).unwrap_or_default();
+        let last = !may_run_again(&job, progress.ran + 1);
+        let failure = match attempt::send(gateway, &job, place, last).await {
             Ok(sent) => {
                 trail.head = gateway.clock.now().since(job.arrived);
                 match relay::answer(gateway, &job, sent, &mut turn, trail).await {
                     Ok(response) => return Ok(response),
-                    Err(reason) => after_run(&job, &mut ran, &reason)?,
-                }
-            }
-            Err(Failure::NotRun(reason)) => {
-                not_run += 1;
-                if not_run >= MOST_NOT_RUN && ran == 0 {
-                    return Err(Problem::not_run(reason, COME_BACK));
-                }
-                if not_run >= MOST_NOT_RUN {
-                    return Err(Problem::new(StatusCode::BAD_GATEWAY, reason));
+                    Err(reason) => Failure::MayHaveRun(reason),
                 }
             }
-            Err(Failure::MayHaveRun(reason)) => after_run(&job, &mut ran, &reason)?,
-            Err(Failure::TooLate) => {
-                return Err(Problem::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time"));
-            }
-        }
-        avoid.push(server);
+            Err(failure) => failure,
+        };
+        progress.note(&job, failure)?;
     }
 }
 
