--- a/agatetrestle/src/agreement/coding.rs
+++ b/agatetrestle/src/agreement/coding.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use snafu::ResultExt;
 use snafu::Snafu;
 
@@ -50,32 +51,32 @@
     ciborium::from_reader(bytes).context(UndecodableSnafu)
 }
 
-/// Codes the replica set and data of a snapshot as one run of bytes, which is sent in chunks.
+/// What stands in front of a snapshot's data: its replica set and the length of that. The data itself is large and
+/// is sent from where it is.
 ///
 /// # Panics
 ///
 /// If a replica set took more than 4 GiB.
 #[must_use]
-pub fn encode_snapshot(snapshot: &Snapshot) -> Arc<[u8]> {
-    let replicas = encode_replicas(&snapshot.replicas);
+pub fn snapshot_head(replicas: &Replicas) -> Vec<u8> {
+    let replicas = encode_replicas(replicas);
     let length = u32::try_from(replicas.len()).expect("a replica set is small");
-    let mut buf = Vec::with_capacity(LENGTH_BYTES + replicas.len() + snapshot.data.len());
+    let mut buf = Vec::with_capacity(LENGTH_BYTES + replicas.len());
     buf.extend_from_slice(&length.to_le_bytes());
     buf.extend_from_slice(&replicas);
-    buf.extend_from_slice(&snapshot.data);
-    buf.into()
+    buf
 }
 
-/// Reads back what [`encode_snapshot`] wrote.
+/// Reads back a head and the data behind it, which stays where it is.
 ///
 /// # Errors
 ///
 /// Fails on bytes that hold no replica set.
-pub fn decode_snapshot(position: Position, bytes: &[u8]) -> Result<Snapshot, CodingError> {
+pub fn decode_snapshot(position: Position, bytes: &Bytes) -> Result<Snapshot, CodingError> {
     let short = || CodingError::Short { length: bytes.len() };
     let (length, rest) = bytes.split_first_chunk::<LENGTH_BYTES>().ok_or_else(short)?;
     let length = usize::try_from(u32::from_le_bytes(*length)).unwrap_or(usize::MAX);
     let (replicas, data) = rest.split_at_checked(length).ok_or_else(short)?;
     let replicas = decode_replicas(replicas)?;
-    Ok(Snapshot { position, replicas, data: data.into() })
+    Ok(Snapshot { position, replicas, data: bytes.slice_ref(data) })
 }
--- a/agatetrestle/src/agreement/mod.rs
+++ b/agatetrestle/src/agreement/mod.rs
@@ -13,6 +13,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 use snafu::Snafu;
@@ -95,8 +96,13 @@
     SnapshotTaken {
         /// The last entry the snapshot covers.
         position: Position,
+    },
+    /// The coded state machine that [`Output::CodeSnapshot`] asked for, as of its last applied entry.
+    SnapshotCoded {
+        /// That entry.
+        position: Position,
         /// The coded state machine.
-        data: Arc<[u8]>,
+        data: Bytes,
     },
     /// Change who takes part.
     ChangeReplicas {
@@ -132,7 +138,7 @@
     /// Who took part at that point.
     pub replicas: Replicas,
     /// The coded state machine.
-    pub data: Arc<[u8]>,
+    pub data: Bytes,
 }
 
 /// Why a proposal or read was turned away; in each case nothing entered the log.
@@ -166,6 +172,9 @@
     },
     /// Replace the state machine by a snapshot.
     Restore(Snapshot),
+    /// Code the state machine for a peer that lags too far, and answer [`Input::SnapshotCoded`]. The replica holds no
+    /// copy of the state from before, which would cost memory all day for a case that is rare.
+    CodeSnapshot,
     /// A read may be answered from the state machine as it is now.
     ReadReady(Ticket),
     /// The proposal, read or change did not enter the log.
@@ -195,8 +204,15 @@
 
 /// What a replicated group computes.
 pub trait StateMachine {
-    /// Applies one committed command and returns the coded reply; must be deterministic.
-    fn apply(&mut self, position: Position, payload: &[u8]) -> Vec<u8>;
+    /// Applies one committed command and returns the coded reply; must be deterministic. The state may hold on to
+    /// the payload, which the log shares.
+    fn apply(&mut self, position: Position, payload: &Arc<[u8]>) -> Vec<u8>;
+
+    /// Applies a command whose reply nobody waits for, as all but the leader do and everyone at a start; coding a
+    /// reply may cost more than the command.
+    fn follow(&mut self, position: Position, payload: &Arc<[u8]>) {
+        self.apply(position, payload);
+    }
 
     /// Codes the whole state.
     fn snapshot(&self) -> Vec<u8>;
--- a/agatetrestle/src/agreement/replica/leader.rs
+++ b/agatetrestle/src/agreement/replica/leader.rs
@@ -2,10 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
-use std::sync::Arc;
 
 use crate::agreement::Ticket;
-use crate::agreement::message::Position;
+use crate::agreement::replica::snapshot::Outgoing;
 use crate::clock::Timestamp;
 use crate::ids::NodeId;
 
@@ -27,10 +26,8 @@
     },
     /// It needs a snapshot.
     Snapshot {
-        /// The last entry that the snapshot covers.
-        position: Position,
-        /// Replica set and data.
-        bytes: Arc<[u8]>,
+        /// The snapshot, unless the driver still codes it.
+        outgoing: Option<Outgoing>,
         /// Bytes that the peer has.
         offset: usize,
     },
--- a/agatetrestle/src/agreement/replica/mod.rs
+++ b/agatetrestle/src/agreement/replica/mod.rs
@@ -111,7 +111,8 @@
     leader: Option<NodeId>,
     log: Log,
     sets: ReplicaSets,
-    snapshot: Option<Snapshot>,
+    /// Last index that the stored snapshot covers.
+    covered: u64,
     incoming: Option<Incoming>,
     commit: u64,
     applied: u64,
@@ -165,7 +166,7 @@
             durable: log.last().index,
             log,
             sets,
-            snapshot,
+            covered: base.index,
             incoming: None,
             commit: base.index,
             applied: base.index,
@@ -249,7 +250,8 @@
             Input::Read(ticket) => self.read(now, ticket),
             Input::Written(sequence) => self.acknowledge_writes(now, sequence),
             Input::WriteFailed => self.fail(),
-            Input::SnapshotTaken { position, data } => self.take_snapshot(position, data),
+            Input::SnapshotTaken { position } => self.take_snapshot(position),
+            Input::SnapshotCoded { position, data } => self.send_coded(position, data),
             Input::ChangeReplicas { ticket, change } => self.change_replicas(now, ticket, change),
             Input::HandOver => self.hand_over(now),
         }
--- a/agatetrestle/src/agreement/replica/replication.rs
+++ b/agatetrestle/src/agreement/replica/replication.rs
@@ -319,7 +319,9 @@
                 *under_way = under_way.saturating_sub(1);
                 false
             }
-            Stage::Snapshot { position, .. } => self.matched >= position.index,
+            Stage::Snapshot { outgoing, .. } => {
+                outgoing.as_ref().is_some_and(|outgoing| self.matched >= outgoing.position().index)
+            }
         };
         if caught_up {
             self.next = self.matched + 1;
--- a/agatetrestle/src/agreement/replica/snapshot.rs
+++ b/agatetrestle/src/agreement/replica/snapshot.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
+
 use crate::agreement::Output;
 use crate::agreement::Snapshot;
 use crate::agreement::coding;
@@ -23,51 +25,109 @@
     bytes: Vec<u8>,
 }
 
+/// A snapshot that is being sent; all peers that lag share it.
+#[derive(Clone, Debug)]
+pub(super) struct Outgoing {
+    /// The last entry that it covers.
+    position: Position,
+    head: Arc<[u8]>,
+    data: Bytes,
+}
+
+impl Outgoing {
+    pub(super) fn position(&self) -> Position {
+        self.position
+    }
+
+    fn len(&self) -> usize {
+        self.head.len() + self.data.len()
+    }
+
+    /// The piece from an offset on, not longer than `most`.
+    fn piece(&self, offset: usize, most: usize) -> Arc<[u8]> {
+        let head = self.head.get(offset..).unwrap_or_default();
+        let data = &self.data[offset.saturating_sub(self.head.len()).min(self.data.len())..];
+        head.iter().chain(data).copied().take(most.max(1)).collect()
+    }
+}
+
 impl Replica {
     /// Drops the entries that a snapshot covers, which the driver has stored.
-    pub(super) fn take_snapshot(&mut self, position: Position, data: Arc<[u8]>) {
-        let known = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.position.index);
+    pub(super) fn take_snapshot(&mut self, position: Position) {
         let held = self.log.term_at(position.index) == Some(position.term);
-        if position.index <= known || position.index > self.applied || !held {
+        if position.index <= self.covered || position.index > self.applied || !held {
             return;
         }
-        let replicas = self.sets.at(position.index).clone();
-        self.snapshot = Some(Snapshot { position, replicas, data });
+        self.covered = position.index;
         self.sets.compact(position.index);
         self.log.compact(position.index.saturating_sub(KEPT_ENTRIES));
     }
 
-    /// Begins to send the newest snapshot to a peer.
+    /// Begins to send a snapshot to a peer: the one that others are getting, or one that the driver is asked for.
     pub(super) fn begin_snapshot(&mut self, peer: NodeId) {
+        let base = self.log.base().index;
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
+        let under_way = leader.progress.values().find_map(|progress| match &progress.stage {
+            Stage::Snapshot { outgoing: Some(outgoing), .. } => Some(outgoing.clone()),
+            _ => None,
+        });
         let Some(progress) = leader.progress.get_mut(&peer) else {
             return;
         };
-        let Some(snapshot) = &self.snapshot else {
+        let outgoing = under_way.filter(|outgoing| outgoing.position.index >= base);
+        let ready = outgoing.is_some();
+        progress.stage = Stage::Snapshot { outgoing, offset: 0 };
+        if ready {
+            self.send_chunk(peer);
+        } else {
+            self.out.push(Output::CodeSnapshot);
+        }
+    }
+
+    /// Sends the snapshot that the driver coded to all peers that wait for one.
+    pub(super) fn send_coded(&mut self, position: Position, data: Bytes) {
+        let usable = position.index <= self.applied && position.index >= self.log.base().index;
+        let head = coding::snapshot_head(self.sets.at(position.index)).into();
+        let coded = Outgoing { position, head, data };
+        let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        let bytes = coding::encode_snapshot(snapshot);
-        progress.stage = Stage::Snapshot { position: snapshot.position, bytes, offset: 0 };
-        self.send_chunk(peer);
+        let mut waiting = Vec::new();
+        for (peer, progress) in &mut leader.progress {
+            if let Stage::Snapshot { outgoing: outgoing @ None, .. } = &mut progress.stage
+                && usable
+            {
+                *outgoing = Some(coded.clone());
+                waiting.push(*peer);
+            }
+        }
+        for peer in waiting {
+            self.send_chunk(peer);
+        }
     }
 
+    /// Sends the next piece again, or asks for the snapshot again if the driver could not make one.
     pub(super) fn send_chunk(&mut self, peer: NodeId) {
         let Role::Leader(leader) = &self.role else {
             return;
         };
-        let Some(Stage::Snapshot { position, bytes, offset }) =
+        let Some(Stage::Snapshot { outgoing, offset }) =
             leader.progress.get(&peer).map(|progress| &progress.stage)
         else {
             return;
         };
-        let end = bytes.len().min(offset + self.cfg.max_batch_bytes.max(1));
+        let Some(outgoing) = outgoing else {
+            self.out.push(Output::CodeSnapshot);
+            return;
+        };
+        let chunk = outgoing.piece(*offset, self.cfg.max_batch_bytes);
         let body = Body::Snapshot {
-            position: *position,
+            position: outgoing.position,
             offset: *offset as u64,
-            chunk: bytes[*offset..end].into(),
-            last: end == bytes.len(),
+            last: offset + chunk.len() == outgoing.len(),
+            chunk,
             learner: self.is_learner(peer),
             round: leader.round,
         };
@@ -90,10 +150,10 @@
             return;
         };
         if let Some(progress) = leader.progress.get_mut(&from)
-            && let Stage::Snapshot { position: sent, bytes, offset } = &mut progress.stage
-            && *sent == position
+            && let Stage::Snapshot { outgoing: Some(outgoing), offset } = &mut progress.stage
+            && outgoing.position == position
             && let Ok(received) = usize::try_from(received)
-            && received < bytes.len()
+            && received < outgoing.len()
             && received != *offset
         {
             *offset = received;
@@ -149,7 +209,7 @@
         let Some(incoming) = self.incoming.take() else {
             return;
         };
-        if let Ok(snapshot) = coding::decode_snapshot(position, &incoming.bytes) {
+        if let Ok(snapshot) = coding::decode_snapshot(position, &incoming.bytes.into()) {
             self.install(snapshot);
             self.accept_committed(from, round);
         }
@@ -169,7 +229,7 @@
         self.commit = position.index;
         self.applied = position.index;
         self.write.snapshot = Some(snapshot.clone());
-        self.snapshot = Some(snapshot.clone());
+        self.covered = position.index;
         self.out.push(Output::Restore(snapshot));
     }
 
--- a/agatetrestle/src/agreement/storage/mod.rs
+++ b/agatetrestle/src/agreement/storage/mod.rs
@@ -130,8 +130,8 @@
         if self.poisoned {
             return Err(StorageError::Poisoned);
         }
-        let bytes = snapshot_file::encode(self.cfg.group, snapshot);
-        if let Err(error) = self.write_temporary(&bytes) {
+        let (head, checksum) = snapshot_file::frame(self.cfg.group, snapshot);
+        if let Err(error) = self.write_temporary(&[&head, &snapshot.data, &checksum]) {
             // The space is given back at once; what matters is the first error.
             let _ = self.disk.remove(TEMPORARY_FILE);
             return Err(error);
@@ -142,10 +142,12 @@
         self.drop_covered(snapshot.position.index)
     }
 
-    fn write_temporary(&mut self, bytes: &[u8]) -> Result<(), StorageError> {
+    fn write_temporary(&mut self, pieces: &[&[u8]]) -> Result<(), StorageError> {
         let failed = |operation| move |source| StorageError::from_io(operation, TEMPORARY_FILE, source);
         self.disk.create(TEMPORARY_FILE).map_err(failed(Operation::Create))?;
-        self.disk.append(TEMPORARY_FILE, bytes).map_err(failed(Operation::Append))?;
+        for piece in pieces {
+            self.disk.append(TEMPORARY_FILE, piece).map_err(failed(Operation::Append))?;
+        }
         self.disk.sync(TEMPORARY_FILE).map_err(failed(Operation::Sync))
     }
 
--- a/agatetrestle/src/agreement/storage/recovery.rs
+++ b/agatetrestle/src/agreement/storage/recovery.rs
@@ -57,7 +57,7 @@
 fn read_snapshot(disk: &dyn Disk, group: GroupId) -> Result<Snapshot, StorageError> {
     let bytes = disk.read(SNAPSHOT_FILE);
     let bytes = bytes.map_err(|source| StorageError::from_io(Operation::Read, SNAPSHOT_FILE, source))?;
-    let snapshot = snapshot_file::decode(group, &bytes);
+    let snapshot = snapshot_file::decode(group, &bytes.into());
     snapshot.map_err(|damage| StorageError::corrupt(SNAPSHOT_FILE, 0, damage))
 }
 
--- a/agatetrestle/src/agreement/storage/snapshot_file.rs
+++ b/agatetrestle/src/agreement/storage/snapshot_file.rs
@@ -1,5 +1,7 @@
 //! Bytes of the snapshot file.
 
+use bytes::Bytes;
+
 use crate::agreement::Snapshot;
 use crate::agreement::coding;
 use crate::agreement::message::Position;
@@ -16,21 +18,22 @@
 /// Bytes of the checksum at the end.
 const CHECKSUM_BYTES: usize = 4;
 
-pub(super) fn encode(group: GroupId, snapshot: &Snapshot) -> Vec<u8> {
-    let body = coding::encode_snapshot(snapshot);
-    let mut buf = Vec::with_capacity(body.len() + 64);
-    buf.extend_from_slice(MAGIC);
-    buf.extend_from_slice(&VERSION.to_le_bytes());
-    buf.extend_from_slice(&group.0.to_le_bytes());
-    buf.extend_from_slice(&snapshot.position.term.to_le_bytes());
-    buf.extend_from_slice(&snapshot.position.index.to_le_bytes());
-    buf.extend_from_slice(&body);
-    let checksum = crc32fast::hash(&buf);
-    buf.extend_from_slice(&checksum.to_le_bytes());
-    buf
+/// What stands before a snapshot's data in its file, and the checksum of both behind it. The data is written from
+/// where it is, since a copy of it would be the largest thing in the process.
+pub(super) fn frame(group: GroupId, snapshot: &Snapshot) -> (Vec<u8>, [u8; CHECKSUM_BYTES]) {
+    let mut head = MAGIC.to_vec();
+    head.extend_from_slice(&VERSION.to_le_bytes());
+    head.extend_from_slice(&group.0.to_le_bytes());
+    head.extend_from_slice(&snapshot.position.term.to_le_bytes());
+    head.extend_from_slice(&snapshot.position.index.to_le_bytes());
+    head.extend_from_slice(&coding::snapshot_head(&snapshot.replicas));
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&head);
+    hasher.update(&snapshot.data);
+    (head, hasher.finalize().to_le_bytes())
 }
 
-pub(super) fn decode(group: GroupId, bytes: &[u8]) -> Result<Snapshot, Damage> {
+pub(super) fn decode(group: GroupId, bytes: &Bytes) -> Result<Snapshot, Damage> {
     let length = bytes.len().checked_sub(CHECKSUM_BYTES).ok_or(Damage::Short)?;
     let (content, checksum) = bytes.split_at(length);
     let mut reader = Reader { bytes: content };
@@ -51,5 +54,6 @@
     }
     let position =
         Position { term: reader.u64().ok_or(Damage::Short)?, index: reader.u64().ok_or(Damage::Short)? };
-    coding::decode_snapshot(position, reader.bytes).map_err(|source| Damage::Replicas { source })
+    coding::decode_snapshot(position, &bytes.slice_ref(reader.bytes))
+        .map_err(|source| Damage::Replicas { source })
 }
--- a/agatetrestle/src/agreement/storage/tests.rs
+++ b/agatetrestle/src/agreement/storage/tests.rs
@@ -35,7 +35,7 @@
 
 fn snapshot(term: u64, index: u64) -> Snapshot {
     let replicas = Replicas { voters: [NodeId(1)].into(), learners: [NodeId(2)].into() };
-    Snapshot { position: Position { term, index }, replicas, data: Arc::from([7; 30]) }
+    Snapshot { position: Position { term, index }, replicas, data: vec![7; 30].into() }
 }
 
 fn open(disk: &MemoryDisk) -> Result<(Storage, Restored), StorageError> {
--- a/agatetrestle/src/agreement/tests/basics.rs
+++ b/agatetrestle/src/agreement/tests/basics.rs
@@ -11,6 +11,7 @@
 use crate::agreement::ReplicaChange;
 use crate::agreement::Replicas;
 use crate::agreement::Ticket;
+use crate::agreement::message::Position;
 use crate::agreement::replica::Replica;
 use crate::agreement::replica::ReplicaConfig;
 use crate::agreement::replica::Restored;
@@ -61,6 +62,11 @@
                         inputs.push_back((message.to, Input::Receive(message.clone())));
                     }
                     Output::Write(write) => inputs.push_back((node, Input::Written(write.sequence))),
+                    Output::CodeSnapshot => {
+                        let position = self.last_applied(node);
+                        let data = vec![9; 100].into();
+                        inputs.push_back((node, Input::SnapshotCoded { position, data }));
+                    }
                     _ => {}
                 }
                 self.outputs.push((node, output));
@@ -68,6 +74,14 @@
         }
     }
 
+    fn last_applied(&self, node: NodeId) -> Position {
+        let applied = self.outputs.iter().rev().find_map(|(at, output)| match output {
+            Output::Apply { position, .. } if *at == node => Some(*position),
+            _ => None,
+        });
+        applied.unwrap_or_default()
+    }
+
     fn run(&mut self, span: Duration) {
         let end = self.now + span;
         while self.now < end {
@@ -198,8 +212,7 @@
         network.propose(leader);
     });
     let position = network.replicas[&leader].last_position();
-    let data = Arc::from(vec![9_u8; 100]);
-    network.input(leader, Input::SnapshotTaken { position, data });
+    network.input(leader, Input::SnapshotTaken { position });
     network.change(ReplicaChange::AddLearner(NodeId(4)));
     let early = network.change(ReplicaChange::Promote(NodeId(9)));
     assert_eq!(network.rejection(early), Some(Rejection::InvalidChange));
@@ -209,6 +222,8 @@
         _ => false,
     });
     assert!(restored);
+    let coded = network.outputs.iter().filter(|(_, output)| matches!(output, Output::CodeSnapshot)).count();
+    assert_eq!(coded, 1, "the state is coded once, when a peer needs it");
     network.change(ReplicaChange::Promote(NodeId(4)));
     network.run(ELECTION_TIMEOUT);
     assert!(network.replicas[&NodeId(4)].replicas().voters.contains(&NodeId(4)));
--- a/agatetrestle/src/agreement/tests/node.rs
+++ b/agatetrestle/src/agreement/tests/node.rs
@@ -2,9 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
-use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+
 use crate::agreement::HardState;
 use crate::agreement::Replicas;
 use crate::agreement::Snapshot;
@@ -108,11 +109,17 @@
     }
 
     /// Stores a snapshot of the state machine, as the driver does before it tells the replica.
-    pub(super) fn save_snapshot(&mut self, position: Position) -> Result<Arc<[u8]>, Violation> {
+    pub(super) fn save_snapshot(&mut self, position: Position) -> Result<(), Violation> {
         let data = encode(&self.applied);
-        let snapshot = Snapshot { position, replicas: self.replicas.clone(), data: data.clone() };
-        store(&mut self.durable, Write { snapshot: Some(snapshot), ..Write::default() })?;
-        Ok(data)
+        let snapshot = Snapshot { position, replicas: self.replicas.clone(), data };
+        store(&mut self.durable, Write { snapshot: Some(snapshot), ..Write::default() })
+    }
+
+    /// The state machine as a peer gets it that lags too far.
+    pub(super) fn coded(&self) -> (Position, Bytes) {
+        let last = self.applied.last_key_value();
+        let position = last.map(|(index, (term, _))| Position { term: *term, index: *index });
+        (position.unwrap_or_default(), encode(&self.applied))
     }
 
     /// Stops and loses all files.
@@ -185,7 +192,7 @@
     snapshot.map_or(0, |snapshot| snapshot.position.index)
 }
 
-fn encode(applied: &Applied) -> Arc<[u8]> {
+fn encode(applied: &Applied) -> Bytes {
     let numbers = applied.iter().flat_map(|(index, (term, command))| [*index, *term, *command]);
     numbers.flat_map(u64::to_le_bytes).collect()
 }
--- a/agatetrestle/src/agreement/tests/world.rs
+++ b/agatetrestle/src/agreement/tests/world.rs
@@ -179,6 +179,10 @@
                 self.nodes[place].applied = applied;
                 self.nodes[place].replicas = snapshot.replicas;
             }
+            Output::CodeSnapshot => {
+                let (position, data) = self.nodes[place].coded();
+                self.input(place, Input::SnapshotCoded { position, data })?;
+            }
             Output::ReadReady(ticket) => self.check_read(place, ticket)?,
             Output::Reject { ticket, .. } => {
                 self.reads.remove(&ticket.0);
@@ -437,8 +441,8 @@
         if index <= &covered(node.durable.snapshot.as_ref()) || node.paused {
             return Ok(());
         }
-        let data = node.save_snapshot(position)?;
-        self.input(place, Input::SnapshotTaken { position, data })
+        node.save_snapshot(position)?;
+        self.input(place, Input::SnapshotTaken { position })
     }
 
     /// A write fails and the driver builds the replica anew from the disk.
--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -1,10 +1,13 @@
 //! What the replicas of a deployment's groups offer to other nodes.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures::future::LocalBoxFuture;
 
+use crate::clock::Clock;
 use crate::cluster::board::Board;
 use crate::cluster::message::ControlRequest;
 use crate::cluster::message::Emptying;
@@ -18,7 +21,9 @@
 use crate::node::service::Submission;
 use crate::node::service::commit;
 use crate::node::service::outcome;
+use crate::turns::command::Timed;
 use crate::turns::state::TurnState;
+use crate::turns::time::LeaderTime;
 
 /// A control replica.
 pub struct ControlDesk {
@@ -71,15 +76,37 @@
     }
 }
 
-/// A replica of a state group that holds turns.
-pub struct TurnDesk(pub Rc<Group<TurnState>>);
+/// A replica of a state group that holds turns. While it leads it tells the group how much time passes.
+pub struct TurnDesk {
+    group: Rc<Group<TurnState>>,
+    clock: Clock,
+    time: Cell<LeaderTime>,
+}
+
+impl TurnDesk {
+    /// A desk for a replica.
+    #[must_use]
+    pub fn new(group: Rc<Group<TurnState>>, clock: Clock) -> Self {
+        Self { group, clock, time: Cell::default() }
+    }
+
+    fn elapsed(&self) -> Duration {
+        let mut time = self.time.get();
+        let elapsed = time.pass(self.group.term(), self.clock.now());
+        self.time.set(time);
+        elapsed
+    }
+}
 
 impl GroupService for TurnDesk {
-    fn submit(&self, request: Vec<u8>) -> LocalBoxFuture<'_, Submission> {
-        Box::pin(commit(&self.0, request))
+    fn submit(&self, mut request: Vec<u8>) -> LocalBoxFuture<'_, Submission> {
+        if self.group.leads() {
+            Timed::stamp(&mut request, self.elapsed());
+        }
+        Box::pin(commit(&self.group, request))
     }
 
     fn history(&self, offset: u64) -> Vec<u8> {
-        self.0.copy_history(offset)
+        self.group.copy_history(offset)
     }
 }
--- a/agatetrestle/src/codec.rs
+++ b/agatetrestle/src/codec.rs
@@ -2,6 +2,7 @@
 //! build read what an older one wrote; see docs/design/001-replicated-log-and-groups.md.
 
 use std::fmt;
+use std::ops::Deref;
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -26,7 +27,17 @@
 /// Never for the types of this crate: coding them into memory can't fail.
 #[must_use]
 pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
-    let mut buf = Vec::new();
+    encode_large(value, 0)
+}
+
+/// Codes a value into a buffer that has room for so many bytes, so that a large value is not copied as it grows.
+///
+/// # Panics
+///
+/// As [`encode`].
+#[must_use]
+pub fn encode_large<T: Serialize>(value: &T, room: usize) -> Vec<u8> {
+    let mut buf = Vec::with_capacity(room);
     ciborium::into_writer(value, &mut buf).expect("writing to memory does not fail");
     buf
 }
@@ -40,19 +51,53 @@
     ciborium::from_reader(bytes).map_err(|source| DecodeError { source })
 }
 
-/// Shared bytes that are coded as one byte string, not as a list of numbers.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Blob(pub Arc<[u8]>);
+/// Shared bytes that are coded as one byte string, not as a list of numbers. They may be the end of a longer run of
+/// bytes, which they then keep alive.
+#[derive(Clone, Debug)]
+pub struct Blob {
+    shared: Arc<[u8]>,
+    from: usize,
+}
+
+impl Blob {
+    /// The bytes of a run from an offset on; none where the run is shorter.
+    #[must_use]
+    pub fn tail(shared: &Arc<[u8]>, from: usize) -> Self {
+        Self { shared: shared.clone(), from: from.min(shared.len()) }
+    }
+}
+
+impl Default for Blob {
+    fn default() -> Self {
+        Self::from(&[][..])
+    }
+}
+
+impl Deref for Blob {
+    type Target = [u8];
+
+    fn deref(&self) -> &[u8] {
+        &self.shared[self.from..]
+    }
+}
+
+impl Eq for Blob {}
 
 impl From<&[u8]> for Blob {
     fn from(bytes: &[u8]) -> Self {
-        Self(bytes.into())
+        Self { shared: bytes.into(), from: 0 }
+    }
+}
+
+impl PartialEq for Blob {
+    fn eq(&self, other: &Self) -> bool {
+        self[..] == other[..]
     }
 }
 
 impl Serialize for Blob {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.serialize_bytes(&self.0)
+        serializer.serialize_bytes(self)
     }
 }
 
@@ -72,10 +117,10 @@
     }
 
     fn visit_bytes<E: serde::de::Error>(self, bytes: &[u8]) -> Result<Blob, E> {
-        Ok(Blob(bytes.into()))
+        Ok(Blob::from(bytes))
     }
 
     fn visit_byte_buf<E: serde::de::Error>(self, bytes: Vec<u8>) -> Result<Blob, E> {
-        Ok(Blob(bytes.into()))
+        Ok(Blob::from(&bytes[..]))
     }
 }
--- a/agatetrestle/src/control/state.rs
+++ b/agatetrestle/src/control/state.rs
@@ -157,7 +157,7 @@
 }
 
 impl StateMachine for ControlState {
-    fn apply(&mut self, _position: Position, payload: &[u8]) -> Vec<u8> {
+    fn apply(&mut self, _position: Position, payload: &Arc<[u8]>) -> Vec<u8> {
         let reply = match decode::<ControlCommand>(payload) {
             Ok(command) => self.execute(command),
             Err(_) => ControlReply::Refused,
--- a/agatetrestle/src/deployment/store.rs
+++ b/agatetrestle/src/deployment/store.rs
@@ -28,9 +28,12 @@
 use crate::node::replicas::Opener;
 use crate::turns::state::TurnState;
 
-/// Share of the memory that kept turns may take, as a divisor; the log since the last snapshot, the snapshot and the
-/// making of the next one take about as much each.
-const ROOM_SHARE: usize = 5;
+/// Tenths of the memory that kept turns may take. While a snapshot is made or read the turns are there twice, and at a
+/// start the log beside them: 2.5 times 3 tenths and a base of 13 MB stay under 120 MB, the least that a store has;
+/// `tests/store_memory.rs` counts it.
+const ROOM_TENTHS: usize = 3;
+/// Bytes of commands between two snapshots, as a part of the room: less makes more snapshots, more a longer start.
+const LOG_SHARE: usize = 2;
 /// How often a new store looks whether the state group was founded.
 const FOUNDING_POLL: Duration = Duration::from_millis(50);
 /// Longest time that a planned stop waits for another leader.
@@ -56,7 +59,7 @@
     let mut server = PeerServer::default();
     let receiving = opened.clone();
     server.receivers.insert(FIRST_STATE_GROUP, Rc::new(move |message| receiving.receive(message)));
-    server.services.insert(FIRST_STATE_GROUP, Rc::new(TurnDesk(opened.clone())));
+    server.services.insert(FIRST_STATE_GROUP, Rc::new(TurnDesk::new(opened.clone(), frame.clock)));
     frame.serve_peers(server);
     let view = frame.view.clone();
     let candidates = Rc::new(move || {
@@ -76,8 +79,8 @@
 /// Opens the replica from its files. A new store waits until it knows whether it is one of the founders.
 async fn open(frame: &Frame) -> Result<Rc<Group<TurnState>>, NodeError> {
     debug_assert_eq!(frame.settings.process.role, Role::Store, "only a store holds turns");
-    let room = frame.memory() / ROOM_SHARE;
-    let (storage, timing) = (frame.storage(room), timing());
+    let room = frame.memory() / 10 * ROOM_TENTHS;
+    let (storage, timing) = (frame.storage(room / LOG_SHARE), timing());
     let opener = Opener {
         node: frame.node,
         storage: &storage,
@@ -88,7 +91,8 @@
     };
     let mut missing = Missing::Join;
     let mut founders: Vec<NodeId> = Vec::new();
-    if !opener.holds(FIRST_STATE_GROUP).await? {
+    let found = opener.find(FIRST_STATE_GROUP).await?;
+    if found.is_empty() {
         while frame.view.founding().is_empty() {
             Timer::after(FOUNDING_POLL).await;
         }
@@ -100,7 +104,7 @@
         }
         info!("The state group is opened by {missing:?}; its founders are {founders:?}.");
     }
-    let replica = opener.open(FIRST_STATE_GROUP, TurnState::with_room(room), &founders, missing).await?;
+    let replica = opener.open_found(found, TurnState::with_room(room), &founders, missing).await?;
     replica.driver.detach();
     Ok(replica.group)
 }
--- a/agatetrestle/src/deployment/turns.rs
+++ b/agatetrestle/src/deployment/turns.rs
@@ -1,11 +1,11 @@
 //! The way of an entry to the state group that holds the turns.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures::future::LocalBoxFuture;
 
 use crate::codec::decode;
-use crate::codec::encode;
 use crate::gateway::turn::Turns;
 use crate::node::router::Router;
 use crate::ports::GroupError;
@@ -19,7 +19,7 @@
     fn commit(&self, command: TurnCommand) -> LocalBoxFuture<'static, Result<TurnReply, GroupError>> {
         let router = self.0.clone();
         Box::pin(async move {
-            let reply = router.submit(encode(&command)).await?;
+            let reply = router.submit(command.code(Duration::ZERO)).await?;
             decode(&reply).map_err(|failure| GroupError::Unknown { reason: failure.to_string().into() })
         })
     }
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -32,7 +32,6 @@
 use crate::gateway::relay;
 use crate::gateway::turn::Keeping;
 use crate::gateway::turn::OpenTurn;
-use crate::gateway::turn::wall_millis;
 use crate::gateway::wire::CallHead;
 use crate::node::peer_link::within;
 use crate::ports::GroupError;
@@ -427,15 +426,14 @@
         budget: job.call.budget,
         most: job.call.most_tokens.unwrap_or(0),
         previous: job.call.previous.clone().filter(|_| job.route.retention.is_some()),
-        at: wall_millis(),
     };
     let (turn, reply) = OpenTurn::begin(gateway, reservation).await;
     match reply {
         Ok(TurnReply::Begun { chain }) => {
-            job.chain = chain.iter().map(|text| text.0.len()).sum();
+            job.chain = chain.iter().map(|text| text.len()).sum();
             let mut body = BytesMut::with_capacity(job.chain + job.body.len());
             for text in &chain {
-                body.extend_from_slice(&text.0);
+                body.extend_from_slice(text);
             }
             body.extend_from_slice(&job.body);
             job.body = body.freeze();
--- a/agatetrestle/src/gateway/turn.rs
+++ b/agatetrestle/src/gateway/turn.rs
@@ -2,8 +2,6 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use futures::future::LocalBoxFuture;
 use log::warn;
@@ -44,13 +42,6 @@
     pub text: Vec<u8>,
 }
 
-/// The wall clock in milliseconds since 1970.
-#[must_use]
-pub fn wall_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
-
 impl OpenTurn {
     /// Reserves a turn's tokens and returns what it goes on from. Whatever the reply, and also where it is unknown, the
     /// turn that is returned must be kept until the request ended, since the reservation may stand.
@@ -95,7 +86,7 @@
 
     fn finish(&self, kept: Option<Kept>) -> TurnCommand {
         let (program, turn) = (self.program.clone(), self.name.clone());
-        TurnCommand::Finish(Finish { program, turn, spent: self.spent, kept, at: wall_millis() })
+        TurnCommand::Finish(Finish { program, turn, spent: self.spent, kept })
     }
 }
 
--- a/agatetrestle/src/node/group.rs
+++ b/agatetrestle/src/node/group.rs
@@ -1,6 +1,7 @@
 //! The driver of one replica: it feeds the pure state machine of [`crate::agreement`] and carries
 //! out what it asks for. Writes go to a blocking thread, many to one sync.
 
+mod apply;
 mod install;
 mod writes;
 
@@ -27,7 +28,6 @@
 use crate::agreement::ReplicaChange;
 use crate::agreement::Replicas;
 use crate::agreement::RestoreError;
-use crate::agreement::Snapshot;
 use crate::agreement::StateMachine;
 use crate::agreement::Ticket;
 use crate::agreement::Write;
@@ -41,6 +41,8 @@
 use crate::clock::Timestamp;
 use crate::ids::GroupId;
 use crate::ids::NodeId;
+use crate::node::group::apply::Backlog;
+use crate::node::group::apply::Due;
 use crate::node::group::install::HeldBack;
 use crate::node::group::writes::Done;
 use crate::node::group::writes::Job;
@@ -91,6 +93,8 @@
     /// The committed set, for snapshots; the replica itself already acts on one that is not committed.
     replicas: RefCell<Replicas>,
     applied: Cell<Position>,
+    /// Committed commands that are not applied yet.
+    backlog: Backlog,
     bytes_since_snapshot: Cell<u64>,
     snapshot_after: u64,
     snapshot_running: Cell<bool>,
@@ -146,6 +150,7 @@
             outbox: parts.outbox,
             replicas: RefCell::new(parts.replicas),
             applied: Cell::new(parts.applied),
+            backlog: Backlog::default(),
             bytes_since_snapshot: Cell::new(0),
             snapshot_after: parts.snapshot_after,
             snapshot_running: Cell::new(false),
@@ -161,8 +166,9 @@
     /// Drives the replica's clock and storage until the task is dropped.
     pub async fn run(self: Rc<Self>, storage: Storage, jobs: Jobs, tick: Duration) {
         let ticking = self.clone().tick_forever(tick);
-        let writing = self.write_forever(storage, jobs);
-        futures::future::join(ticking, writing).await;
+        let writing = self.clone().write_forever(storage, jobs);
+        let applying = self.clone().apply_forever();
+        futures::future::join3(ticking, writing, applying).await;
     }
 
     async fn tick_forever(self: Rc<Self>, tick: Duration) {
@@ -224,6 +230,7 @@
     fn rebuild(&self, restored: Restored, jobs: &Jobs) -> Result<(), RestoreError> {
         // What the failed replica still wanted written must not reach the log of the new one.
         while jobs.0.try_recv().is_ok() {}
+        self.drop_due();
         let snapshot = restored.snapshot.as_ref();
         let data = snapshot.map_or(&self.blank[..], |snapshot| &snapshot.data);
         self.machine.borrow_mut().restore(data)?;
@@ -249,8 +256,7 @@
         }
         if let Some(snapshot) = done.snapshot {
             self.snapshot_running.set(false);
-            let Snapshot { position, data, .. } = snapshot;
-            self.feed(Input::SnapshotTaken { position, data });
+            self.feed(Input::SnapshotTaken { position: snapshot.position });
         }
     }
 
@@ -265,6 +271,7 @@
                 output => self.carry_out(output),
             }
         }
+        self.apply_slice();
         self.snapshot_if_due();
         replies
     }
@@ -359,6 +366,7 @@
         for output in self.step(input) {
             self.carry_out(output);
         }
+        self.apply_slice();
         self.snapshot_if_due();
     }
 
@@ -366,20 +374,21 @@
         match output {
             Output::Write(write) => self.enqueue(Job::Write(write)),
             Output::Send(message) => (self.outbox)(message),
-            Output::Apply { position, payload, ticket } => self.apply_or_hold(position, payload, ticket),
+            Output::Apply { position, payload, ticket } => {
+                self.backlog.push(Due::Apply { position, payload, ticket });
+            }
+            Output::ReadReady(ticket) => self.backlog.push(Due::Read(ticket)),
+            Output::Replicas { ticket, replicas } => {
+                self.backlog.push(Due::Replicas { ticket, replicas });
+            }
+            Output::CodeSnapshot => self.code_snapshot(),
             // The write of the same snapshot puts it in place once its history is here. Commands held for an
             // earlier one are covered by this one.
             Output::Restore(snapshot) => {
+                self.apply_all();
                 self.held.replace(Some(HeldBack::new(snapshot.position)));
             }
-            Output::ReadReady(ticket) => self.answer(ticket, Verdict::Ready),
             Output::Reject { ticket, reason } => self.answer(ticket, Verdict::Rejected(reason)),
-            Output::Replicas { ticket, replicas } => {
-                self.replicas.replace(replicas);
-                if let Some(ticket) = ticket {
-                    self.answer(ticket, Verdict::Changed);
-                }
-            }
             Output::Unknown(ticket) => self.answer(ticket, Verdict::Unknown),
             Output::Role { term, leader } => {
                 let leader = leader.map_or(0, |node| node.0);
@@ -394,36 +403,6 @@
         }
     }
 
-    fn apply(&self, position: Position, payload: &Arc<[u8]>, ticket: Option<Ticket>) {
-        let reply = self.machine.borrow_mut().apply(position, payload);
-        self.applied.set(position);
-        let grown = self.bytes_since_snapshot.get() + payload.len() as u64;
-        self.bytes_since_snapshot.set(grown);
-        if let Some(ticket) = ticket {
-            self.answer(ticket, Verdict::Applied(reply));
-        }
-    }
-
-    fn snapshot_if_due(&self) {
-        let due = self.bytes_since_snapshot.get() >= self.snapshot_after;
-        if !due || self.snapshot_running.get() || self.held.borrow().is_some() {
-            return;
-        }
-        self.bytes_since_snapshot.set(0);
-        let relies_on = match self.flush_history() {
-            Ok(files) => files,
-            Err(failure) => {
-                error!("Group {} could not write its history: {failure}.", self.id.0);
-                return;
-            }
-        };
-        self.snapshot_running.set(true);
-        let data = self.machine.borrow().snapshot();
-        let replicas = self.replicas.borrow().clone();
-        let snapshot = Snapshot { position: self.applied.get(), replicas, data: data.into() };
-        self.enqueue(Job::Snapshot { snapshot, relies_on });
-    }
-
     fn answer(&self, ticket: Ticket, verdict: Verdict) {
         if let Some(tx) = self.waiting.borrow_mut().remove(&ticket) {
             // A caller that gave up has dropped its end, which is no failure.
--- a/agatetrestle/src/node/replicas.rs
+++ b/agatetrestle/src/node/replicas.rs
@@ -1,6 +1,7 @@
 //! Opening of the replicas that a node holds.
 
 use std::path::Path;
+use std::path::PathBuf;
 use std::rc::Rc;
 
 use agatetrestle_config::Settings;
@@ -83,6 +84,22 @@
     pub executor: &'a LocalExecutor<'static>,
 }
 
+/// What the files of a group hold.
+pub struct Found {
+    group: GroupId,
+    folder: PathBuf,
+    storage: Storage,
+    restored: Restored,
+}
+
+impl Found {
+    /// Whether there are no files, so that the replica can be opened only as a new one.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        is_empty(&self.restored)
+    }
+}
+
 /// An open replica and the task that drives it.
 pub struct Opened<M: StateMachine> {
     /// The replica.
@@ -116,41 +133,52 @@
     where
         M: StateMachine + 'static,
     {
-        let folder = self.storage.data_folder.clone().context(NoDataFolderSnafu { group: id })?;
-        let (mut storage, mut restored) = open_storage(&folder, id, self.storage.segment).await?;
-        let joining = is_empty(&restored) && missing == Missing::Join;
-        if is_empty(&restored) && !joining {
-            ensure!(missing == Missing::Bootstrap, MissingSnafu { group: id, folder: &folder });
-            let founding = founding_snapshot(&machine, holders.to_vec());
-            storage = save(storage, founding.clone(), &folder).await?;
-            restored.snapshot = Some(founding);
-        }
-        self.assemble(id, machine, &folder, storage, restored, holders)
+        let found = self.find(id).await?;
+        self.open_found(found, machine, holders, missing).await
     }
 
-    /// Whether the files of a group are there, so that its replica can be opened whatever others say.
+    /// Reads the files of a group, so that one can decide by them what to do where there are none.
     ///
     /// # Errors
     ///
     /// Fails if the files can't be used or the node has no data folder for them.
-    pub async fn holds(&self, id: GroupId) -> Result<bool, NodeError> {
-        let folder = self.storage.data_folder.clone().context(NoDataFolderSnafu { group: id })?;
-        let (_, restored) = open_storage(&folder, id, self.storage.segment).await?;
-        Ok(!is_empty(&restored))
+    pub async fn find(&self, group: GroupId) -> Result<Found, NodeError> {
+        let folder = self.storage.data_folder.clone().context(NoDataFolderSnafu { group })?;
+        let (storage, restored) = open_storage(&folder, group, self.storage.segment).await?;
+        Ok(Found { group, folder, storage, restored })
     }
 
-    fn assemble<M>(
+    /// As [`Opener::open`], from files that were read already.
+    ///
+    /// # Errors
+    ///
+    /// As there.
+    pub async fn open_found<M>(
         &self,
-        id: GroupId,
-        mut machine: M,
-        folder: &Path,
-        storage: Storage,
-        restored: Restored,
+        mut found: Found,
+        machine: M,
         holders: &[NodeId],
+        missing: Missing,
     ) -> Result<Opened<M>, NodeError>
     where
         M: StateMachine + 'static,
     {
+        let joining = found.is_empty() && missing == Missing::Join;
+        if found.is_empty() && !joining {
+            let Found { group, folder, .. } = &found;
+            ensure!(missing == Missing::Bootstrap, MissingSnafu { group: *group, folder });
+            let founding = founding_snapshot(&machine, holders.to_vec());
+            found.storage = save(found.storage, founding.clone(), &found.folder).await?;
+            found.restored.snapshot = Some(founding);
+        }
+        self.assemble(found, machine, holders)
+    }
+
+    fn assemble<M>(&self, found: Found, mut machine: M, holders: &[NodeId]) -> Result<Opened<M>, NodeError>
+    where
+        M: StateMachine + 'static,
+    {
+        let Found { group: id, folder, storage, restored } = found;
         let mut replicas = Replicas::default();
         let mut applied = Position::default();
         let mut blank = Vec::new();
@@ -161,7 +189,7 @@
         } else {
             // The log holds everything from its first entry on, which will append to the history again.
             let emptied = machine.history().map_or(Ok(()), |history| history.truncate(0));
-            emptied.context(OpenHistorySnafu { folder })?;
+            emptied.context(OpenHistorySnafu { folder: &folder })?;
             blank = machine.snapshot();
         }
         let make_replica = make_replica(self.replica_config(id));
@@ -176,7 +204,7 @@
             applied,
             snapshot_after: self.storage.snapshot_after,
             history_source: self.history_source(id, holders),
-            reopen: reopen(folder, id, self.storage.segment),
+            reopen: reopen(&folder, id, self.storage.segment),
             make_replica,
             blank,
         });
--- a/agatetrestle/src/programs/ledger.rs
+++ b/agatetrestle/src/programs/ledger.rs
@@ -178,7 +178,7 @@
 }
 
 impl StateMachine for Ledger {
-    fn apply(&mut self, _position: Position, payload: &[u8]) -> Vec<u8> {
+    fn apply(&mut self, _position: Position, payload: &Arc<[u8]>) -> Vec<u8> {
         let reply = match decode::<ProgramCommand>(payload) {
             Ok(command) => self.execute(command),
             // Every replica fails alike on bytes that a newer build wrote, so they still agree.
--- a/agatetrestle/src/turns/command.rs
+++ b/agatetrestle/src/turns/command.rs
@@ -1,11 +1,14 @@
 //! Commands about turns and their replies.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::codec::Blob;
+use crate::codec::decode;
+use crate::codec::encode;
 
 /// Name of a turn: the attempt of a caller that it was the answer to.
 pub type TurnName = Arc<str>;
@@ -19,6 +22,70 @@
     Finish(Finish),
 }
 
+/// Bytes in front of a coded command: milliseconds that passed on the leader since the command before, then the
+/// length of the coded part that the text follows.
+const HEAD_BYTES: usize = 4 + 4;
+
+/// A command with the time that it brings.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Timed {
+    /// Time that passed on the leader since its command before.
+    pub elapsed: Duration,
+    /// The command.
+    pub command: TurnCommand,
+}
+
+impl TurnCommand {
+    /// Codes a command. The text stands at the very end, so that the state can go on using the bytes that the log
+    /// holds anyway instead of a copy; see docs/incidents/003-stores-over-their-memory.md.
+    #[must_use]
+    pub fn code(&self, elapsed: Duration) -> Vec<u8> {
+        let coded = encode(self);
+        let text = self.text();
+        let mut buf = Vec::with_capacity(HEAD_BYTES + coded.len() + text.len());
+        buf.extend_from_slice(&millis(elapsed).to_le_bytes());
+        buf.extend_from_slice(&u32::try_from(coded.len()).unwrap_or(u32::MAX).to_le_bytes());
+        buf.extend_from_slice(&coded);
+        buf.extend_from_slice(text);
+        buf
+    }
+
+    fn text(&self) -> &[u8] {
+        match self {
+            Self::Finish(Finish { kept: Some(kept), .. }) => &kept.text,
+            _ => &[],
+        }
+    }
+}
+
+impl Timed {
+    /// Writes the time into a coded command; bytes that are no command stay as they are.
+    pub fn stamp(coded: &mut [u8], elapsed: Duration) {
+        if let Some(head) = coded.first_chunk_mut() {
+            *head = millis(elapsed).to_le_bytes();
+        }
+    }
+
+    /// Reads what [`TurnCommand::code`] wrote; none where it is something else.
+    #[must_use]
+    pub fn read(payload: &Arc<[u8]>) -> Option<Self> {
+        let (elapsed, rest) = payload.split_first_chunk()?;
+        let (length, rest) = rest.split_first_chunk()?;
+        let length = usize::try_from(u32::from_le_bytes(*length)).ok()?;
+        let (coded, _) = rest.split_at_checked(length)?;
+        let mut command = decode(coded).ok()?;
+        if let TurnCommand::Finish(Finish { kept: Some(kept), .. }) = &mut command {
+            kept.text = Blob::tail(payload, HEAD_BYTES + length);
+        }
+        Some(Self { elapsed: Duration::from_millis(u32::from_le_bytes(*elapsed).into()), command })
+    }
+}
+
+/// Whole milliseconds, at most those that the head of a command holds.
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// What [`TurnCommand::Begin`] says.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Begin {
@@ -32,8 +99,6 @@
     pub most: u64,
     /// The turn that it goes on from.
     pub previous: Option<TurnName>,
-    /// Wall-clock milliseconds since 1970 on the proposing node, by which old turns are forgotten.
-    pub at: u64,
 }
 
 /// What [`TurnCommand::Finish`] says.
@@ -47,8 +112,6 @@
     pub spent: u64,
     /// What is kept, for a turn that ended whole on a route that keeps turns.
     pub kept: Option<Kept>,
-    /// As in [`Begin::at`].
-    pub at: u64,
 }
 
 /// A turn that others may go on from.
@@ -56,7 +119,8 @@
 pub struct Kept {
     /// The turn that it went on from.
     pub previous: Option<TurnName>,
-    /// What the caller sent, and what was generated.
+    /// What the caller sent, and what was generated. It stands behind the command, see [`TurnCommand::code`].
+    #[serde(skip)]
     pub text: Blob,
     /// For how many milliseconds it is kept.
     pub retention: u64,
--- a/agatetrestle/src/turns/mod.rs
+++ b/agatetrestle/src/turns/mod.rs
@@ -7,3 +7,4 @@
 pub mod state;
 #[cfg(test)]
 mod tests;
+pub mod time;
--- a/agatetrestle/src/turns/state.rs
+++ b/agatetrestle/src/turns/state.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -16,16 +17,19 @@
 use crate::codec::Blob;
 use crate::codec::decode;
 use crate::codec::encode;
+use crate::codec::encode_large;
 use crate::turns::command::Begin;
 use crate::turns::command::Finish;
 use crate::turns::command::Kept;
+use crate::turns::command::Timed;
 use crate::turns::command::TurnCommand;
 use crate::turns::command::TurnName;
 use crate::turns::command::TurnReply;
 
-/// Milliseconds beyond its retention for which a turn stays: wall clocks of nodes differ by seconds, and the
-/// caller counts from when the end of the answer reached it.
-const MARGIN: u64 = 30_000;
+/// Milliseconds beyond its retention for which a turn stays: the caller counts from when the end of the answer
+/// reached it, and it may be slow to take the last bytes. Clocks need no margin, since only spans that a leader
+/// measured count.
+const MARGIN: u64 = 10_000;
 /// Milliseconds without a turn after which a program's budget is forgotten. A program may come back within a
 /// retention, which operators set to about a minute.
 const ACCOUNT_LIFE: u64 = 300_000;
@@ -51,7 +55,8 @@
 /// Turns and budgets of all programs.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TurnState {
-    /// Highest wall-clock time that a command carried; it never falls, so that all replicas forget alike.
+    /// Milliseconds that leaders measured between their commands. All replicas count the same, no wall clock that is
+    /// wrong or set makes a turn forgotten too soon, and while no leader is there no time passes.
     now: u64,
     accounts: HashMap<Arc<str>, Account>,
     turns: HashMap<TurnName, Turn>,
@@ -71,16 +76,11 @@
     }
 
     /// Applies a command; the reply is the same on every replica.
-    pub fn execute(&mut self, command: TurnCommand) -> TurnReply {
-        match command {
-            TurnCommand::Begin(begin) => {
-                self.forget(begin.at);
-                self.begin(begin)
-            }
-            TurnCommand::Finish(finish) => {
-                self.forget(finish.at);
-                self.finish(finish)
-            }
+    pub fn execute(&mut self, timed: Timed) -> TurnReply {
+        self.pass(timed.elapsed);
+        match timed.command {
+            TurnCommand::Begin(begin) => self.begin(begin),
+            TurnCommand::Finish(finish) => self.finish(finish),
         }
     }
 
@@ -128,7 +128,7 @@
     fn keep(&mut self, name: TurnName, kept: Kept) {
         let until = self.now.saturating_add(kept.retention).saturating_add(MARGIN);
         if let std::collections::hash_map::Entry::Vacant(vacant) = self.turns.entry(name.clone()) {
-            self.kept_bytes += kept.text.0.len() + TURN_OVERHEAD;
+            self.kept_bytes += kept.text.len() + TURN_OVERHEAD;
             vacant.insert(Turn { previous: kept.previous, text: kept.text, until: 0 });
         }
         let mut next = Some(name);
@@ -168,14 +168,16 @@
         }
     }
 
-    fn forget(&mut self, at: u64) {
-        self.now = self.now.max(at);
+    /// Lets time pass and forgets what is past its time.
+    fn pass(&mut self, elapsed: Duration) {
+        let elapsed = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+        self.now = self.now.saturating_add(elapsed);
         while let Some((until, _)) = self.turns_by_end.first()
             && *until < self.now
             && let Some((_, name)) = self.turns_by_end.pop_first()
         {
             if let Some(turn) = self.turns.remove(&name) {
-                self.kept_bytes -= turn.text.0.len() + TURN_OVERHEAD;
+                self.kept_bytes -= turn.text.len() + TURN_OVERHEAD;
             }
         }
         while let Some((used, _)) = self.accounts_by_use.first()
@@ -188,16 +190,20 @@
 }
 
 impl StateMachine for TurnState {
-    fn apply(&mut self, _position: Position, payload: &[u8]) -> Vec<u8> {
-        let reply = match decode::<TurnCommand>(payload) {
-            Ok(command) => self.execute(command),
-            Err(_) => TurnReply::Refused,
-        };
+    fn apply(&mut self, _position: Position, payload: &Arc<[u8]>) -> Vec<u8> {
+        let reply = Timed::read(payload).map_or(TurnReply::Refused, |timed| self.execute(timed));
         encode(&reply)
     }
 
+    fn follow(&mut self, _position: Position, payload: &Arc<[u8]>) {
+        if let Some(timed) = Timed::read(payload) {
+            self.execute(timed);
+        }
+    }
+
     fn snapshot(&self) -> Vec<u8> {
-        encode(self)
+        // Names stand three times in the maps beside what a turn is counted with.
+        encode_large(self, self.kept_bytes + self.accounts.len() * TURN_OVERHEAD)
     }
 
     fn restore(&mut self, data: &[u8]) -> Result<(), RestoreError> {
--- a/agatetrestle/src/turns/tests.rs
+++ b/agatetrestle/src/turns/tests.rs
@@ -1,37 +1,54 @@
 //! Tests of turns and budgets.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use proptest::prelude::*;
 
 use crate::agreement::StateMachine;
+use crate::clock::Timestamp;
 use crate::codec::Blob;
 use crate::turns::command::Begin;
 use crate::turns::command::Finish;
 use crate::turns::command::Kept;
+use crate::turns::command::Timed;
 use crate::turns::command::TurnCommand;
 use crate::turns::command::TurnReply;
 use crate::turns::state::TurnState;
+use crate::turns::time::LeaderTime;
 
 const RETENTION: u64 = 60_000;
 
-fn begin(turn: &str, budget: u64, most: u64, previous: Option<&str>, at: u64) -> TurnCommand {
+/// A state with the milliseconds that it was told so far.
+struct Turns {
+    state: TurnState,
+    told: u64,
+}
+
+impl Turns {
+    fn new(state: TurnState) -> Self {
+        Self { state, told: 0 }
+    }
+
+    fn execute(&mut self, at: u64, command: TurnCommand) -> TurnReply {
+        let elapsed = Duration::from_millis(at - self.told);
+        self.told = at;
+        self.state.execute(Timed { elapsed, command })
+    }
+}
+
+fn begin(turn: &str, budget: u64, most: u64, previous: Option<&str>) -> TurnCommand {
     let previous = previous.map(Into::into);
-    TurnCommand::Begin(Begin {
-        program: "p".into(),
-        turn: turn.into(),
-        budget: Some(budget),
-        most,
-        previous,
-        at,
-    })
+    TurnCommand::Begin(Begin { program: "p".into(), turn: turn.into(), budget: Some(budget), most, previous })
 }
 
-fn finish(turn: &str, spent: u64, kept: Option<(&str, Option<&str>)>, at: u64) -> TurnCommand {
+fn finish(turn: &str, spent: u64, kept: Option<(&str, Option<&str>)>) -> TurnCommand {
     let kept = kept.map(|(text, previous)| Kept {
         previous: previous.map(Into::into),
         text: Blob::from(text.as_bytes()),
         retention: RETENTION,
     });
-    TurnCommand::Finish(Finish { program: "p".into(), turn: turn.into(), spent, kept, at })
+    TurnCommand::Finish(Finish { program: "p".into(), turn: turn.into(), spent, kept })
 }
 
 fn begun(texts: &[&str]) -> TurnReply {
@@ -40,76 +57,103 @@
 
 #[test]
 fn a_turn_gets_everything_that_it_goes_on_from_in_order() {
-    let mut state = TurnState::default();
-    state.execute(begin("a", 100, 10, None, 1));
-    state.execute(finish("a", 5, Some(("one", None)), 2));
-    assert_eq!(state.execute(begin("b", 100, 10, Some("a"), 3)), begun(&["one"]));
-    state.execute(finish("b", 5, Some(("two", Some("a"))), 4));
-    assert_eq!(state.execute(begin("c", 100, 10, Some("b"), 5)), begun(&["one", "two"]));
-    assert_eq!(state.execute(begin("d", 100, 10, Some("a"), 6)), begun(&["one"]), "turns may fork");
-    assert_eq!(state.execute(begin("e", 100, 10, Some("x"), 7)), TurnReply::NoSuchTurn);
+    let mut state = Turns::new(TurnState::default());
+    state.execute(1, begin("a", 100, 10, None));
+    state.execute(2, finish("a", 5, Some(("one", None))));
+    assert_eq!(state.execute(3, begin("b", 100, 10, Some("a"))), begun(&["one"]));
+    state.execute(4, finish("b", 5, Some(("two", Some("a")))));
+    assert_eq!(state.execute(5, begin("c", 100, 10, Some("b"))), begun(&["one", "two"]));
+    assert_eq!(state.execute(6, begin("d", 100, 10, Some("a"))), begun(&["one"]), "turns may fork");
+    assert_eq!(state.execute(7, begin("e", 100, 10, Some("x"))), TurnReply::NoSuchTurn);
 }
 
 #[test]
 fn parallel_turns_share_one_budget() {
-    let mut state = TurnState::default();
-    assert_eq!(state.execute(begin("a", 25, 10, None, 1)), begun(&[]));
-    assert_eq!(state.execute(begin("b", 25, 10, None, 1)), begun(&[]));
-    assert_eq!(state.execute(begin("c", 25, 10, None, 1)), TurnReply::Spent);
-    state.execute(finish("a", 3, None, 2));
-    assert_eq!(state.execute(begin("c", 25, 10, None, 3)), begun(&[]), "what was not spent is free again");
+    let mut state = Turns::new(TurnState::default());
+    assert_eq!(state.execute(1, begin("a", 25, 10, None)), begun(&[]));
+    assert_eq!(state.execute(1, begin("b", 25, 10, None)), begun(&[]));
+    assert_eq!(state.execute(1, begin("c", 25, 10, None)), TurnReply::Spent);
+    state.execute(2, finish("a", 3, None));
+    assert_eq!(state.execute(3, begin("c", 25, 10, None)), begun(&[]), "what was not spent is free again");
 }
 
 #[test]
 fn a_resend_changes_nothing() {
-    let mut state = TurnState::default();
-    state.execute(begin("a", 20, 10, None, 1));
-    assert_eq!(state.execute(begin("a", 20, 10, None, 1)), begun(&[]));
-    assert_eq!(state.execute(begin("b", 20, 10, None, 1)), begun(&[]), "a was reserved once");
-    state.execute(finish("a", 10, None, 2));
-    state.execute(finish("a", 10, None, 2));
-    state.execute(finish("b", 0, None, 2));
-    assert_eq!(state.execute(begin("c", 20, 10, None, 3)), begun(&[]), "a was charged once");
+    let mut state = Turns::new(TurnState::default());
+    state.execute(1, begin("a", 20, 10, None));
+    assert_eq!(state.execute(1, begin("a", 20, 10, None)), begun(&[]));
+    assert_eq!(state.execute(1, begin("b", 20, 10, None)), begun(&[]), "a was reserved once");
+    state.execute(2, finish("a", 10, None));
+    state.execute(2, finish("a", 10, None));
+    state.execute(2, finish("b", 0, None));
+    assert_eq!(state.execute(3, begin("c", 20, 10, None)), begun(&[]), "a was charged once");
 }
 
 #[test]
 fn a_chain_lives_as_long_as_its_newest_turn() {
-    let mut state = TurnState::default();
-    state.execute(begin("a", 100, 10, None, 0));
-    state.execute(finish("a", 5, Some(("one", None)), 0));
+    let mut state = Turns::new(TurnState::default());
+    state.execute(0, begin("a", 100, 10, None));
+    state.execute(0, finish("a", 5, Some(("one", None))));
     let later = RETENTION;
-    state.execute(begin("b", 100, 10, Some("a"), later));
-    state.execute(finish("b", 5, Some(("two", Some("a"))), later));
+    state.execute(later, begin("b", 100, 10, Some("a")));
+    state.execute(later, finish("b", 5, Some(("two", Some("a")))));
     let last = later + RETENTION;
-    assert_eq!(state.execute(begin("c", 100, 10, Some("b"), last)), begun(&["one", "two"]));
+    assert_eq!(state.execute(last, begin("c", 100, 10, Some("b"))), begun(&["one", "two"]));
     let past = last + 2 * RETENTION;
-    assert_eq!(state.execute(begin("d", 100, 10, Some("b"), past)), TurnReply::NoSuchTurn);
-    assert_eq!(state.kept(), (0, 0));
+    assert_eq!(state.execute(past, begin("d", 100, 10, Some("b"))), TurnReply::NoSuchTurn);
+    assert_eq!(state.state.kept(), (0, 0));
 }
 
 #[test]
 fn a_full_state_begins_no_turn_and_forgets_none() {
-    let mut state = TurnState::with_room(1_000);
+    let mut state = Turns::new(TurnState::with_room(1_000));
     for turn in ["a", "b", "c"] {
-        state.execute(begin(turn, 100, 1, None, 1));
-        state.execute(finish(turn, 1, Some(("text", None)), 1));
+        state.execute(1, begin(turn, 100, 1, None));
+        state.execute(1, finish(turn, 1, Some(("text", None))));
     }
-    assert_eq!(state.execute(begin("d", 100, 1, None, 2)), TurnReply::Full);
-    assert_eq!(state.kept().0, 3);
+    assert_eq!(state.execute(2, begin("d", 100, 1, None)), TurnReply::Full);
+    assert_eq!(state.state.kept().0, 3);
+}
+
+#[test]
+fn a_coded_command_is_read_back_and_shares_its_text() {
+    for command in
+        [begin("a", 9, 3, Some("b")), finish("a", 2, None), finish("a", 2, Some(("said", Some("b"))))]
+    {
+        let mut coded = command.code(Duration::ZERO);
+        Timed::stamp(&mut coded, Duration::from_millis(7));
+        let payload: Arc<[u8]> = coded.into();
+        let timed = Timed { elapsed: Duration::from_millis(7), command };
+        assert_eq!(Timed::read(&payload), Some(timed));
+        for length in 0..payload.len().min(20) {
+            assert_eq!(Timed::read(&payload[..length].into()), None, "{length} bytes are no command");
+        }
+    }
+    assert_eq!(Timed::read(&[255; 40][..].into()), None);
+}
+
+#[test]
+fn leaders_tell_every_millisecond_once() {
+    let mut time = LeaderTime::default();
+    let at = |micros: u64| Timestamp(5_000_000 + micros);
+    let spans = (0..=1_000).map(|number| time.pass(3, at(number * 300)));
+    assert_eq!(spans.sum::<Duration>(), Duration::from_millis(300), "parts of milliseconds add up");
+    assert_eq!(time.pass(4, at(60_000_000)), Duration::ZERO, "time without this leader does not count");
+    assert_eq!(time.pass(4, at(60_002_500)), Duration::from_millis(2));
 }
 
-fn command() -> impl Strategy<Value = TurnCommand> {
+fn command() -> impl Strategy<Value = Timed> {
     let turn = "[a-f]";
-    let begins = (turn, 0_u64..40, prop::option::of(turn), 0_u64..400_000)
-        .prop_map(|(turn, most, previous, at)| begin(&turn, 100, most, previous.as_deref(), at));
-    let finishes = (turn, 0_u64..40, prop::option::of(prop::option::of(turn)), 0_u64..400_000).prop_map(
-        |(turn, spent, kept, at)| {
+    let begins = (turn, 0_u64..40, prop::option::of(turn))
+        .prop_map(|(turn, most, previous)| begin(&turn, 100, most, previous.as_deref()));
+    let finishes =
+        (turn, 0_u64..40, prop::option::of(prop::option::of(turn))).prop_map(|(turn, spent, kept)| {
             let previous =
                 kept.as_ref().map(|previous| ("text", previous.as_deref().filter(|p| **p < *turn)));
-            finish(&turn, spent, previous, at)
-        },
-    );
-    prop_oneof![begins, finishes]
+            finish(&turn, spent, previous)
+        });
+    let elapsed = (0_u64..400_000).prop_map(Duration::from_millis);
+    (elapsed, prop_oneof![begins, finishes]).prop_map(|(elapsed, command)| Timed { elapsed, command })
 }
 
 proptest! {
