--- a/agatetrestle/src/cluster/view.rs
+++ b/agatetrestle/src/cluster/view.rs
@@ -124,11 +124,6 @@
         self.control.borrow().clone()
     }
 
-    /// Drops control replicas that are known to be no more.
-    pub fn forget_control(&self, keep: impl Fn(NodeId) -> bool) {
-        self.control.borrow_mut().retain(|node, _| keep(*node));
-    }
-
     /// The members by the last list.
     #[must_use]
     pub fn members(&self) -> Vec<Member> {
--- a/agatetrestle/src/gateway/mod.rs
+++ b/agatetrestle/src/gateway/mod.rs
@@ -181,12 +181,6 @@
         call.program.as_ref().is_some_and(|program| self.programs.borrow().contains_key(program))
     }
 
-    /// Version of the table in force, if any.
-    #[must_use]
-    pub fn version(&self) -> Option<u64> {
-        self.table.borrow().as_ref().map(|table| table.version)
-    }
-
     fn carry_out(&self, decisions: Vec<Decision>) {
         for decision in decisions {
             let (Decision::Send { ticket, .. } | Decision::Reject { ticket, .. }) = decision;
@@ -223,6 +217,7 @@
             Ok(table) => {
                 info!("Routes of version {} are in force, revision {}.", table.version, document.revision);
                 self.bounds.head.set(table.limits.head);
+                self.bounds.head_time.set(table.limits.head_time);
                 self.bounds.idle.set(table.limits.idle);
                 self.table.replace(Some(Rc::new(table)));
             }
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -12,10 +12,8 @@
 use http::Response;
 use http::StatusCode;
 use http::header::CONNECTION;
-use http::header::CONTENT_LENGTH;
 use http::header::HOST;
 use http::header::RETRY_AFTER;
-use http::header::TRANSFER_ENCODING;
 use http::request::Parts;
 use http_body_util::BodyExt;
 use hyper::body::Body;
@@ -235,9 +233,7 @@
 }
 
 fn read_head(gateway: &Gateway, head: &Parts) -> Result<CallHead, Problem> {
-    let framed_twice =
-        head.headers.contains_key(TRANSFER_ENCODING) && head.headers.contains_key(CONTENT_LENGTH);
-    if framed_twice || head.headers.get_all(HOST).iter().count() > 1 {
+    if head.headers.get_all(HOST).iter().count() > 1 {
         return Err(Problem::new(StatusCode::BAD_REQUEST, "the request can be read in two ways"));
     }
     let call = gateway.wire.read_call(&head.headers);
--- a/agatetrestle/src/transport/mod.rs
+++ b/agatetrestle/src/transport/mod.rs
@@ -7,3 +7,4 @@
 pub mod server;
 #[cfg(test)]
 mod tests;
+mod watch;
--- a/agatetrestle/src/transport/server.rs
+++ b/agatetrestle/src/transport/server.rs
@@ -25,13 +25,16 @@
 use smol_hyper::rt::SmolTimer;
 
 use crate::transport::body::AnswerBody;
+use crate::transport::watch::Watch;
+use crate::transport::watch::Watched;
+use crate::transport::watch::WatchedStream;
 
 /// Pause after a connection that could not be accepted, such as when no file descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Pause before an address is bound again that is still held, such as by a process that has just ended.
 const BIND_PAUSE: Duration = Duration::from_millis(50);
-/// How often a connection looks whether it should end.
-const DRAIN_POLL: Duration = Duration::from_millis(100);
+/// How often a connection looks whether it should end; a planned stop and the bound on heads are seconds.
+const LOOK: Duration = Duration::from_secs(1);
 /// Least size of the buffer that a request head must fit; the library takes no smaller one.
 const LEAST_HEAD: usize = 8_192;
 
@@ -43,6 +46,8 @@
 pub struct Bounds {
     /// Largest request head in bytes.
     pub head: Cell<usize>,
+    /// Time for a request head to arrive, from its first byte on.
+    pub head_time: Cell<Duration>,
     /// Time for which a connection may stay without a whole request head.
     pub idle: Cell<Duration>,
     /// Connections open at once.
@@ -57,6 +62,7 @@
     pub fn new(connections: usize) -> Rc<Self> {
         Rc::new(Self {
             head: Cell::new(16 << 10),
+            head_time: Cell::new(Duration::from_secs(3)),
             idle: Cell::new(Duration::from_secs(15)),
             connections: Cell::new(connections),
             closing: Cell::new(false),
@@ -120,20 +126,24 @@
         debug!("A connection could not be set up: {failure}.");
         return;
     }
+    let watch = Watch::new();
+    let watching = watch.clone();
     let service = service_fn(move |request| {
-        let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        let (answer, answering) = (handler(request), watching.answer());
+        async move {
+            let answer = answer.await;
+            Ok::<_, Infallible>(answer.map(|body| Watched { body, _answering: answering }))
+        }
     });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
-        // The library counts idle time on a connection as time for the next head.
+        // The library counts idle time on a connection as time for the next head; a slow head is found below.
         .header_read_timeout(bounds.idle.get())
         .max_buf_size(bounds.head.get().max(LEAST_HEAD))
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(WatchedStream { stream, watch: watch.clone() }), service);
     let mut connection = std::pin::pin!(connection);
     loop {
-        let pause = Timer::after(DRAIN_POLL * 10);
-        match select(connection.as_mut(), pause).await {
+        match select(connection.as_mut(), Timer::after(LOOK)).await {
             Either::Left((outcome, _)) => {
                 if let Err(failure) = outcome {
                     debug!("A connection of a caller ended: {failure}.");
@@ -141,6 +151,10 @@
                 return;
             }
             Either::Right(_) if bounds.closing.get() => break,
+            Either::Right(_) if watch.head_is_late(bounds.head_time.get()) => {
+                debug!("A connection was closed whose request head came too slowly.");
+                return;
+            }
             Either::Right(_) => {}
         }
     }
--- a/agatetrestle/src/transport/tests.rs
+++ b/agatetrestle/src/transport/tests.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::AsyncReadExt;
@@ -207,3 +208,28 @@
         assert!(taken.borrow().is_empty(), "none of it was taken for a request");
     });
 }
+
+#[test]
+fn a_slow_head_ends_its_connection_and_an_idle_one_stays() {
+    run(|executor| async move {
+        let (listener, address) = bind().await;
+        let handler: server::Handler =
+            Rc::new(|_| Box::pin(async { Response::new(AnswerBody::whole("ok")) }));
+        let bounds = Bounds::new(8);
+        bounds.head_time.set(Duration::from_millis(20));
+        bounds.idle.set(Duration::from_hours(1));
+        executor.spawn(server::serve(listener, handler, bounds, Rc::downgrade(&executor))).detach();
+        let address = std::net::SocketAddr::V4(address);
+        let mut idle = TcpStream::connect(address).await.unwrap();
+        let mut slow = TcpStream::connect(address).await.unwrap();
+        slow.write_all(b"GET / HT").await.unwrap();
+        let mut answer = Vec::new();
+        // How the connection ends does not matter.
+        let _ = slow.read_to_end(&mut answer).await;
+        assert!(answer.is_empty(), "there is no answer to half a head");
+        idle.write_all(b"GET / HTTP/1.1\r\nhost: test\r\n\r\n").await.unwrap();
+        let mut answer = [0; 12];
+        idle.read_exact(&mut answer).await.unwrap();
+        assert_eq!(&answer, b"HTTP/1.1 200");
+    });
+}
