Tell entries at once of stores, and search control without waiting for the dark

Ruled out: the elections (control leads 0.2 s after its last replica starts, the state group 0.2 s later), the reading of logs. Change: a store reports when it is open; a change among stores or control is news to entries; each control replica is asked by itself; a connection between our processes gets 250 ms. Test: an_entry_hears_at_once_of_a_store_but_not_of_another_entry; the wait for dark machines has no test of its own, since loopback refuses at once.

--- a/agatetrestle/src/cluster/board.rs
+++ b/agatetrestle/src/cluster/board.rs
@@ -22,6 +22,7 @@
 use crate::cluster::message::Known;
 use crate::cluster::message::Member;
 use crate::cluster::message::Report;
+use crate::cluster::roll::Roll;
 use crate::cluster::voters::Candidate;
 use crate::control::state::ControlState;
 use crate::dispatch::Instance;
@@ -56,8 +57,7 @@
     links: Rc<Links>,
     clock: Clock,
     seen: RefCell<BTreeMap<NodeId, Seen>>,
-    count: Cell<u64>,
-    listed: RefCell<Vec<Member>>,
+    roll: RefCell<Roll>,
     instances: RefCell<Rc<Vec<Instance>>>,
     instances_count: Cell<u64>,
     waiting: RefCell<Vec<oneshot::Sender<()>>>,
@@ -76,8 +76,7 @@
             links,
             clock,
             seen: RefCell::default(),
-            count: Cell::new(1),
-            listed: RefCell::default(),
+            roll: RefCell::default(),
             instances: RefCell::default(),
             instances_count: Cell::new(0),
             waiting: RefCell::default(),
@@ -156,7 +155,7 @@
     /// Who is there.
     #[must_use]
     pub fn members(&self) -> Vec<Member> {
-        self.listed.borrow().clone()
+        self.roll.borrow().members().to_vec()
     }
 
     /// Nodes of a role that could take part in its group.
@@ -168,7 +167,8 @@
             zone: member.zone.clone(),
             leaving: leaving.contains_key(&member.vm),
         };
-        self.listed.borrow().iter().filter(|member| member.role == role).map(candidate).collect()
+        let roll = self.roll.borrow();
+        roll.members().iter().filter(|member| member.role == role).map(candidate).collect()
     }
 
     /// How far the emptying of a store's VM is; `least` is the number of stores that must stay.
@@ -211,9 +211,7 @@
         seen.retain(|_, seen| seen.until > now);
         let live: Vec<Member> = seen.values().map(|seen| seen.member.clone()).collect();
         drop(seen);
-        if *self.listed.borrow() != live {
-            self.listed.replace(live);
-            self.count.set(self.count.get() + 1);
+        if self.roll.borrow_mut().replace(live) {
             self.wake();
         }
     }
@@ -224,7 +222,7 @@
         Known {
             revision,
             backends: Edition { term, count: self.instances_count.get() },
-            members: Edition { term, count: self.count.get() },
+            members: self.roll.borrow().edition(term),
         }
     }
 
@@ -233,7 +231,7 @@
         let listed = self.instances_count.get() > 0;
         now.revision > report.known.revision
             || (listed && now.backends != report.known.backends)
-            || (now.members != report.known.members && concerns(report))
+            || self.roll.borrow().is_news(report.member.role, report.known.members, now.members.term)
     }
 
     fn tell(&self, report: &Report, mut bulletin: Bulletin) -> Bulletin {
@@ -276,8 +274,3 @@
         voters.into_iter().filter_map(|node| Some((node, self.address(node)?))).collect()
     }
 }
-
-/// Whether the process has to know of other members at once: entries look for stores, control for everyone.
-fn concerns(report: &Report) -> bool {
-    report.member.role != Role::Entry || report.known.members == Edition::default()
-}
--- a/agatetrestle/src/cluster/subscriber.rs
+++ b/agatetrestle/src/cluster/subscriber.rs
@@ -5,15 +5,20 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use agatetrestle_config::deployment::Role;
 use futures::StreamExt;
+use futures::future::Either;
+use futures::future::select;
 use futures::stream::FuturesUnordered;
 use log::info;
 use log::warn;
 use smol::Timer;
+use smol::channel::Receiver;
+use smol::channel::Sender;
 
 use crate::clock::Clock;
 use crate::cluster::board::Board;
@@ -27,13 +32,16 @@
 use crate::node::links::Links;
 use crate::node::peer_link::LinkError;
 use crate::node::peer_link::PeerLink;
+use crate::node::peer_link::within;
 
 /// How long the leader may hold a report: a process is thus heard from twice a second.
 const PATIENCE: Duration = Duration::from_millis(500);
 /// Time for the answer beyond that, before another control replica is asked.
 const SLACK: Duration = Duration::from_millis(500);
-/// Pause after all known control replicas were asked in vain.
+/// Pause before a control replica is asked again that does not lead or is not there; an election takes longer.
 const PAUSE: Duration = Duration::from_millis(50);
+/// Time after which the control replicas to ask are gathered anew, since answers and settings may name others.
+const SEARCH: Duration = Duration::from_secs(1);
 
 /// What a process tells of itself right now.
 pub type Introduce = Rc<dyn Fn() -> (Member, Option<BTreeSet<NodeId>>)>;
@@ -54,14 +62,24 @@
     pub clock: Clock,
     /// Links by address, since a seed's number is not known.
     pub by_address: RefCell<BTreeMap<SocketAddrV4, Rc<PeerLink>>>,
+    /// Rung when the process has something new to tell, which the leader would else hear half a second later.
+    pub bell: (Sender<()>, Receiver<()>),
 }
 
 impl Subscriber {
+    /// Reports again at once, since what the process tells of itself has changed.
+    pub fn renew(&self) {
+        // A full channel means that it reports again anyway.
+        let _ = self.bell.0.try_send(());
+    }
+
     /// Reports until the task is dropped.
     pub async fn run(self: Rc<Self>) {
         let mut reached = None;
         loop {
-            let leader = self.round().await;
+            let Either::Left((leader, _)) = select(pin!(self.round()), pin!(self.bell.1.recv())).await else {
+                continue;
+            };
             if leader != reached {
                 match leader {
                     Some(leader) => info!("Control is reached: {leader} leads."),
@@ -69,14 +87,11 @@
                 }
                 reached = leader;
             }
-            if leader.is_none() {
-                Timer::after(PAUSE).await;
-            }
         }
     }
 
-    /// Reports once to the last leader. If it does not answer as one, all known control replicas are asked at once, since some
-    /// may be dark and each would take its full time.
+    /// Reports once to the last leader. If it does not answer as one, all known control replicas are asked, each again
+    /// and again by itself: some may be dark, and waiting for their silence would delay what the others say.
     async fn round(&self) -> Option<SocketAddrV4> {
         if let Some((_, leader)) = self.view.leader()
             && self.report_to(leader).await
@@ -84,14 +99,16 @@
             return Some(leader);
         }
         let contacts = self.contacts();
-        let asked = contacts.iter().map(|contact| async move { (*contact, self.report_to(*contact).await) });
-        let mut answers: FuturesUnordered<_> = asked.collect();
-        while let Some((contact, confirmed)) = answers.next().await {
-            if confirmed {
-                return Some(contact);
-            }
+        let mut asked: FuturesUnordered<_> = contacts.iter().map(|contact| self.ask_on(*contact)).collect();
+        within(SEARCH, asked.next()).await.flatten()
+    }
+
+    /// Reports to a control replica until it answers as the leader.
+    async fn ask_on(&self, contact: SocketAddrV4) -> SocketAddrV4 {
+        while !self.report_to(contact).await {
+            Timer::after(PAUSE).await;
         }
-        None
+        contact
     }
 
     /// Reports to a control replica; whether it answered as the leader.
--- a/agatetrestle/src/cluster/tests.rs
+++ b/agatetrestle/src/cluster/tests.rs
@@ -1,12 +1,16 @@
 //! Tests of the decision who takes part in a group, and of the number of a process.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddrV4;
 
+use agatetrestle_config::deployment::Role;
 use proptest::prelude::*;
 
 use crate::agreement::ReplicaChange;
 use crate::agreement::Replicas;
 use crate::cluster::identity;
+use crate::cluster::message::Member;
+use crate::cluster::roll::Roll;
 use crate::cluster::voters::Candidate;
 use crate::cluster::voters::Wanted;
 use crate::cluster::voters::next_change;
@@ -58,6 +62,32 @@
     assert_eq!(remove, Some(ReplicaChange::Remove(NodeId(3))));
 }
 
+fn member(node: u64, role: Role) -> Member {
+    let address = SocketAddrV4::new([10, 0, 0, 1].into(), 7_240);
+    let (vm, zone) = (node.to_string().into(), "a".into());
+    Member { node: NodeId(node), role, vm, zone, peer: address, callers: None, ready: true }
+}
+
+#[test]
+fn an_entry_hears_at_once_of_a_store_but_not_of_another_entry() {
+    let mut roll = Roll::default();
+    let store = member(1, Role::Store);
+    assert!(roll.replace(vec![store.clone()]));
+    let known = roll.edition(5);
+    assert!(!roll.is_news(Role::Entry, known, 5));
+    assert!(roll.replace(vec![store.clone(), member(2, Role::Entry)]));
+    assert!(!roll.is_news(Role::Entry, known, 5), "an entry came");
+    assert!(roll.is_news(Role::Control, known, 5));
+    assert!(roll.replace(vec![member(2, Role::Entry)]));
+    assert!(roll.is_news(Role::Entry, known, 5), "the store went");
+    assert!(roll.is_news(Role::Entry, roll.edition(5), 6), "another leader may know others");
+    let waiting = Member { ready: false, ..store.clone() };
+    roll.replace(vec![waiting]);
+    let known = roll.edition(5);
+    roll.replace(vec![store]);
+    assert!(roll.is_news(Role::Entry, known, 5), "a store that was opened is another");
+}
+
 proptest! {
     #[test]
     fn no_change_leaves_fewer_sound_voters_than_there_must_be(
--- a/agatetrestle/src/deployment/mod.rs
+++ b/agatetrestle/src/deployment/mod.rs
@@ -225,6 +225,7 @@
             links: self.links.clone(),
             clock: self.clock,
             by_address: RefCell::default(),
+            bell: smol::channel::bounded(1),
         });
         self.executor.spawn(subscriber.clone().run()).detach();
         let (watched, file) = (subscriber.clone(), self.file.clone());
--- a/agatetrestle/src/deployment/store.rs
+++ b/agatetrestle/src/deployment/store.rs
@@ -56,6 +56,7 @@
     let subscriber = frame.subscriber(introduce, None);
     let opened = open(frame).await?;
     group.replace(Some(opened.clone()));
+    subscriber.renew();
     let mut server = PeerServer::default();
     let receiving = opened.clone();
     server.receivers.insert(FIRST_STATE_GROUP, Rc::new(move |message| receiving.receive(message)));
--- a/agatetrestle/src/node/peer_link.rs
+++ b/agatetrestle/src/node/peer_link.rs
@@ -38,6 +38,10 @@
 const BATCH: usize = 64;
 /// Deliveries that may be unanswered at once.
 const WINDOW: usize = 64;
+/// Longest time for a connection. The operating system of a machine that is there answers within a round trip,
+/// whatever its processes do; a first packet that was lost or sent to a dark machine is repeated by the next try sooner
+/// than by the operating system, which waits for a second.
+const CONNECT: Duration = Duration::from_millis(250);
 /// Pause before a new connection after a failed one.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -193,7 +197,7 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<TcpStream, LinkError> {
-        let connecting = within(self.deadline, TcpStream::connect(address)).await;
+        let connecting = within(self.deadline.min(CONNECT), TcpStream::connect(address)).await;
         let stream = connecting.ok_or(LinkError::ConnectTimeout)?.context(ConnectSnafu)?;
         stream.set_nodelay(true).context(ConnectSnafu)?;
         Ok(stream)
