--- a/agatetrestle/src/cluster/board.rs
+++ b/agatetrestle/src/cluster/board.rs
@@ -167,8 +167,8 @@
             zone: member.zone.clone(),
             leaving: leaving.contains_key(&member.vm),
         };
-        let roll = self.roll.borrow();
-        roll.members().iter().filter(|member| member.role == role).map(candidate).collect()
+        let listed = self.roll.borrow();
+        listed.members().iter().filter(|member| member.role == role).map(candidate).collect()
     }
 
     /// How far the emptying of a store's VM is; `least` is the number of stores that must stay.
