Suspect servers by their outcomes against the pool

Cause: a server was rested after three failures in a row, which one that fails four requests of ten hardly ever shows; answers with a 5xx and silence until the caller left were no failures at all. Change: dispatch weighs each outcome by the sequential test of docs/design/008 (Spiegelhalter and others, 2003) against what is usual in the pool; at most 3 of 10 servers of a service are out; requests on their way count once; a log line for each suspicion. Tried first: odds without a floor for what is usual and rests up to 16 s; sound servers were suspected by two failures in a thousand, and one moment counted as four alarms. Test: servers_that_fail_in_part_are_found_by_their_outcomes and two more replay it (19 failures in each half without the test, at most 14 and 8 with it). Conclusion: the test stands; entries could share what they see, which is open.

--- a/agatetrestle/src/dispatch/mod.rs
+++ b/agatetrestle/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 //! pure: time comes in as an argument. What each rule answers stands in docs/design/012-a-deployment-of-three-roles.md.
 
 mod server;
+mod suspicion;
 #[cfg(test)]
 mod tests;
 
@@ -22,6 +23,7 @@
 use crate::clock::Timestamp;
 use crate::dispatch::server::Server;
 use crate::dispatch::server::affinity;
+use crate::health::risk::Risk;
 use crate::scheduler::random::Random;
 
 /// Requests that may wait for one service on one node. Each holds its body in memory; 512 of some 20 KB stay
@@ -38,6 +40,11 @@
 /// and new connections cost, but less than to wait behind one more request.
 const FAR: f64 = 0.25;
 const COLD: f64 = 0.3;
+/// Size by which the risk of a request is looked up; sizes are not told apart here.
+const ANY_SIZE: u64 = 1;
+/// Servers of a service, in a hundred, that may be out at once for what speaks against them; one always may, but for
+/// the last.
+const MOST_OUT_PERCENT: usize = 30;
 /// Requests by which a server's load may exceed the least loaded one's before its cached prompts no longer
 /// speak for it. Reading a prompt again costs as much as some two requests of a batch slow the others.
 const AFFINITY_SLACK: f64 = 7.0;
@@ -66,7 +73,7 @@
 }
 
 /// What becomes of a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Decision {
     /// Send it.
     Send {
@@ -75,6 +82,15 @@
         /// Where to.
         server: ServerKey,
     },
+    /// A server gets nothing for a while, since it fails more often than the others.
+    Suspect {
+        /// The server.
+        server: ServerKey,
+        /// When it is tried again.
+        until: Timestamp,
+        /// How often requests fail at servers of its service against which nothing speaks.
+        usual: f64,
+    },
     /// Turn it away; it was not sent.
     Reject {
         /// The request.
@@ -105,11 +121,13 @@
 struct Queue {
     waiting: BTreeMap<Rank, Request>,
     mean: Duration,
+    /// How often requests fail at servers against which nothing speaks.
+    risk: Risk,
 }
 
 impl Default for Queue {
     fn default() -> Self {
-        Self { waiting: BTreeMap::new(), mean: FIRST_ESTIMATE }
+        Self { waiting: BTreeMap::new(), mean: FIRST_ESTIMATE, risk: Risk::default() }
     }
 }
 
@@ -227,11 +245,31 @@
         };
         let service = server.instance.service.clone();
         server.finish(now, outcome);
+        let queue = self.queues.entry(service.clone()).or_default();
         if let Outcome::Whole(took) = outcome {
-            let queue = self.queues.entry(service.clone()).or_default();
             queue.mean = (queue.mean * (MEAN_WEIGHT - 1) + took) / MEAN_WEIGHT;
         }
-        self.pass(now, &service, None)
+        if let Some(failed) = server.weigh(now, outcome, queue.risk.of(ANY_SIZE)) {
+            queue.risk.learn(ANY_SIZE, failed);
+        }
+        let usual = queue.risk.of(ANY_SIZE);
+        let suspected = self.suspect(now, key).map(|until| Decision::Suspect { server: key, until, usual });
+        let mut decisions: Vec<Decision> = suspected.into_iter().collect();
+        decisions.extend(self.pass(now, &service, None));
+        decisions
+    }
+
+    /// Takes a server out for which the evidence suffices, unless too many of its service are out: a fault that
+    /// all share is not mended by sending everything to the few that are left.
+    fn suspect(&mut self, now: Timestamp, key: ServerKey) -> Option<Timestamp> {
+        let service = self.servers.get(key)?.instance.service.clone();
+        let of_service = || self.servers.values().filter(|server| server.serves(&service) && server.listed);
+        let out = of_service().filter(|server| server.is_out(now)).count();
+        let all = of_service().count();
+        if out >= (all * MOST_OUT_PERCENT / 100).max(1).min(all.saturating_sub(1)) {
+            return None;
+        }
+        self.servers.get_mut(key)?.suspect(now)
     }
 
     /// Lets time pass: rests end, and what can no longer be served is turned away.
--- a/agatetrestle/src/dispatch/server.rs
+++ b/agatetrestle/src/dispatch/server.rs
@@ -10,6 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Timestamp;
+use crate::dispatch::suspicion::Suspicion;
 use crate::transport::client::FRESH;
 
 /// Time in which what answers told of the load by others loses its weight: a request takes about this long.
@@ -58,6 +59,10 @@
 pub enum Outcome {
     /// Whole, in this time.
     Whole(Duration),
+    /// Whole, but it says that the server has failed.
+    Error(Duration),
+    /// The caller gave up after the server had said nothing for longer than such a request should take.
+    Silent,
     /// No connection could be made.
     Unreachable,
     /// The server said that it has no room.
@@ -79,6 +84,9 @@
     observed_at: Timestamp,
     rests_until: Timestamp,
     failures: u32,
+    suspicion: Suspicion,
+    /// Whether the rest is for what speaks against it, not for a failure of this moment.
+    pub(super) suspected: bool,
     /// When an answer last left a connection that can be used again.
     answered_at: Option<Timestamp>,
 }
@@ -93,6 +101,8 @@
             observed_at: Timestamp(0),
             rests_until: Timestamp(0),
             failures: 0,
+            suspicion: Suspicion::default(),
+            suspected: false,
             answered_at: None,
         }
     }
@@ -140,17 +150,45 @@
     pub(super) fn finish(&mut self, now: Timestamp, outcome: Outcome) {
         self.running = self.running.saturating_sub(1);
         match outcome {
-            Outcome::Whole(_) => {
+            Outcome::Whole(_) | Outcome::Error(_) => {
                 self.failures = 0;
                 self.answered_at = Some(now);
             }
-            Outcome::Abandoned => {}
+            Outcome::Abandoned | Outcome::Silent => {}
             Outcome::Full => self.rests_until = now + REST / 4,
             Outcome::Unreachable => self.rest(now, 0),
             Outcome::Failed => self.rest(now, CHANCE_FAILURES),
         }
     }
 
+    /// Weighs an outcome against what is usual in the pool; whether it tells of the usual itself.
+    pub(super) fn weigh(&mut self, now: Timestamp, outcome: Outcome, risk: f64) -> Option<bool> {
+        if self.is_out(now) {
+            // It was sent before the server was taken out, so it says nothing that was not known then.
+            return None;
+        }
+        let failed = match outcome {
+            Outcome::Whole(_) => false,
+            Outcome::Error(_) | Outcome::Failed | Outcome::Silent => true,
+            Outcome::Abandoned | Outcome::Full | Outcome::Unreachable => return None,
+        };
+        self.suspicion.record(failed, risk);
+        self.suspicion.is_calm().then_some(failed)
+    }
+
+    /// Takes the server out for a while if enough speaks against it; when it comes back.
+    pub(super) fn suspect(&mut self, now: Timestamp) -> Option<Timestamp> {
+        let until = now + self.suspicion.alarm()?;
+        self.rests_until = self.rests_until.max(until);
+        self.suspected = true;
+        Some(until)
+    }
+
+    /// Whether it is out for what speaks against it.
+    pub(super) fn is_out(&self, now: Timestamp) -> bool {
+        self.suspected && self.resting(now)
+    }
+
     /// Whether a connection to it is most likely open.
     pub(super) fn is_warm(&self, now: Timestamp) -> bool {
         self.answered_at.is_some_and(|at| now.since(at) < FRESH)
--- a/agatetrestle/src/dispatch/tests.rs
+++ b/agatetrestle/src/dispatch/tests.rs
@@ -42,7 +42,7 @@
 fn sent(decisions: &[Decision]) -> Vec<u64> {
     let sent = |decision: &Decision| match decision {
         Decision::Send { ticket, .. } => Some(*ticket),
-        Decision::Reject { .. } => None,
+        Decision::Reject { .. } | Decision::Suspect { .. } => None,
     };
     decisions.iter().filter_map(sent).collect()
 }
@@ -108,6 +108,7 @@
                     assert_eq!(now, 0, "a request is turned away when it comes, not while it waits");
                     turned_away += 1;
                 }
+                Decision::Suspect { .. } => panic!("no request failed"),
             }
         }
     };
@@ -240,3 +241,61 @@
         "but not behind another request"
     );
 }
+
+/// Sends one request each 100 ms to ten servers, of which some fail a share of theirs, and returns how many failed in
+/// each half of the time.
+fn failures(bad: usize, share: u64, outcome: Outcome) -> [usize; 2] {
+    let instances: Vec<Instance> = (0..10).map(|number| instance(&format!("s-{number}"), 6, "a")).collect();
+    let mut dispatch = dispatch(&instances);
+    let mut rng = Random::new(5);
+    let mut failed = [0, 0];
+    for number in 0..400_u64 {
+        let now = at(number * 100);
+        let key = server_of(&dispatch.submit(now, request(number, number * 100 + 4_000)));
+        let id = &dispatch.instance(key).unwrap().id;
+        let ill = (0..bad).any(|number| **id == format!("s-{number}"));
+        // Every server spoils some answers.
+        let fails = rng.below(100) < if ill { share } else { 2 };
+        failed[usize::from(number >= 200)] += usize::from(fails);
+        dispatch.finish(now, key, if fails { outcome } else { WHOLE });
+    }
+    failed
+}
+
+#[test]
+fn servers_that_fail_in_part_are_found_by_their_outcomes() {
+    for outcome in [Outcome::Failed, Outcome::Error(Duration::from_millis(3)), Outcome::Silent] {
+        let [first, then] = failures(2, 40, outcome);
+        assert!(first <= 14 && then <= 8, "{outcome:?}: {first} and {then}; 19 each without a test");
+    }
+}
+
+#[test]
+fn two_failures_far_apart_are_chance_and_those_of_requests_on_their_way_count_once() {
+    let mut dispatch = dispatch(&[instance("x", 6, "a"), instance("y", 6, "a"), instance("z", 6, "a")]);
+    let mut suspected = Vec::new();
+    for number in 0..300_u64 {
+        let now = at(number * 100);
+        let key = server_of(&dispatch.submit(now, request(number, number * 100 + 4_000)));
+        let outcome = if number % 50 == 49 { Outcome::Failed } else { WHOLE };
+        suspected.extend(dispatch.finish(now, key, outcome));
+    }
+    assert!(suspected.is_empty(), "{suspected:?}");
+    let now = at(40_000);
+    let sent: Vec<ServerKey> =
+        (0..18).map(|ticket| server_of(&dispatch.submit(now, request(1_000 + ticket, 60_000)))).collect();
+    let worst = sent[0];
+    for key in sent.into_iter().filter(|key| *key == worst) {
+        let decisions = dispatch.finish(now, key, Outcome::Silent);
+        suspected
+            .extend(decisions.into_iter().filter(|decision| matches!(decision, Decision::Suspect { .. })));
+    }
+    let Some(Decision::Suspect { until, .. }) = suspected.first() else { panic!("it was not suspected") };
+    assert_eq!((suspected.len(), *until), (1, at(42_000)), "six failures of one moment are one alarm");
+}
+
+#[test]
+fn a_fault_that_all_servers_share_leaves_most_in_use() {
+    let [first, then] = failures(10, 40, Outcome::Silent);
+    assert!(first + then > 100, "requests were sent all the time: {first} and {then}");
+}
--- a/agatetrestle/src/gateway/attempt.rs
+++ b/agatetrestle/src/gateway/attempt.rs
@@ -49,7 +49,7 @@
 pub(super) async fn send(
     gateway: &Rc<Gateway>,
     job: &Job,
-    place: Place,
+    mut place: Place,
     last: bool,
 ) -> Result<Sent, Failure> {
     let Some((instance, address)) = gateway.address(place.server) else {
@@ -64,6 +64,7 @@
         }
     };
     let sent_at = gateway.clock.now();
+    place.silent_after = Some(sent_at + job.route.objective);
     let left = job.until.since(sent_at);
     let request = request(gateway, job, SendHead { left, instance: &instance, priority: rank(job) });
     let patience = if last { left } else { left.min(job.route.objective * NEXT_TRY_PERCENT / 100) };
@@ -87,6 +88,7 @@
         }
         Some(Ok(response)) => response,
     };
+    place.silent_after = None;
     check(gateway, job, Sent { place, lease, response, at: sent_at })
 }
 
--- a/agatetrestle/src/gateway/mod.rs
+++ b/agatetrestle/src/gateway/mod.rs
@@ -183,7 +183,10 @@
 
     fn carry_out(&self, decisions: Vec<Decision>) {
         for decision in decisions {
-            let (Decision::Send { ticket, .. } | Decision::Reject { ticket, .. }) = decision;
+            let (Decision::Send { ticket, .. } | Decision::Reject { ticket, .. }) = decision else {
+                self.note_suspect(decision);
+                continue;
+            };
             let waiter = self.waiting.borrow_mut().remove(&ticket);
             // A waiter that is gone has withdrawn its request, or gives back what it was given.
             let undelivered = match waiter {
@@ -196,6 +199,15 @@
         }
     }
 
+    fn note_suspect(&self, decision: Decision) {
+        if let Decision::Suspect { server, until, usual } = decision
+            && let Some((id, address)) = self.address(server)
+        {
+            let rest = until.since(self.clock.now()).as_millis();
+            warn!("server={id} address={address} is suspected: rest_ms={rest} usual_failures={usual:.4}.");
+        }
+    }
+
     fn give_back(&self, decision: Decision) {
         if let Decision::Send { server, .. } = decision {
             let now = self.clock.now();
--- a/agatetrestle/src/gateway/place.rs
+++ b/agatetrestle/src/gateway/place.rs
@@ -5,6 +5,7 @@
 
 use futures::channel::oneshot;
 
+use crate::clock::Timestamp;
 use crate::dispatch::Decision;
 use crate::dispatch::Outcome;
 use crate::dispatch::Reason;
@@ -17,6 +18,8 @@
     gateway: Rc<Gateway>,
     pub(super) server: ServerKey,
     released: bool,
+    /// When the head of the answer should have come, while it has not.
+    pub(super) silent_after: Option<Timestamp>,
 }
 
 /// A request that was turned away.
@@ -57,10 +60,11 @@
         let decision = (&mut waiting.decision).await;
         match decision {
             Ok(Decision::Send { server, .. }) => {
-                Ok(Self { gateway: gateway.clone(), server, released: false })
+                Ok(Self { gateway: gateway.clone(), server, released: false, silent_after: None })
             }
             Ok(Decision::Reject { retry_after, reason, .. }) => Err(TurnedAway { retry_after, reason }),
-            Err(oneshot::Canceled) => {
+            // A suspicion answers no request, and is never sent to one.
+            Ok(Decision::Suspect { .. }) | Err(oneshot::Canceled) => {
                 Err(TurnedAway { retry_after: Duration::from_millis(100), reason: Reason::QueueFull })
             }
         }
@@ -83,6 +87,8 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.give_back(Outcome::Abandoned);
+        let now = self.gateway.clock.now();
+        let silent = self.silent_after.is_some_and(|after| now > after);
+        self.give_back(if silent { Outcome::Silent } else { Outcome::Abandoned });
     }
 }
--- a/agatetrestle/src/gateway/relay.rs
+++ b/agatetrestle/src/gateway/relay.rs
@@ -7,6 +7,7 @@
 use bytes::BytesMut;
 use http::HeaderMap;
 use http::Response;
+use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use hyper::body::Incoming;
@@ -78,7 +79,8 @@
     fn complete(&mut self) {
         let took = self.gateway.clock.now().since(self.sent_at);
         if let Some(place) = self.place.take() {
-            place.release(Outcome::Whole(took));
+            let failed = self.status >= StatusCode::INTERNAL_SERVER_ERROR.as_u16();
+            place.release(if failed { Outcome::Error(took) } else { Outcome::Whole(took) });
         }
         if let Some(lease) = self.lease.take() {
             self.gateway.client.keep(lease, &self.headers);
