--- a/agatetrestle/src/cluster/board.rs
+++ b/agatetrestle/src/cluster/board.rs
@@ -19,9 +19,11 @@
 use crate::cluster::message::Bulletin;
 use crate::cluster::message::Edition;
 use crate::cluster::message::Emptying;
+use crate::cluster::message::Holdings;
 use crate::cluster::message::Known;
 use crate::cluster::message::Member;
 use crate::cluster::message::Report;
+use crate::cluster::overview::Overview;
 use crate::cluster::roll::Roll;
 use crate::cluster::voters::Candidate;
 use crate::control::state::ControlState;
@@ -46,6 +48,7 @@
     member: Member,
     until: Timestamp,
     voters: Option<BTreeSet<NodeId>>,
+    holdings: Option<Holdings>,
 }
 
 /// What a control replica knows of the others.
@@ -129,7 +132,7 @@
         }
         let until = self.clock.now() + INHERITED;
         let inherited = members.iter().map(|member| {
-            let seen = Seen { member: member.clone(), until, voters: None };
+            let seen = Seen { member: member.clone(), until, voters: None, holdings: None };
             (member.node, seen)
         });
         self.seen.replace(inherited.collect());
@@ -191,6 +194,29 @@
         if sound { Emptying::Done } else { Emptying::Running }
     }
 
+    /// What an operator is told.
+    #[must_use]
+    pub fn overview(&self) -> Overview {
+        let seen = self.seen.borrow();
+        let voters = seen.values().find_map(|seen| seen.voters.clone());
+        let held = |(node, seen): (&NodeId, &Seen)| Some((*node, seen.holdings?));
+        let (version, leaving) = self.group.machine(|state| {
+            let leaving = state.configuration().leaving.keys().cloned().collect();
+            (state.routes().map(|document| document.version), leaving)
+        });
+        Overview {
+            leader: self.own,
+            term: self.group.term(),
+            version,
+            control: self.group.replicas().voters,
+            stores: voters.unwrap_or_default(),
+            members: self.members(),
+            leaving,
+            holdings: seen.iter().filter_map(held).collect(),
+            backends: self.instances().to_vec(),
+        }
+    }
+
     fn record(&self, report: &Report) {
         let member = &report.member;
         if member.role != Role::Entry {
@@ -200,7 +226,8 @@
         let mut seen = self.seen.borrow_mut();
         // A process that comes back with an empty disk has another number at the same address.
         seen.retain(|node, other| *node == member.node || other.member.peer != member.peer);
-        seen.insert(member.node, Seen { member: member.clone(), until, voters: report.voters.clone() });
+        let (voters, holdings) = (report.voters.clone(), report.holdings);
+        seen.insert(member.node, Seen { member: member.clone(), until, voters, holdings });
         drop(seen);
         self.relist();
     }
--- a/agatetrestle/src/cluster/message.rs
+++ b/agatetrestle/src/cluster/message.rs
@@ -53,6 +53,19 @@
     pub count: u64,
 }
 
+/// What a store holds.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Holdings {
+    /// Turns that programs may go on from.
+    pub turns: usize,
+    /// Bytes that they take.
+    pub bytes: usize,
+    /// Bytes that they may take.
+    pub room: usize,
+    /// Programs with a budget.
+    pub programs: usize,
+}
+
 /// What a process reports.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Report {
@@ -64,6 +77,8 @@
     pub patience: u32,
     /// Who takes part in the first state group, from its leader.
     pub voters: Option<BTreeSet<NodeId>>,
+    /// What a store holds.
+    pub holdings: Option<Holdings>,
 }
 
 /// What a control replica answers.
@@ -98,6 +113,8 @@
     Routes,
     /// How far the emptying of a VM is.
     Emptying(Arc<str>),
+    /// Tell an operator what the leader knows, confirmed with a quorum.
+    Overview,
 }
 
 /// How far the emptying of a store's VM is.
--- a/agatetrestle/src/cluster/mod.rs
+++ b/agatetrestle/src/cluster/mod.rs
@@ -7,6 +7,7 @@
 pub mod identity;
 pub mod keeper;
 pub mod message;
+pub mod overview;
 pub mod roll;
 pub mod service;
 pub mod subscriber;
--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -50,6 +50,10 @@
                 Verdict::Ready => Submission::Applied(encode(&self.emptying(&vm))),
                 verdict => outcome(verdict),
             },
+            Ok(ControlRequest::Overview) => match self.group.ready().await {
+                Verdict::Ready => Submission::Applied(encode(&self.board.overview())),
+                verdict => outcome(verdict),
+            },
             Err(failure) => Submission::Refused(failure.to_string().into()),
         }
     }
--- a/agatetrestle/src/cluster/subscriber.rs
+++ b/agatetrestle/src/cluster/subscriber.rs
@@ -23,6 +23,7 @@
 use crate::clock::Clock;
 use crate::cluster::board::Board;
 use crate::cluster::message::Bulletin;
+use crate::cluster::message::Holdings;
 use crate::cluster::message::Member;
 use crate::cluster::message::Report;
 use crate::cluster::view::View;
@@ -44,7 +45,24 @@
 const SEARCH: Duration = Duration::from_secs(1);
 
 /// What a process tells of itself right now.
-pub type Introduce = Rc<dyn Fn() -> (Member, Option<BTreeSet<NodeId>>)>;
+#[derive(Clone, Debug)]
+pub struct Introduction {
+    /// The process.
+    pub member: Member,
+    /// Who takes part in the first state group, from its leader.
+    pub voters: Option<BTreeSet<NodeId>>,
+    /// What a store holds.
+    pub holdings: Option<Holdings>,
+}
+
+impl From<Member> for Introduction {
+    fn from(member: Member) -> Self {
+        Self { member, voters: None, holdings: None }
+    }
+}
+
+/// Makes an introduction.
+pub type Introduce = Rc<dyn Fn() -> Introduction>;
 
 /// The reports of one process.
 pub struct Subscriber {
@@ -141,10 +159,10 @@
     }
 
     async fn ask(&self, contact: SocketAddrV4) -> Option<Bulletin> {
-        let (member, voters) = (self.introduce)();
+        let Introduction { member, voters, holdings } = (self.introduce)();
         let own = member.peer == contact;
         let patience = u32::try_from(PATIENCE.as_millis()).unwrap_or(u32::MAX);
-        let report = Report { member, known: self.view.known(), patience, voters };
+        let report = Report { member, known: self.view.known(), patience, voters, holdings };
         if own {
             let board = self.board.clone()?;
             return Some(board.report(report).await);
--- a/agatetrestle/src/cluster/tests.rs
+++ b/agatetrestle/src/cluster/tests.rs
@@ -9,11 +9,14 @@
 use crate::agreement::ReplicaChange;
 use crate::agreement::Replicas;
 use crate::cluster::identity;
+use crate::cluster::message::Holdings;
 use crate::cluster::message::Member;
+use crate::cluster::overview::Overview;
 use crate::cluster::roll::Roll;
 use crate::cluster::voters::Candidate;
 use crate::cluster::voters::Wanted;
 use crate::cluster::voters::next_change;
+use crate::dispatch::Instance;
 use crate::ids::NodeId;
 
 const THREE: Wanted = Wanted { most: 3, least: 3 };
@@ -121,3 +124,30 @@
     assert_eq!(identity::keep(&folder, identity::draw().unwrap()).unwrap(), first);
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+#[test]
+fn an_overview_names_every_process_and_service() {
+    let store = Member { vm: "store-1".into(), ..member(2, Role::Store) };
+    let spare = Member { vm: "store-2".into(), ..member(3, Role::Store) };
+    let entry = Member { vm: "entry-1".into(), ready: false, ..member(4, Role::Entry) };
+    let backend = |id: &str, leaving| Instance {
+        id: id.into(),
+        service: "engines".into(),
+        address: SocketAddrV4::new([10, 0, 0, 9].into(), 80),
+        zone: "a".into(),
+        slots: 16,
+        leaving,
+    };
+    let overview = Overview {
+        leader: NodeId(1),
+        term: 7,
+        version: Some(12),
+        control: [NodeId(1)].into(),
+        stores: [NodeId(2)].into(),
+        members: vec![entry, store, spare, member(1, Role::Control)],
+        leaving: ["store-1".into()].into(),
+        holdings: [(NodeId(2), Holdings { turns: 3, bytes: 900, room: 9_000, programs: 2 })].into(),
+        backends: vec![backend("e-1", false), backend("e-2", true)],
+    };
+    insta::assert_snapshot!(overview);
+}
--- a/agatetrestle/src/deployment/control.rs
+++ b/agatetrestle/src/deployment/control.rs
@@ -71,7 +71,7 @@
     server.receivers.insert(CONTROL_GROUP, Rc::new(move |message| receiving.receive(message)));
     server.services.insert(CONTROL_GROUP, desk.clone());
     frame.serve_peers(server);
-    let subscriber = frame.subscriber(Rc::new(move || (member.clone(), None)), Some(board.clone()));
+    let subscriber = frame.subscriber(Rc::new(move || member.clone().into()), Some(board.clone()));
     let links = frame.links.clone();
     let router = Router::new(CONTROL_GROUP, frame.node, Some(desk), links, &[], frame.clock, PATIENCE);
     let router = Rc::new(router);
--- a/agatetrestle/src/deployment/entry.rs
+++ b/agatetrestle/src/deployment/entry.rs
@@ -99,7 +99,7 @@
     frame.view.watch(Rc::new(EntryWatcher { gateway: gateway.clone(), stores }));
     frame.serve_peers(PeerServer::default());
     let (introduced, member) = (gateway.clone(), frame.member());
-    let introduce = Rc::new(move || (Member { ready: introduced.ready(), ..member.clone() }, None));
+    let introduce = Rc::new(move || Member { ready: introduced.ready(), ..member.clone() }.into());
     let subscriber = frame.subscriber(introduce, None);
     serve_callers(frame, &gateway, &bounds);
     serve_readiness(frame, &gateway);
--- a/agatetrestle/src/deployment/mod.rs
+++ b/agatetrestle/src/deployment/mod.rs
@@ -7,11 +7,14 @@
 mod entry;
 mod listing;
 mod operators;
+mod overview;
 mod store;
 #[cfg(test)]
 mod tests;
 mod turns;
 
+pub use self::overview::overview;
+
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
--- a/agatetrestle/src/deployment/store.rs
+++ b/agatetrestle/src/deployment/store.rs
@@ -13,6 +13,7 @@
 use crate::cluster::keeper;
 use crate::cluster::message::Member;
 use crate::cluster::service::TurnDesk;
+use crate::cluster::subscriber::Introduction;
 use crate::cluster::subscriber::Subscriber;
 use crate::cluster::voters::Candidate;
 use crate::cluster::voters::Wanted;
@@ -49,9 +50,11 @@
     let (introduced, member) = (group.clone(), frame.member());
     let introduce = Rc::new(move || {
         let group = introduced.borrow();
+        let member = Member { ready: group.is_some(), ..member.clone() };
         let leading = group.as_ref().filter(|group| group.leads());
         let voters = leading.map(|group| group.replicas().voters);
-        (Member { ready: group.is_some(), ..member.clone() }, voters)
+        let holdings = group.as_ref().map(|group| group.machine(TurnState::holdings));
+        Introduction { member, voters, holdings }
     });
     let subscriber = frame.subscriber(introduce, None);
     let opened = open(frame).await?;
--- a/agatetrestle/src/node/router.rs
+++ b/agatetrestle/src/node/router.rs
@@ -149,7 +149,8 @@
     }
 }
 
-async fn submit_remotely(
+/// Hands a request to one replica, once.
+pub(crate) async fn submit_remotely(
     link: &PeerLink,
     deadline: Duration,
     group: GroupId,
--- a/agatetrestle/src/turns/state.rs
+++ b/agatetrestle/src/turns/state.rs
@@ -14,6 +14,7 @@
 use crate::agreement::RestoreError;
 use crate::agreement::StateMachine;
 use crate::agreement::message::Position;
+use crate::cluster::message::Holdings;
 use crate::codec::Blob;
 use crate::codec::decode;
 use crate::codec::encode;
@@ -84,10 +85,15 @@
         }
     }
 
-    /// Turns that are kept, and the bytes they take.
+    /// What is held, for operators.
     #[must_use]
-    pub fn kept(&self) -> (usize, usize) {
-        (self.turns.len(), self.kept_bytes)
+    pub fn holdings(&self) -> Holdings {
+        Holdings {
+            turns: self.turns.len(),
+            bytes: self.kept_bytes,
+            room: self.room,
+            programs: self.accounts.len(),
+        }
     }
 
     fn begin(&mut self, begin: Begin) -> TurnReply {
--- a/agatetrestle/src/turns/tests.rs
+++ b/agatetrestle/src/turns/tests.rs
@@ -101,7 +101,7 @@
     assert_eq!(state.execute(last, begin("c", 100, 10, Some("b"))), begun(&["one", "two"]));
     let past = last + 2 * RETENTION;
     assert_eq!(state.execute(past, begin("d", 100, 10, Some("b"))), TurnReply::NoSuchTurn);
-    assert_eq!(state.state.kept(), (0, 0));
+    assert_eq!((state.state.holdings().turns, state.state.holdings().bytes), (0, 0));
 }
 
 #[test]
@@ -112,7 +112,7 @@
         state.execute(1, finish(turn, 1, Some(("text", None))));
     }
     assert_eq!(state.execute(2, begin("d", 100, 1, None)), TurnReply::Full);
-    assert_eq!(state.state.kept().0, 3);
+    assert_eq!(state.state.holdings().turns, 3);
 }
 
 #[test]
