Make the baselines of the decisions selectable, and accept connections in one place

Change: a setting decisions; transport::accept counts and closes for the servers of callers, peers, operators and scrapes. The test of the operators' count is now one of the gate, which also shows that a connection beyond the bound is closed. Test: each_baseline_replaces_one_decision, connections_beyond_the_bound_are_closed_and_an_ended_one_frees_its_place.

--- a/agatetrestle/src/deployment/entry.rs
+++ b/agatetrestle/src/deployment/entry.rs
@@ -22,6 +22,7 @@
 use crate::deployment::directory::MAX_AGE;
 use crate::deployment::serve_http;
 use crate::deployment::turns::TurnRoute;
+use crate::dispatch::Dispatch;
 use crate::dispatch::Instance;
 use crate::gateway::Gateway;
 use crate::gateway::GatewayParts;
@@ -87,7 +88,8 @@
     let gateway = Gateway::new(GatewayParts {
         wire: frame.wire.clone(),
         turns: Rc::new(TurnRoute(stores.clone())),
-        zone: frame.settings.process.failure_domain.clone(),
+        dispatch: Dispatch::new(frame.settings.process.failure_domain.clone(), frame.node.0)
+            .with_rules(frame.settings.decisions),
         seed: frame.node.0,
         clock: frame.clock,
         bounds: bounds.clone(),
--- a/agatetrestle/src/dispatch/mod.rs
+++ b/agatetrestle/src/dispatch/mod.rs
@@ -18,6 +18,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use agatetrestle_config::deployment::Decisions;
 use slotmap::SlotMap;
 
 use crate::clock::Timestamp;
@@ -139,6 +140,9 @@
     queues: HashMap<Arc<str>, Queue>,
     zone: Arc<str>,
     rng: Random,
+    rules: Decisions,
+    /// Counts what was sent, for servers in turn.
+    turns: usize,
 }
 
 impl Dispatch {
@@ -151,9 +155,17 @@
             queues: HashMap::new(),
             zone,
             rng: Random::new(seed),
+            rules: Decisions::Own,
+            turns: 0,
         }
     }
 
+    /// The same node with a baseline in place of one of its decisions, for comparisons.
+    #[must_use]
+    pub fn with_rules(self, rules: Decisions) -> Self {
+        Self { rules, ..self }
+    }
+
     /// Takes in the list of backend servers. One that is not in it any more gets nothing, and neither does one that
     /// once was told to leave: the list lags, so only signs of leaving are believed.
     pub fn replace_instances(&mut self, now: Timestamp, instances: &[Instance]) -> Vec<Decision> {
@@ -212,7 +224,10 @@
             return vec![Decision::Reject { ticket, retry_after, reason: Reason::QueueFull }];
         }
         let lost = request.finish_by < now + queue.mean;
-        let rank = (lost, request.priority, !request.begun, request.finish_by, ticket);
+        let rank = match self.rules {
+            Decisions::FirstCome => (false, 0, false, Timestamp(0), ticket),
+            _ => (lost, request.priority, !request.begun, request.finish_by, ticket),
+        };
         queue.waiting.insert(rank, request);
         self.pass(now, &service, Some(ticket))
     }
@@ -324,7 +339,7 @@
         queue: &mut Queue,
         newcomer: Option<u64>,
     ) -> Vec<Decision> {
-        if queue.waiting.is_empty() {
+        if queue.waiting.is_empty() || self.rules == Decisions::NoRejection {
             return Vec::new();
         }
         let places = self.running(service).max(1);
@@ -381,7 +396,11 @@
             })
             .collect();
         let best = scored.iter().min_by(|a, b| a.1.total_cmp(&b.1).then(a.2.cmp(&b.2)))?;
-        let Some(shared) = request.affinity else {
+        if self.rules == Decisions::RoundRobin {
+            self.turns += 1;
+            return Some(scored[self.turns % scored.len()].0);
+        }
+        let Some(shared) = request.affinity.filter(|_| self.rules != Decisions::LeastLoad) else {
             return Some(best.0);
         };
         let home = |near: bool| {
--- a/agatetrestle/src/dispatch/tests.rs
+++ b/agatetrestle/src/dispatch/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the decisions of a node, among them the loads that they answer.
 
+use agatetrestle_config::deployment::Decisions;
+
 use super::*;
 
 const SERVICE: &str = "engines";
@@ -299,3 +301,47 @@
     let [first, then] = failures(10, 40, Outcome::Silent);
     assert!(first + then > 100, "requests were sent all the time: {first} and {then}");
 }
+
+/// Sends five requests to two servers with one place each under some rules; the first server is home to all.
+fn under(rules: Decisions) -> (Vec<u64>, Vec<Arc<str>>, usize) {
+    let mut dispatch = Dispatch::new("a".into(), 1).with_rules(rules);
+    dispatch.replace_instances(at(0), &[instance("x", 1, "a"), instance("y", 1, "a")]);
+    let mut decisions = Vec::new();
+    for (ticket, priority) in [(1, 3), (2, 3), (3, 3), (4, 0), (5, 3)] {
+        let deadline = if ticket == 5 { 210 } else { 4_000 };
+        decisions.extend(dispatch.submit(at(0), Request { priority, ..request(ticket, deadline) }));
+    }
+    let servers: Vec<ServerKey> = decisions
+        .iter()
+        .filter_map(|decision| match decision {
+            Decision::Send { server, .. } => Some(*server),
+            _ => None,
+        })
+        .collect();
+    let names = servers.iter().map(|key| dispatch.instance(*key).unwrap().id.clone()).collect();
+    let turned_away = decisions.iter().filter(|decision| matches!(decision, Decision::Reject { .. })).count();
+    for server in servers {
+        decisions.extend(dispatch.finish(at(100), server, WHOLE));
+    }
+    (sent(&decisions), names, turned_away)
+}
+
+#[test]
+fn each_baseline_replaces_one_decision() {
+    assert_eq!(under(Decisions::Own).0, [1, 2, 4, 3], "the urgent one goes first");
+    assert_eq!(under(Decisions::Own).2, 1, "the last would come too late");
+    assert_eq!(under(Decisions::FirstCome).0, [1, 2, 3, 4]);
+    assert_eq!(under(Decisions::NoRejection).2, 0);
+    assert_eq!(under(Decisions::RoundRobin).1.len(), 2);
+    let home = |rules: Decisions| {
+        let instances: Vec<Instance> =
+            (0..8).map(|number| instance(&format!("s-{number}"), 8, "a")).collect();
+        let mut dispatch = Dispatch::new("a".into(), 1).with_rules(rules);
+        dispatch.replace_instances(at(0), &instances);
+        let keys = (0..6).map(|ticket| {
+            server_of(&dispatch.submit(at(0), Request { affinity: Some(9), ..request(ticket, 4_000) }))
+        });
+        keys.collect::<std::collections::BTreeSet<ServerKey>>().len()
+    };
+    assert_eq!([home(Decisions::Own), home(Decisions::LeastLoad), home(Decisions::RoundRobin)], [1, 6, 6]);
+}
--- a/agatetrestle/src/gateway/mod.rs
+++ b/agatetrestle/src/gateway/mod.rs
@@ -64,9 +64,9 @@
     pub wire: Rc<dyn Wire>,
     /// Turns and budgets.
     pub turns: Rc<dyn Turns>,
-    /// The node's failure domain.
-    pub zone: Arc<str>,
-    /// Seed of the decisions that are drawn by lot.
+    /// The decisions, with no backend server known.
+    pub dispatch: Dispatch,
+    /// Seed of the choices that are drawn by lot.
     pub seed: u64,
     /// The process's clock.
     pub clock: Clock,
@@ -105,12 +105,13 @@
     /// A gateway that knows no table and no backend server yet.
     #[must_use]
     pub fn new(parts: GatewayParts) -> Rc<Self> {
-        let GatewayParts { wire, turns, zone, seed, clock, bounds, body_room, recorder, executor } = parts;
+        let GatewayParts { wire, turns, dispatch, seed, clock, bounds, body_room, recorder, executor } =
+            parts;
         Rc::new(Self {
             wire,
             turns,
             table: RefCell::default(),
-            dispatch: RefCell::new(Dispatch::new(zone, seed)),
+            dispatch: RefCell::new(dispatch),
             waiting: RefCell::default(),
             next_ticket: Cell::new(1),
             client: Client::new(&executor, clock),
--- a/agatetrestle/src/metrics/scrape.rs
+++ b/agatetrestle/src/metrics/scrape.rs
@@ -3,7 +3,6 @@
 //! async-h1 bounds the head in total but waits for the end of a line without bound, so the bytes of
 //! a request and the time of a connection are bounded here.
 
-use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -29,36 +28,24 @@
 use smol::net::TcpStream;
 
 use crate::metrics::Metrics;
+use crate::transport::accept::Gate;
 
 const MAX_SCRAPES: usize = 8;
 const MAX_REQUEST: usize = 8 << 10;
 const SCRAPE_TIME: Duration = Duration::from_secs(10);
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 const TEXT_FORMAT: &str = "text/plain; version=0.0.4";
 
 /// Answers `GET /metrics` for as long as it is polled.
 pub async fn serve(metrics: Rc<Metrics>, listener: TcpListener, executor: Rc<LocalExecutor<'static>>) {
-    let open = Rc::new(Cell::new(0));
+    let gate = Gate::new("a scraper");
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                log::warn!("No connection could be accepted: {e}.");
-                Timer::after(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        if open.get() >= MAX_SCRAPES {
-            log::warn!("A connection was closed because {MAX_SCRAPES} are open.");
-            continue;
-        }
-        open.set(open.get() + 1);
-        let (metrics, open) = (Rc::clone(&metrics), Rc::clone(&open));
+        let (stream, admission) = gate.admit(&listener, || MAX_SCRAPES).await;
+        let metrics = Rc::clone(&metrics);
         let scrape = async move {
             if let Err(e) = answer(&metrics, stream).or(too_slow()).await {
                 log::debug!("A scrape failed: {e}.");
             }
-            open.set(open.get() - 1);
+            drop(admission);
         };
         executor.spawn(scrape).detach();
     }
--- a/agatetrestle/src/node/peer_server.rs
+++ b/agatetrestle/src/node/peer_server.rs
@@ -1,9 +1,7 @@
 //! The serving side of calls between our own processes.
 
-use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
 
 use agatetrestle_schema::peer_capnp::peer;
 use capnp_rpc::RpcSystem;
@@ -11,9 +9,7 @@
 use capnp_rpc::twoparty::VatNetwork;
 use futures::AsyncReadExt;
 use log::debug;
-use log::warn;
 use smol::LocalExecutor;
-use smol::Timer;
 use smol::net::TcpListener;
 use smol::net::TcpStream;
 
@@ -30,12 +26,10 @@
 use crate::node::wire::write_message;
 use crate::node::wire_members::read_heartbeat;
 use crate::node::wire_members::write_digest;
+use crate::transport::accept::Gate;
 
 /// Connections that may be open at once; 400 nodes with a reconnect each stay well below.
 const CONNECTIONS: usize = 2_048;
-/// Pause after a connection that could not be accepted, such as when no file descriptor is left; without
-/// it the loop would take the whole thread until one is.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Largest call in 8-byte words: 64 MiB, above the largest batch and snapshot piece.
 const CALL_WORDS: usize = 8 << 20;
 
@@ -170,32 +164,18 @@
     listener: TcpListener,
     executor: std::rc::Weak<LocalExecutor<'static>>,
 ) {
-    let open = Rc::new(Cell::new(0_usize));
+    let gate = Gate::new("a peer");
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(failure) => {
-                warn!("A connection of a peer could not be accepted: {failure}.");
-                Timer::after(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let (stream, admission) = gate.admit(&listener, || CONNECTIONS).await;
         let Some(executor) = executor.upgrade() else {
             return;
         };
-        if open.get() >= CONNECTIONS {
-            warn!("A connection of a peer was closed because {CONNECTIONS} are open.");
-            continue;
-        }
-        open.set(open.get() + 1);
-        let open = open.clone();
         let handle = Handle(server.clone());
-        executor
-            .spawn(async move {
-                serve_connection(handle, stream).await;
-                open.set(open.get() - 1);
-            })
-            .detach();
+        let serving = async move {
+            serve_connection(handle, stream).await;
+            drop(admission);
+        };
+        executor.spawn(serving).detach();
     }
 }
 
--- a/agatetrestle/src/operator/mod.rs
+++ b/agatetrestle/src/operator/mod.rs
@@ -11,7 +11,6 @@
 mod rows;
 mod rpc;
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -35,6 +34,8 @@
 use crate::ports::Ledger;
 use crate::ports::Members;
 use crate::ports::Traces;
+use crate::transport::accept::Admission;
+use crate::transport::accept::Gate;
 
 /// Connections open at once. Each holds at most the messages of its calls and one that is being read,
 /// so that all operators together hold at most 40 MiB of them.
@@ -49,7 +50,6 @@
 
 const WORD: usize = 8;
 const NESTING: i32 = 16;
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// What the RPC for operators draws on, all of it behind traits.
 pub struct OperatorServer {
@@ -71,42 +71,14 @@
 
 /// Accepts operators' connections for as long as it is polled.
 pub async fn serve(server: Rc<OperatorServer>, listener: TcpListener, executor: Rc<LocalExecutor<'static>>) {
-    let open = Rc::new(Cell::new(0));
+    let gate = Gate::new("an operator");
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                log::warn!("No connection could be accepted: {e}.");
-                Timer::after(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        if open.get() >= MAX_CONNECTIONS {
-            log::warn!("A connection was closed because {MAX_CONNECTIONS} are open.");
-            continue;
-        }
-        let place = Place::take(&open);
-        executor.spawn(converse(Rc::clone(&server), stream, place)).detach();
-    }
-}
-
-/// One of the bounded number of connections; dropping it frees the place.
-struct Place(Rc<Cell<usize>>);
-
-impl Place {
-    fn take(open: &Rc<Cell<usize>>) -> Self {
-        open.set(open.get() + 1);
-        Self(Rc::clone(open))
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        let (stream, admission) = gate.admit(&listener, || MAX_CONNECTIONS).await;
+        executor.spawn(converse(Rc::clone(&server), stream, admission)).detach();
     }
 }
 
-async fn converse(server: Rc<OperatorServer>, stream: TcpStream, _place: Place) {
+async fn converse(server: Rc<OperatorServer>, stream: TcpStream, _admission: Admission) {
     let mut options = ReaderOptions::new();
     options.traversal_limit_in_words(Some(MAX_MESSAGE / WORD));
     options.nesting_limit(NESTING);
--- a/agatetrestle/src/transport/mod.rs
+++ b/agatetrestle/src/transport/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Why `hyper` stands here and not `async-h1`: docs/design/012-a-deployment-of-three-roles.md.
 
+pub mod accept;
 pub mod body;
 pub mod client;
 pub mod server;
--- a/agatetrestle/src/transport/server.rs
+++ b/agatetrestle/src/transport/server.rs
@@ -24,13 +24,12 @@
 use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolTimer;
 
+use crate::transport::accept::Gate;
 use crate::transport::body::AnswerBody;
 use crate::transport::watch::Watch;
 use crate::transport::watch::Watched;
 use crate::transport::watch::WatchedStream;
 
-/// Pause after a connection that could not be accepted, such as when no file descriptor is left.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Pause before an address is bound again that is still held, such as by a process that has just ended.
 const BIND_PAUSE: Duration = Duration::from_millis(50);
 /// How often a connection looks whether it should end; a planned stop and the bound on heads are seconds.
@@ -93,31 +92,18 @@
     bounds: Rc<Bounds>,
     executor: std::rc::Weak<LocalExecutor<'static>>,
 ) {
-    let open = Rc::new(Cell::new(0_usize));
+    let gate = Gate::new("a caller");
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(failure) => {
-                warn!("A connection could not be accepted: {failure}.");
-                Timer::after(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let (stream, admission) = gate.admit(&listener, || bounds.connections.get()).await;
         let Some(executor) = executor.upgrade() else {
             return;
         };
-        if open.get() >= bounds.connections.get() {
-            warn!("A connection was closed because {} are open.", open.get());
-            continue;
-        }
-        open.set(open.get() + 1);
-        let (handler, bounds, open) = (handler.clone(), bounds.clone(), open.clone());
-        executor
-            .spawn(async move {
-                serve_connection(stream, handler, bounds).await;
-                open.set(open.get() - 1);
-            })
-            .detach();
+        let (handler, bounds) = (handler.clone(), bounds.clone());
+        let serving = async move {
+            serve_connection(stream, handler, bounds).await;
+            drop(admission);
+        };
+        executor.spawn(serving).detach();
     }
 }
 
--- a/agatetrestle/src/transport/tests.rs
+++ b/agatetrestle/src/transport/tests.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddrV4;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,6 +10,8 @@
 use futures::AsyncReadExt;
 use futures::AsyncWriteExt;
 use futures::FutureExt;
+use futures::future::Either;
+use futures::future::select;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
@@ -19,6 +22,7 @@
 use smol::net::TcpStream;
 
 use crate::clock::Clock;
+use crate::transport::accept::Gate;
 use crate::transport::body::AnswerBody;
 use crate::transport::client::Client;
 use crate::transport::client::SendError;
@@ -233,3 +237,27 @@
         assert_eq!(&answer, b"HTTP/1.1 200");
     });
 }
+
+#[test]
+fn connections_beyond_the_bound_are_closed_and_an_ended_one_frees_its_place() {
+    run(|_| async move {
+        let (listener, address) = bind().await;
+        let address = std::net::SocketAddr::V4(address);
+        let gate = Gate::new("a test");
+        let connect = || TcpStream::connect(address);
+        let (_first, _second) = (connect().await.unwrap(), connect().await.unwrap());
+        let (_, first) = gate.admit(&listener, || 2).await;
+        let (_, _second) = gate.admit(&listener, || 2).await;
+        let mut third = connect().await.unwrap();
+        let mut end = Vec::new();
+        let closed = async {
+            let _ = third.read_to_end(&mut end).await;
+        };
+        let admitting = gate.admit(&listener, || 2);
+        // The gate never admits the third; it is polled so that it closes it.
+        assert!(matches!(select(pin!(admitting), pin!(closed)).await, Either::Right(_)));
+        drop(first);
+        let _fourth = connect().await.unwrap();
+        gate.admit(&listener, || 2).await;
+    });
+}
--- a/agatetrestle_config/src/deployment.rs
+++ b/agatetrestle_config/src/deployment.rs
@@ -57,6 +57,26 @@
     pub bounds: Bounds,
     /// The platform's list of backend servers.
     pub backend_list: BackendList,
+    /// How an entry orders, places and turns away.
+    #[serde(default)]
+    pub decisions: Decisions,
+}
+
+/// The decisions of an entry: its own, or a simple baseline that they are measured against.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Decisions {
+    /// What the entry is built for.
+    #[default]
+    Own,
+    /// As [`Decisions::Own`], but requests wait in the order in which they came.
+    FirstCome,
+    /// As [`Decisions::Own`], but servers with a free place get requests in turn.
+    RoundRobin,
+    /// As [`Decisions::Own`], but the least loaded server gets each request, whatever it has cached.
+    LeastLoad,
+    /// As [`Decisions::Own`], but nothing is turned away before its deadline.
+    NoRejection,
 }
 
 /// Identity and place of the process.
