Tell a reader that waits when a replica begins anew

Ruled out: commands and changes of replicas, which were answered. Test: whoever_waits_for_what_is_dropped_is_told fails before for the read.

--- a/agatetrestle/src/node/group/apply.rs
+++ b/agatetrestle/src/node/group/apply.rs
@@ -84,8 +84,9 @@
     /// is not known.
     pub(super) fn drop_due(&self) {
         while let Some(due) = self.backlog.pop() {
-            let (Due::Apply { ticket, .. } | Due::Replicas { ticket, .. }) = due else {
-                continue;
+            let ticket = match due {
+                Due::Apply { ticket, .. } | Due::Replicas { ticket, .. } => ticket,
+                Due::Read(ticket) => Some(ticket),
             };
             if let Some(ticket) = ticket {
                 self.answer(ticket, Verdict::Unknown);
--- a/agatetrestle/src/node/group/tests.rs
+++ b/agatetrestle/src/node/group/tests.rs
@@ -8,12 +8,15 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use futures::FutureExt;
+use futures::channel::oneshot;
 use smol::LocalExecutor;
 use smol::Timer;
 
 use crate::agreement::Replicas;
 use crate::agreement::Snapshot;
 use crate::agreement::StateMachine;
+use crate::agreement::Ticket;
 use crate::agreement::message::Position;
 use crate::agreement::replica::Replica;
 use crate::agreement::replica::ReplicaConfig;
@@ -31,6 +34,7 @@
 use crate::node::group::GroupParts;
 use crate::node::group::Reopen;
 use crate::node::group::Verdict;
+use crate::node::group::apply::Due;
 
 const GROUP: GroupId = GroupId(0);
 const TICK: Duration = Duration::from_millis(5);
@@ -187,3 +191,28 @@
     // A folder that stays behind is no failure of the code under test.
     let _ = std::fs::remove_dir_all(folder);
 }
+
+#[test]
+fn whoever_waits_for_what_is_dropped_is_told() {
+    let folder = std::env::temp_dir().join(format!("agatetrestle-due-{}", std::process::id()));
+    let executor = LocalExecutor::new();
+    smol::block_on(executor.run(async {
+        let group = start(&executor, reopen(folder.clone(), Arc::default())).await;
+        let mut answers = Vec::new();
+        for ticket in [Ticket(901), Ticket(902), Ticket(903)] {
+            let (tx, rx) = oneshot::channel();
+            group.waiting.borrow_mut().insert(ticket, tx);
+            answers.push(rx);
+        }
+        let (position, payload) = (Position::default(), Arc::from([]));
+        group.backlog.push(Due::Apply { position, payload, ticket: Some(Ticket(901)) });
+        group.backlog.push(Due::Read(Ticket(902)));
+        group.backlog.push(Due::Replicas { ticket: Some(Ticket(903)), replicas: Replicas::default() });
+        group.drop_due();
+        for answer in answers {
+            assert_eq!(answer.now_or_never(), Some(Ok(Verdict::Unknown)));
+        }
+    }));
+    // What stays behind harms no other test.
+    let _ = std::fs::remove_dir_all(folder);
+}
