--- a/agatetrestle/src/dispatch/server.rs
+++ b/agatetrestle/src/dispatch/server.rs
@@ -85,8 +85,8 @@
     rests_until: Timestamp,
     failures: u32,
     suspicion: Suspicion,
-    /// Whether the rest is for what speaks against it, not for a failure of this moment.
-    pub(super) suspected: bool,
+    /// Until when it rests for what speaks against it, not for a failure of the moment.
+    out_until: Timestamp,
     /// When an answer last left a connection that can be used again.
     answered_at: Option<Timestamp>,
 }
@@ -102,7 +102,7 @@
             rests_until: Timestamp(0),
             failures: 0,
             suspicion: Suspicion::default(),
-            suspected: false,
+            out_until: Timestamp(0),
             answered_at: None,
         }
     }
@@ -180,13 +180,13 @@
     pub(super) fn suspect(&mut self, now: Timestamp) -> Option<Timestamp> {
         let until = now + self.suspicion.alarm()?;
         self.rests_until = self.rests_until.max(until);
-        self.suspected = true;
+        self.out_until = until;
         Some(until)
     }
 
     /// Whether it is out for what speaks against it.
     pub(super) fn is_out(&self, now: Timestamp) -> bool {
-        self.suspected && self.resting(now)
+        now < self.out_until
     }
 
     /// Whether a connection to it is most likely open.
--- a/agatetrestle/src/dispatch/tests.rs
+++ b/agatetrestle/src/dispatch/tests.rs
@@ -345,3 +345,20 @@
     };
     assert_eq!([home(Decisions::Own), home(Decisions::LeastLoad), home(Decisions::RoundRobin)], [1, 6, 6]);
 }
+
+#[test]
+fn a_server_that_rests_for_a_lost_connection_is_not_held_to_be_suspected() {
+    let mut dispatch = dispatch(&[instance("x", 6, "a"), instance("y", 6, "a")]);
+    let sent = (0..12).map(|ticket| server_of(&dispatch.submit(at(0), request(ticket, 4_000))));
+    let sent: Vec<ServerKey> = sent.collect();
+    let first = sent[0];
+    for key in sent.iter().filter(|key| **key == first) {
+        dispatch.finish(at(0), *key, Outcome::Silent);
+    }
+    let server = &dispatch.servers[first];
+    assert_eq!([server.is_out(at(1_000)), server.is_out(at(2_000))], [true, false]);
+    dispatch.submit(at(3_000), request(20, 9_000));
+    dispatch.finish(at(3_000), first, Outcome::Unreachable);
+    let server = &dispatch.servers[first];
+    assert!(server.resting(at(3_100)) && !server.is_out(at(3_100)), "it rests for a moment's failure");
+}
