Let one piece of code serve where the diff wrote things twice

Change: health::most_out, node::service::read, deployment::replicated, one Introduction in the report, transport::tapped.

Behaviour, bounds and messages are as they were. The test of the gate also counts the open connections, as the test on places that it replaced did (two, then none).

--- a/agatetrestle/src/agreement/replica/snapshot.rs
+++ b/agatetrestle/src/agreement/replica/snapshot.rs
@@ -43,11 +43,13 @@
         self.head.len() + self.data.len()
     }
 
-    /// The piece from an offset on, not longer than `most`.
+    /// The piece from an offset on, not longer than `most`, and of the head or the data alone.
     fn piece(&self, offset: usize, most: usize) -> Arc<[u8]> {
-        let head = self.head.get(offset..).unwrap_or_default();
-        let data = &self.data[offset.saturating_sub(self.head.len()).min(self.data.len())..];
-        head.iter().chain(data).copied().take(most.max(1)).collect()
+        let rest = match offset.checked_sub(self.head.len()) {
+            Some(offset) => &self.data[offset.min(self.data.len())..],
+            None => &self.head[offset..],
+        };
+        rest[..rest.len().min(most.max(1))].into()
     }
 }
 
--- a/agatetrestle/src/cluster/board.rs
+++ b/agatetrestle/src/cluster/board.rs
@@ -3,7 +3,6 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -19,7 +18,7 @@
 use crate::cluster::message::Bulletin;
 use crate::cluster::message::Edition;
 use crate::cluster::message::Emptying;
-use crate::cluster::message::Holdings;
+use crate::cluster::message::Introduction;
 use crate::cluster::message::Known;
 use crate::cluster::message::Member;
 use crate::cluster::message::Report;
@@ -45,10 +44,8 @@
 
 #[derive(Debug)]
 struct Seen {
-    member: Member,
+    told: Introduction,
     until: Timestamp,
-    voters: Option<BTreeSet<NodeId>>,
-    holdings: Option<Holdings>,
 }
 
 /// What a control replica knows of the others.
@@ -132,7 +129,7 @@
         }
         let until = self.clock.now() + INHERITED;
         let inherited = members.iter().map(|member| {
-            let seen = Seen { member: member.clone(), until, voters: None, holdings: None };
+            let seen = Seen { told: member.clone().into(), until };
             (member.node, seen)
         });
         self.seen.replace(inherited.collect());
@@ -189,7 +186,7 @@
             return if staying <= least { Emptying::TooFew } else { Emptying::NotAsked };
         }
         let seen = self.seen.borrow();
-        let voters = seen.values().find_map(|seen| seen.voters.as_ref());
+        let voters = seen.values().find_map(|seen| seen.told.voters.as_ref());
         let sound = voters.is_some_and(|voters| !voters.contains(&store.node) && voters.len() >= least);
         if sound { Emptying::Done } else { Emptying::Running }
     }
@@ -198,8 +195,8 @@
     #[must_use]
     pub fn overview(&self) -> Overview {
         let seen = self.seen.borrow();
-        let voters = seen.values().find_map(|seen| seen.voters.clone());
-        let held = |(node, seen): (&NodeId, &Seen)| Some((*node, seen.holdings?));
+        let voters = seen.values().find_map(|seen| seen.told.voters.clone());
+        let held = |(node, seen): (&NodeId, &Seen)| Some((*node, seen.told.holdings?));
         let (version, leaving) = self.group.machine(|state| {
             let leaving = state.configuration().leaving.keys().cloned().collect();
             (state.routes().map(|document| document.version), leaving)
@@ -218,16 +215,15 @@
     }
 
     fn record(&self, report: &Report) {
-        let member = &report.member;
+        let member = &report.told.member;
         if member.role != Role::Entry {
             self.links.learn(member.node, SocketAddr::V4(member.peer));
         }
         let until = self.clock.now() + SILENCE;
         let mut seen = self.seen.borrow_mut();
         // A process that comes back with an empty disk has another number at the same address.
-        seen.retain(|node, other| *node == member.node || other.member.peer != member.peer);
-        let (voters, holdings) = (report.voters.clone(), report.holdings);
-        seen.insert(member.node, Seen { member: member.clone(), until, voters, holdings });
+        seen.retain(|node, other| *node == member.node || other.told.member.peer != member.peer);
+        seen.insert(member.node, Seen { told: report.told.clone(), until });
         drop(seen);
         self.relist();
     }
@@ -236,7 +232,7 @@
         let now = self.clock.now();
         let mut seen = self.seen.borrow_mut();
         seen.retain(|_, seen| seen.until > now);
-        let live: Vec<Member> = seen.values().map(|seen| seen.member.clone()).collect();
+        let live: Vec<Member> = seen.values().map(|seen| seen.told.member.clone()).collect();
         drop(seen);
         if self.roll.borrow_mut().replace(live) {
             self.wake();
@@ -258,7 +254,7 @@
         let listed = self.instances_count.get() > 0;
         now.revision > report.known.revision
             || (listed && now.backends != report.known.backends)
-            || self.roll.borrow().is_news(report.member.role, report.known.members, now.members.term)
+            || self.roll.borrow().is_news(report.told.member.role, report.known.members, now.members.term)
     }
 
     fn tell(&self, report: &Report, mut bulletin: Bulletin) -> Bulletin {
@@ -275,7 +271,8 @@
             bulletin.backends = Some((editions.backends, self.instances().to_vec()));
         }
         if editions.members != report.known.members {
-            let wanted = |member: &Member| report.member.role == Role::Control || member.role != Role::Entry;
+            let wanted =
+                |member: &Member| report.told.member.role == Role::Control || member.role != Role::Entry;
             let members = self.members().into_iter().filter(wanted).collect();
             bulletin.members = Some((editions.members, members));
         }
@@ -292,7 +289,7 @@
         if node == self.own {
             return Some(self.own_address);
         }
-        let seen = self.seen.borrow().get(&node).map(|seen| seen.member.peer);
+        let seen = self.seen.borrow().get(&node).map(|seen| seen.told.member.peer);
         seen.or_else(|| founding_ip(node).map(|ip| SocketAddrV4::new(ip, self.peer_port)))
     }
 
--- a/agatetrestle/src/cluster/message.rs
+++ b/agatetrestle/src/cluster/message.rs
@@ -66,19 +66,32 @@
     pub programs: usize,
 }
 
+/// What a process tells of itself right now.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Introduction {
+    /// The process.
+    pub member: Member,
+    /// Who takes part in the first state group, from its leader.
+    pub voters: Option<BTreeSet<NodeId>>,
+    /// What a store holds.
+    pub holdings: Option<Holdings>,
+}
+
+impl From<Member> for Introduction {
+    fn from(member: Member) -> Self {
+        Self { member, voters: None, holdings: None }
+    }
+}
+
 /// What a process reports.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Report {
-    /// Itself.
-    pub member: Member,
+    /// Of itself.
+    pub told: Introduction,
     /// How far it has been told.
     pub known: Known,
     /// Milliseconds for which the call may be held.
     pub patience: u32,
-    /// Who takes part in the first state group, from its leader.
-    pub voters: Option<BTreeSet<NodeId>>,
-    /// What a store holds.
-    pub holdings: Option<Holdings>,
 }
 
 /// What a control replica answers.
--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use futures::future::LocalBoxFuture;
@@ -10,17 +9,15 @@
 use crate::clock::Clock;
 use crate::cluster::board::Board;
 use crate::cluster::message::ControlRequest;
-use crate::cluster::message::Emptying;
 use crate::codec::decode;
 use crate::codec::encode;
 use crate::control::command::ControlCommand;
 use crate::control::state::ControlState;
 use crate::node::group::Group;
-use crate::node::group::Verdict;
 use crate::node::service::GroupService;
 use crate::node::service::Submission;
 use crate::node::service::commit;
-use crate::node::service::outcome;
+use crate::node::service::read;
 use crate::turns::command::Timed;
 use crate::turns::state::TurnState;
 use crate::turns::time::LeaderTime;
@@ -39,21 +36,11 @@
     async fn serve(&self, request: Vec<u8>) -> Submission {
         match decode::<ControlRequest>(&request) {
             Ok(ControlRequest::Command(command)) => self.commit(command).await,
-            Ok(ControlRequest::Routes) => match self.group.ready().await {
-                Verdict::Ready => {
-                    let routes = self.group.machine(|state| state.routes().cloned());
-                    Submission::Applied(encode(&routes))
-                }
-                verdict => outcome(verdict),
-            },
-            Ok(ControlRequest::Emptying(vm)) => match self.group.ready().await {
-                Verdict::Ready => Submission::Applied(encode(&self.emptying(&vm))),
-                verdict => outcome(verdict),
-            },
-            Ok(ControlRequest::Overview) => match self.group.ready().await {
-                Verdict::Ready => Submission::Applied(encode(&self.board.overview())),
-                verdict => outcome(verdict),
-            },
+            Ok(ControlRequest::Routes) => read(&self.group, |state| state.routes().cloned()).await,
+            Ok(ControlRequest::Emptying(vm)) => {
+                read(&self.group, |_| self.board.emptying(&vm, self.least_stores)).await
+            }
+            Ok(ControlRequest::Overview) => read(&self.group, |_| self.board.overview()).await,
             Err(failure) => Submission::Refused(failure.to_string().into()),
         }
     }
@@ -64,10 +51,6 @@
         self.board.wake();
         submission
     }
-
-    fn emptying(&self, vm: &Arc<str>) -> Emptying {
-        self.board.emptying(vm, self.least_stores)
-    }
 }
 
 impl GroupService for ControlDesk {
--- a/agatetrestle/src/cluster/subscriber.rs
+++ b/agatetrestle/src/cluster/subscriber.rs
@@ -23,13 +23,11 @@
 use crate::clock::Clock;
 use crate::cluster::board::Board;
 use crate::cluster::message::Bulletin;
-use crate::cluster::message::Holdings;
-use crate::cluster::message::Member;
+use crate::cluster::message::Introduction;
 use crate::cluster::message::Report;
 use crate::cluster::view::View;
 use crate::codec::decode;
 use crate::codec::encode;
-use crate::ids::NodeId;
 use crate::node::links::Links;
 use crate::node::peer_link::LinkError;
 use crate::node::peer_link::PeerLink;
@@ -44,23 +42,6 @@
 /// Time after which the control replicas to ask are gathered anew, since answers and settings may name others.
 const SEARCH: Duration = Duration::from_secs(1);
 
-/// What a process tells of itself right now.
-#[derive(Clone, Debug)]
-pub struct Introduction {
-    /// The process.
-    pub member: Member,
-    /// Who takes part in the first state group, from its leader.
-    pub voters: Option<BTreeSet<NodeId>>,
-    /// What a store holds.
-    pub holdings: Option<Holdings>,
-}
-
-impl From<Member> for Introduction {
-    fn from(member: Member) -> Self {
-        Self { member, voters: None, holdings: None }
-    }
-}
-
 /// Makes an introduction.
 pub type Introduce = Rc<dyn Fn() -> Introduction>;
 
@@ -159,10 +140,10 @@
     }
 
     async fn ask(&self, contact: SocketAddrV4) -> Option<Bulletin> {
-        let Introduction { member, voters, holdings } = (self.introduce)();
-        let own = member.peer == contact;
+        let told = (self.introduce)();
+        let own = told.member.peer == contact;
         let patience = u32::try_from(PATIENCE.as_millis()).unwrap_or(u32::MAX);
-        let report = Report { member, known: self.view.known(), patience, voters, holdings };
+        let report = Report { told, known: self.view.known(), patience };
         if own {
             let board = self.board.clone()?;
             return Some(board.report(report).await);
--- a/agatetrestle/src/deployment/control.rs
+++ b/agatetrestle/src/deployment/control.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use agatetrestle_config::deployment::Role;
-use futures::future::LocalBoxFuture;
 use log::info;
 use log::warn;
 use smol::Timer;
@@ -16,7 +15,6 @@
 use crate::cluster::message::ControlRequest;
 use crate::cluster::message::Member;
 use crate::cluster::service::ControlDesk;
-use crate::cluster::subscriber::Subscriber;
 use crate::cluster::voters::Candidate;
 use crate::cluster::voters::Wanted;
 use crate::codec::encode;
@@ -24,12 +22,11 @@
 use crate::control::state::ControlState;
 use crate::deployment::Frame;
 use crate::deployment::PATIENCE;
-use crate::deployment::RunningRole;
 use crate::deployment::directory;
 use crate::deployment::listing;
 use crate::deployment::operators;
+use crate::deployment::replicated::Replicated;
 use crate::deployment::serve_http;
-use crate::deployment::store::hand_over;
 use crate::deployment::timing;
 use crate::ids::CONTROL_GROUP;
 use crate::ids::NodeId;
@@ -37,7 +34,6 @@
 use crate::node::group::Group;
 use crate::node::peer_server::PeerServer;
 use crate::node::replicas::Missing;
-use crate::node::replicas::Opener;
 use crate::node::router::Router;
 use crate::node::service::GroupService;
 use crate::transport::server::Bounds;
@@ -52,12 +48,7 @@
 /// Connections of operators, and of callers that ask for addresses.
 const CONNECTIONS: usize = 1_024;
 
-pub(super) struct Control {
-    group: Rc<Group<ControlState>>,
-    subscriber: Rc<Subscriber>,
-}
-
-pub(super) async fn start(frame: &Frame) -> Result<Control, NodeError> {
+pub(super) async fn start(frame: &Frame) -> Result<Replicated<ControlState>, NodeError> {
     let group = open(frame).await?;
     let member = Member { ready: true, ..frame.member() };
     let board = Board::new(&member, group.clone(), frame.links.clone(), frame.clock);
@@ -81,7 +72,7 @@
     serve_http(frame, frame.settings.listen.operators, handler, bounds.clone());
     let handler = directory::handler(frame.wire.clone(), board, frame.settings.bounds.address_max_age);
     serve_http(frame, frame.settings.listen.directory, handler, bounds);
-    Ok(Control { group, subscriber })
+    Ok(Replicated { group, subscriber })
 }
 
 fn spawn_upkeep(frame: &Frame, group: &Rc<Group<ControlState>>, board: &Rc<Board>, router: &Rc<Router>) {
@@ -157,14 +148,7 @@
 
 async fn open(frame: &Frame) -> Result<Rc<Group<ControlState>>, NodeError> {
     let (storage, timing) = (frame.storage(SNAPSHOT_AFTER), timing());
-    let opener = Opener {
-        node: frame.node,
-        storage: &storage,
-        timing: &timing,
-        clock: frame.clock,
-        links: &frame.links,
-        executor: &frame.executor,
-    };
+    let opener = frame.opener(&storage, &timing);
     let port = frame.settings.process.peer_port;
     let founders: Vec<NodeId> =
         frame.settings.seeds.iter().map(|seed| identity::founding_number(*seed.ip())).collect();
@@ -178,13 +162,3 @@
     replica.driver.detach();
     Ok(replica.group)
 }
-
-impl RunningRole for Control {
-    fn subscriber(&self) -> &Rc<Subscriber> {
-        &self.subscriber
-    }
-
-    fn stop(&self) -> LocalBoxFuture<'_, ()> {
-        Box::pin(hand_over(self.group.clone()))
-    }
-}
--- a/agatetrestle/src/deployment/mod.rs
+++ b/agatetrestle/src/deployment/mod.rs
@@ -8,6 +8,7 @@
 mod listing;
 mod operators;
 mod overview;
+mod replicated;
 mod store;
 #[cfg(test)]
 mod tests;
@@ -55,6 +56,7 @@
 use crate::node::links::Links;
 use crate::node::peer_server;
 use crate::node::peer_server::PeerServer;
+use crate::node::replicas::Opener;
 use crate::node::router::Patience;
 use crate::transport::server;
 use crate::transport::server::Bounds;
@@ -218,6 +220,18 @@
         }
     }
 
+    /// What every replica of this process is opened with.
+    fn opener<'a>(&'a self, storage: &'a Storage, timing: &'a Timing) -> Opener<'a> {
+        Opener {
+            node: self.node,
+            storage,
+            timing,
+            clock: self.clock,
+            links: &self.links,
+            executor: &self.executor,
+        }
+    }
+
     fn subscriber(&self, introduce: Introduce, board: Option<Rc<Board>>) -> Rc<Subscriber> {
         let port = self.settings.process.peer_port;
         let subscriber = Rc::new(Subscriber {
--- a/agatetrestle/src/deployment/store.rs
+++ b/agatetrestle/src/deployment/store.rs
@@ -5,20 +5,17 @@
 use std::time::Duration;
 
 use agatetrestle_config::deployment::Role;
-use futures::future::LocalBoxFuture;
 use log::info;
 use smol::Timer;
 
-use crate::agreement::StateMachine;
 use crate::cluster::keeper;
+use crate::cluster::message::Introduction;
 use crate::cluster::message::Member;
 use crate::cluster::service::TurnDesk;
-use crate::cluster::subscriber::Introduction;
-use crate::cluster::subscriber::Subscriber;
 use crate::cluster::voters::Candidate;
 use crate::cluster::voters::Wanted;
 use crate::deployment::Frame;
-use crate::deployment::RunningRole;
+use crate::deployment::replicated::Replicated;
 use crate::deployment::timing;
 use crate::ids::FIRST_STATE_GROUP;
 use crate::ids::NodeId;
@@ -26,7 +23,6 @@
 use crate::node::group::Group;
 use crate::node::peer_server::PeerServer;
 use crate::node::replicas::Missing;
-use crate::node::replicas::Opener;
 use crate::turns::state::TurnState;
 
 /// Tenths of the memory that kept turns may take. While a snapshot is made or read the turns are there twice, and at a
@@ -37,15 +33,8 @@
 const LOG_SHARE: usize = 2;
 /// How often a new store looks whether the state group was founded.
 const FOUNDING_POLL: Duration = Duration::from_millis(50);
-/// Longest time that a planned stop waits for another leader.
-const HAND_OVER: Duration = Duration::from_millis(1_500);
 
-pub(super) struct Store {
-    group: Rc<Group<TurnState>>,
-    subscriber: Rc<Subscriber>,
-}
-
-pub(super) async fn start(frame: &Frame) -> Result<Store, NodeError> {
+pub(super) async fn start(frame: &Frame) -> Result<Replicated<TurnState>, NodeError> {
     let group: Rc<RefCell<Option<Rc<Group<TurnState>>>>> = Rc::default();
     let (introduced, member) = (group.clone(), frame.member());
     let introduce = Rc::new(move || {
@@ -77,7 +66,7 @@
     });
     let wanted = Wanted { most: frame.quorum_base(), least: frame.quorum_base() };
     frame.executor.spawn(keeper::keep(opened.clone(), candidates, wanted)).detach();
-    Ok(Store { group: opened, subscriber })
+    Ok(Replicated { group: opened, subscriber })
 }
 
 /// Opens the replica from its files. A new store waits until it knows whether it is one of the founders.
@@ -85,14 +74,7 @@
     debug_assert_eq!(frame.settings.process.role, Role::Store, "only a store holds turns");
     let room = frame.memory() / 10 * ROOM_TENTHS;
     let (storage, timing) = (frame.storage(room / LOG_SHARE), timing());
-    let opener = Opener {
-        node: frame.node,
-        storage: &storage,
-        timing: &timing,
-        clock: frame.clock,
-        links: &frame.links,
-        executor: &frame.executor,
-    };
+    let opener = frame.opener(&storage, &timing);
     let mut missing = Missing::Join;
     let mut founders: Vec<NodeId> = Vec::new();
     let found = opener.find(FIRST_STATE_GROUP).await?;
@@ -112,27 +94,3 @@
     replica.driver.detach();
     Ok(replica.group)
 }
-
-impl RunningRole for Store {
-    fn subscriber(&self) -> &Rc<Subscriber> {
-        &self.subscriber
-    }
-
-    fn stop(&self) -> LocalBoxFuture<'_, ()> {
-        Box::pin(hand_over(self.group.clone()))
-    }
-}
-
-/// Hands leadership over and waits until another replica leads.
-pub(super) async fn hand_over<M: StateMachine + 'static>(group: Rc<Group<M>>) {
-    const POLL: Duration = Duration::from_millis(20);
-    if !group.leads() {
-        return;
-    }
-    group.hand_over();
-    let mut waited = Duration::ZERO;
-    while group.leader().is_some_and(|leader| group.is(leader)) && waited < HAND_OVER {
-        Timer::after(POLL).await;
-        waited += POLL;
-    }
-}
--- a/agatetrestle/src/gateway/mod.rs
+++ b/agatetrestle/src/gateway/mod.rs
@@ -39,6 +39,8 @@
 use crate::dispatch::Instance;
 use crate::dispatch::Outcome;
 use crate::dispatch::ServerKey;
+use crate::gateway::place::Found;
+use crate::gateway::place::TurnedAway;
 use crate::gateway::turn::Turns;
 use crate::gateway::wire::CallHead;
 use crate::gateway::wire::Wire;
@@ -86,7 +88,7 @@
     turns: Rc<dyn Turns>,
     table: RefCell<Option<Rc<RouteTable>>>,
     dispatch: RefCell<Dispatch>,
-    waiting: RefCell<HashMap<u64, oneshot::Sender<Decision>>>,
+    waiting: RefCell<HashMap<u64, oneshot::Sender<Found>>>,
     next_ticket: Cell<u64>,
     client: Rc<Client>,
     clock: Clock,
@@ -184,37 +186,40 @@
 
     fn carry_out(&self, decisions: Vec<Decision>) {
         for decision in decisions {
-            let (Decision::Send { ticket, .. } | Decision::Reject { ticket, .. }) = decision else {
-                self.note_suspect(decision);
-                continue;
-            };
-            let waiter = self.waiting.borrow_mut().remove(&ticket);
-            // A waiter that is gone has withdrawn its request, or gives back what it was given.
-            let undelivered = match waiter {
-                Some(waiter) => waiter.send(decision).is_err(),
-                None => true,
-            };
-            if undelivered {
-                self.give_back(decision);
+            match decision {
+                Decision::Send { ticket, server } => self.deliver(ticket, Ok(server)),
+                Decision::Reject { ticket, retry_after, reason } => {
+                    self.deliver(ticket, Err(TurnedAway { retry_after, reason }));
+                }
+                Decision::Suspect { server, until, usual } => self.note_suspect(server, until, usual),
             }
         }
     }
 
-    fn note_suspect(&self, decision: Decision) {
-        if let Decision::Suspect { server, until, usual } = decision
-            && let Some((id, address)) = self.address(server)
-        {
+    /// Tells a waiter what became of its request. One that is gone has withdrawn it, or gives back what it was given.
+    fn deliver(&self, ticket: u64, found: Found) {
+        let waiter = self.waiting.borrow_mut().remove(&ticket);
+        let undelivered = match waiter {
+            Some(waiter) => waiter.send(found).is_err(),
+            None => true,
+        };
+        if undelivered && let Ok(server) = found {
+            self.give_back(server);
+        }
+    }
+
+    fn note_suspect(&self, server: ServerKey, until: Timestamp, usual: f64) {
+        if let Some((id, address)) = self.address(server) {
             let rest = until.since(self.clock.now()).as_millis();
             warn!("server={id} address={address} is suspected: rest_ms={rest} usual_failures={usual:.4}.");
         }
     }
 
-    fn give_back(&self, decision: Decision) {
-        if let Decision::Send { server, .. } = decision {
-            let now = self.clock.now();
-            let decisions = self.dispatch.borrow_mut().finish(now, server, Outcome::Abandoned);
-            self.carry_out(decisions);
-        }
+    /// Gives back a place that nobody used.
+    fn give_back(&self, server: ServerKey) {
+        let now = self.clock.now();
+        let decisions = self.dispatch.borrow_mut().finish(now, server, Outcome::Abandoned);
+        self.carry_out(decisions);
     }
 
     /// Where an instance listens, if it is known.
--- a/agatetrestle/src/gateway/place.rs
+++ b/agatetrestle/src/gateway/place.rs
@@ -6,7 +6,6 @@
 use futures::channel::oneshot;
 
 use crate::clock::Timestamp;
-use crate::dispatch::Decision;
 use crate::dispatch::Outcome;
 use crate::dispatch::Reason;
 use crate::dispatch::Request;
@@ -29,18 +28,22 @@
     pub(super) reason: Reason,
 }
 
+/// What a request that waited was given.
+pub(super) type Found = Result<ServerKey, TurnedAway>;
+
 /// A request that waits for its decision; dropped, it is withdrawn, or what it was given is given back.
 struct Waiting {
     gateway: Rc<Gateway>,
     ticket: u64,
-    decision: oneshot::Receiver<Decision>,
+    found: oneshot::Receiver<Found>,
 }
 
 impl Drop for Waiting {
     fn drop(&mut self) {
         self.gateway.waiting.borrow_mut().remove(&self.ticket);
-        match self.decision.try_recv() {
-            Ok(Some(decision)) => self.gateway.give_back(decision),
+        match self.found.try_recv() {
+            Ok(Some(Ok(server))) => self.gateway.give_back(server),
+            Ok(Some(Err(_))) => {}
             _ => self.gateway.dispatch.borrow_mut().withdraw(self.ticket),
         }
     }
@@ -52,19 +55,17 @@
         let ticket = gateway.next_ticket.get();
         gateway.next_ticket.set(ticket + 1);
         request.ticket = ticket;
-        let (tx, decision) = oneshot::channel();
+        let (tx, found) = oneshot::channel();
         gateway.waiting.borrow_mut().insert(ticket, tx);
-        let mut waiting = Waiting { gateway: gateway.clone(), ticket, decision };
+        let mut waiting = Waiting { gateway: gateway.clone(), ticket, found };
         let decisions = gateway.dispatch.borrow_mut().submit(gateway.clock.now(), request);
         gateway.carry_out(decisions);
-        let decision = (&mut waiting.decision).await;
-        match decision {
-            Ok(Decision::Send { server, .. }) => {
+        match (&mut waiting.found).await {
+            Ok(found) => {
+                let server = found?;
                 Ok(Self { gateway: gateway.clone(), server, released: false, silent_after: None })
             }
-            Ok(Decision::Reject { retry_after, reason, .. }) => Err(TurnedAway { retry_after, reason }),
-            // A suspicion answers no request, and is never sent to one.
-            Ok(Decision::Suspect { .. }) | Err(oneshot::Canceled) => {
+            Err(oneshot::Canceled) => {
                 Err(TurnedAway { retry_after: Duration::from_millis(100), reason: Reason::QueueFull })
             }
         }
--- a/agatetrestle/src/health/mod.rs
+++ b/agatetrestle/src/health/mod.rs
@@ -7,6 +7,16 @@
 
 use std::fmt;
 
+/// Servers of a pool, in a hundred, that may be out at once for what speaks against them.
+const MOST_OUT_PERCENT: usize = 30;
+
+/// How many of so many servers may be out at once: a fault that all share is not mended by sending everything to the
+/// few that are left. One may always go, but for the last.
+#[must_use]
+pub fn most_out(servers: usize) -> usize {
+    (servers * MOST_OUT_PERCENT / 100).max(1).min(servers.saturating_sub(1))
+}
+
 /// Watches the outcomes of one backend server.
 pub trait Watch: fmt::Debug {
     /// Takes in an outcome; `risk` is the probability with which such a call fails on a healthy
--- a/agatetrestle/src/metrics/scrape.rs
+++ b/agatetrestle/src/metrics/scrape.rs
@@ -3,19 +3,13 @@
 //! async-h1 bounds the head in total but waits for the end of a line without bound, so the bytes of
 //! a request and the time of a connection are bounded here.
 
-use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
-use std::task::Context;
-use std::task::Poll;
 use std::time::Duration;
 
 use async_h1::server::Encoder;
-use futures::AsyncRead;
-use futures::AsyncWrite;
 use http_types::Method;
 use http_types::Response;
 use http_types::StatusCode;
@@ -29,6 +23,8 @@
 
 use crate::metrics::Metrics;
 use crate::transport::accept::Gate;
+use crate::transport::tapped::Tap;
+use crate::transport::tapped::Tapped;
 
 const MAX_SCRAPES: usize = 8;
 const MAX_REQUEST: usize = 8 << 10;
@@ -57,7 +53,7 @@
 }
 
 async fn answer(metrics: &Metrics, mut stream: TcpStream) -> http_types::Result<()> {
-    let request = Bounded { stream: stream.clone(), left: Arc::new(AtomicUsize::new(MAX_REQUEST)) };
+    let request = Tapped { stream: stream.clone(), tap: Bound(Arc::new(AtomicUsize::new(MAX_REQUEST))) };
     let (response, method) = match async_h1::server::decode(request).await {
         Ok(Some((req, _))) => (respond(metrics, req.method(), req.url().path()), req.method()),
         Ok(None) => return Ok(()),
@@ -97,35 +93,16 @@
     }
 }
 
-/// A connection that ends after a number of bytes, whoever reads from it.
+/// Ends a connection after a number of bytes, whoever reads from it.
 #[derive(Clone)]
-struct Bounded {
-    stream: TcpStream,
-    left: Arc<AtomicUsize>,
-}
-
-impl AsyncRead for Bounded {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
-        let left = self.left.load(Ordering::Relaxed);
-        let room = buf.len().min(left);
-        let poll = Pin::new(&mut self.stream).poll_read(cx, &mut buf[..room]);
-        if let Poll::Ready(Ok(count)) = &poll {
-            self.left.store(left - count, Ordering::Relaxed);
-        }
-        poll
-    }
-}
-
-impl AsyncWrite for Bounded {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
+struct Bound(Arc<AtomicUsize>);
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+impl Tap for Bound {
+    fn room(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
     }
 
-    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_close(cx)
+    fn took(&self, count: usize) {
+        self.0.fetch_sub(count, Ordering::Relaxed);
     }
 }
--- a/agatetrestle/src/node/group.rs
+++ b/agatetrestle/src/node/group.rs
@@ -167,7 +167,7 @@
     pub async fn run(self: Rc<Self>, storage: Storage, jobs: Jobs, tick: Duration) {
         let ticking = self.clone().tick_forever(tick);
         let writing = self.clone().write_forever(storage, jobs);
-        let applying = self.clone().apply_forever();
+        let applying = self.apply_forever();
         futures::future::join3(ticking, writing, applying).await;
     }
 
--- a/agatetrestle/src/node/service.rs
+++ b/agatetrestle/src/node/service.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use futures::future::LocalBoxFuture;
+use serde::Serialize;
 
 use crate::agreement::Rejection;
 use crate::agreement::StateMachine;
@@ -13,7 +14,6 @@
 use crate::ids::NodeId;
 use crate::node::group::Group;
 use crate::node::group::Verdict;
-use crate::programs::command::ProgramQuery;
 use crate::programs::command::ProgramRequest;
 use crate::programs::ledger::Ledger;
 
@@ -39,7 +39,7 @@
     fn history(&self, offset: u64) -> Vec<u8>;
 }
 
-pub(crate) fn outcome(verdict: Verdict) -> Submission {
+fn outcome(verdict: Verdict) -> Submission {
     match verdict {
         Verdict::Applied(reply) => Submission::Applied(reply),
         Verdict::Rejected(Rejection::NotLeader(leader)) => Submission::NotLeader(leader),
@@ -59,21 +59,26 @@
     outcome(group.submit(payload.into()).await)
 }
 
+/// Reads the state machine as of now, which only the leader can.
+pub(crate) async fn read<M, T>(group: &Group<M>, f: impl FnOnce(&M) -> T) -> Submission
+where
+    M: StateMachine + 'static,
+    T: Serialize,
+{
+    match group.ready().await {
+        Verdict::Ready => Submission::Applied(encode(&group.machine(f))),
+        verdict => outcome(verdict),
+    }
+}
+
 /// A state group's replica.
 pub struct LedgerService(pub Rc<Group<Ledger>>);
 
 impl LedgerService {
-    async fn query(&self, query: ProgramQuery) -> Submission {
-        match self.0.ready().await {
-            Verdict::Ready => Submission::Applied(encode(&self.0.machine(|ledger| ledger.query(&query)))),
-            verdict => outcome(verdict),
-        }
-    }
-
     async fn serve(&self, request: Vec<u8>) -> Submission {
         match decode::<ProgramRequest>(&request) {
             Ok(ProgramRequest::Command(command)) => commit(&self.0, encode(&command)).await,
-            Ok(ProgramRequest::Query(query)) => self.query(query).await,
+            Ok(ProgramRequest::Query(query)) => read(&self.0, |ledger| ledger.query(&query)).await,
             Err(failure) => Submission::Refused(failure.to_string().into()),
         }
     }
--- a/agatetrestle/src/scheduler/core/ejection.rs
+++ b/agatetrestle/src/scheduler/core/ejection.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::Timestamp;
 use crate::health::Watch;
+use crate::health::most_out;
 use crate::health::sequential::Sequential;
 use crate::scheduler::core::Core;
 use crate::scheduler::core::Entry;
@@ -14,8 +15,6 @@
 const FALSE_ALARM: f64 = 0.001;
 const FIRST_EJECTION: Duration = Duration::from_secs(20);
 const MOST_DOUBLINGS: u32 = 4;
-const MOST_EJECTED_PERCENT: usize = 30;
-const PERCENT: usize = 100;
 
 impl Core {
     /// Takes in the outcome of an attempt that was sent, and ejects the server if that was too much.
@@ -60,15 +59,13 @@
         }
     }
 
-    /// Ejects a server unless too many of its pool are out already: a fault that all share is not
-    /// mended by sending everything to the few that are left. One may always go, but for the last.
+    /// Ejects a server unless too many of its pool are out already.
     fn eject(&mut self, now: Timestamp, key: BackendKey) {
         let pool = self.fleet.servers[key].pool;
         let members = &self.fleet.pools[pool].members;
         let out = members.iter().filter(|key| self.fleet.servers[**key].ejected).count();
         let server = &self.fleet.servers[key];
-        let most = (members.len() * MOST_EJECTED_PERCENT / PERCENT).max(1).min(members.len() - 1);
-        if server.ejected || out >= most {
+        if server.ejected || out >= most_out(members.len()) {
             return;
         }
         let doublings = server.ejections.min(MOST_DOUBLINGS);
--- a/agatetrestle/src/transport/accept.rs
+++ b/agatetrestle/src/transport/accept.rs
@@ -37,17 +37,23 @@
         Self { of, open: Rc::default() }
     }
 
+    /// Connections that are open now.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
     /// The next connection, closing those beyond `most` that are open at once. The bound is read for each, since
     /// it may change while this waits.
     pub async fn admit(&self, listener: &TcpListener, most: impl Fn() -> usize) -> (TcpStream, Admission) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) if self.open.get() < most() => {
+                Ok((stream, _)) if self.open() < most() => {
                     self.open.set(self.open.get() + 1);
                     return (stream, Admission(self.open.clone()));
                 }
                 Ok(_) => {
-                    warn!("A connection of {} was closed because {} are open.", self.of, self.open.get());
+                    warn!("A connection of {} was closed because {} are open.", self.of, self.open());
                 }
                 Err(failure) => {
                     warn!("A connection of {} could not be accepted: {failure}.", self.of);
--- a/agatetrestle/src/transport/mod.rs
+++ b/agatetrestle/src/transport/mod.rs
@@ -6,6 +6,7 @@
 pub mod body;
 pub mod client;
 pub mod server;
+pub mod tapped;
 #[cfg(test)]
 mod tests;
 mod watch;
--- a/agatetrestle/src/transport/server.rs
+++ b/agatetrestle/src/transport/server.rs
@@ -26,9 +26,9 @@
 
 use crate::transport::accept::Gate;
 use crate::transport::body::AnswerBody;
+use crate::transport::tapped::Tapped;
 use crate::transport::watch::Watch;
 use crate::transport::watch::Watched;
-use crate::transport::watch::WatchedStream;
 
 /// Pause before an address is bound again that is still held, such as by a process that has just ended.
 const BIND_PAUSE: Duration = Duration::from_millis(50);
@@ -126,7 +126,7 @@
         // The library counts idle time on a connection as time for the next head; a slow head is found below.
         .header_read_timeout(bounds.idle.get())
         .max_buf_size(bounds.head.get().max(LEAST_HEAD))
-        .serve_connection(FuturesIo::new(WatchedStream { stream, watch: watch.clone() }), service);
+        .serve_connection(FuturesIo::new(Tapped { stream, tap: watch.clone() }), service);
     let mut connection = std::pin::pin!(connection);
     loop {
         match select(connection.as_mut(), Timer::after(LOOK)).await {
--- a/agatetrestle/src/transport/tests.rs
+++ b/agatetrestle/src/transport/tests.rs
@@ -247,7 +247,7 @@
         let connect = || TcpStream::connect(address);
         let (_first, _second) = (connect().await.unwrap(), connect().await.unwrap());
         let (_, first) = gate.admit(&listener, || 2).await;
-        let (_, _second) = gate.admit(&listener, || 2).await;
+        let (_, second) = gate.admit(&listener, || 2).await;
         let mut third = connect().await.unwrap();
         let mut end = Vec::new();
         let closed = async {
@@ -257,7 +257,11 @@
         // The gate never admits the third; it is polled so that it closes it.
         assert!(matches!(select(pin!(admitting), pin!(closed)).await, Either::Right(_)));
         drop(first);
-        let _fourth = connect().await.unwrap();
-        gate.admit(&listener, || 2).await;
+        drop(second);
+        assert_eq!(gate.open(), 0, "both places are free again");
+        let (_fourth, _fifth) = (connect().await.unwrap(), connect().await.unwrap());
+        let _fourth = gate.admit(&listener, || 2).await;
+        let _fifth = gate.admit(&listener, || 2).await;
+        assert_eq!(gate.open(), 2);
     });
 }
--- a/agatetrestle/src/transport/watch.rs
+++ b/agatetrestle/src/transport/watch.rs
@@ -4,7 +4,6 @@
 //! and then would hold its place for as long as an honest one may be idle.
 
 use std::cell::Cell;
-use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
@@ -12,17 +11,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::AsyncRead;
-use futures::AsyncWrite;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
-use smol::net::TcpStream;
 
 use crate::clock::Clock;
 use crate::clock::Timestamp;
 use crate::transport::body::AnswerBody;
 use crate::transport::body::Cut;
+use crate::transport::tapped::Tap;
 
 /// The state of one connection.
 pub(super) struct Watch {
@@ -50,9 +47,11 @@
     pub(super) fn head_is_late(&self, bound: Duration) -> bool {
         self.head_since.get().is_some_and(|since| self.clock.now().since(since) > bound)
     }
+}
 
-    fn note_bytes(&self) {
-        if self.answering.get() == 0 && self.head_since.get().is_none() {
+impl Tap for Rc<Watch> {
+    fn took(&self, count: usize) {
+        if count > 0 && self.answering.get() == 0 && self.head_since.get().is_none() {
             self.head_since.set(Some(self.clock.now()));
         }
     }
@@ -89,33 +88,3 @@
         self.body.size_hint()
     }
 }
-
-/// A connection that notes when bytes come.
-pub(super) struct WatchedStream {
-    pub(super) stream: TcpStream,
-    pub(super) watch: Rc<Watch>,
-}
-
-impl AsyncRead for WatchedStream {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if matches!(read, Poll::Ready(Ok(1..))) {
-            self.watch.note_bytes();
-        }
-        read
-    }
-}
-
-impl AsyncWrite for WatchedStream {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_close(cx)
-    }
-}
