Ask a suspected server where there is no other, and turn away what all rests outlast

Cause, traced from a failed run of what_may_run_once_runs_once_and_a_refusal_is_true (logs in the test's folder): a server was suspected for 8 s and the only other one rested after failures, so a request waited 3.7 s to its deadline and then got 503. Suspicion took a server out wholly; and the wait that a request is let in by did not count the rests of servers, so that it was held for what could not serve it. The test passed before by luck in which server failed first. Ruled out: the load of the machine; the times are those of the rests. Change: a suspected server is left out only while another takes requests; waits count the time until the first server is back, with the servers that had the request left out; a request that no server may still get is turned away at once.

--- a/agatetrestle/src/dispatch/mod.rs
+++ b/agatetrestle/src/dispatch/mod.rs
@@ -24,6 +24,7 @@
 use crate::clock::Timestamp;
 use crate::dispatch::server::Server;
 use crate::dispatch::server::affinity;
+use crate::health::most_out;
 use crate::health::risk::Risk;
 use crate::scheduler::random::Random;
 
@@ -43,9 +44,6 @@
 const COLD: f64 = 0.3;
 /// Size by which the risk of a request is looked up; sizes are not told apart here.
 const ANY_SIZE: u64 = 1;
-/// Servers of a service, in a hundred, that may be out at once for what speaks against them; one always may, but for
-/// the last.
-const MOST_OUT_PERCENT: usize = 30;
 /// Requests by which a server's load may exceed the least loaded one's before its cached prompts no longer
 /// speak for it. Reading a prompt again costs as much as some two requests of a batch slow the others.
 const AFFINITY_SLACK: f64 = 7.0;
@@ -211,13 +209,11 @@
     /// Takes in a request: it is sent, turned away at once, or waits for a later decision.
     pub fn submit(&mut self, now: Timestamp, request: Request) -> Vec<Decision> {
         let service = request.service.clone();
-        let usable =
-            self.servers.values().filter(|server| server.serves(&service) && server.usable(now)).count();
+        let served = self.ready_in(now, &service, &request.avoid).is_some();
         let queue = self.queues.entry(service.clone()).or_default();
         let ticket = request.ticket;
         let retry_after = queue.mean.clamp(RETRY_AFTER.0, RETRY_AFTER.1);
-        if usable == 0 && !self.servers.values().any(|server| server.serves(&service) && server.resting(now))
-        {
+        if !served {
             return vec![Decision::Reject { ticket, retry_after, reason: Reason::NoServer }];
         }
         if queue.waiting.len() >= QUEUE_LIMIT {
@@ -274,14 +270,12 @@
         decisions
     }
 
-    /// Takes a server out for which the evidence suffices, unless too many of its service are out: a fault that
-    /// all share is not mended by sending everything to the few that are left.
+    /// Takes a server out for which the evidence suffices, unless too many of its service are out.
     fn suspect(&mut self, now: Timestamp, key: ServerKey) -> Option<Timestamp> {
         let service = self.servers.get(key)?.instance.service.clone();
         let of_service = || self.servers.values().filter(|server| server.serves(&service) && server.listed);
         let out = of_service().filter(|server| server.is_out(now)).count();
-        let all = of_service().count();
-        if out >= (all * MOST_OUT_PERCENT / 100).max(1).min(all.saturating_sub(1)) {
+        if out >= most_out(of_service().count()) {
             return None;
         }
         self.servers.get_mut(key)?.suspect(now)
@@ -343,12 +337,20 @@
             return Vec::new();
         }
         let places = self.running(service).max(1);
+        let ready = self.ready_in(now, service, &[]);
         let mut decisions = Vec::new();
         let mut ahead = 0_u32;
         queue.waiting.retain(|_, request| {
-            let wait = queue.mean * (ahead + 1) / places;
+            let retried = !request.avoid.is_empty();
+            let ready = if retried { self.ready_in(now, service, &request.avoid) } else { ready };
+            let Some(rest) = ready else {
+                decisions.push(reject(request, queue.mean, Reason::NoServer));
+                return false;
+            };
+            let turn = queue.mean * (ahead + 1) / places;
+            let wait = rest + turn;
             let newcomer = Some(request.ticket) == newcomer;
-            let expected = if newcomer { wait } else { wait / 2 };
+            let expected = if newcomer { wait } else { rest + turn / 2 };
             let in_time = now + expected + queue.mean <= request.deadline;
             let worth_waiting = request.begun || !newcomer || wait <= request.patience;
             if in_time && worth_waiting {
@@ -361,6 +363,14 @@
         decisions
     }
 
+    /// How long it takes until a server of a service other than some takes requests again; none if there is no such
+    /// server. Servers that rest for longer than a request has time are as good as none.
+    fn ready_in(&self, now: Timestamp, service: &Arc<str>, avoid: &[ServerKey]) -> Option<Duration> {
+        let servers =
+            self.servers.iter().filter(|(key, server)| server.serves(service) && !avoid.contains(key));
+        servers.filter_map(|(_, server)| server.rest_left(now)).min()
+    }
+
     /// This node's requests in service at all servers of a service.
     fn running(&self, service: &Arc<str>) -> u32 {
         self.servers.values().filter(|server| server.serves(service)).map(|server| server.running).sum()
@@ -377,15 +387,20 @@
         if count > 0.0 { sum / count } else { 0.0 }
     }
 
-    /// The server with the least load, unless the one that has the prompt is hardly worse. Among equals the
+    /// The server with the least load, unless the one that has the prompt is hardly worse. Servers against which much
+    /// speaks are left out if there is another that takes requests, even one that is full now. Among equals the
     /// own failure domain and open connections go first; the rest is drawn by lot, so that many
     /// nodes don't all see the same free place.
     fn choose(&mut self, now: Timestamp, request: &Request) -> Option<ServerKey> {
         let draw = self.rng.below(u64::MAX);
         let usual = self.usual_others(now, &request.service);
+        let able = |key: &ServerKey, server: &Server| {
+            server.serves(&request.service) && server.usable(now) && !request.avoid.contains(key)
+        };
+        let trusted = self.servers.iter().any(|(key, server)| able(&key, server) && !server.is_out(now));
         let open = self.servers.iter().filter(|(key, server)| {
-            let able = server.serves(&request.service) && server.usable(now);
-            able && !request.avoid.contains(key) && server.load(now, usual) < f64::from(server.instance.slots)
+            let wanted = able(key, server) && (!trusted || !server.is_out(now));
+            wanted && server.load(now, usual) < f64::from(server.instance.slots)
         });
         let scored: Vec<(ServerKey, f64, u64)> = open
             .map(|(key, server)| {
--- a/agatetrestle/src/dispatch/server.rs
+++ b/agatetrestle/src/dispatch/server.rs
@@ -85,7 +85,7 @@
     rests_until: Timestamp,
     failures: u32,
     suspicion: Suspicion,
-    /// Until when it rests for what speaks against it, not for a failure of the moment.
+    /// Until when requests rather go elsewhere, for what speaks against it.
     out_until: Timestamp,
     /// When an answer last left a connection that can be used again.
     answered_at: Option<Timestamp>,
@@ -117,14 +117,14 @@
         self.instance.service == *service
     }
 
-    /// Whether it takes requests at all.
-    pub(super) fn usable(&self, now: Timestamp) -> bool {
-        self.listed && !self.instance.leaving && now >= self.rests_until
+    /// How long it rests after a failure of the moment; none where it takes no request any more.
+    pub(super) fn rest_left(&self, now: Timestamp) -> Option<Duration> {
+        (self.listed && !self.instance.leaving).then(|| self.rests_until.since(now))
     }
 
-    /// Whether it will take requests again after a rest.
-    pub(super) fn resting(&self, now: Timestamp) -> bool {
-        self.listed && !self.instance.leaving && now < self.rests_until
+    /// Whether it takes requests now, though they may rather go elsewhere.
+    pub(super) fn usable(&self, now: Timestamp) -> bool {
+        self.rest_left(now) == Some(Duration::ZERO)
     }
 
     /// Requests there; those of others as far as answers told lately, and as `usual` among servers of the service
@@ -176,10 +176,10 @@
         self.suspicion.is_calm().then_some(failed)
     }
 
-    /// Takes the server out for a while if enough speaks against it; when it comes back.
+    /// Takes the server out for a while if enough speaks against it; when it comes back. Requests for which there is
+    /// no other server still go to it.
     pub(super) fn suspect(&mut self, now: Timestamp) -> Option<Timestamp> {
         let until = now + self.suspicion.alarm()?;
-        self.rests_until = self.rests_until.max(until);
         self.out_until = until;
         Some(until)
     }
--- a/agatetrestle/src/dispatch/tests.rs
+++ b/agatetrestle/src/dispatch/tests.rs
@@ -360,5 +360,42 @@
     dispatch.submit(at(3_000), request(20, 9_000));
     dispatch.finish(at(3_000), first, Outcome::Unreachable);
     let server = &dispatch.servers[first];
-    assert!(server.resting(at(3_100)) && !server.is_out(at(3_100)), "it rests for a moment's failure");
+    assert!(!server.usable(at(3_100)) && !server.is_out(at(3_100)), "it rests for a moment's failure");
+}
+
+#[test]
+fn a_suspected_server_is_used_where_there_is_no_other() {
+    let mut dispatch = dispatch(&[instance("x", 6, "a"), instance("y", 6, "a")]);
+    let sent = (0..12).map(|ticket| server_of(&dispatch.submit(at(0), request(ticket, 4_000))));
+    let sent: Vec<ServerKey> = sent.collect();
+    let suspected = sent[0];
+    let other = *sent.iter().find(|key| **key != suspected).unwrap();
+    for key in sent.iter().filter(|key| **key == suspected) {
+        dispatch.finish(at(0), *key, Outcome::Silent);
+    }
+    assert!(
+        dispatch.submit(at(1), request(20, 4_000)).is_empty(),
+        "the other is full, and worth waiting for"
+    );
+    dispatch.withdraw(20);
+    let again = Request { avoid: vec![other], ..request(21, 4_000) };
+    assert_eq!(server_of(&dispatch.submit(at(1), again)), suspected, "the other has had it");
+    dispatch.finish(at(1), other, Outcome::Unreachable);
+    assert_eq!(server_of(&dispatch.submit(at(2), request(22, 4_000))), suspected, "the other rests");
+}
+
+#[test]
+fn a_request_is_turned_away_at_once_if_all_servers_rest_beyond_its_deadline() {
+    let mut dispatch = dispatch(&[instance("x", 6, "a")]);
+    for ticket in 0..4 {
+        let key = server_of(&dispatch.submit(at(ticket * 1_000), request(ticket, 60_000)));
+        dispatch.finish(at(ticket * 1_000), key, Outcome::Unreachable);
+        dispatch.tick(at(ticket * 1_000 + 999));
+    }
+    // It rests for 2 s now.
+    let decisions = dispatch.submit(at(3_000), request(10, 4_500));
+    let [Decision::Reject { retry_after, reason, .. }] = decisions[..] else { panic!("{decisions:?}") };
+    assert_eq!(reason, Reason::TooLate);
+    assert!(retry_after >= Duration::from_millis(1_800), "{retry_after:?} is when a server may be back");
+    assert!(dispatch.submit(at(3_000), request(11, 9_000)).is_empty(), "this one has time to wait");
 }
