Come back sooner after all machines were dark, and find a new leader while a request waits for the old one

Cause: after a restart of all, stores did not know each other before control told them, and control's VMs are up last; their election then ran into replies without an address and took a second round of 0.33 s. A pre-vote that was refused since the others may not vote yet cost an election timeout. The new control leader read the list only then. And a turn that was under way when the state group's leader was lost waited 0.4 s for it, then searched: Begin p95 0.70 s for two seconds. Ruled out: the size of the program (58 against 8 MB starts at the same time). Change: stores keep each other's addresses on disk; pre-votes are asked for again after 60 to 120 ms; election timeouts spread over 100 instead of 250 ms (the timeout itself, which the lease and the vote rest on, stays); a control replica reads the list once before anybody leads; a request without an answer for 100 ms asks the other holders who leads; an entry without routes says to come back after 0.6 s.

--- a/agatetrestle/src/agreement/replica/election.rs
+++ b/agatetrestle/src/agreement/replica/election.rs
@@ -1,6 +1,7 @@
 //! Terms, pre-votes and votes.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use crate::agreement::Output;
 use crate::agreement::Rejection;
@@ -12,22 +13,34 @@
 use crate::clock::micros;
 use crate::ids::NodeId;
 
+/// Parts of a hundred of the election timeout over which replicas spread. With 250 ms it is 100 ms: the first of three
+/// stands some 25 ms after it may, and the next some 25 ms later, which is five times the time that votes take.
+const SPREAD_PERCENT: u32 = 40;
+
 impl Replica {
     pub(super) fn tick(&mut self, now: Timestamp) {
         if self.is_leader() {
             self.tick_leader(now);
         } else if now >= self.election_deadline {
-            self.reset_election_deadline(now);
+            self.ask_again_after(now, self.cfg.leader_interval);
             self.begin_pre_vote(now);
         }
     }
 
+    /// Waits for an election timeout and up to [`SPREAD_PERCENT`] of it more, so that replicas seldom stand together.
     pub(super) fn reset_election_deadline(&mut self, now: Timestamp) {
-        let spread = micros(self.cfg.election_timeout).max(1);
+        let spread = micros(self.cfg.election_timeout * SPREAD_PERCENT / 100).max(1);
         let extra = self.next_random() % spread;
         self.election_deadline = Timestamp((now + self.cfg.election_timeout).0.saturating_add(extra));
     }
 
+    /// Asks for pre-votes again after a pause of once to twice this. They bind nobody, so what a refusal costs is the
+    /// pause alone: the others may only not be willing yet, such as after a restart of all.
+    fn ask_again_after(&mut self, now: Timestamp, pause: Duration) {
+        let extra = self.next_random() % micros(pause).max(1);
+        self.election_deadline = Timestamp((now + pause).0.saturating_add(extra));
+    }
+
     /// Moves to a newer term where the message calls for it; `false` if the message is to be dropped.
     pub(super) fn adopt_term(&mut self, now: Timestamp, from: NodeId, term: u64, body: &Body) -> bool {
         match body {
--- a/agatetrestle/src/agreement/replica/mod.rs
+++ b/agatetrestle/src/agreement/replica/mod.rs
@@ -260,6 +260,12 @@
         std::mem::take(&mut self.out)
     }
 
+    /// How the replica behaves.
+    #[cfg(test)]
+    pub(super) fn config(&self) -> &ReplicaConfig {
+        &self.cfg
+    }
+
     /// The node that holds this replica.
     #[must_use]
     pub fn node(&self) -> NodeId {
--- a/agatetrestle/src/agreement/tests/basics.rs
+++ b/agatetrestle/src/agreement/tests/basics.rs
@@ -260,3 +260,32 @@
     network.run(ELECTION_TIMEOUT * 3);
     assert_ne!(network.leader(), leader);
 }
+
+#[test]
+fn after_a_restart_of_all_there_is_a_leader_soon_after_a_majority_may_vote() {
+    // The second of three comes back 60 ms after the first, the third stays away.
+    let mut network = Network::new(3, 0);
+    let mut second = network.replicas.remove(&NodeId(2)).unwrap();
+    network.replicas.remove(&NodeId(3));
+    network.run(Duration::from_millis(60));
+    assert!(second.step(network.now, Input::Tick).is_empty(), "it has heard nothing yet");
+    let cfg = ReplicaConfig { node: NodeId(2), ..config_of(&network) };
+    let initial = Replicas { voters: (1..=3).map(NodeId).collect(), learners: BTreeSet::new() };
+    let restarted = Replica::new(cfg, initial, Restored::default(), network.now).with_fault(None);
+    network.replicas.insert(NodeId(2), restarted);
+    let back = network.now;
+    network.run(ELECTION_TIMEOUT.saturating_sub(STEP));
+    let leads = |network: &Network| network.replicas.values().any(Replica::is_leader);
+    assert!(!leads(&network), "a replica that starts keeps what it may have promised a leader");
+    while !leads(&network) {
+        network.run(STEP);
+        assert!(
+            network.now.since(back) <= ELECTION_TIMEOUT * 3 / 2,
+            "the first pre-vote that fails costs little"
+        );
+    }
+}
+
+fn config_of(network: &Network) -> ReplicaConfig {
+    network.replicas[&NodeId(1)].config().clone()
+}
--- a/agatetrestle/src/cluster/board.rs
+++ b/agatetrestle/src/cluster/board.rs
@@ -146,6 +146,12 @@
         self.wake();
     }
 
+    /// Forgets the list of backend servers, so that this replica tells none before it has read it anew.
+    pub fn drop_instances(&self) {
+        self.instances.replace(Rc::default());
+        self.instances_count.set(0);
+    }
+
     /// Backend servers as last read, by this replica or the leader it follows.
     #[must_use]
     pub fn instances(&self) -> Rc<Vec<Instance>> {
--- a/agatetrestle/src/cluster/mod.rs
+++ b/agatetrestle/src/cluster/mod.rs
@@ -4,6 +4,7 @@
 //! docs/design/012-a-deployment-of-three-roles.md.
 
 pub mod board;
+pub mod contacts;
 pub mod identity;
 pub mod keeper;
 pub mod message;
--- a/agatetrestle/src/cluster/tests.rs
+++ b/agatetrestle/src/cluster/tests.rs
@@ -8,6 +8,7 @@
 
 use crate::agreement::ReplicaChange;
 use crate::agreement::Replicas;
+use crate::cluster::contacts;
 use crate::cluster::identity;
 use crate::cluster::message::Holdings;
 use crate::cluster::message::Member;
@@ -152,3 +153,16 @@
     };
     insta::assert_snapshot!(overview);
 }
+
+#[test]
+fn contacts_last_and_a_line_that_can_not_be_read_names_nobody() {
+    let folder = std::env::temp_dir().join(format!("agatetrestle-contacts-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    assert!(contacts::load(&folder).unwrap().is_empty(), "there is no file yet");
+    let known = [(NodeId(7), SocketAddrV4::new([10, 0, 0, 7].into(), 80))].into();
+    contacts::save(&folder, &known).unwrap();
+    assert_eq!(contacts::load(&folder).unwrap(), known);
+    std::fs::write(folder.join("contacts"), b"7 10.0.0.7:80\n8 nowhere\n\xff\xfe\n9\n").unwrap();
+    assert_eq!(contacts::load(&folder).unwrap(), known);
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/agatetrestle/src/deployment/listing.rs
+++ b/agatetrestle/src/deployment/listing.rs
@@ -80,10 +80,20 @@
         let mut reachable = None;
         let mut pages = 1;
         let mut unreadable = 0;
+        // At its start a replica reads once before anybody leads: after a restart of all, whoever then leads can tell
+        // the list at once.
+        let mut early = false;
         loop {
             if !self.group.leads() {
-                Timer::after(LOOK).await;
-                continue;
+                if self.group.leader().is_some() {
+                    // What the leader reads is newer. What this replica read stands only until somebody leads.
+                    self.board.drop_instances();
+                    early = true;
+                }
+                if std::mem::replace(&mut early, true) {
+                    Timer::after(LOOK).await;
+                    continue;
+                }
             }
             match self.read(&client).await {
                 Ok(list) => {
@@ -100,7 +110,9 @@
                     }
                 }
             }
-            Timer::after(self.pause(pages)).await;
+            if self.group.leads() {
+                Timer::after(self.pause(pages)).await;
+            }
         }
     }
 
--- a/agatetrestle/src/deployment/store.rs
+++ b/agatetrestle/src/deployment/store.rs
@@ -1,17 +1,24 @@
 //! A store: a replica of the state group that holds turns and budgets.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
 use agatetrestle_config::deployment::Role;
 use log::info;
+use log::warn;
 use smol::Timer;
+use smol::channel::Sender;
 
+use crate::cluster::contacts;
 use crate::cluster::keeper;
 use crate::cluster::message::Introduction;
 use crate::cluster::message::Member;
 use crate::cluster::service::TurnDesk;
+use crate::cluster::view::Watcher;
 use crate::cluster::voters::Candidate;
 use crate::cluster::voters::Wanted;
 use crate::deployment::Frame;
@@ -45,6 +52,7 @@
         let holdings = group.as_ref().map(|group| group.machine(TurnState::holdings));
         Introduction { member, voters, holdings }
     });
+    remember_stores(frame);
     let subscriber = frame.subscriber(introduce, None);
     let opened = open(frame).await?;
     group.replace(Some(opened.clone()));
@@ -69,6 +77,53 @@
     Ok(Replicated { group: opened, subscriber })
 }
 
+/// Finds the other stores where they last were, and keeps where they are from now on.
+fn remember_stores(frame: &Frame) {
+    let Some(folder) = &frame.settings.data_folder else {
+        return;
+    };
+    let kept = contacts::load(folder).unwrap_or_else(|failure| {
+        warn!("Where the other stores were can't be read, so control has to tell: {failure}.");
+        BTreeMap::new()
+    });
+    for (node, address) in &kept {
+        frame.links.learn(*node, SocketAddr::V4(*address));
+    }
+    let (tx, rx) = smol::channel::unbounded();
+    frame.view.watch(Rc::new(StoreWatcher(tx)));
+    let folder = folder.clone();
+    let saving = async move {
+        let mut kept = kept;
+        while let Ok(stores) = rx.recv().await {
+            if stores == kept {
+                continue;
+            }
+            let (folder, saved) = (folder.clone(), stores.clone());
+            match smol::unblock(move || contacts::save(&folder, &saved)).await {
+                Ok(()) => kept = stores,
+                Err(failure) => warn!("Where the other stores are can't be kept: {failure}."),
+            }
+        }
+    };
+    frame.executor.spawn(saving).detach();
+}
+
+/// Passes on where the stores are, each time the members change.
+struct StoreWatcher(Sender<BTreeMap<NodeId, SocketAddrV4>>);
+
+impl Watcher for StoreWatcher {
+    fn members(&self, members: &[Member]) {
+        let stores = members.iter().filter(|member| member.role == Role::Store);
+        let stores: BTreeMap<NodeId, SocketAddrV4> =
+            stores.map(|member| (member.node, member.peer)).collect();
+        // A list without stores is of a control leader that has not heard from them yet. The receiver lasts as long as
+        // the process.
+        if !stores.is_empty() {
+            let _ = self.0.try_send(stores);
+        }
+    }
+}
+
 /// Opens the replica from its files. A new store waits until it knows whether it is one of the founders.
 async fn open(frame: &Frame) -> Result<Rc<Group<TurnState>>, NodeError> {
     debug_assert_eq!(frame.settings.process.role, Role::Store, "only a store holds turns");
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -49,6 +49,9 @@
 /// When a caller may come back after a refusal that has nothing to do with load: a change of leader takes about so
 /// long.
 const COME_BACK: Duration = Duration::from_millis(300);
+/// When a caller may come back to an entry that knows no routes yet: after a restart of all, control is back and has told
+/// them some 0.6 s after the entries take connections.
+const COME_BACK_AFTER_START: Duration = Duration::from_millis(600);
 
 /// Stands for the status where the caller got none.
 const NO_STATUS: u16 = 0;
@@ -209,7 +212,8 @@
     let attempt = call.attempt.clone().unwrap_or_default();
     trail.attempt = attempt.clone();
     let table = gateway.table.borrow().clone();
-    let table = table.ok_or_else(|| Problem::not_run("no routes are in force here yet", COME_BACK))?;
+    let table =
+        table.ok_or_else(|| Problem::not_run("no routes are in force here yet", COME_BACK_AFTER_START))?;
     trail.version = table.version;
     let route = find_route(&table, &head)?;
     trail.route = route.name.clone();
--- a/agatetrestle/src/node/router.rs
+++ b/agatetrestle/src/node/router.rs
@@ -6,11 +6,14 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use agatetrestle_schema::peer_capnp::submission;
+use futures::future::Either;
+use futures::future::select;
 use smol::Timer;
 
 use crate::clock::Clock;
@@ -25,6 +28,9 @@
 
 /// Pause after a try that found no leader; an election takes longer than this.
 const PAUSE: Duration = Duration::from_millis(20);
+/// Time without an answer after which the other holders are asked whether another one leads by now. A commit takes 10 ms and
+/// a try lasts 400 ms; one that was under way when its leader was lost waited 0.7 s for the next.
+const STALL: Duration = Duration::from_millis(100);
 
 /// The way to one group.
 pub struct Router {
@@ -34,10 +40,21 @@
     links: Rc<Links>,
     order: RefCell<Vec<NodeId>>,
     hint: Cell<Option<NodeId>>,
+    /// Whether a request asks the holders who leads.
+    searching: Cell<bool>,
     clock: Clock,
     patience: Patience,
 }
 
+/// A search under way; dropped, another request may search.
+struct Search<'a>(&'a Cell<bool>);
+
+impl Drop for Search<'_> {
+    fn drop(&mut self) {
+        self.0.set(false);
+    }
+}
+
 /// How long a router waits.
 #[derive(Clone, Copy, Debug)]
 pub struct Patience {
@@ -61,7 +78,17 @@
         patience: Patience,
     ) -> Self {
         let order = RefCell::default();
-        let router = Self { group, node, local, links, order, hint: Cell::new(None), clock, patience };
+        let router = Self {
+            group,
+            node,
+            local,
+            links,
+            order,
+            hint: Cell::new(None),
+            searching: Cell::new(false),
+            clock,
+            patience,
+        };
         router.set_holders(holders);
         router
     }
@@ -87,11 +114,8 @@
         let mut turn = 0;
         while self.clock.now().since(start) < self.patience.whole && !self.order.borrow().is_empty() {
             let target = self.hint.get().unwrap_or_else(|| self.next_holder(&mut turn, suspect));
-            match self.try_once(target, &request).await {
-                Submission::Applied(reply) => {
-                    self.hint.set(Some(target));
-                    return Ok(reply);
-                }
+            match self.try_watched(target, &request).await {
+                Submission::Applied(reply) => return Ok(reply),
                 Submission::NotLeader(leader) => {
                     let hint = leader.filter(|leader| *leader != target && Some(*leader) != suspect);
                     self.hint.set(hint);
@@ -132,6 +156,54 @@
         self.next_holder(turn, suspect)
     }
 
+    /// Tries one holder; while it says nothing for long, the others are asked who leads.
+    async fn try_watched(&self, target: NodeId, request: &[u8]) -> Submission {
+        let trying = pin!(self.try_once(target, request));
+        let trying = match select(trying, Timer::after(STALL)).await {
+            Either::Left((submission, _)) => return self.note(target, submission),
+            Either::Right((_, trying)) => trying,
+        };
+        match select(trying, pin!(self.find_other(target, request))).await {
+            Either::Left((submission, _)) => self.note(target, submission),
+            Either::Right((submission, _)) => submission,
+        }
+    }
+
+    fn note(&self, target: NodeId, submission: Submission) -> Submission {
+        if matches!(submission, Submission::Applied(_)) {
+            self.hint.set(Some(target));
+        }
+        submission
+    }
+
+    /// Asks the other holders in turn until one of them leads or names another leader than `silent`; without end otherwise.
+    /// The request may thus be handed over twice, which is safe. Of the requests that wait one asks, and the others see
+    /// what it finds.
+    async fn find_other(&self, silent: NodeId, request: &[u8]) -> Submission {
+        loop {
+            if let Some(leader) = self.hint.get().filter(|leader| *leader != silent) {
+                return Submission::NotLeader(Some(leader));
+            }
+            if !self.searching.replace(true) {
+                let search = Search(&self.searching);
+                let others: Vec<NodeId> =
+                    self.order.borrow().iter().copied().filter(|node| *node != silent).collect();
+                for other in others {
+                    match self.try_once(other, request).await {
+                        Submission::Applied(reply) => return self.note(other, Submission::Applied(reply)),
+                        Submission::NotLeader(Some(leader)) if leader != silent => {
+                            self.hint.set(Some(leader));
+                            return Submission::NotLeader(Some(leader));
+                        }
+                        _ => {}
+                    }
+                }
+                drop(search);
+            }
+            Timer::after(PAUSE).await;
+        }
+    }
+
     async fn try_once(&self, target: NodeId, request: &[u8]) -> Submission {
         if target == self.node
             && let Some(local) = &self.local
@@ -187,3 +259,6 @@
         Submission::Unknown(text) => builder.set_unknown(&**text),
     }
 }
+
+#[cfg(test)]
+mod tests;
