Tell the caller of a stream at once where a server says nothing while others answer

Cause: a server that takes requests and never answers costs a caller its patience, two seconds, and its program its time. Ruled out: a bound by time alone, which breaks off what a full pool is only late with. Change: a stream without a beginning is given up as lost once it is older than 1.3 times its objective, than three times what nine in ten beginnings of the last second took, and four requests sent later have begun. The caller gets 502 and goes elsewhere; the server is suspected by it at once. 'patient' is the earlier behaviour, for comparisons.

--- a/agatetrestle/src/dispatch/mod.rs
+++ b/agatetrestle/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 //! pure: time comes in as an argument. What each rule answers stands in docs/design/012-a-deployment-of-three-roles.md.
 
 mod server;
+mod silence;
 mod suspicion;
 #[cfg(test)]
 mod tests;
@@ -25,6 +26,7 @@
 use crate::clock::Timestamp;
 use crate::dispatch::server::Server;
 use crate::dispatch::server::affinity;
+use crate::dispatch::silence::Beginnings;
 use crate::health::most_out;
 use crate::health::risk::Risk;
 use crate::scheduler::random::Random;
@@ -131,11 +133,18 @@
     mean: Duration,
     /// How often requests fail at servers against which nothing speaks.
     risk: Risk,
+    /// Answers that began lately.
+    beginnings: Beginnings,
 }
 
 impl Default for Queue {
     fn default() -> Self {
-        Self { waiting: BTreeMap::new(), mean: FIRST_ESTIMATE, risk: Risk::default() }
+        Self {
+            waiting: BTreeMap::new(),
+            mean: FIRST_ESTIMATE,
+            risk: Risk::default(),
+            beginnings: Beginnings::default(),
+        }
     }
 }
 
@@ -270,6 +279,21 @@
         }
     }
 
+    /// Takes in that the answer to a request begins.
+    pub fn begins(&mut self, now: Timestamp, service: &Arc<str>, sent: Timestamp) {
+        if let Some(queue) = self.queues.get_mut(service) {
+            queue.beginnings.note(sent, now);
+        }
+    }
+
+    /// Whether the answer to a request that was sent then is missing in a way that tells of its server, not of the
+    /// service; `least` is what any may take.
+    #[must_use]
+    pub fn is_silent(&self, now: Timestamp, service: &Arc<str>, sent: Timestamp, least: Duration) -> bool {
+        self.rules != Decisions::Patient
+            && self.queues.get(service).is_some_and(|queue| queue.beginnings.miss(sent, now, least))
+    }
+
     /// Takes in that a server said it leaves or is another one.
     pub fn leaving(&mut self, key: ServerKey) {
         if let Some(server) = self.servers.get_mut(key) {
--- a/agatetrestle/src/dispatch/tests.rs
+++ b/agatetrestle/src/dispatch/tests.rs
@@ -5,6 +5,7 @@
 use super::*;
 
 mod pool;
+mod silent;
 mod stale;
 
 const SERVICE: &str = "engines";
--- a/agatetrestle/src/gateway/attempt.rs
+++ b/agatetrestle/src/gateway/attempt.rs
@@ -1,14 +1,19 @@
 //! One sending of a request to one backend server, up to the head of the answer.
 
+use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use futures::future::Either;
+use futures::future::select;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use smol::Timer;
 
 use crate::clock::Timestamp;
 use crate::dispatch::Outcome;
@@ -23,6 +28,11 @@
 /// Share of a route's objective after which a request that may run again is sent to another server, in hundredths. An
 /// answer that is not there by then is late already; some answers are lost, and their servers never say so.
 const NEXT_TRY_PERCENT: u32 = 130;
+/// Share of a stream's objective, in hundredths, before which no server is held to be silent. An answer that begins
+/// later is late already; one that comes a little later is still worth more than another try.
+const SILENCE_PERCENT: u32 = 130;
+/// How often a stream that has not begun is looked at after that.
+const SILENCE_POLL: Duration = Duration::from_millis(50);
 /// Ranks that a backend server knows; 9 is the least urgent.
 const LEAST_URGENT: u8 = 9;
 
@@ -68,30 +78,83 @@
     let left = job.until.since(sent_at);
     let request = request(gateway, job, SendHead { left, instance: &instance, priority: rank(job) });
     let patience = if last { left } else { left.min(job.route.objective * NEXT_TRY_PERCENT / 100) };
-    let answered = within(patience, lease.send(request)).await;
+    let answered = if job.route.is_streaming() {
+        let sending = Sending { gateway, job, at: sent_at, patience };
+        sending.watch(lease.send(request)).await
+    } else {
+        within(patience, lease.send(request)).await.map_or(Answered::Late, Answered::Begun)
+    };
     let response = match answered {
-        None if patience < left => {
+        Answered::Silent => {
+            place.release(Outcome::Silent);
+            return Err(Failure::MayHaveRun("the server says nothing while others answer".into()));
+        }
+        Answered::Late if patience < left => {
             place.release(Outcome::Failed);
             return Err(Failure::MayHaveRun("the server was silent for too long".into()));
         }
-        None => {
+        Answered::Late => {
             place.release(Outcome::Failed);
             return Err(Failure::TooLate);
         }
-        Some(Err(failure @ SendError::Connect { .. })) => {
+        Answered::Begun(Err(failure @ SendError::Connect { .. })) => {
             place.release(Outcome::Abandoned);
             return Err(Failure::NotRun(failure.to_string()));
         }
-        Some(Err(failure @ SendError::Broken { .. })) => {
+        Answered::Begun(Err(failure @ SendError::Broken { .. })) => {
             place.release(Outcome::Failed);
             return Err(Failure::MayHaveRun(failure.to_string()));
         }
-        Some(Ok(response)) => response,
+        Answered::Begun(Ok(response)) => response,
     };
     place.silent_after = None;
+    gateway.dispatch.borrow_mut().begins(gateway.clock.now(), &job.service, sent_at);
     check(gateway, job, Sent { place, lease, response, at: sent_at })
 }
 
+/// What came of a sending.
+enum Answered {
+    /// The answer begins, or the connection broke.
+    Begun(Result<Response<Incoming>, SendError>),
+    /// The server is silent while others answer.
+    Silent,
+    /// There is no time left.
+    Late,
+}
+
+/// A request under way whose answer has not begun.
+struct Sending<'a> {
+    gateway: &'a Rc<Gateway>,
+    job: &'a Job,
+    at: Timestamp,
+    patience: Duration,
+}
+
+impl Sending<'_> {
+    /// Waits for the answer to begin, and gives up once the silence tells of the server. The caller is then told at once,
+    /// so that it may come back and go elsewhere while its program still has time.
+    async fn watch(&self, sending: impl Future<Output = Result<Response<Incoming>, SendError>>) -> Answered {
+        let least = self.job.route.objective * SILENCE_PERCENT / 100;
+        let mut sending = pin!(sending);
+        let mut pause = least.min(self.patience);
+        loop {
+            match select(sending, Timer::after(pause)).await {
+                Either::Left((outcome, _)) => return Answered::Begun(outcome),
+                Either::Right((_, rest)) => sending = rest,
+            }
+            let now = self.gateway.clock.now();
+            let left = self.patience.saturating_sub(now.since(self.at));
+            if left.is_zero() {
+                return Answered::Late;
+            }
+            if self.gateway.dispatch.borrow().is_silent(now, &self.job.service, self.at, least) {
+                return Answered::Silent;
+            }
+            pause = SILENCE_POLL.min(left);
+        }
+    }
+}
+
 /// Urgent kinds first; of one kind, programs that have begun.
 fn rank(job: &Job) -> u8 {
     let fresh = u8::from(!job.begun);
--- a/agatetrestle_config/src/deployment.rs
+++ b/agatetrestle_config/src/deployment.rs
@@ -77,6 +77,8 @@
     LeastLoad,
     /// As [`Decisions::Own`], but a server is sent no more requests than it has places.
     Places,
+    /// As [`Decisions::Own`], but a server that says nothing is waited for until the caller's time is up.
+    Patient,
     /// As [`Decisions::Own`], but nothing is turned away before its deadline.
     NoRejection,
 }
