Hold reports while nobody leads control, and gather news of members

Cause: after a restart of all, each process asked each control replica again every 50 ms who leads; 62 processes and six replicas with 0.15 of a core make 7,400 calls a second. Each store that came back was told to all entries by itself. And the file of the other stores' addresses was renamed without a sync of its folder, so that it was lost with the power now and then. Ruled out: the size of what is told (one bulletin is a few KB). Change: a replica holds a report while nobody is known to lead, and looks each 10 ms whether somebody does; news of members alone is gathered for 20 ms; both small files of a process are put in place by one function that syncs the folder; a request to a group whose holders are not told yet waits for them as for a leader.

--- a/agatetrestle/src/cluster/board.rs
+++ b/agatetrestle/src/cluster/board.rs
@@ -11,6 +11,7 @@
 use agatetrestle_config::deployment::Role;
 use futures::channel::oneshot;
 use log::info;
+use smol::Timer;
 
 use crate::clock::Clock;
 use crate::clock::Timestamp;
@@ -42,6 +43,10 @@
 /// Longest time for which a report is held.
 const MOST_PATIENCE: Duration = Duration::from_secs(2);
 
+/// Time for which news of members alone is gathered: when many processes start, each would else be told of each other
+/// one by one.
+const GATHER: Duration = Duration::from_millis(20);
+
 #[derive(Debug)]
 struct Seen {
     told: Introduction,
@@ -84,27 +89,38 @@
         })
     }
 
-    /// Answers a report: at once if there is news for the process, else once there is or its patience ends.
+    /// Answers a report: at once if there is news for the process, else once there is or its patience ends. While nobody is
+    /// known to lead, it is held too: after a restart of all, processes that asked again and again would take the little
+    /// processor time that the replicas need to elect one.
     pub async fn report(&self, report: Report) -> Bulletin {
         self.record(&report);
+        let patience = Duration::from_millis(report.patience.into()).min(MOST_PATIENCE);
+        let deadline = self.clock.now() + patience;
+        self.hold_until(deadline, || self.group.leads() || self.group.leader().is_some()).await;
         let bulletin = Bulletin { leader: self.leader(), control: self.control(), ..Bulletin::default() };
         if !self.group.leads() {
             return bulletin;
         }
-        let patience = Duration::from_millis(report.patience.into()).min(MOST_PATIENCE);
-        let deadline = self.clock.now() + patience;
-        while !self.has_news(&report) {
+        self.hold_until(deadline, || self.has_news(&report)).await;
+        if self.has_only_members(&report) {
+            Timer::after(GATHER).await;
+        }
+        if self.group.ready().await != Verdict::Ready {
+            return bulletin;
+        }
+        self.tell(&report, bulletin)
+    }
+
+    /// Holds a report until a condition is met, looked at whenever reports are woken, or until a time.
+    async fn hold_until(&self, deadline: Timestamp, met: impl Fn() -> bool) {
+        while !met() {
             let left = deadline.since(self.clock.now());
             let (tx, rx) = oneshot::channel();
             self.waiting.borrow_mut().push(tx);
             if left.is_zero() || within(left, rx).await.is_none() {
-                break;
+                return;
             }
         }
-        if self.group.ready().await != Verdict::Ready {
-            return bulletin;
-        }
-        self.tell(&report, bulletin)
     }
 
     /// Wakes every report that is held, such as after a change of the control state.
@@ -256,11 +272,21 @@
     }
 
     fn has_news(&self, report: &Report) -> bool {
+        self.has_decisions(report) || self.has_only_members(report)
+    }
+
+    /// Whether there is another table of routes or list of backend servers, which are told without delay.
+    fn has_decisions(&self, report: &Report) -> bool {
         let now = self.editions();
         let listed = self.instances_count.get() > 0;
-        now.revision > report.known.revision
-            || (listed && now.backends != report.known.backends)
-            || self.roll.borrow().is_news(report.told.member.role, report.known.members, now.members.term)
+        now.revision > report.known.revision || (listed && now.backends != report.known.backends)
+    }
+
+    /// Whether the members are all that is new.
+    fn has_only_members(&self, report: &Report) -> bool {
+        let now = self.editions();
+        !self.has_decisions(report)
+            && self.roll.borrow().is_news(report.told.member.role, report.known.members, now.members.term)
     }
 
     fn tell(&self, report: &Report, mut bulletin: Bulletin) -> Bulletin {
--- a/agatetrestle/src/cluster/contacts.rs
+++ b/agatetrestle/src/cluster/contacts.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddrV4;
 use std::path::Path;
 
+use crate::cluster::identity::put_in_place;
 use crate::ids::NodeId;
 
 const FILE: &str = "contacts";
@@ -33,18 +34,15 @@
     Some((NodeId(node.parse().ok()?), address.parse().ok()?))
 }
 
-/// Keeps the replicas; blocks until they are on the disk. Written aside and renamed, so that a crash leaves a whole file.
+/// Keeps the replicas; blocks until they are on the disk.
 ///
 /// # Errors
 ///
 /// Fails if the file can't be written; the one before then stands.
 pub fn save(folder: &Path, contacts: &BTreeMap<NodeId, SocketAddrV4>) -> io::Result<()> {
-    let file = folder.join(FILE);
-    let aside = file.with_extension("tmp");
-    let mut out = fs::File::create(&aside)?;
+    let mut lines = Vec::new();
     for (node, address) in contacts {
-        writeln!(out, "{} {address}", node.0)?;
+        writeln!(lines, "{} {address}", node.0)?;
     }
-    out.sync_all()?;
-    fs::rename(&aside, &file)
+    put_in_place(folder, FILE, &lines)
 }
--- a/agatetrestle/src/cluster/identity.rs
+++ b/agatetrestle/src/cluster/identity.rs
@@ -51,18 +51,25 @@
             let number = text.trim().parse();
             number.map(NodeId).map_err(|failure| io::Error::new(io::ErrorKind::InvalidData, failure))
         }
-        Err(failure) if failure.kind() == io::ErrorKind::NotFound => store(folder, &file, fresh),
+        Err(failure) if failure.kind() == io::ErrorKind::NotFound => {
+            put_in_place(folder, FILE, format!("{}\n", fresh.0).as_bytes())?;
+            Ok(fresh)
+        }
         Err(failure) => Err(failure),
     }
 }
 
-/// Written aside and renamed, so that a crash leaves the whole number or none.
-fn store(folder: &Path, file: &Path, number: NodeId) -> io::Result<NodeId> {
+/// Writes a file aside, renames it and syncs both, so that a crash leaves the whole file, or the one before.
+///
+/// # Errors
+///
+/// Fails if the folder can't be written.
+pub(super) fn put_in_place(folder: &Path, name: &str, bytes: &[u8]) -> io::Result<()> {
+    let file = folder.join(name);
     let aside = file.with_extension("tmp");
     let mut out = fs::File::create(&aside)?;
-    writeln!(out, "{}", number.0)?;
+    out.write_all(bytes)?;
     out.sync_all()?;
     fs::rename(&aside, file)?;
-    fs::File::open(folder)?.sync_all()?;
-    Ok(number)
+    fs::File::open(folder)?.sync_all()
 }
--- a/agatetrestle/src/deployment/control.rs
+++ b/agatetrestle/src/deployment/control.rs
@@ -40,6 +40,8 @@
 
 /// How often a control replica looks who has gone silent.
 const REFRESH: Duration = Duration::from_millis(200);
+/// How often it looks whether somebody leads while nobody does.
+const ELECTION_LOOK: Duration = Duration::from_millis(10);
 /// Time for which enough stores must be there before the state group is founded, so that those that start at the
 /// same time all take part.
 const SETTLE: Duration = Duration::from_secs(1);
@@ -75,6 +77,22 @@
     Ok(Replicated { group, subscriber })
 }
 
+/// Waits for the next refresh. While nobody leads it is looked often, and who asked is told once somebody does.
+async fn wait_for_change(group: &Group<ControlState>, board: &Board) {
+    let mut left = REFRESH;
+    while !left.is_zero() {
+        let led = (group.leads(), group.leader());
+        // A replica that was just elected leads once a majority has answered it.
+        let settled = led.1.is_some_and(|leader| led.0 || !group.is(leader));
+        let pause = if settled { left } else { ELECTION_LOOK.min(left) };
+        Timer::after(pause).await;
+        left = left.saturating_sub(pause);
+        if (group.leads(), group.leader()) != led {
+            board.wake();
+        }
+    }
+}
+
 fn spawn_upkeep(frame: &Frame, group: &Rc<Group<ControlState>>, board: &Rc<Board>, router: &Rc<Router>) {
     let candidates = {
         let board = board.clone();
@@ -103,7 +121,7 @@
             let voters: Vec<NodeId> = group.replicas().voters.into_iter().collect();
             router.set_holders(&voters);
             super::learn_control(&links, &view);
-            Timer::after(REFRESH).await;
+            wait_for_change(&group, &board).await;
         }
     };
     frame.executor.spawn(refreshing).detach();
--- a/agatetrestle/src/node/router.rs
+++ b/agatetrestle/src/node/router.rs
@@ -112,7 +112,12 @@
         let mut suspect = None;
         let mut reason: Arc<str> = "the group has no replica".into();
         let mut turn = 0;
-        while self.clock.now().since(start) < self.patience.whole && !self.order.borrow().is_empty() {
+        while self.clock.now().since(start) < self.patience.whole {
+            if self.order.borrow().is_empty() {
+                // A process that has just started is told of the holders a moment after the rest.
+                Timer::after(PAUSE).await;
+                continue;
+            }
             let target = self.hint.get().unwrap_or_else(|| self.next_holder(&mut turn, suspect));
             match self.try_watched(target, &request).await {
                 Submission::Applied(reply) => return Ok(reply),
--- a/agatetrestle/src/node/router/tests.rs
+++ b/agatetrestle/src/node/router/tests.rs
@@ -69,3 +69,17 @@
     let (answers, asked) = submit_past_a_silent_leader(Submission::Applied(vec![9]), 20);
     assert_eq!((answers.len(), asked), (20, 20), "each is handed over once");
 }
+
+#[test]
+fn a_request_waits_for_holders_that_are_told_a_moment_later() {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(async {
+        let replica = Rc::new(Replica { says: Submission::Applied(vec![9]), asked: Cell::new(0) });
+        let patience = Patience { each: EVER, whole: EVER };
+        let links = Links::new(OWN, EVER, &executor);
+        let router = Router::new(GroupId(1), OWN, Some(replica), links, &[], Clock::start(), patience);
+        let telling = async { router.set_holders(&[OWN]) };
+        let (answer, ()) = futures::future::join(router.submit(vec![7]), telling).await;
+        assert_eq!(answer.unwrap(), [9]);
+    }));
+}
