Keep connections to servers for as long as servers do

Cause: a connection idle for 1.5 s was not used again, while servers say that they close theirs after 10 s. Ruled out: for what may be sent once only the bound stays 1.5 s, since a connection that went silent can't be told. Change: a connection is kept for 0.6 of what the server says (10 s at the most, 1.5 s where it says nothing).

--- a/agatetrestle/src/deployment/listing.rs
+++ b/agatetrestle/src/deployment/listing.rs
@@ -29,6 +29,7 @@
 use crate::node::peer_link::within;
 use crate::ports::Recorder;
 use crate::transport::client::Client;
+use crate::transport::client::Reuse;
 
 /// Time between two readings: a leaving server may get requests for 3 s after it is listed so, and the list itself
 /// lags by nearly one.
@@ -156,7 +157,7 @@
 
 async fn get(client: &Client, address: SocketAddrV4, path: &str) -> Result<Bytes, ListError> {
     let broken = |failure: &dyn std::fmt::Display| ListError::Broken { reason: failure.to_string() };
-    let mut lease = client.lease(address).await.map_err(|failure| broken(&failure))?;
+    let mut lease = client.lease(address, Reuse::Kept).await.map_err(|failure| broken(&failure))?;
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = path.parse().map_err(|failure| broken(&failure))?;
     let host = HeaderValue::from_str(&address.to_string()).map_err(|failure| broken(&failure))?;
--- a/agatetrestle/src/dispatch/server.rs
+++ b/agatetrestle/src/dispatch/server.rs
@@ -11,7 +11,6 @@
 
 use crate::clock::Timestamp;
 use crate::dispatch::suspicion::Suspicion;
-use crate::transport::client::FRESH;
 
 /// Requests beyond its places that a server is sent, as a share of the places. What waits there takes a place the
 /// moment it is free; what waits at a node hears of it with that node's next answer, which at a fiftieth of the traffic
@@ -20,6 +19,8 @@
 const OVERFLOW: f64 = 1.0;
 /// Times in which what is usual was told; as many as it takes for a node that sends now and then to have heard of some.
 const USUAL_SPAN: u32 = 4;
+/// Time after an answer in which a connection is most likely open; servers close idle ones after some 10 s.
+const WARM: Duration = Duration::from_secs(5);
 /// How long a server rests after a failure that points at the server, doubled with each further one in a row.
 const REST: Duration = Duration::from_millis(250);
 /// Doublings of [`REST`]: 4 s at the most, since a replica that crashed stays listed for some seconds.
@@ -235,7 +236,7 @@
 
     /// Whether a connection to it is most likely open.
     pub(super) fn is_warm(&self, now: Timestamp) -> bool {
-        self.answered_at.is_some_and(|at| now.since(at) < FRESH)
+        self.answered_at.is_some_and(|at| now.since(at) < WARM)
     }
 
     fn rest(&mut self, now: Timestamp, by_chance: u32) {
--- a/agatetrestle/src/gateway/attempt.rs
+++ b/agatetrestle/src/gateway/attempt.rs
@@ -23,6 +23,7 @@
 use crate::gateway::wire::SendHead;
 use crate::node::peer_link::within;
 use crate::transport::client::Lease;
+use crate::transport::client::Reuse;
 use crate::transport::client::SendError;
 
 /// Share of a route's objective after which a request that may run again is sent to another server, in hundredths. An
@@ -66,7 +67,8 @@
         place.release(Outcome::Abandoned);
         return Err(Failure::NotRun("the server is gone".into()));
     };
-    let mut lease = match gateway.client.lease(address).await {
+    let reuse = if job.route.runs_once() { Reuse::Fresh } else { Reuse::Kept };
+    let mut lease = match gateway.client.lease(address, reuse).await {
         Ok(lease) => lease,
         Err(failure) => {
             place.release(Outcome::Unreachable);
--- a/agatetrestle/src/transport/client.rs
+++ b/agatetrestle/src/transport/client.rs
@@ -34,9 +34,14 @@
 /// Time for a connection to be made; servers in other failure domains are 1.5 ms away and take 1 ms for it, and an
 /// opening packet that was dropped is sent again only after a second.
 const CONNECT: Duration = Duration::from_millis(400);
-/// Idle time after which a connection is not used again: it may have gone silent or be about to be closed by the
-/// server. Servers close theirs after some seconds.
+/// Idle time after which a connection is not used for a request that may run once only: it may have gone silent, and what
+/// was sent on it can't be sent again. It also bounds the idle time where a server does not say when it closes.
 pub const FRESH: Duration = Duration::from_millis(1_500);
+/// Part of the time after which a server says that it closes an idle connection, in hundredths, for which it is kept: its
+/// clock began before ours, and a request must not cross its close.
+const KEPT_PERCENT: u32 = 60;
+/// Longest idle time of a connection, whatever a server says; each costs memory here and a place there.
+const LONGEST_IDLE: Duration = Duration::from_secs(10);
 /// Connections kept for one server. Servers take a few hundred from all nodes together.
 const KEPT: usize = 6;
 /// Largest head of an answer.
@@ -63,6 +68,16 @@
     sender: SendRequest<Full<Bytes>>,
     driver: Task<()>,
     since: Timestamp,
+    until: Timestamp,
+}
+
+/// How long ago a connection may have been used last.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reuse {
+    /// A moment ago, for what may be sent once only.
+    Fresh,
+    /// As long as the server keeps it.
+    Kept,
 }
 
 /// A connection that carries one request.
@@ -96,29 +111,27 @@
         self.made.get()
     }
 
-    /// A connection to a server, kept or new.
+    /// A connection to a server, kept or new; `reuse` says how old a kept one may be.
     ///
     /// # Errors
     ///
     /// Fails only before anything was sent.
-    pub async fn lease(&self, address: SocketAddrV4) -> Result<Lease, SendError> {
-        if let Some(Idle { sender, driver, .. }) = self.take(address) {
+    pub async fn lease(&self, address: SocketAddrV4, reuse: Reuse) -> Result<Lease, SendError> {
+        if let Some(Idle { sender, driver, .. }) = self.take(address, reuse) {
             return Ok(Lease { sender, driver, address, reused: true });
         }
         self.connect(address).await
     }
 
-    fn take(&self, address: SocketAddrV4) -> Option<Idle> {
+    fn take(&self, address: SocketAddrV4, reuse: Reuse) -> Option<Idle> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&address)?;
+        kept.retain(|connection| connection.is_open(now));
         // The one used last goes first, so that the others grow old and are closed.
-        while let Some(connection) = kept.pop() {
-            if connection.sender.is_ready() && now.since(connection.since) < FRESH {
-                return Some(connection);
-            }
-        }
-        None
+        let newest = kept.last()?;
+        let usable = reuse == Reuse::Kept || now.since(newest.since) < FRESH;
+        if usable { kept.pop() } else { None }
     }
 
     async fn connect(&self, address: SocketAddrV4) -> Result<Lease, SendError> {
@@ -151,7 +164,8 @@
         let mut idle = self.idle.borrow_mut();
         let kept = idle.entry(lease.address).or_default();
         if kept.len() < KEPT {
-            kept.push(Idle { sender: lease.sender, driver: lease.driver, since: now });
+            let until = now + idle_bound(headers);
+            kept.push(Idle { sender: lease.sender, driver: lease.driver, since: now, until });
         }
     }
 
@@ -165,12 +179,31 @@
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         for kept in idle.values_mut() {
-            kept.retain(|connection| !connection.driver.is_finished() && now.since(connection.since) < FRESH);
+            kept.retain(|connection| connection.is_open(now));
         }
         idle.retain(|_, kept| !kept.is_empty());
     }
 }
 
+impl Idle {
+    fn is_open(&self, now: Timestamp) -> bool {
+        self.sender.is_ready() && !self.driver.is_finished() && now < self.until
+    }
+}
+
+/// How long a connection may be idle, by what the server says in whole seconds of when it closes.
+pub(super) fn idle_bound(headers: &HeaderMap) -> Duration {
+    let told = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+    let seconds = told.and_then(|told| {
+        let named = told.split(',').filter_map(|part| part.trim().split_once('='));
+        named
+            .filter(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"))
+            .find_map(|(_, value)| value.trim().parse().ok())
+    });
+    let bound = seconds.map(|seconds| Duration::from_secs(seconds).min(LONGEST_IDLE) * KEPT_PERCENT / 100);
+    bound.unwrap_or(FRESH)
+}
+
 impl Lease {
     /// Sends a request and waits for the head of its answer.
     ///
--- a/agatetrestle/src/transport/tests.rs
+++ b/agatetrestle/src/transport/tests.rs
@@ -25,7 +25,10 @@
 use crate::transport::accept::Gate;
 use crate::transport::body::AnswerBody;
 use crate::transport::client::Client;
+use crate::transport::client::FRESH;
+use crate::transport::client::Reuse;
 use crate::transport::client::SendError;
+use crate::transport::client::idle_bound;
 use crate::transport::server;
 use crate::transport::server::Bounds;
 
@@ -78,7 +81,7 @@
 async fn body_of(executor: &Spawner, script: &'static [u8]) -> Option<Bytes> {
     let address = scripted(executor, vec![script]).await;
     let client = Client::new(executor, Clock::start());
-    let mut lease = client.lease(address).await.unwrap();
+    let mut lease = client.lease(address, Reuse::Kept).await.unwrap();
     let answer = lease.send(get(b"")).await.ok()?;
     answer.into_body().collect().await.ok().map(http_body_util::Collected::to_bytes)
 }
@@ -110,7 +113,7 @@
         for _ in 0..2 {
             // A kept connection that is found closed is no failure: nothing was sent on it.
             let answer = loop {
-                let mut lease = client.lease(address).await.unwrap();
+                let mut lease = client.lease(address, Reuse::Kept).await.unwrap();
                 match lease.send(get(b"")).await {
                     Ok(answer) => break (lease, answer),
                     Err(SendError::Connect { .. }) => {}
@@ -143,7 +146,7 @@
         };
         let serving = executor.spawn(serving);
         let client = Client::new(&executor, Clock::start());
-        let mut lease = client.lease(address).await.unwrap();
+        let mut lease = client.lease(address, Reuse::Kept).await.unwrap();
         let answer = lease.send(get(&LONG)).await.unwrap();
         assert_eq!(answer.status(), 413);
         tx.send(()).await.unwrap();
@@ -265,3 +268,17 @@
         assert_eq!(gate.open(), 2);
     });
 }
+
+#[test]
+fn a_connection_is_kept_for_a_part_of_what_the_server_says() {
+    let bound = |value: &'static str| {
+        let mut headers = http::HeaderMap::new();
+        headers.insert("keep-alive", http::HeaderValue::from_static(value));
+        idle_bound(&headers).as_millis()
+    };
+    let told = ["timeout=10", "max=5, Timeout = 3", "timeout=3600", "timeout=0"];
+    assert_eq!(told.map(bound), [6_000, 1_800, 6_000, 0]);
+    let untold = ["", "max=5", "timeout=soon", "timeout=-1", "timeout=1.5"];
+    assert!(untold.map(bound).iter().all(|bound| *bound == FRESH.as_millis()));
+    assert_eq!(idle_bound(&http::HeaderMap::new()), FRESH);
+}
