Sum up from logs where requests were lost or late

Change: 'agatetrestle account LOG' sums the lines of requests by moment, service and cause, and says which causes are ours.

--- a/agatetrestle_cli/src/commands.rs
+++ b/agatetrestle_cli/src/commands.rs
@@ -1,9 +1,14 @@
 //! Carries out one command.
 
+use std::fs::File;
+use std::io::BufRead;
+use std::io::BufReader;
 use std::path::Path;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::account::Account;
 use crate::apply;
 use crate::calls;
 use crate::calls::changes;
@@ -72,12 +77,28 @@
             changes::replicas(client, &row).await?;
             Report::result(format, &row, |row| table(std::slice::from_ref(row)))
         }
+        Command::Account { span, logs } => account(format, *span, logs)?,
         Command::Completions(shell) => {
             Report::result(Format::Table, &(), |()| completions(*shell).to_owned())
         }
     })
 }
 
+fn account(format: Format, span: u64, logs: &[PathBuf]) -> Result<Report, ToolError> {
+    let mut account = Account::new(span);
+    for log in logs {
+        let refused = |failure: std::io::Error| ToolError::File {
+            file: log.clone(),
+            reason: failure.to_string().into(),
+        };
+        let lines = BufReader::new(File::open(log).map_err(refused)?).split(b'\n');
+        for line in lines {
+            account.add(&String::from_utf8_lossy(&line.map_err(refused)?));
+        }
+    }
+    Ok(Report::result(format, &account.losses(), |losses| table(losses)))
+}
+
 fn read(file: &Path) -> Result<Arc<str>, ToolError> {
     let refused = |reason| ToolError::File { file: file.into(), reason };
     let text = std::fs::read_to_string(file).map_err(|e| refused(e.to_string().into()))?;
--- a/agatetrestle_cli/src/lib.rs
+++ b/agatetrestle_cli/src/lib.rs
@@ -3,6 +3,7 @@
 //! The commands live in a library so that tests run them against a node in the same process; see
 //! docs/operators/README.md for what each does and for the exit codes.
 
+pub mod account;
 pub mod apply;
 pub mod calls;
 pub mod client;
--- a/agatetrestle_cli/src/options.rs
+++ b/agatetrestle_cli/src/options.rs
@@ -69,6 +69,13 @@
     Resolve(Resolve),
     /// Change who takes part in a group.
     Replicas(Replicas),
+    /// Sum up where requests were lost or late.
+    Account {
+        /// Length of the spans, in seconds.
+        span: u64,
+        /// Logs of entries.
+        logs: Vec<PathBuf>,
+    },
     /// Print the completions of a shell.
     Completions(Shell),
 }
--- a/agatetrestle_cli/src/options/parser.rs
+++ b/agatetrestle_cli/src/options/parser.rs
@@ -20,6 +20,8 @@
 
 const DEFAULT_PORT: u16 = 7402;
 const DEFAULT_ROWS: u32 = 1_000;
+/// Seconds that are summed up unless the operator says otherwise; short against a disturbance.
+const DEFAULT_SPAN: u64 = 2;
 const DEFAULT_WAIT: u64 = 10;
 
 const EXIT_CODES: &str = "Exit codes: 0 done, 1 the output could not be written, 2 usage, 3 the input was refused, \
@@ -96,6 +98,7 @@
     let trace = trace().to_options().descr("Print the newest trace lines of one node").command("trace");
     let resolve = resolve().to_options().descr("Settle a call of unknown outcome").command("resolve");
     let replicas = replicas().to_options().descr("Change who takes part in a group").command("replicas");
+    let account = account().to_options().descr("Sum up where requests were lost or late").command("account");
     let completions =
         completions().to_options().descr("Print completions for a shell").command("completions");
     construct!([
@@ -109,6 +112,7 @@
         trace,
         resolve,
         replicas,
+        account,
         completions
     ])
 }
@@ -190,6 +194,16 @@
     construct!(Replicas { group, change, node }).map(Command::Replicas)
 }
 
+fn account() -> impl Parser<Command> {
+    let span = long("span")
+        .help("Seconds that are summed up, 2 if not given")
+        .argument::<u64>("S")
+        .fallback(DEFAULT_SPAN);
+    let logs =
+        positional::<PathBuf>("LOG").help("The log of an entry, or of several together").some("name a log");
+    construct!(Command::Account { span, logs })
+}
+
 fn completions() -> impl Parser<Command> {
     positional::<String>("SHELL")
         .help("bash, fish or zsh")
--- a/agatetrestle_cli/src/options/tests.rs
+++ b/agatetrestle_cli/src/options/tests.rs
@@ -24,6 +24,7 @@
         "apply --expected-version 4 --change-id ticket-17 vrsta vrsta.yaml",
         "resolve vrsta/dawn-1 3 --not-run --note seen-in-the-rota",
         "replicas add 4 --group 0",
+        "account --span 5 entry-1.log entry-2.log",
         "completions zsh",
     ];
     let read = lines.map(|line| parse(&line.split(' ').collect::<Vec<_>>()).unwrap().command);
