Spread election timeouts over the whole timeout again

Ruled out: a gain of the narrow spread. It had come in with other changes and was not measured alone.

--- a/agatetrestle/src/agreement/replica/election.rs
+++ b/agatetrestle/src/agreement/replica/election.rs
@@ -13,10 +13,6 @@
 use crate::clock::micros;
 use crate::ids::NodeId;
 
-/// Parts of a hundred of the election timeout over which replicas spread. With 250 ms it is 100 ms: the first of three
-/// stands some 25 ms after it may, and the next some 25 ms later, which is five times the time that votes take.
-const SPREAD_PERCENT: u32 = 40;
-
 impl Replica {
     pub(super) fn tick(&mut self, now: Timestamp) {
         if self.is_leader() {
@@ -27,9 +23,9 @@
         }
     }
 
-    /// Waits for an election timeout and up to [`SPREAD_PERCENT`] of it more, so that replicas seldom stand together.
+    /// Waits for an election timeout and up to as much again, so that replicas seldom stand together.
     pub(super) fn reset_election_deadline(&mut self, now: Timestamp) {
-        let spread = micros(self.cfg.election_timeout * SPREAD_PERCENT / 100).max(1);
+        let spread = micros(self.cfg.election_timeout).max(1);
         let extra = self.next_random() % spread;
         self.election_deadline = Timestamp((now + self.cfg.election_timeout).0.saturating_add(extra));
     }
