Spread turns and budgets over several state groups

Cause: one leader carried every turn of 255 entries and one store's memory held every kept turn, while 31 of 36 stores held nothing.

Slots that move are not built.

Change: control founds as many groups as leave a spare store for each (one on 3 to 11 stores at a tolerance of 2, six on 36); a program's group is a hash of its name; a store holds one replica, a spare one takes the first message that counts it as a learner for an invitation; a chain that another group keeps is fetched from there, and 404 is said only once all groups said that they have none. The overview tells who leads and votes in which group.

--- a/agatetrestle/src/agreement/message.rs
+++ b/agatetrestle/src/agreement/message.rs
@@ -51,6 +51,14 @@
     pub body: Body,
 }
 
+impl Message {
+    /// Whether a leader counts the receiver as a learner, which a node without a replica takes for an invitation.
+    #[must_use]
+    pub fn invites(&self) -> bool {
+        matches!(self.body, Body::Append { learner: true, .. } | Body::Snapshot { learner: true, .. })
+    }
+}
+
 /// What a message says.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Body {
--- a/agatetrestle/src/agreement/storage/mod.rs
+++ b/agatetrestle/src/agreement/storage/mod.rs
@@ -14,6 +14,7 @@
 
 use std::fmt;
 use std::path::Path;
+use std::path::PathBuf;
 
 use crate::agreement::HardState;
 use crate::agreement::Snapshot;
@@ -63,6 +64,17 @@
     poisoned: bool,
 }
 
+/// Where the files of a group are.
+fn folder(data_folder: &Path, group: GroupId) -> PathBuf {
+    data_folder.join(format!("group-{}", group.0))
+}
+
+/// Whether there ever were files of a group, without making any.
+#[must_use]
+pub fn has_folder(data_folder: &Path, group: GroupId) -> bool {
+    folder(data_folder, group).is_dir()
+}
+
 impl Storage {
     /// Opens the files of `cfg.group` under the data folder, or creates them.
     ///
@@ -71,7 +83,7 @@
     /// Fails on I/O errors, if the folder is in use, and on corruption, which it names by file and
     /// offset. A torn write at the end of the log is no corruption and is cut off.
     pub fn open(data_folder: &Path, cfg: StorageConfig) -> Result<(Self, Restored), StorageError> {
-        let folder = data_folder.join(format!("group-{}", cfg.group.0));
+        let folder = folder(data_folder, cfg.group);
         let name = folder.to_string_lossy();
         let disk = FileDisk::open(&folder);
         let disk = disk.map_err(|source| StorageError::from_io(Operation::Open, &name, source))?;
--- a/agatetrestle/src/cluster/board.rs
+++ b/agatetrestle/src/cluster/board.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -28,6 +29,7 @@
 use crate::cluster::voters::Candidate;
 use crate::control::state::ControlState;
 use crate::dispatch::Instance;
+use crate::ids::GroupId;
 use crate::ids::NodeId;
 use crate::node::group::Group;
 use crate::node::group::Verdict;
@@ -186,6 +188,7 @@
         let leaving = self.group.machine(ControlState::configuration).leaving.clone();
         let candidate = |member: &Member| Candidate {
             node: member.node,
+            lot: member.node.0,
             zone: member.zone.clone(),
             leaving: leaving.contains_key(&member.vm),
         };
@@ -193,7 +196,7 @@
         listed.members().iter().filter(|member| member.role == role).map(candidate).collect()
     }
 
-    /// How far the emptying of a store's VM is; `least` is the number of stores that must stay.
+    /// How far the emptying of a store's VM is; `least` is the number of stores that each state group needs.
     #[must_use]
     pub fn emptying(&self, vm: &str, least: usize) -> Emptying {
         let leaving = self.group.machine(ControlState::configuration).leaving.clone();
@@ -203,21 +206,29 @@
         let Some(store) = stores.iter().find(|member| &*member.vm == vm) else {
             return if asked { Emptying::Done } else { Emptying::Unknown };
         };
+        let groups = self.group.machine(|state| state.founding().len());
         if !asked {
             let staying = stores.iter().filter(|other| !leaving.contains_key(&other.vm)).count();
-            return if staying <= least { Emptying::TooFew } else { Emptying::NotAsked };
+            return if staying <= least * groups.max(1) { Emptying::TooFew } else { Emptying::NotAsked };
         }
+        let voters = self.state_groups();
+        let sound = |voters: &BTreeSet<NodeId>| !voters.contains(&store.node) && voters.len() >= least;
+        if voters.len() == groups && voters.values().all(sound) { Emptying::Done } else { Emptying::Running }
+    }
+
+    /// The voters of each state group whose leader is heard from.
+    fn state_groups(&self) -> BTreeMap<GroupId, BTreeSet<NodeId>> {
         let seen = self.seen.borrow();
-        let voters = seen.values().find_map(|seen| seen.told.voters.as_ref());
-        let sound = voters.is_some_and(|voters| !voters.contains(&store.node) && voters.len() >= least);
-        if sound { Emptying::Done } else { Emptying::Running }
+        let told = |seen: &Seen| Some((seen.told.member.group?, seen.told.voters.clone()?));
+        seen.values().filter_map(told).collect()
     }
 
     /// What an operator is told.
     #[must_use]
     pub fn overview(&self) -> Overview {
         let seen = self.seen.borrow();
-        let voters = seen.values().find_map(|seen| seen.told.voters.clone());
+        let led = |seen: &Seen| seen.told.voters.is_some().then_some(seen.told.member.node);
+        let state_leaders = seen.values().filter_map(led).collect();
         let held = |(node, seen): (&NodeId, &Seen)| Some((*node, seen.told.holdings?));
         let (version, leaving) = self.group.machine(|state| {
             let leaving = state.configuration().leaving.keys().cloned().collect();
@@ -228,7 +239,8 @@
             term: self.group.term(),
             version,
             control: self.group.replicas().voters,
-            stores: voters.unwrap_or_default(),
+            groups: self.state_groups(),
+            state_leaders,
             members: self.members(),
             leaving,
             holdings: seen.iter().filter_map(held).collect(),
@@ -296,7 +308,10 @@
         self.group.machine(|state| {
             bulletin.revision = state.configuration().revision;
             bulletin.routes = state.routes().filter(|d| d.revision > report.known.revision).cloned();
-            bulletin.founding.clone_from(state.founding());
+            bulletin.groups = state.founding().len();
+            if report.told.member.role == Role::Store && !report.told.member.ready {
+                bulletin.founding = state.founding().to_vec();
+            }
             bulletin.leaving = state.configuration().leaving.keys().cloned().collect();
         });
         if self.instances_count.get() > 0 && editions.backends != report.known.backends {
--- a/agatetrestle/src/cluster/message.rs
+++ b/agatetrestle/src/cluster/message.rs
@@ -12,6 +12,7 @@
 use crate::control::command::ControlCommand;
 use crate::control::command::Document;
 use crate::dispatch::Instance;
+use crate::ids::GroupId;
 use crate::ids::NodeId;
 
 /// A process as others know it.
@@ -31,6 +32,8 @@
     pub callers: Option<SocketAddrV4>,
     /// Whether callers may be sent to it.
     pub ready: bool,
+    /// The state group of which a store holds a replica; none for a spare one, which any group may take in.
+    pub group: Option<GroupId>,
 }
 
 /// How far a process has been told; each part is told again in full once it differs.
@@ -71,7 +74,7 @@
 pub struct Introduction {
     /// The process.
     pub member: Member,
-    /// Who takes part in the first state group, from its leader.
+    /// Who takes part in the state group of a store, from its leader.
     pub voters: Option<BTreeSet<NodeId>>,
     /// What a store holds.
     pub holdings: Option<Holdings>,
@@ -111,8 +114,10 @@
     pub backends: Option<(Edition, Vec<Instance>)>,
     /// The members that the process has to do with, if it knows another edition.
     pub members: Option<(Edition, Vec<Member>)>,
-    /// The first voters of the first state group.
-    pub founding: BTreeSet<NodeId>,
+    /// Number of state groups; 0 before they were founded.
+    pub groups: usize,
+    /// The first voters of each state group, for a store that is not opened yet.
+    pub founding: Vec<BTreeSet<NodeId>>,
     /// VMs that are to be emptied.
     pub leaving: BTreeSet<Arc<str>>,
 }
--- a/agatetrestle/src/cluster/overview.rs
+++ b/agatetrestle/src/cluster/overview.rs
@@ -12,6 +12,7 @@
 use crate::cluster::message::Holdings;
 use crate::cluster::message::Member;
 use crate::dispatch::Instance;
+use crate::ids::GroupId;
 use crate::ids::NodeId;
 
 /// What the control leader knows, confirmed with a quorum.
@@ -25,8 +26,10 @@
     pub version: Option<u64>,
     /// Voters of the control group.
     pub control: BTreeSet<NodeId>,
-    /// Voters of the state group, as its leader last told.
-    pub stores: BTreeSet<NodeId>,
+    /// Voters of each state group, as its leader last told.
+    pub groups: BTreeMap<GroupId, BTreeSet<NodeId>>,
+    /// The leaders of the state groups.
+    pub state_leaders: BTreeSet<NodeId>,
     /// Processes that were heard from lately.
     pub members: Vec<Member>,
     /// VMs that are to be emptied.
@@ -38,16 +41,23 @@
 }
 
 impl Overview {
-    fn part(&self, member: &Member) -> &'static str {
-        let votes = self.control.contains(&member.node) || self.stores.contains(&member.node);
-        match member.role {
+    fn part(&self, member: &Member) -> String {
+        let part = match member.role {
             Role::Entry if member.ready => "takes requests",
             Role::Entry => "not ready",
-            _ if member.node == self.leader => "leads",
-            _ if votes => "votes",
+            _ if member.node == self.leader || self.state_leaders.contains(&member.node) => "leads",
+            _ if self.votes(member.node) => "votes",
             _ => "spare",
+        };
+        match member.group {
+            Some(group) => format!("{part} in group {}", group.0),
+            None => part.to_owned(),
         }
     }
+
+    fn votes(&self, node: NodeId) -> bool {
+        self.control.contains(&node) || self.groups.values().any(|voters| voters.contains(&node))
+    }
 }
 
 /// A page for people: a line for each process, then one for each service.
@@ -59,7 +69,7 @@
         members.sort_by(|a, b| (a.role as u8, &a.vm).cmp(&(b.role as u8, &b.vm)));
         for member in members {
             let role = format!("{:?}", member.role).to_lowercase();
-            let mut state = vec![self.part(member).to_owned()];
+            let mut state = vec![self.part(member)];
             if let Some(held) = self.holdings.get(&member.node) {
                 let Holdings { turns, bytes, room, programs } = held;
                 state.push(format!("{turns} turns, {bytes} of {room} bytes, {programs} budgets"));
--- a/agatetrestle/src/cluster/tests.rs
+++ b/agatetrestle/src/cluster/tests.rs
@@ -19,6 +19,7 @@
 use crate::cluster::voters::lost;
 use crate::cluster::voters::next_change;
 use crate::dispatch::Instance;
+use crate::ids::FIRST_STATE_GROUP;
 use crate::ids::NodeId;
 
 const THREE: Wanted = Wanted { most: 3, least: 3 };
@@ -29,8 +30,12 @@
 }
 
 fn candidates(nodes: &[(u64, &str)]) -> Vec<Candidate> {
-    let candidate =
-        |(node, zone): &(u64, &str)| Candidate { node: NodeId(*node), zone: (*zone).into(), leaving: false };
+    let candidate = |(node, zone): &(u64, &str)| Candidate {
+        node: NodeId(*node),
+        lot: *node,
+        zone: (*zone).into(),
+        leaving: false,
+    };
     nodes.iter().map(candidate).collect()
 }
 
@@ -79,7 +84,7 @@
 fn member(node: u64, role: Role) -> Member {
     let address = SocketAddrV4::new([10, 0, 0, 1].into(), 7_240);
     let (vm, zone) = (node.to_string().into(), "a".into());
-    Member { node: NodeId(node), role, vm, zone, peer: address, callers: None, ready: true }
+    Member { node: NodeId(node), role, vm, zone, peer: address, callers: None, ready: true, group: None }
 }
 
 #[test]
@@ -138,7 +143,7 @@
 
 #[test]
 fn an_overview_names_every_process_and_service() {
-    let store = Member { vm: "store-1".into(), ..member(2, Role::Store) };
+    let store = Member { vm: "store-1".into(), group: Some(FIRST_STATE_GROUP), ..member(2, Role::Store) };
     let spare = Member { vm: "store-2".into(), ..member(3, Role::Store) };
     let entry = Member { vm: "entry-1".into(), ready: false, ..member(4, Role::Entry) };
     let backend = |id: &str, leaving| Instance {
@@ -155,7 +160,8 @@
         term: 7,
         version: Some(12),
         control: [NodeId(1)].into(),
-        stores: [NodeId(2)].into(),
+        groups: [(FIRST_STATE_GROUP, [NodeId(2)].into())].into(),
+        state_leaders: [NodeId(2)].into(),
         members: vec![entry, store, spare, member(1, Role::Control)],
         leaving: ["store-1".into()].into(),
         holdings: [(NodeId(2), Holdings { turns: 3, bytes: 900, room: 9_000, programs: 2 })].into(),
--- a/agatetrestle/src/cluster/view.rs
+++ b/agatetrestle/src/cluster/view.rs
@@ -42,7 +42,8 @@
     control: RefCell<BTreeMap<NodeId, SocketAddrV4>>,
     members: RefCell<Vec<Member>>,
     instances: RefCell<Rc<Vec<Instance>>>,
-    founding: RefCell<BTreeSet<NodeId>>,
+    groups: Cell<usize>,
+    founding: RefCell<Vec<BTreeSet<NodeId>>>,
     leaving: RefCell<BTreeSet<Arc<str>>>,
     confirmed_at: Cell<Option<Timestamp>>,
     watcher: RefCell<Rc<dyn Watcher>>,
@@ -56,6 +57,7 @@
             control: RefCell::default(),
             members: RefCell::default(),
             instances: RefCell::default(),
+            groups: Cell::default(),
             founding: RefCell::default(),
             leaving: RefCell::default(),
             confirmed_at: Cell::default(),
@@ -79,6 +81,7 @@
         }
         self.leader.set(bulletin.leader);
         self.confirmed_at.set(Some(asked));
+        self.groups.set(bulletin.groups);
         self.founding.replace(bulletin.founding);
         self.leaving.replace(bulletin.leaving);
         let mut known = self.known.get();
@@ -142,9 +145,15 @@
         self.instances.borrow().clone()
     }
 
-    /// The first voters of the first state group; none before they were agreed on.
+    /// Number of state groups; 0 before the process was told of any.
     #[must_use]
-    pub fn founding(&self) -> BTreeSet<NodeId> {
+    pub fn groups(&self) -> usize {
+        self.groups.get()
+    }
+
+    /// The first voters of each state group, told to stores that are not opened yet.
+    #[must_use]
+    pub fn founding(&self) -> Vec<BTreeSet<NodeId>> {
         self.founding.borrow().clone()
     }
 
--- a/agatetrestle/src/cluster/voters.rs
+++ b/agatetrestle/src/cluster/voters.rs
@@ -16,6 +16,9 @@
 pub struct Candidate {
     /// The node.
     pub node: NodeId,
+    /// Decides between candidates that are equally fit. Groups that draw from the same spare nodes draw different lots, so that
+    /// they seldom want the same one.
+    pub lot: u64,
     /// Its failure domain.
     pub zone: Arc<str>,
     /// Whether it is to be emptied.
@@ -82,5 +85,5 @@
     let in_zone =
         |zone: &str| sound.iter().filter(|voter| fit.get(voter).is_some_and(|c| &*c.zone == zone)).count();
     let outside = fit.values().filter(|candidate| !replicas.voters.contains(&candidate.node));
-    outside.min_by_key(|candidate| (in_zone(&candidate.zone), candidate.node)).map(|candidate| candidate.node)
+    outside.min_by_key(|candidate| (in_zone(&candidate.zone), candidate.lot)).map(|candidate| candidate.node)
 }
--- a/agatetrestle/src/control/command.rs
+++ b/agatetrestle/src/control/command.rs
@@ -37,11 +37,12 @@
         /// The checked table as the operators sent it.
         text: Arc<str>,
     },
-    /// Say who holds the first replicas of the first state group. The first such command stands for good, since
-    /// a second group of other replicas would not know what the first accepted.
+    /// Say how many state groups there are and who holds the first replicas of each. The first such command stands for
+    /// good: another number of groups would look for programs where they are not, and other replicas would not know what
+    /// the first accepted.
     Found {
-        /// The first voters.
-        voters: BTreeSet<NodeId>,
+        /// The first voters of each group, in the order of the groups' numbers.
+        groups: Vec<BTreeSet<NodeId>>,
     },
     /// Claim the right to give orders to engines; the reply holds a fencing number.
     Fence {
@@ -74,10 +75,10 @@
         /// The version in force.
         version: u64,
     },
-    /// The first voters of the first state group.
+    /// The first voters of each state group.
     Founded {
         /// Those of the first such command.
-        voters: BTreeSet<NodeId>,
+        groups: Vec<BTreeSet<NodeId>>,
     },
     /// The leaving mark was taken.
     Leaving {
--- a/agatetrestle/src/control/state.rs
+++ b/agatetrestle/src/control/state.rs
@@ -48,13 +48,13 @@
     results: BTreeMap<Arc<str>, VecDeque<FirstResult>>,
     fence: Fence,
     #[serde(default)]
-    founding: BTreeSet<NodeId>,
+    founding: Vec<BTreeSet<NodeId>>,
 }
 
 impl ControlState {
-    /// The first voters of the first state group; none before they were agreed on.
+    /// The first voters of each state group; no group before they were agreed on.
     #[must_use]
-    pub fn founding(&self) -> &BTreeSet<NodeId> {
+    pub fn founding(&self) -> &[BTreeSet<NodeId>] {
         &self.founding
     }
 
@@ -78,7 +78,7 @@
             }
             ControlCommand::Leave { name, incarnation } => self.mark_leaving(name, incarnation),
             ControlCommand::Publish { version, text } => self.publish(version, text),
-            ControlCommand::Found { voters } => self.found(voters),
+            ControlCommand::Found { groups } => self.found(groups),
             ControlCommand::Fence { node, term } => self.issue_fence(node, term),
         }
     }
@@ -127,11 +127,11 @@
         ControlReply::Published { version }
     }
 
-    fn found(&mut self, voters: BTreeSet<NodeId>) -> ControlReply {
+    fn found(&mut self, groups: Vec<BTreeSet<NodeId>>) -> ControlReply {
         if self.founding.is_empty() {
-            self.founding = voters;
+            self.founding = groups;
         }
-        ControlReply::Founded { voters: self.founding.clone() }
+        ControlReply::Founded { groups: self.founding.clone() }
     }
 
     fn mark_leaving(&mut self, name: Arc<str>, incarnation: u64) -> ControlReply {
--- a/agatetrestle/src/control/tests.rs
+++ b/agatetrestle/src/control/tests.rs
@@ -144,8 +144,8 @@
 #[test]
 fn the_first_voters_of_the_state_group_are_named_once() {
     let mut state = ControlState::default();
-    let found = |nodes: [u64; 3]| ControlCommand::Found { voters: nodes.map(NodeId).into() };
+    let found = |nodes: [u64; 3]| ControlCommand::Found { groups: vec![nodes.map(NodeId).into()] };
     state.execute(found([1, 2, 3]));
     let again = state.execute(found([4, 5, 6]));
-    assert_eq!(again, ControlReply::Founded { voters: [1, 2, 3].map(NodeId).into() });
+    assert_eq!(again, ControlReply::Founded { groups: vec![[1, 2, 3].map(NodeId).into()] });
 }
--- a/agatetrestle/src/deployment/control.rs
+++ b/agatetrestle/src/deployment/control.rs
@@ -1,5 +1,6 @@
 //! A control replica: what is in force, who is there, and which backend servers the platform lists.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,6 +30,7 @@
 use crate::deployment::serve_http;
 use crate::deployment::timing;
 use crate::ids::CONTROL_GROUP;
+use crate::ids::MOST_STATE_GROUPS;
 use crate::ids::NodeId;
 use crate::node::NodeError;
 use crate::node::group::Group;
@@ -42,9 +44,11 @@
 const REFRESH: Duration = Duration::from_millis(200);
 /// How often it looks whether somebody leads while nobody does.
 const ELECTION_LOOK: Duration = Duration::from_millis(10);
-/// Time for which enough stores must be there before the state group is founded, so that those that start at the
-/// same time all take part.
+/// Time for which the same number of stores must be there before the state groups are founded, so that those that start
+/// at the same time all take part.
 const SETTLE: Duration = Duration::from_secs(1);
+/// Stores for each state group beyond its voters, so that a lost voter finds a successor that belongs to no other group.
+const SPARE_STORES: usize = 1;
 /// Log bytes after which a snapshot is taken. The state is one table of routes.
 const SNAPSHOT_AFTER: usize = 4 << 20;
 /// Connections of operators, and of callers that ask for addresses.
@@ -127,36 +131,44 @@
     frame.executor.spawn(refreshing).detach();
 }
 
-/// Names the first voters of the state group once enough stores have been there for a while.
+/// Names the first voters of the state groups once enough stores have been there for a while.
 async fn found(group: Rc<Group<ControlState>>, board: Rc<Board>, router: Rc<Router>, wanted: usize) {
-    let mut enough_for = Duration::ZERO;
+    let mut settled_for = Duration::ZERO;
+    let mut known = 0;
     loop {
         Timer::after(REFRESH).await;
         if !group.machine(|state| state.founding().is_empty()) {
             return;
         }
         let stores = board.candidates(Role::Store);
-        if !group.leads() || stores.len() < wanted {
-            enough_for = Duration::ZERO;
+        let same = std::mem::replace(&mut known, stores.len()) == stores.len();
+        if !group.leads() || stores.len() < wanted || !same {
+            settled_for = Duration::ZERO;
             continue;
         }
-        enough_for += REFRESH;
-        if enough_for < SETTLE {
+        settled_for += REFRESH;
+        if settled_for < SETTLE {
             continue;
         }
-        let voters = spread(stores, wanted);
-        info!("The state group is founded by {voters:?}.");
-        let request = ControlRequest::Command(ControlCommand::Found { voters: voters.into_iter().collect() });
+        let groups = founders(stores, wanted);
+        info!("The state groups are founded by {groups:?}.");
+        let request = ControlRequest::Command(ControlCommand::Found { groups });
         if let Err(failure) = router.submit(encode(&request)).await {
-            warn!("The state group could not be founded yet: {failure}.");
+            warn!("The state groups could not be founded yet: {failure}.");
         }
     }
 }
 
-/// As many stores as are wanted, from as many failure domains as possible.
-fn spread(stores: Vec<Candidate>, wanted: usize) -> Vec<NodeId> {
+/// The first voters of as many groups as the stores can carry with some to spare. Each group has one leader, which bounds
+/// how many turns it takes, and a store takes part in one group, whose turns may fill its memory.
+pub(super) fn founders(mut stores: Vec<Candidate>, wanted: usize) -> Vec<BTreeSet<NodeId>> {
+    let count = (stores.len() / (wanted + SPARE_STORES)).clamp(1, MOST_STATE_GROUPS);
+    (0..count).map(|_| spread(&mut stores, wanted)).collect()
+}
+
+/// Takes out as many stores as are wanted, from as many failure domains as possible.
+fn spread(left: &mut Vec<Candidate>, wanted: usize) -> BTreeSet<NodeId> {
     let mut chosen: Vec<Candidate> = Vec::new();
-    let mut left = stores;
     while chosen.len() < wanted && !left.is_empty() {
         let used = |zone: &str| chosen.iter().filter(|store| &*store.zone == zone).count();
         let next = (0..left.len()).min_by_key(|at| (used(&left[*at].zone), left[*at].node)).unwrap_or(0);
--- a/agatetrestle/src/deployment/entry.rs
+++ b/agatetrestle/src/deployment/entry.rs
@@ -1,5 +1,6 @@
 //! An entry: everything it knows is soft, so that it can be lost at any time.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use crate::clock::Clock;
 use crate::cluster::message::Member;
 use crate::cluster::subscriber::Subscriber;
+use crate::cluster::view::View;
 use crate::cluster::view::Watcher;
 use crate::control::command::Document;
 use crate::deployment::Frame;
@@ -21,15 +23,16 @@
 use crate::deployment::RunningRole;
 use crate::deployment::directory::MAX_AGE;
 use crate::deployment::serve_http;
+use crate::deployment::turns::RouteParts;
+use crate::deployment::turns::TurnPort;
 use crate::deployment::turns::TurnRoute;
 use crate::dispatch::Dispatch;
 use crate::dispatch::Instance;
 use crate::gateway::Gateway;
 use crate::gateway::GatewayParts;
-use crate::ids::FIRST_STATE_GROUP;
+use crate::ids::GroupId;
 use crate::ids::NodeId;
 use crate::node::peer_server::PeerServer;
-use crate::node::router::Router;
 use crate::transport::body::AnswerBody;
 use crate::transport::server::Bounds;
 use crate::transport::server::Handler;
@@ -57,7 +60,8 @@
 /// Passes on what the view learns.
 struct EntryWatcher {
     gateway: Rc<Gateway>,
-    stores: Rc<Router>,
+    turns: Rc<TurnRoute>,
+    view: Rc<View>,
 }
 
 impl Watcher for EntryWatcher {
@@ -70,24 +74,26 @@
     }
 
     fn members(&self, members: &[Member]) {
-        let stores = members.iter().filter(|member| member.role == Role::Store);
-        let stores: Vec<NodeId> = stores.map(|member| member.node).collect();
-        info!("{} stores are there: {stores:?}.", stores.len());
-        // A list without stores is of a control leader that has not heard from them yet.
-        if !stores.is_empty() {
-            self.stores.set_holders(&stores);
+        let mut holders: BTreeMap<GroupId, Vec<NodeId>> = BTreeMap::new();
+        for store in members.iter().filter(|member| member.role == Role::Store) {
+            if let Some(group) = store.group {
+                holders.entry(group).or_default().push(store.node);
+            }
         }
+        info!("Of {} state groups these stores hold replicas: {holders:?}.", self.view.groups());
+        self.turns.set_holders(self.view.groups(), &holders);
     }
 }
 
 pub(super) fn start(frame: &Frame) -> Entry {
     let links = frame.links.clone();
-    let stores = Rc::new(Router::new(FIRST_STATE_GROUP, frame.node, None, links, &[], frame.clock, PATIENCE));
+    let turns =
+        TurnRoute::new(RouteParts { node: frame.node, links, clock: frame.clock, patience: PATIENCE });
     let sockets = frame.settings.limits.descriptors.saturating_sub(OWN_DESCRIPTORS);
     let bounds = Bounds::new(usize::try_from(sockets).unwrap_or(usize::MAX).max(CHECKS));
     let gateway = Gateway::new(GatewayParts {
         wire: frame.wire.clone(),
-        turns: Rc::new(TurnRoute(stores.clone())),
+        turns: Rc::new(TurnPort(turns.clone())),
         dispatch: Dispatch::new(frame.settings.process.failure_domain.clone(), frame.node.0)
             .with_rules(frame.settings.decisions),
         seed: frame.node.0,
@@ -98,7 +104,7 @@
         executor: frame.executor.clone(),
     });
     frame.executor.spawn(gateway.clone().run()).detach();
-    frame.view.watch(Rc::new(EntryWatcher { gateway: gateway.clone(), stores }));
+    frame.view.watch(Rc::new(EntryWatcher { gateway: gateway.clone(), turns, view: frame.view.clone() }));
     frame.serve_peers(PeerServer::default());
     let (introduced, member) = (gateway.clone(), frame.member());
     let introduce = Rc::new(move || Member { ready: introduced.ready(), ..member.clone() }.into());
--- a/agatetrestle/src/deployment/mod.rs
+++ b/agatetrestle/src/deployment/mod.rs
@@ -199,6 +199,7 @@
             peer: SocketAddrV4::new(process.ip, process.peer_port),
             callers: self.settings.listen.callers,
             ready: false,
+            group: None,
         }
     }
 
--- a/agatetrestle/src/deployment/store.rs
+++ b/agatetrestle/src/deployment/store.rs
@@ -1,23 +1,33 @@
-//! A store: a replica of the state group that holds turns and budgets.
+//! A store: a replica of a state group that holds turns and budgets.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
 use agatetrestle_config::deployment::Role;
+use futures::future::LocalBoxFuture;
 use log::info;
 use log::warn;
 use smol::Timer;
+use smol::channel::Receiver;
 use smol::channel::Sender;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::agreement::message::Message;
+use crate::agreement::storage::has_folder;
+use crate::clock::Clock;
 use crate::cluster::contacts;
 use crate::cluster::keeper;
 use crate::cluster::message::Introduction;
 use crate::cluster::message::Member;
 use crate::cluster::service::TurnDesk;
+use crate::cluster::subscriber::Subscriber;
+use crate::cluster::view::View;
 use crate::cluster::view::Watcher;
 use crate::cluster::voters::Candidate;
 use crate::cluster::voters::Wanted;
@@ -25,11 +35,17 @@
 use crate::deployment::replicated::Replicated;
 use crate::deployment::timing;
 use crate::ids::FIRST_STATE_GROUP;
+use crate::ids::GroupId;
 use crate::ids::NodeId;
+use crate::ids::state_groups;
 use crate::node::NodeError;
 use crate::node::group::Group;
 use crate::node::peer_server::PeerServer;
+use crate::node::replicas::Found;
 use crate::node::replicas::Missing;
+use crate::node::replicas::Opener;
+use crate::node::service::GroupService;
+use crate::node::service::Submission;
 use crate::turns::state::TurnState;
 
 /// Tenths of the memory that kept turns may take. While a snapshot is made or read the turns are there twice, and at a
@@ -42,41 +58,119 @@
 const FOUNDING_POLL: Duration = Duration::from_millis(50);
 
 pub(super) async fn start(frame: &Frame) -> Result<Replicated<TurnState>, NodeError> {
-    let group: Rc<RefCell<Option<Rc<Group<TurnState>>>>> = Rc::default();
-    let (introduced, member) = (group.clone(), frame.member());
-    let introduce = Rc::new(move || {
-        let group = introduced.borrow();
-        let member = Member { ready: group.is_some(), ..member.clone() };
-        let leading = group.as_ref().filter(|group| group.leads());
-        let voters = leading.map(|group| group.replicas().voters);
-        let holdings = group.as_ref().map(|group| group.machine(TurnState::holdings));
-        Introduction { member, voters, holdings }
-    });
+    let held = Rc::new(Held::default());
+    let (introduced, member) = (held.clone(), frame.member());
+    let introduce = Rc::new(move || introduced.introduce(&member));
     remember_stores(frame);
     let subscriber = frame.subscriber(introduce, None);
-    let opened = open(frame).await?;
-    group.replace(Some(opened.clone()));
+    let (inviting, invitations) = smol::channel::bounded(1);
+    frame.serve_peers(server(frame, &held, &inviting));
+    let (id, opened) = open(frame, &held, &subscriber, &invitations).await?;
+    held.replica.replace(Some(opened.clone()));
     subscriber.renew();
-    let mut server = PeerServer::default();
-    let receiving = opened.clone();
-    server.receivers.insert(FIRST_STATE_GROUP, Rc::new(move |message| receiving.receive(message)));
-    server.services.insert(FIRST_STATE_GROUP, Rc::new(TurnDesk::new(opened.clone(), frame.clock)));
-    frame.serve_peers(server);
     let view = frame.view.clone();
-    let candidates = Rc::new(move || {
-        let stores = view.stores().into_iter().filter(|store| store.ready);
-        let candidate = |store: Member| Candidate {
-            node: store.node,
-            leaving: view.is_leaving(&store.vm),
-            zone: store.zone,
-        };
-        stores.map(candidate).collect()
-    });
+    let candidates = Rc::new(move || candidates(id, &view));
     let wanted = Wanted { most: frame.quorum_base(), least: frame.quorum_base() };
     frame.executor.spawn(keeper::keep(opened.clone(), candidates, wanted)).detach();
     Ok(Replicated { group: opened, subscriber })
 }
 
+/// The replica of this store, which holds one at the most: the turns of one group may fill its memory.
+#[derive(Default)]
+struct Held {
+    /// The group of the replica, from when that is decided on.
+    group: Cell<Option<GroupId>>,
+    /// Whether the store knows that it founds no group, so that any may take it in.
+    spare: Cell<bool>,
+    replica: RefCell<Option<Rc<Group<TurnState>>>>,
+}
+
+impl Held {
+    fn introduce(&self, member: &Member) -> Introduction {
+        let replica = self.replica.borrow();
+        let ready = replica.is_some() || self.spare.get();
+        let member = Member { ready, group: self.group.get(), ..member.clone() };
+        let leading = replica.as_ref().filter(|replica| replica.leads());
+        let voters = leading.map(|replica| replica.replicas().voters);
+        let holdings = replica.as_ref().map(|replica| replica.machine(TurnState::holdings));
+        Introduction { member, voters, holdings }
+    }
+
+    fn replica_of(&self, group: GroupId) -> Option<Rc<Group<TurnState>>> {
+        let replica = self.replica.borrow();
+        replica.as_ref().filter(|_| self.group.get() == Some(group)).cloned()
+    }
+}
+
+/// What other nodes reach here, for whichever group this store comes to hold. A message that counts this store as a learner
+/// of a group is an invitation; the leader sends it again until it is answered.
+fn server(frame: &Frame, held: &Rc<Held>, inviting: &Sender<GroupId>) -> PeerServer {
+    let mut server = PeerServer::default();
+    let own = frame.node;
+    for id in state_groups() {
+        let (receiving, inviting) = (held.clone(), inviting.clone());
+        let receive = move |message: Message| {
+            if let Some(replica) = receiving.replica_of(id) {
+                return replica.receive(message);
+            }
+            if message.to == own && message.invites() {
+                // A full channel means that another group has invited.
+                let _ = inviting.try_send(id);
+            }
+            Vec::new()
+        };
+        server.receivers.insert(id, Rc::new(receive));
+        let desk = StoreDesk { id, held: held.clone(), clock: frame.clock, opened: RefCell::default() };
+        server.services.insert(id, Rc::new(desk));
+    }
+    server
+}
+
+/// What this store offers of one group, once it holds a replica of it.
+struct StoreDesk {
+    id: GroupId,
+    held: Rc<Held>,
+    clock: Clock,
+    opened: RefCell<Option<Rc<TurnDesk>>>,
+}
+
+impl StoreDesk {
+    fn desk(&self) -> Option<Rc<TurnDesk>> {
+        let replica = self.held.replica_of(self.id)?;
+        let mut opened = self.opened.borrow_mut();
+        Some(opened.get_or_insert_with(|| Rc::new(TurnDesk::new(replica, self.clock))).clone())
+    }
+}
+
+impl GroupService for StoreDesk {
+    fn submit(&self, request: Vec<u8>) -> LocalBoxFuture<'_, Submission> {
+        let Some(desk) = self.desk() else {
+            return Box::pin(async { Submission::NotLeader(None) });
+        };
+        Box::pin(async move { desk.submit(request).await })
+    }
+
+    fn history(&self, offset: u64) -> Vec<u8> {
+        self.desk().map_or_else(Vec::new, |desk| desk.history(offset))
+    }
+}
+
+/// The stores that may take part in a group: those that hold a replica of it and spare ones.
+fn candidates(group: GroupId, view: &View) -> Vec<Candidate> {
+    let fit = |store: &Member| store.ready && store.group.is_none_or(|held| held == group);
+    let candidate = |store: Member| Candidate {
+        node: store.node,
+        lot: lot(group, store.node),
+        leaving: view.is_leaving(&store.vm),
+        zone: store.zone,
+    };
+    view.stores().into_iter().filter(fit).map(candidate).collect()
+}
+
+fn lot(group: GroupId, node: NodeId) -> u64 {
+    xxh3_64_with_seed(&node.0.to_le_bytes(), group.0.into())
+}
+
 /// Finds the other stores where they last were, and keeps where they are from now on.
 fn remember_stores(frame: &Frame) {
     let Some(folder) = &frame.settings.data_folder else {
@@ -124,28 +218,64 @@
     }
 }
 
-/// Opens the replica from its files. A new store waits until it knows whether it is one of the founders.
-async fn open(frame: &Frame) -> Result<Rc<Group<TurnState>>, NodeError> {
+/// Opens the replica from its files. A new store waits until it knows whether it is one of the founders, and if it is none
+/// until a group invites it.
+async fn open(
+    frame: &Frame,
+    held: &Held,
+    subscriber: &Subscriber,
+    invitations: &Receiver<GroupId>,
+) -> Result<(GroupId, Rc<Group<TurnState>>), NodeError> {
     debug_assert_eq!(frame.settings.process.role, Role::Store, "only a store holds turns");
     let room = frame.memory() / 10 * ROOM_TENTHS;
     let (storage, timing) = (frame.storage(room / LOG_SHARE), timing());
     let opener = frame.opener(&storage, &timing);
-    let mut missing = Missing::Join;
-    let mut founders: Vec<NodeId> = Vec::new();
-    let found = opener.find(FIRST_STATE_GROUP).await?;
-    if found.is_empty() {
-        while frame.view.founding().is_empty() {
-            Timer::after(FOUNDING_POLL).await;
+    let mut founders = None;
+    let found = if let Some(found) = held_before(frame, &opener).await? {
+        found
+    } else if let Some((id, voters)) = founded(frame).await {
+        founders = Some(voters);
+        opener.find(id).await?
+    } else {
+        held.spare.set(true);
+        subscriber.renew();
+        info!("The store is spare until a state group takes it in.");
+        // The sending side lasts as long as the process.
+        opener.find(invitations.recv().await.unwrap_or(FIRST_STATE_GROUP)).await?
+    };
+    let id = found.group();
+    held.group.set(Some(id));
+    // The number lasts before the first file of the replica does and is new with each empty disk. So a founder with its number
+    // but without files never acknowledged anything.
+    let missing = if founders.is_some() { Missing::Bootstrap } else { Missing::Join };
+    let founders: Vec<NodeId> = founders.into_iter().flatten().collect();
+    info!("State group {} is opened by {missing:?}; its founders are {founders:?}.", id.0);
+    let replica = opener.open_found(found, TurnState::with_room(room), &founders, missing).await?;
+    replica.driver.detach();
+    Ok((id, replica.group))
+}
+
+/// The files of the group of which this store held a replica before its start.
+async fn held_before(frame: &Frame, opener: &Opener<'_>) -> Result<Option<Found>, NodeError> {
+    let Some(folder) = &frame.settings.data_folder else {
+        return Ok(None);
+    };
+    for id in state_groups().filter(|id| has_folder(folder, *id)) {
+        let found = opener.find(id).await?;
+        if !found.is_empty() {
+            return Ok(Some(found));
         }
-        founders = frame.view.founding().into_iter().collect();
-        // The number lasts before the first file of the replica does and is new with each empty disk. So a founder with
-        // its number but without files never acknowledged anything.
-        if founders.contains(&frame.node) {
-            missing = Missing::Bootstrap;
+    }
+    Ok(None)
+}
+
+/// The group that this store founds with others, once control has told the founders.
+async fn founded(frame: &Frame) -> Option<(GroupId, BTreeSet<NodeId>)> {
+    loop {
+        let founding = frame.view.founding();
+        if !founding.is_empty() {
+            return state_groups().zip(founding).find(|(_, voters)| voters.contains(&frame.node));
         }
-        info!("The state group is opened by {missing:?}; its founders are {founders:?}.");
+        Timer::after(FOUNDING_POLL).await;
     }
-    let replica = opener.open_found(found, TurnState::with_room(room), &founders, missing).await?;
-    replica.driver.detach();
-    Ok(replica.group)
 }
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -426,6 +426,7 @@
         budget: job.call.budget,
         most: job.call.most_tokens.unwrap_or(0),
         previous: job.call.previous.clone().filter(|_| job.route.retention.is_some()),
+        carried: Vec::new(),
     };
     let (turn, reply) = OpenTurn::begin(gateway, reservation).await;
     match reply {
--- a/agatetrestle/src/node/replicas.rs
+++ b/agatetrestle/src/node/replicas.rs
@@ -98,6 +98,12 @@
 }
 
 impl Found {
+    /// The group.
+    #[must_use]
+    pub fn group(&self) -> GroupId {
+        self.group
+    }
+
     /// Whether there are no files, so that the replica can be opened only as a new one.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/agatetrestle/src/turns/command.rs
+++ b/agatetrestle/src/turns/command.rs
@@ -20,6 +20,9 @@
     Begin(Begin),
     /// Settle a turn that ended, whole or not. Handing it over again changes nothing.
     Finish(Finish),
+    /// Tell a turn and everything that it goes on from, for a program of another group. It changes nothing; as a command it
+    /// is answered only by a group that knows all that was acknowledged.
+    Chain(TurnName),
 }
 
 /// Bytes in front of a coded command: milliseconds that passed on the leader since the command before, then the
@@ -50,6 +53,16 @@
         buf
     }
 
+    /// The program that it is about; none for a question about a turn of any.
+    #[must_use]
+    pub fn program(&self) -> &str {
+        match self {
+            Self::Begin(begin) => &begin.program,
+            Self::Finish(finish) => &finish.program,
+            Self::Chain(_) => "",
+        }
+    }
+
     fn text(&self) -> &[u8] {
         match self {
             Self::Finish(Finish { kept: Some(kept), .. }) => &kept.text,
@@ -99,6 +112,21 @@
     pub most: u64,
     /// The turn that it goes on from.
     pub previous: Option<TurnName>,
+    /// That turn and all before it, oldest first, where another group keeps them: programs may go on from turns of programs
+    /// that are kept elsewhere, and from then on this group keeps them too.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub carried: Vec<Carried>,
+}
+
+/// A turn on its way from the group that keeps it to another.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Carried {
+    /// The turn.
+    pub name: TurnName,
+    /// What the caller sent, and what was generated.
+    pub text: Blob,
+    /// For how many more milliseconds it is kept.
+    pub retention: u64,
 }
 
 /// What [`TurnCommand::Finish`] says.
@@ -138,6 +166,8 @@
     Spent,
     /// There is no such previous turn.
     NoSuchTurn,
+    /// A turn and all before it, oldest first; empty if there is no such turn here.
+    Chain(Vec<Carried>),
     /// The turn is settled.
     Settled,
     /// The state has no room for more turns; nothing was changed.
--- a/agatetrestle/src/turns/state.rs
+++ b/agatetrestle/src/turns/state.rs
@@ -21,6 +21,7 @@
 use crate::codec::encode;
 use crate::codec::encode_large;
 use crate::turns::command::Begin;
+use crate::turns::command::Carried;
 use crate::turns::command::Finish;
 use crate::turns::command::Kept;
 use crate::turns::command::Timed;
@@ -83,6 +84,7 @@
         match timed.command {
             TurnCommand::Begin(begin) => self.begin(begin),
             TurnCommand::Finish(finish) => self.finish(finish),
+            TurnCommand::Chain(last) => TurnReply::Chain(self.carry(&last)),
         }
     }
 
@@ -98,6 +100,7 @@
     }
 
     fn begin(&mut self, begin: Begin) -> TurnReply {
+        self.take_in(begin.carried);
         let Some(chain) = self.chain(begin.previous.as_ref()) else {
             return TurnReply::NoSuchTurn;
         };
@@ -166,6 +169,33 @@
         Some(texts)
     }
 
+    /// A turn and all before it for another group, oldest first.
+    fn carry(&self, last: &TurnName) -> Vec<Carried> {
+        let mut carried = Vec::new();
+        let mut next = Some(last);
+        while let Some(name) = next {
+            let Some(turn) = self.turns.get(name) else {
+                return Vec::new();
+            };
+            let retention = turn.until.saturating_sub(self.now);
+            carried.push(Carried { name: name.clone(), text: turn.text.clone(), retention });
+            next = turn.previous.as_ref();
+        }
+        carried.reverse();
+        carried
+    }
+
+    /// Keeps the turns of another group that are not known here, each going on from the one before it.
+    fn take_in(&mut self, carried: Vec<Carried>) {
+        let mut previous = None;
+        for Carried { name, text, retention } in carried {
+            // What is left of the retention already holds the margin.
+            let kept = Kept { previous, text, retention: retention.saturating_sub(MARGIN) };
+            self.keep(name.clone(), kept);
+            previous = Some(name);
+        }
+    }
+
     fn touch(&mut self, program: &Arc<str>) {
         let now = self.now;
         if let Some(account) = self.accounts.get_mut(program) {
--- a/agatetrestle/src/turns/tests.rs
+++ b/agatetrestle/src/turns/tests.rs
@@ -39,7 +39,14 @@
 
 fn begin(turn: &str, budget: u64, most: u64, previous: Option<&str>) -> TurnCommand {
     let previous = previous.map(Into::into);
-    TurnCommand::Begin(Begin { program: "p".into(), turn: turn.into(), budget: Some(budget), most, previous })
+    TurnCommand::Begin(Begin {
+        program: "p".into(),
+        turn: turn.into(),
+        budget: Some(budget),
+        most,
+        previous,
+        carried: Vec::new(),
+    })
 }
 
 fn finish(turn: &str, spent: u64, kept: Option<(&str, Option<&str>)>) -> TurnCommand {
@@ -104,6 +111,31 @@
     assert_eq!((state.state.holdings().turns, state.state.holdings().bytes), (0, 0));
 }
 
+#[test]
+fn a_chain_of_another_group_is_kept_like_an_own_one() {
+    let mut other = Turns::new(TurnState::default());
+    other.execute(0, finish("a", 5, Some(("one", None))));
+    other.execute(9, finish("b", 5, Some(("two", Some("a")))));
+    assert_eq!(other.execute(9, TurnCommand::Chain("x".into())), TurnReply::Chain(Vec::new()));
+    let TurnReply::Chain(carried) = other.execute(RETENTION, TurnCommand::Chain("b".into())) else {
+        panic!("a chain is told");
+    };
+    let mut state = Turns::new(TurnState::default());
+    let TurnCommand::Begin(begin) = begin("c", 100, 10, Some("b")) else {
+        unreachable!("it is a beginning");
+    };
+    assert_eq!(state.execute(7, TurnCommand::Begin(begin.clone())), TurnReply::NoSuchTurn);
+    let carrying = TurnCommand::Begin(Begin { carried, ..begin.clone() });
+    assert_eq!(state.execute(8, carrying.clone()), begun(&["one", "two"]));
+    assert_eq!(state.execute(9, carrying), begun(&["one", "two"]), "handed over again");
+    assert_eq!(state.state.holdings().turns, 2, "each is kept once");
+    assert_eq!(state.execute(10, TurnCommand::Begin(begin.clone())), begun(&["one", "two"]));
+    // The other group would have kept it for another 9 ms and the margin, which count from when it was last handed over.
+    let past = 9 + 9 + 10_000;
+    assert_eq!(state.execute(past, TurnCommand::Begin(begin.clone())), begun(&["one", "two"]));
+    assert_eq!(state.execute(past + 1, TurnCommand::Begin(begin)), TurnReply::NoSuchTurn);
+}
+
 #[test]
 fn a_full_state_begins_no_turn_and_forgets_none() {
     let mut state = Turns::new(TurnState::with_room(1_000));
--- a/agatetrestle/tests/store_memory.rs
+++ b/agatetrestle/tests/store_memory.rs
@@ -54,7 +54,14 @@
 
 fn begin(turn: &str) -> TurnCommand {
     let (program, turn) = (turn.into(), turn.into());
-    TurnCommand::Begin(Begin { program, turn, budget: Some(1_000), most: 100, previous: None })
+    TurnCommand::Begin(Begin {
+        program,
+        turn,
+        budget: Some(1_000),
+        most: 100,
+        previous: None,
+        carried: Vec::new(),
+    })
 }
 
 fn finish(turn: &str) -> TurnCommand {
