--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -9,12 +9,14 @@
 use crate::clock::Clock;
 use crate::cluster::board::Board;
 use crate::cluster::message::ControlRequest;
+use crate::codec::DecodeError;
 use crate::codec::decode;
 use crate::codec::encode;
 use crate::control::command::ControlCommand;
 use crate::control::state::ControlState;
 use crate::node::group::Group;
 use crate::node::service::GroupService;
+use crate::node::service::ReportService;
 use crate::node::service::Submission;
 use crate::node::service::commit;
 use crate::node::service::read;
@@ -63,6 +65,12 @@
     }
 }
 
+impl ReportService for Board {
+    fn take(&self, report: Vec<u8>) -> LocalBoxFuture<'_, Result<Vec<u8>, DecodeError>> {
+        Box::pin(async move { Ok(encode(&self.report(decode(&report)?).await)) })
+    }
+}
+
 /// A replica of a state group that holds turns. While it leads it tells the group how much time passes.
 pub struct TurnDesk {
     group: Rc<Group<TurnState>>,
--- a/agatetrestle/src/deployment/control.rs
+++ b/agatetrestle/src/deployment/control.rs
@@ -63,7 +63,7 @@
         board: board.clone(),
         least_stores: frame.quorum_base(),
     });
-    let mut server = PeerServer { board: Some(board.clone()), ..PeerServer::default() };
+    let mut server = PeerServer { reports: Some(board.clone()), ..PeerServer::default() };
     let receiving = group.clone();
     server.receivers.insert(CONTROL_GROUP, Rc::new(move |message| receiving.receive(message)));
     server.services.insert(CONTROL_GROUP, desk.clone());
--- a/agatetrestle/src/node/links.rs
+++ b/agatetrestle/src/node/links.rs
@@ -11,7 +11,7 @@
 use crate::ids::NodeId;
 use crate::node::peer_link::Inbound;
 use crate::node::peer_link::PeerLink;
-use crate::node::peer_server::Receivers;
+use crate::node::peer_link::Receivers;
 
 /// One link to each other node.
 pub struct Links {
--- a/agatetrestle/src/node/mod.rs
+++ b/agatetrestle/src/node/mod.rs
@@ -54,7 +54,7 @@
 use crate::node::links::Links;
 use crate::node::listeners::Listeners;
 use crate::node::listings::GroupListing;
-use crate::node::peer_server::Receivers;
+use crate::node::peer_link::Receivers;
 use crate::node::replicas::Missing;
 use crate::node::replicas::Opener;
 use crate::node::service::ControlService;
--- a/agatetrestle/src/node/peer_link.rs
+++ b/agatetrestle/src/node/peer_link.rs
@@ -6,6 +6,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -29,6 +30,7 @@
 use snafu::Snafu;
 
 use crate::agreement::message::Message;
+use crate::ids::GroupId;
 use crate::node::wire::WireError;
 use crate::node::wire::read_message;
 use crate::node::wire::write_message;
@@ -125,6 +127,9 @@
 /// Takes in a message from another node, and returns what is sent to it next.
 pub type Inbound = Rc<dyn Fn(Message) -> Vec<Message>>;
 
+/// Who takes in the messages of each group.
+pub type Receivers = BTreeMap<GroupId, Inbound>;
+
 impl PeerLink {
     /// A link that connects on first use. `deadline` bounds connecting and each call.
     #[must_use]
--- a/agatetrestle/src/node/peer_server.rs
+++ b/agatetrestle/src/node/peer_server.rs
@@ -13,17 +13,15 @@
 use smol::net::TcpListener;
 use smol::net::TcpStream;
 
-use crate::agreement::message::Message;
-use crate::cluster::board::Board;
-use crate::codec::decode;
-use crate::codec::encode;
 use crate::ids::GroupId;
+use crate::node::peer_link::Receivers;
 use crate::node::registry::Registry;
-use crate::node::router::write_submission;
 use crate::node::service::GroupService;
+use crate::node::service::ReportService;
 use crate::node::service::Submission;
 use crate::node::wire::read_message;
 use crate::node::wire::write_message;
+use crate::node::wire::write_submission;
 use crate::node::wire_members::read_heartbeat;
 use crate::node::wire_members::write_digest;
 use crate::transport::accept::Gate;
@@ -33,9 +31,6 @@
 /// Largest call in 8-byte words: 64 MiB, above the largest batch and snapshot piece.
 const CALL_WORDS: usize = 8 << 20;
 
-/// Takes a message of a group and returns what is answered at once.
-pub type Receivers = BTreeMap<GroupId, Rc<dyn Fn(Message) -> Vec<Message>>>;
-
 /// Everything that other nodes may reach here.
 #[derive(Default)]
 pub struct PeerServer {
@@ -46,7 +41,7 @@
     /// Answers heartbeats, where this node is a control replica.
     pub registry: Option<Rc<Registry>>,
     /// Answers reports, where this node is a control replica of a deployment that finds itself.
-    pub board: Option<Rc<Board>>,
+    pub reports: Option<Rc<dyn ReportService>>,
 }
 
 #[derive(Clone)]
@@ -122,13 +117,12 @@
         params: peer::ReportParams,
         mut results: peer::ReportResults,
     ) -> Result<(), capnp::Error> {
-        let Some(board) = &self.0.board else {
+        let Some(reports) = &self.0.reports else {
             return Err(capnp::Error::unimplemented("this node is no control replica".into()));
         };
-        let report = decode(params.get()?.get_report()?)
-            .map_err(|failure| capnp::Error::failed(failure.to_string()))?;
-        let bulletin = board.report(report).await;
-        results.get().set_bulletin(&encode(&bulletin));
+        let bulletin = reports.take(params.get()?.get_report()?.to_vec()).await;
+        let bulletin = bulletin.map_err(|failure| capnp::Error::failed(failure.to_string()))?;
+        results.get().set_bulletin(&bulletin);
         Ok(())
     }
 
--- a/agatetrestle/src/node/router.rs
+++ b/agatetrestle/src/node/router.rs
@@ -11,7 +11,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use agatetrestle_schema::peer_capnp::submission;
 use futures::future::Either;
 use futures::future::select;
 use smol::Timer;
@@ -24,6 +23,7 @@
 use crate::node::peer_link::PeerLink;
 use crate::node::service::GroupService;
 use crate::node::service::Submission;
+use crate::node::wire::read_submission;
 use crate::ports::GroupError;
 
 /// Pause after a try that found no leader; an election takes longer than this.
@@ -286,24 +286,5 @@
     .await
 }
 
-fn read_submission(reader: submission::Reader<'_>) -> Result<Submission, capnp::Error> {
-    Ok(match reader.which()? {
-        submission::Applied(reply) => Submission::Applied(reply?.to_vec()),
-        submission::NotLeader(leader) => Submission::NotLeader((leader != 0).then_some(NodeId(leader))),
-        submission::Refused(text) => Submission::Refused(text?.to_str()?.into()),
-        submission::Unknown(text) => Submission::Unknown(text?.to_str()?.into()),
-    })
-}
-
-/// Writes what became of a request that came from another node.
-pub fn write_submission(mut builder: submission::Builder<'_>, submission: &Submission) {
-    match submission {
-        Submission::Applied(reply) => builder.set_applied(reply),
-        Submission::NotLeader(leader) => builder.set_not_leader(leader.map_or(0, |node| node.0)),
-        Submission::Refused(text) | Submission::Unreachable(text) => builder.set_refused(&**text),
-        Submission::Unknown(text) => builder.set_unknown(&**text),
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/agatetrestle/src/node/router/tests.rs
+++ b/agatetrestle/src/node/router/tests.rs
@@ -83,3 +83,20 @@
         assert_eq!(answer.unwrap(), [9]);
     }));
 }
+
+#[test]
+fn who_offers_something_new_is_refused_at_once_and_what_must_be_settled_is_not() {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(async {
+        let says = Submission::Refused("too many commands are under way".into());
+        let replica = Rc::new(Replica { says, asked: Cell::new(0) });
+        let patience = Patience { each: EVER, whole: PAUSE * 4 };
+        let links = Links::new(OWN, EVER, &executor);
+        let local: Rc<dyn GroupService> = replica.clone();
+        let router = Router::new(GroupId(1), OWN, Some(local), links, &[OWN], Clock::start(), patience);
+        assert!(matches!(router.offer(vec![7]).await, Err(GroupError::NotProposed { .. })));
+        assert_eq!(replica.asked.get(), 1);
+        assert!(matches!(router.submit(vec![7]).await, Err(GroupError::NotProposed { .. })));
+        assert!(replica.asked.get() > 2, "it was handed over again while there was time");
+    }));
+}
--- a/agatetrestle/src/node/service.rs
+++ b/agatetrestle/src/node/service.rs
@@ -8,6 +8,7 @@
 
 use crate::agreement::Rejection;
 use crate::agreement::StateMachine;
+use crate::codec::DecodeError;
 use crate::codec::decode;
 use crate::codec::encode;
 use crate::control::state::ControlState;
@@ -41,6 +42,12 @@
     fn history(&self, offset: u64) -> Vec<u8>;
 }
 
+/// Takes what other processes report of themselves.
+pub trait ReportService {
+    /// Answers a coded report by a coded bulletin, which may take as long as the report says.
+    fn take(&self, report: Vec<u8>) -> LocalBoxFuture<'_, Result<Vec<u8>, DecodeError>>;
+}
+
 fn outcome(verdict: Verdict) -> Submission {
     match verdict {
         Verdict::Applied(reply) => Submission::Applied(reply),
--- a/agatetrestle/src/node/wire.rs
+++ b/agatetrestle/src/node/wire.rs
@@ -1,9 +1,10 @@
-//! Reading and writing of [`Message`] as the schema's `AgreementMessage`.
+//! Reading and writing of [`Message`] as the schema's `AgreementMessage`, and of what became of a request.
 
 use std::sync::Arc;
 
 use agatetrestle_schema::peer_capnp;
 use agatetrestle_schema::peer_capnp::agreement_message;
+use agatetrestle_schema::peer_capnp::submission;
 use snafu::Snafu;
 
 use crate::agreement::message::Body;
@@ -13,6 +14,7 @@
 use crate::agreement::message::Position;
 use crate::ids::GroupId;
 use crate::ids::NodeId;
+use crate::node::service::Submission;
 
 /// A message that this build can't read.
 #[derive(Debug, Snafu)]
@@ -168,5 +170,25 @@
     })
 }
 
+/// Reads what became of a request at another node.
+pub(crate) fn read_submission(reader: submission::Reader<'_>) -> Result<Submission, capnp::Error> {
+    Ok(match reader.which()? {
+        submission::Applied(reply) => Submission::Applied(reply?.to_vec()),
+        submission::NotLeader(leader) => Submission::NotLeader((leader != 0).then_some(NodeId(leader))),
+        submission::Refused(text) => Submission::Refused(text?.to_str()?.into()),
+        submission::Unknown(text) => Submission::Unknown(text?.to_str()?.into()),
+    })
+}
+
+/// Writes what became of a request that came from another node.
+pub(crate) fn write_submission(mut builder: submission::Builder<'_>, submission: &Submission) {
+    match submission {
+        Submission::Applied(reply) => builder.set_applied(reply),
+        Submission::NotLeader(leader) => builder.set_not_leader(leader.map_or(0, |node| node.0)),
+        Submission::Refused(text) | Submission::Unreachable(text) => builder.set_refused(&**text),
+        Submission::Unknown(text) => builder.set_unknown(&**text),
+    }
+}
+
 #[cfg(test)]
 mod tests;
