Tell the difference of the list of backend servers, under numbers that never go back

Cause: each server that came, went or turned to leaving had its whole list told to 300 processes. Found beside it, by reading: a control leader whose lease lapsed for a moment forgot its list and counted the next ones from 1 in the same term, and no process believes a lower number; until the count had caught up, leaving servers went on getting requests.

Ruled out: differences item by item on a stream of their own; reports already say what each process knows.

Change: control keeps the last eight lists and tells who knows one of them what is gone and what is new or changed, packed once for all who know the same; a difference from another edition is left out and asked for again. The count stays when the list is forgotten. A proptest follows the list with gaps, doubled answers and forgotten lists.

--- a/agatetrestle/src/cluster/board.rs
+++ b/agatetrestle/src/cluster/board.rs
@@ -16,6 +16,7 @@
 
 use crate::clock::Clock;
 use crate::clock::Timestamp;
+use crate::cluster::backends::Backends;
 use crate::cluster::identity::founding_ip;
 use crate::cluster::message::Bulletin;
 use crate::cluster::message::Edition;
@@ -66,8 +67,7 @@
     clock: Clock,
     seen: RefCell<BTreeMap<NodeId, Seen>>,
     roll: RefCell<Roll>,
-    instances: RefCell<Rc<Vec<Instance>>>,
-    instances_count: Cell<u64>,
+    backends: RefCell<Backends>,
     waiting: RefCell<Vec<oneshot::Sender<()>>>,
     led: Cell<u64>,
     packs: Packs,
@@ -77,7 +77,7 @@
 #[derive(Default)]
 struct Packs {
     routes: Pack<u64>,
-    backends: Pack<Edition>,
+    backends: Pack<(Edition, Edition)>,
     all_members: Pack<Edition>,
     replicas: Pack<Edition>,
 }
@@ -95,8 +95,7 @@
             clock,
             seen: RefCell::default(),
             roll: RefCell::default(),
-            instances: RefCell::default(),
-            instances_count: Cell::new(0),
+            backends: RefCell::default(),
             waiting: RefCell::default(),
             led: Cell::new(0),
             packs: Packs::default(),
@@ -168,24 +167,20 @@
 
     /// Takes in the list of backend servers.
     pub fn set_instances(&self, instances: Vec<Instance>) {
-        if **self.instances.borrow() == instances {
-            return;
+        if self.backends.borrow_mut().replace(instances) {
+            self.wake();
         }
-        self.instances.replace(Rc::new(instances));
-        self.instances_count.set(self.instances_count.get() + 1);
-        self.wake();
     }
 
     /// Forgets the list of backend servers, so that this replica tells none before it has read it anew.
     pub fn drop_instances(&self) {
-        self.instances.replace(Rc::default());
-        self.instances_count.set(0);
+        self.backends.borrow_mut().forget();
     }
 
     /// Backend servers as last read, by this replica or the leader it follows.
     #[must_use]
     pub fn instances(&self) -> Rc<Vec<Instance>> {
-        self.instances.borrow().clone()
+        self.backends.borrow().list()
     }
 
     /// Who is there.
@@ -298,7 +293,7 @@
         let revision = self.group.machine(|state| state.routes().map_or(0, |document| document.revision));
         Known {
             revision,
-            backends: Edition { term, count: self.instances_count.get() },
+            backends: self.backends.borrow().edition(term).unwrap_or_default(),
             members: self.roll.borrow().edition(role, term),
         }
     }
@@ -310,7 +305,7 @@
     /// Whether there is another table of routes or list of backend servers, which are told without delay.
     fn has_decisions(&self, report: &Report) -> bool {
         let now = self.editions(report.told.member.role);
-        let listed = self.instances_count.get() > 0;
+        let listed = now.backends != Edition::default();
         now.revision > report.known.revision || (listed && now.backends != report.known.backends)
     }
 
@@ -337,8 +332,9 @@
             }
             bulletin.leaving = state.configuration().leaving.keys().cloned().collect();
         });
-        if self.instances_count.get() > 0 && editions.backends != known.backends {
-            let packed = self.packs.backends.of(editions.backends, || self.instances().to_vec());
+        if editions.backends != Edition::default() && editions.backends != known.backends {
+            let change = || self.backends.borrow().change_since(known.backends, editions.backends.term);
+            let packed = self.packs.backends.of((known.backends, editions.backends), change);
             bulletin.backends = Some((editions.backends, packed));
         }
         if editions.members != known.members {
--- a/agatetrestle/src/cluster/message.rs
+++ b/agatetrestle/src/cluster/message.rs
@@ -109,7 +109,8 @@
     pub revision: u64,
     /// The table of routes, a [`crate::control::command::Document`], if its revision is newer than what the process knows.
     pub routes: Option<(u64, Packed)>,
-    /// The backend servers, a list of [`crate::dispatch::Instance`], if the process knows another edition.
+    /// How the list of backend servers changed, a [`crate::cluster::backends::BackendChange`], if the process knows another
+    /// edition.
     pub backends: Option<(Edition, Packed)>,
     /// The members that the process has to do with, a list of [`Member`], if it knows another edition.
     pub members: Option<(Edition, Packed)>,
--- a/agatetrestle/src/cluster/mod.rs
+++ b/agatetrestle/src/cluster/mod.rs
@@ -3,6 +3,7 @@
 //! Every process reports to the leader of the control group, which holds the call until it has news; see
 //! docs/design/012-a-deployment-of-three-roles.md.
 
+pub mod backends;
 pub mod board;
 pub mod contacts;
 pub mod identity;
--- a/agatetrestle/src/cluster/tests.rs
+++ b/agatetrestle/src/cluster/tests.rs
@@ -10,6 +10,8 @@
 use crate::agreement::ReplicaChange;
 use crate::agreement::Replicas;
 use crate::clock::Timestamp;
+use crate::cluster::backends::BackendChange;
+use crate::cluster::backends::Backends;
 use crate::cluster::contacts;
 use crate::cluster::identity;
 use crate::cluster::message::Bulletin;
@@ -141,7 +143,7 @@
     let bulletin = |count, members| Bulletin {
         confirmed: true,
         groups: 2,
-        backends: Some((edition(count), Packed::new(&Vec::<Instance>::new()))),
+        backends: Some((edition(count), Packed::new(&BackendChange::Whole(Vec::new())))),
         members: Some((edition(count), members)),
         ..Bulletin::default()
     };
@@ -152,7 +154,81 @@
     assert_eq!((view.known().members, view.known().backends), (edition(2), edition(2)));
 }
 
+#[test]
+fn a_list_that_was_forgotten_is_told_under_a_higher_number_of_the_same_term() {
+    let mut backends = Backends::default();
+    assert_eq!(backends.edition(3), None);
+    assert!(backends.replace(vec![backend("e-1", false)]));
+    assert!(backends.replace(vec![backend("e-1", true)]));
+    let before = backends.edition(3);
+    backends.forget();
+    assert_eq!((backends.edition(3), backends.list().len()), (None, 0));
+    assert!(backends.replace(vec![backend("e-2", false)]));
+    assert!(
+        backends.edition(3) > before,
+        "a process that knows the old number would not believe a lower one"
+    );
+    let told = backends.change_since(before.unwrap(), 3);
+    assert_eq!(told, BackendChange::Whole(vec![backend("e-2", false)]));
+    assert!(!backends.replace(vec![backend("e-2", false)]));
+}
+
+#[test]
+fn a_difference_is_small_and_is_taken_by_who_knows_its_base_alone() {
+    let mut backends = Backends::default();
+    let servers = |leaving: usize| -> Vec<Instance> {
+        (0..1_000).map(|number| backend(&format!("e-{number}"), number == leaving)).collect()
+    };
+    backends.replace(servers(1));
+    let known = backends.edition(3).unwrap();
+    let base = servers(1);
+    backends.replace(servers(2));
+    let change = backends.change_since(known, 3);
+    assert!(matches!(&change, BackendChange::Since { gone, put, .. } if gone.is_empty() && put.len() == 2));
+    let other = Edition { term: 3, count: 9 };
+    assert_eq!(change.clone().apply(other, &base), None);
+    assert_eq!(change.apply(known, &base).map(sorted), Some(sorted(servers(2))));
+    assert!(matches!(backends.change_since(known, 4), BackendChange::Whole(_)), "another leader told it");
+    let twice = vec![backend("e-1", false), backend("e-1", true)];
+    backends.replace(twice.clone());
+    let known = Edition { count: known.count + 1, ..known };
+    assert_eq!(backends.change_since(known, 3), BackendChange::Whole(twice), "ids don't tell them apart");
+}
+
+fn sorted(mut list: Vec<Instance>) -> Vec<Instance> {
+    list.sort_by(|a, b| a.id.cmp(&b.id));
+    list
+}
+
 proptest! {
+    #[test]
+    fn whoever_is_told_now_and_then_knows_the_list(
+        steps in prop::collection::vec(
+            (prop::collection::btree_map(0_u8..12, any::<bool>(), 0..10), any::<bool>(), 0_u8..12, any::<bool>()),
+            1..40,
+        ),
+    ) {
+        let (mut backends, mut known, mut list) = (Backends::default(), Edition::default(), Vec::new());
+        for (servers, asks, forgets, late) in steps {
+            let servers: Vec<Instance> =
+                servers.into_iter().map(|(number, leaving)| backend(&number.to_string(), leaving)).collect();
+            if forgets == 0 {
+                backends.forget();
+            }
+            backends.replace(servers.clone());
+            let edition = backends.edition(5).unwrap();
+            if asks && edition != known {
+                let change = backends.change_since(known, 5);
+                let told = change.clone().apply(known, &list).expect("it is from what the process knows");
+                prop_assert_eq!(sorted(told.clone()), sorted(servers));
+                (known, list) = (edition, told);
+                if late && matches!(change, BackendChange::Since { .. }) {
+                    prop_assert_eq!(change.apply(known, &list), None, "an answer that comes twice");
+                }
+            }
+        }
+    }
+
     #[test]
     fn no_change_leaves_fewer_sound_voters_than_there_must_be(
         voters in prop::collection::btree_set(1_u64..9, 1..6),
@@ -186,12 +262,8 @@
     std::fs::remove_dir_all(&folder).unwrap();
 }
 
-#[test]
-fn an_overview_names_every_process_and_service() {
-    let store = Member { vm: "store-1".into(), group: Some(FIRST_STATE_GROUP), ..member(2, Role::Store) };
-    let spare = Member { vm: "store-2".into(), ..member(3, Role::Store) };
-    let entry = Member { vm: "entry-1".into(), ready: false, ..member(4, Role::Entry) };
-    let backend = |id: &str, leaving| Instance {
+fn backend(id: &str, leaving: bool) -> Instance {
+    Instance {
         id: id.into(),
         service: "engines".into(),
         address: SocketAddrV4::new([10, 0, 0, 9].into(), 80),
@@ -199,7 +271,14 @@
         slots: 16,
         leaving,
         born: None,
-    };
+    }
+}
+
+#[test]
+fn an_overview_names_every_process_and_service() {
+    let store = Member { vm: "store-1".into(), group: Some(FIRST_STATE_GROUP), ..member(2, Role::Store) };
+    let spare = Member { vm: "store-2".into(), ..member(3, Role::Store) };
+    let entry = Member { vm: "entry-1".into(), ready: false, ..member(4, Role::Entry) };
     let overview = Overview {
         leader: NodeId(1),
         term: 7,
--- a/agatetrestle/src/cluster/view.rs
+++ b/agatetrestle/src/cluster/view.rs
@@ -13,6 +13,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::clock::Timestamp;
+use crate::cluster::backends::BackendChange;
 use crate::cluster::message::Bulletin;
 use crate::cluster::message::Known;
 use crate::cluster::message::Member;
@@ -92,9 +93,16 @@
         if let Some(document) = newer::<_, Document>(&mut known.revision, bulletin.routes) {
             watcher.routes(&document);
         }
-        if let Some(instances) = newer::<_, Vec<Instance>>(&mut known.backends, bulletin.backends) {
-            watcher.backends(&instances);
-            self.instances.replace(Rc::new(instances));
+        let edition = known.backends;
+        if let Some(change) = newer::<_, BackendChange>(&mut known.backends, bulletin.backends) {
+            match change.apply(edition, &self.instances()) {
+                Some(instances) => {
+                    watcher.backends(&instances);
+                    self.instances.replace(Rc::new(instances));
+                }
+                // The next report asks from this edition on.
+                None => known.backends = edition,
+            }
         }
         if let Some(members) = newer::<_, Vec<Member>>(&mut known.members, bulletin.members) {
             watcher.members(&members);
