Say what became of the reports to control, and how old a process's belief is

Cause: an entry that is behind left no trace: a failed report had no line, and nothing told when the leader was last heard.

No behaviour changes.

Suite of the parts touched: passed.

--- a/agatetrestle/src/cluster/mod.rs
+++ b/agatetrestle/src/cluster/mod.rs
@@ -11,6 +11,7 @@
 pub mod message;
 pub mod overview;
 pub mod packs;
+pub mod report_log;
 pub mod roll;
 pub mod service;
 pub mod subscriber;
--- a/agatetrestle/src/cluster/subscriber.rs
+++ b/agatetrestle/src/cluster/subscriber.rs
@@ -19,19 +19,26 @@
 use smol::Timer;
 use smol::channel::Receiver;
 use smol::channel::Sender;
+use snafu::ResultExt;
+use snafu::Snafu;
 
 use crate::clock::Clock;
 use crate::cluster::board::Board;
 use crate::cluster::message::Bulletin;
 use crate::cluster::message::Introduction;
 use crate::cluster::message::Report;
+use crate::cluster::report_log::ReportLog;
+use crate::cluster::report_log::ReportOutcome;
 use crate::cluster::view::View;
+use crate::codec::DecodeError;
 use crate::codec::decode;
 use crate::codec::encode;
 use crate::node::links::Links;
 use crate::node::peer_link::LinkError;
 use crate::node::peer_link::PeerLink;
 use crate::node::peer_link::within;
+use crate::ports::Freshness;
+use crate::ports::Recorder;
 
 /// How long the leader may hold a report: a process is thus heard from twice a second.
 const PATIENCE: Duration = Duration::from_millis(500);
@@ -45,6 +52,36 @@
 /// Makes an introduction.
 pub type Introduce = Rc<dyn Fn() -> Introduction>;
 
+/// Why a report has no answer.
+#[derive(Debug, Snafu)]
+enum ReportError {
+    /// The call failed.
+    #[snafu(display("{source}"))]
+    Call {
+        /// What became of it.
+        source: LinkError,
+    },
+    /// The answer comes from another build.
+    #[snafu(display("{source}"))]
+    Answer {
+        /// What can't be decoded.
+        source: DecodeError,
+    },
+    /// The process has the address of a control replica and is none.
+    #[snafu(display("this process is no control replica"))]
+    OwnAddress,
+}
+
+impl ReportError {
+    fn outcome(&self) -> ReportOutcome {
+        match self {
+            Self::Call { source } => source.into(),
+            Self::Answer { .. } => ReportOutcome::Unreadable,
+            Self::OwnAddress => ReportOutcome::Unreachable,
+        }
+    }
+}
+
 /// The reports of one process.
 pub struct Subscriber {
     /// Tells of the process.
@@ -61,6 +98,10 @@
     pub clock: Clock,
     /// Links by address, since a seed's number is not known.
     pub by_address: RefCell<BTreeMap<SocketAddrV4, Rc<PeerLink>>>,
+    /// What became of them.
+    pub log: ReportLog,
+    /// Where their outcomes and times are counted.
+    pub recorder: Rc<dyn Recorder>,
     /// Rung when the process has something new to tell, which the leader would else hear half a second later.
     pub bell: (Sender<()>, Receiver<()>),
 }
@@ -99,7 +140,11 @@
         }
         let contacts = self.contacts();
         let mut asked: FuturesUnordered<_> = contacts.iter().map(|contact| self.ask_on(*contact)).collect();
-        within(SEARCH, asked.next()).await.flatten()
+        let found = within(SEARCH, asked.next()).await.flatten();
+        if found.is_none() {
+            self.log.write(self.clock.now(), self.view.known(), self.view.confirmed_at());
+        }
+        found
     }
 
     /// Reports to a control replica until it answers as the leader.
@@ -113,10 +158,23 @@
     /// Reports to a control replica; whether it answered as the leader.
     async fn report_to(&self, contact: SocketAddrV4) -> bool {
         let sent = self.clock.now();
-        let Some(bulletin) = self.ask(contact).await else {
-            return false;
+        self.log.begin(sent, contact);
+        let answered = self.ask(contact).await;
+        let outcome = match &answered {
+            Ok(bulletin) if bulletin.confirmed => ReportOutcome::Confirmed,
+            Ok(_) => ReportOutcome::NotLeader,
+            Err(failure) => failure.outcome(),
+        };
+        self.log.end(contact, outcome);
+        self.recorder.report(outcome.name(), self.clock.now().since(sent));
+        let bulletin = match answered {
+            Ok(bulletin) => bulletin,
+            Err(failure @ ReportError::Answer { .. }) => {
+                warn!("The bulletin of {contact} can't be read: {failure}.");
+                return false;
+            }
+            Err(_) => return false,
         };
-        let confirmed = bulletin.confirmed;
         for (node, address) in &bulletin.control {
             self.links.learn(*node, SocketAddr::V4(*address));
         }
@@ -125,7 +183,7 @@
         if self.view.known().members != known {
             self.learn_members();
         }
-        confirmed
+        outcome == ReportOutcome::Confirmed
     }
 
     /// The known control replicas and the seeds.
@@ -141,25 +199,18 @@
         }
     }
 
-    async fn ask(&self, contact: SocketAddrV4) -> Option<Bulletin> {
+    async fn ask(&self, contact: SocketAddrV4) -> Result<Bulletin, ReportError> {
         let told = (self.introduce)();
         let own = told.member.peer == contact;
         let patience = u32::try_from(PATIENCE.as_millis()).unwrap_or(u32::MAX);
         let report = Report { told, known: self.view.known(), patience };
         if own {
-            let board = self.board.clone()?;
-            return Some(board.report(report).await);
+            let board = self.board.clone().ok_or(ReportError::OwnAddress)?;
+            return Ok(board.report(report).await);
         }
         let link = self.link(contact);
-        let answered = call(&link, encode(&report)).await;
-        let bulletin = answered.ok().map(|bytes| decode(&bytes))?;
-        match bulletin {
-            Ok(bulletin) => Some(bulletin),
-            Err(failure) => {
-                warn!("The bulletin of {contact} can't be read: {failure}.");
-                None
-            }
-        }
+        let answer = call(&link, encode(&report)).await.context(CallSnafu)?;
+        decode(&answer).context(AnswerSnafu)
     }
 
     fn link(&self, contact: SocketAddrV4) -> Rc<PeerLink> {
@@ -168,6 +219,16 @@
     }
 }
 
+impl Freshness for Subscriber {
+    fn revision(&self) -> u64 {
+        self.view.known().revision
+    }
+
+    fn age(&self) -> Option<Duration> {
+        Some(self.clock.now().since(self.view.confirmed_at()?))
+    }
+}
+
 async fn call(link: &PeerLink, report: Vec<u8>) -> Result<Vec<u8>, LinkError> {
     link.call_within(PATIENCE + SLACK, |client| {
         let mut request = client.report_request();
--- a/agatetrestle/src/cluster/tests.rs
+++ b/agatetrestle/src/cluster/tests.rs
@@ -17,9 +17,12 @@
 use crate::cluster::message::Bulletin;
 use crate::cluster::message::Edition;
 use crate::cluster::message::Holdings;
+use crate::cluster::message::Known;
 use crate::cluster::message::Member;
 use crate::cluster::overview::Overview;
 use crate::cluster::packs::Pack;
+use crate::cluster::report_log::ReportLog;
+use crate::cluster::report_log::ReportOutcome;
 use crate::cluster::roll::Roll;
 use crate::cluster::view::View;
 use crate::cluster::voters::Candidate;
@@ -91,6 +94,26 @@
     assert_eq!(remove, Some(ReplicaChange::Remove(NodeId(3))));
 }
 
+#[test]
+fn a_process_that_is_behind_says_what_became_of_its_reports() {
+    let at = |millis: u64| Timestamp(millis * 1_000);
+    let [silent, follower, leader] = [1, 2, 3].map(|host| SocketAddrV4::new([10, 0, 0, host].into(), 7_240));
+    let log = ReportLog::default();
+    for millis in [1_000, 2_000] {
+        log.begin(at(millis), silent);
+        log.begin(at(millis), follower);
+        log.end(follower, ReportOutcome::NotLeader);
+    }
+    let known = Known { revision: 57, ..Known::default() };
+    insta::assert_snapshot!(log.lines(at(2_500), known, Some(at(400))).join("\n"), @r"
+    reports contact=10.0.0.1:7240 sent=2 outcome=none unanswered_ms=1500 revision=57 confirmed_ms=2100
+    reports contact=10.0.0.2:7240 sent=2 outcome=not_leader unanswered_ms= revision=57 confirmed_ms=2100
+    ");
+    log.begin(at(2_600), leader);
+    log.end(leader, ReportOutcome::Confirmed);
+    assert_eq!(log.lines(at(2_700), known, Some(at(2_600))), Vec::<String>::new(), "the search is over");
+}
+
 fn member(node: u64, role: Role) -> Member {
     let address = SocketAddrV4::new([10, 0, 0, 1].into(), 7_240);
     let (vm, zone) = (node.to_string().into(), "a".into());
--- a/agatetrestle/src/deployment/mod.rs
+++ b/agatetrestle/src/deployment/mod.rs
@@ -44,6 +44,7 @@
 use crate::cluster::board::Board;
 use crate::cluster::identity;
 use crate::cluster::message::Member;
+use crate::cluster::report_log::ReportLog;
 use crate::cluster::subscriber::Introduce;
 use crate::cluster::subscriber::Subscriber;
 use crate::cluster::view::View;
@@ -243,8 +244,11 @@
             links: self.links.clone(),
             clock: self.clock,
             by_address: RefCell::default(),
+            log: ReportLog::default(),
+            recorder: self.metrics.clone(),
             bell: smol::channel::bounded(1),
         });
+        self.metrics.watch_freshness(subscriber.clone());
         self.executor.spawn(subscriber.clone().run()).detach();
         let (watched, file) = (subscriber.clone(), self.file.clone());
         self.executor.spawn(async move { watched.reload_when_lost(&file).await }).detach();
--- a/agatetrestle/src/metrics/instruments.rs
+++ b/agatetrestle/src/metrics/instruments.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
@@ -11,6 +12,7 @@
 
 use crate::metrics::series::Series;
 use crate::ports::Control;
+use crate::ports::Freshness;
 use crate::ports::Measure;
 
 const PROGRAM_SECONDS: &[f64] =
@@ -44,6 +46,8 @@
     revision: Gauge<u64>,
     taking_work: Gauge<u64>,
     unreadable: Counter<u64>,
+    reports: Histogram<f64>,
+    confirmed_age: Gauge<f64>,
 }
 
 impl Instruments {
@@ -92,6 +96,16 @@
                 "agatetrestle_unreadable_entries",
                 "Entries of the platform's list that name no server, since they can't be read.",
             ),
+            reports: seconds(
+                "agatetrestle_control_report",
+                "One report to a control replica, by what became of it.",
+                COMMIT_SECONDS,
+            ),
+            confirmed_age: meter
+                .f64_gauge("agatetrestle_control_confirmed_age")
+                .with_unit("s")
+                .with_description("Time since the leader of control last confirmed what is in force here.")
+                .build(),
             cache_wasted: gauge(
                 "agatetrestle_cache_wasted_tokens",
                 "Prefix tokens computed again or left unread by ended programs, since the start.",
@@ -119,6 +133,17 @@
         self.taking_work.record(u64::from(control.taking_work().is_ok()), &[]);
     }
 
+    pub(super) fn freshness(&self, freshness: &dyn Freshness) {
+        self.revision.record(freshness.revision(), &[]);
+        if let Some(age) = freshness.age() {
+            self.confirmed_age.record(age.as_secs_f64(), &[]);
+        }
+    }
+
+    pub(super) fn report(&self, outcome: &'static str, took: Duration) {
+        self.reports.record(took.as_secs_f64(), &[KeyValue::new("outcome", outcome)]);
+    }
+
     pub(super) fn unreadable(&self, entries: u64) {
         self.unreadable.add(entries, &[]);
     }
--- a/agatetrestle/src/metrics/mod.rs
+++ b/agatetrestle/src/metrics/mod.rs
@@ -9,6 +9,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::error::OTelSdkError;
@@ -24,6 +25,7 @@
 use crate::metrics::instruments::Instruments;
 use crate::metrics::series::SeriesTable;
 use crate::ports::Control;
+use crate::ports::Freshness;
 use crate::ports::Labels;
 use crate::ports::Measure;
 use crate::ports::Recorder;
@@ -51,6 +53,7 @@
     instruments: Instruments,
     series: RefCell<SeriesTable>,
     control: RefCell<Option<Rc<dyn Control>>>,
+    freshness: RefCell<Option<Rc<dyn Freshness>>>,
     /// Keeps the pipeline alive; the instruments refer to it weakly.
     _provider: SdkMeterProvider,
 }
@@ -76,6 +79,7 @@
             instruments,
             series: RefCell::default(),
             control: RefCell::default(),
+            freshness: RefCell::default(),
             _provider: provider,
         })
     }
@@ -85,6 +89,11 @@
         self.control.replace(Some(control));
     }
 
+    /// Lets each scrape tell which table of routes is in force and how long ago the leader of control confirmed it.
+    pub fn watch_freshness(&self, freshness: Rc<dyn Freshness>) {
+        self.freshness.replace(Some(freshness));
+    }
+
     /// All series in the text form that Prometheus scrapes.
     ///
     /// # Errors
@@ -94,6 +103,9 @@
         if let Some(control) = &*self.control.borrow() {
             self.instruments.control(&**control);
         }
+        if let Some(freshness) = &*self.freshness.borrow() {
+            self.instruments.freshness(&**freshness);
+        }
         let mut buf = Vec::new();
         TextEncoder::new().encode(&self.registry.gather(), &mut buf).context(WriteSnafu)?;
         Ok(buf)
@@ -110,6 +122,10 @@
         self.instruments.cache(held, wasted);
     }
 
+    fn report(&self, outcome: &'static str, took: Duration) {
+        self.instruments.report(outcome, took);
+    }
+
     fn unreadable(&self, entries: u64) {
         self.instruments.unreadable(entries);
     }
--- a/agatetrestle/src/metrics/tests.rs
+++ b/agatetrestle/src/metrics/tests.rs
@@ -28,6 +28,18 @@
     String::from_utf8(metrics.render().unwrap()).unwrap()
 }
 
+struct Known;
+
+impl Freshness for Known {
+    fn revision(&self) -> u64 {
+        57
+    }
+
+    fn age(&self) -> Option<Duration> {
+        Some(Duration::from_millis(2_500))
+    }
+}
+
 fn lines_of(text: &str, name: &str) -> Vec<String> {
     text.lines().filter(|line| line.starts_with(name)).map(str::to_owned).collect()
 }
@@ -53,6 +65,8 @@
     }
     metrics.cache(100, 3);
     metrics.unreadable(2);
+    metrics.report("timeout", time);
+    metrics.watch_freshness(Rc::new(Known));
     let text = rendered(&metrics);
     let kept = text.lines().filter(|line| !line.contains("_bucket{"));
     insta::assert_snapshot!(kept.collect::<Vec<_>>().join("\n"));
--- a/agatetrestle/src/node/peer_link.rs
+++ b/agatetrestle/src/node/peer_link.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use agatetrestle_schema::peer_capnp::peer;
 use capnp_rpc::RpcSystem;
@@ -20,6 +21,7 @@
 use futures::future::Either;
 use futures::future::select;
 use log::debug;
+use log::info;
 use smol::LocalExecutor;
 use smol::Task;
 use smol::Timer;
@@ -91,6 +93,7 @@
 struct Connection {
     client: peer::Client,
     generation: u64,
+    made: Instant,
     /// Counts the calls that were answered on it.
     answers: Rc<Cell<u64>>,
     _system: Task<()>,
@@ -208,7 +211,7 @@
             None if answers.get() > before => return Err(LinkError::Timeout),
             None => LinkError::Timeout,
         };
-        self.discard(generation);
+        self.discard(generation, &error);
         Err(error)
     }
 
@@ -242,17 +245,25 @@
         });
         let generation = *self.generation.borrow() + 1;
         *self.generation.borrow_mut() = generation;
-        let connection = Connection { client, generation, answers: Rc::default(), _system: running };
+        let connection =
+            Connection { client, generation, made: Instant::now(), answers: Rc::default(), _system: running };
         let way = connection.way();
         self.connection.replace(Some(connection));
         way
     }
 
-    fn discard(&self, generation: u64) {
+    /// Gives up a connection, unless another has already taken its place.
+    fn discard(&self, generation: u64, reason: &LinkError) {
         let mut connection = self.connection.borrow_mut();
-        if connection.as_ref().is_some_and(|connection| connection.generation == generation) {
-            *connection = None;
-        }
+        let Some(given_up) = connection.take_if(|connection| connection.generation == generation) else {
+            return;
+        };
+        info!(
+            "connection peer={} outcome=given_up reason=\"{reason}\" age_ms={} answers={}",
+            self.address,
+            given_up.made.elapsed().as_millis(),
+            given_up.answers.get()
+        );
     }
 
     async fn deliver_batch(&self, batch: &[Message]) -> Result<(), LinkError> {
--- a/agatetrestle/src/ports.rs
+++ b/agatetrestle/src/ports.rs
@@ -223,6 +223,15 @@
     Tokens(u64),
 }
 
+/// What a process of a deployment holds to be in force, and how old that belief is.
+pub trait Freshness {
+    /// Revision of the table of routes; 0 before there is one.
+    fn revision(&self) -> u64;
+
+    /// Time since the report went out that the leader of control confirmed last; none before the first.
+    fn age(&self) -> Option<Duration>;
+}
+
 /// Takes in measures; cheap enough for every token.
 pub trait Recorder {
     /// Counts or times one thing.
@@ -232,6 +241,9 @@
     /// since the start, in tokens; see [`crate::retention::account`].
     fn cache(&self, held: u64, wasted: u64);
 
+    /// Counts a report to control by what became of it, and times it.
+    fn report(&self, _outcome: &'static str, _took: Duration) {}
+
     /// Counts entries of the platform's list that name no server to use, since they can't be read.
     fn unreadable(&self, _entries: u64) {}
 }
