Add failing tests of connections that go silent while callers leave early

Cause: calls to another process end with their caller.

The constants of the search for the leader have the names of what they bound.

--- a/agatetrestle/src/cluster/subscriber.rs
+++ b/agatetrestle/src/cluster/subscriber.rs
@@ -40,14 +40,14 @@
 use crate::ports::Freshness;
 use crate::ports::Recorder;
 
-/// How long the leader may hold a report: a process is thus heard from twice a second.
-const PATIENCE: Duration = Duration::from_millis(500);
-/// Time for the answer beyond that, before another control replica is asked.
-const SLACK: Duration = Duration::from_millis(500);
-/// Pause before a control replica is asked again that does not lead or is not there; an election takes longer.
-const PAUSE: Duration = Duration::from_millis(50);
+/// Time for which the leader may hold a report that brings no news: a process is thus heard from twice a second.
+const LONG_POLL: Duration = Duration::from_millis(500);
+/// Time for the answer to a report, from when it is sent; then another control replica is asked.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time before a control replica is asked again that does not lead or can't be reached; an election takes longer.
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 /// Time after which the control replicas to ask are gathered anew, since answers and settings may name others.
-const SEARCH: Duration = Duration::from_secs(1);
+const SEARCH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Makes an introduction.
 pub type Introduce = Rc<dyn Fn() -> Introduction>;
@@ -140,7 +140,7 @@
         }
         let contacts = self.contacts();
         let mut asked: FuturesUnordered<_> = contacts.iter().map(|contact| self.ask_on(*contact)).collect();
-        let found = within(SEARCH, asked.next()).await.flatten();
+        let found = within(SEARCH_TIMEOUT, asked.next()).await.flatten();
         if found.is_none() {
             self.log.write(self.clock.now(), self.view.known(), self.view.confirmed_at());
         }
@@ -150,7 +150,7 @@
     /// Reports to a control replica until it answers as the leader.
     async fn ask_on(&self, contact: SocketAddrV4) -> SocketAddrV4 {
         while !self.report_to(contact).await {
-            Timer::after(PAUSE).await;
+            Timer::after(RETRY_INTERVAL).await;
         }
         contact
     }
@@ -202,7 +202,7 @@
     async fn ask(&self, contact: SocketAddrV4) -> Result<Bulletin, ReportError> {
         let told = (self.introduce)();
         let own = told.member.peer == contact;
-        let patience = u32::try_from(PATIENCE.as_millis()).unwrap_or(u32::MAX);
+        let patience = u32::try_from(LONG_POLL.as_millis()).unwrap_or(u32::MAX);
         let report = Report { told, known: self.view.known(), patience };
         if own {
             let board = self.board.clone().ok_or(ReportError::OwnAddress)?;
@@ -230,7 +230,7 @@
 }
 
 async fn call(link: &PeerLink, report: Vec<u8>) -> Result<Vec<u8>, LinkError> {
-    link.call_within(PATIENCE + SLACK, |client| {
+    link.call_within(REPORT_TIMEOUT, |client| {
         let mut request = client.report_request();
         request.get().set_report(&report);
         let sent = request.send();
@@ -238,3 +238,6 @@
     })
     .await
 }
+
+#[cfg(test)]
+mod tests;
--- a/agatetrestle/src/node/peer_link/tests.rs
+++ b/agatetrestle/src/node/peer_link/tests.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 
+use agatetrestle_fakes::forwarder::Forwarder;
 use futures::future::LocalBoxFuture;
 use smol::net::TcpListener;
 
@@ -19,6 +20,8 @@
 const SOON: Duration = Duration::from_millis(50);
 /// Longer than any test runs.
 const EVER: Duration = Duration::from_hours(1);
+/// Callers one after the other, many times as many as leave within the deadline of a call.
+const CALLERS: u32 = 40;
 const NEVER_ANSWERED: &[u8] = b"never";
 
 /// Answers every request but one.
@@ -71,6 +74,29 @@
     }))
 }
 
+#[test]
+fn a_silent_connection_is_replaced_though_its_callers_leave_before_the_deadline() {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let forwarder = Forwarder::start(&executor, listener.local_addr().unwrap()).await.unwrap();
+        let mut server = PeerServer::default();
+        server.services.insert(GROUP, Rc::new(Choosy(Cell::new(0))));
+        executor.spawn(peer_server::serve(Rc::new(server), listener, Rc::downgrade(&executor))).detach();
+        let link = Links::new(NodeId(1), EVER, &executor).unnamed(forwarder.address);
+        assert!(submit_remotely(&link, EVER, GROUP, b"first").await.is_ok());
+        forwarder.forget();
+        let deadline = SOON * 2;
+        let callers = (0..CALLERS).map(|_| within(SOON, submit_remotely(&link, deadline, GROUP, b"next")));
+        for caller in callers {
+            if caller.await.is_some_and(|outcome| outcome.is_ok()) {
+                return;
+            }
+        }
+        panic!("no caller of {CALLERS} was answered");
+    }));
+}
+
 #[test]
 fn a_connection_on_which_others_are_answered_outlives_a_missed_deadline() {
     assert_eq!(connections_after_a_timeout(true), 1);
