Judge a connection by every call on it, also by those whose callers leave

Cause: a call to another process ended with its caller, and only a call that reached its deadline gave up a silent connection. The search for the leader starts over after 1 s, which is the deadline of a report. So a connection from before control lost power was asked again and again, was given up only when the later of two timers won, and hid the new leader behind it. The state groups' router leaves calls early in the same way.

Change: a call goes on by itself until its deadline when its caller leaves, and its end judges the connection.

--- a/agatetrestle/src/node/peer_link.rs
+++ b/agatetrestle/src/node/peer_link.rs
@@ -3,13 +3,19 @@
 //! Every call has a deadline, and a connection on which a call missed it while no other was answered is replaced instead
 //! of being waited on, because something between the two ends may have lost track of it. A peer that is only late goes on
 //! answering others; cutting its connection would fail every call on it, and their repetition would make it later still.
+//! A call goes on until its deadline though its caller leaves, since a connection would else be judged by patient callers
+//! alone.
 
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -19,6 +25,7 @@
 use capnp_rpc::twoparty::VatNetwork;
 use futures::AsyncReadExt;
 use futures::future::Either;
+use futures::future::LocalBoxFuture;
 use futures::future::select;
 use log::debug;
 use log::info;
@@ -91,36 +98,103 @@
 }
 
 struct Connection {
-    client: peer::Client,
-    generation: u64,
+    handle: Handle,
     made: Instant,
-    /// Counts the calls that were answered on it.
-    answers: Rc<Cell<u64>>,
     _system: Task<()>,
 }
 
-impl Connection {
-    fn way(&self) -> Way {
-        let (client, answers) = (self.client.clone(), self.answers.clone());
-        Way { client, generation: self.generation, answers }
-    }
-}
-
 /// What a call needs of a connection.
-struct Way {
+#[derive(Clone)]
+struct Handle {
     client: peer::Client,
     generation: u64,
+    /// Counts the calls that were answered on the connection.
     answers: Rc<Cell<u64>>,
 }
 
+/// The connection to a peer, while there is one.
+struct Slot {
+    address: SocketAddr,
+    connection: RefCell<Option<Connection>>,
+}
+
+impl Slot {
+    fn handle(&self) -> Option<Handle> {
+        self.connection.borrow().as_ref().map(|connection| connection.handle.clone())
+    }
+
+    /// Gives up a connection, unless another has already taken its place.
+    fn discard(&self, generation: u64, reason: &LinkError) {
+        let mut connection = self.connection.borrow_mut();
+        let Some(given_up) = connection.take_if(|connection| connection.handle.generation == generation)
+        else {
+            return;
+        };
+        info!(
+            "connection peer={} outcome=given_up reason=\"{reason}\" age_ms={} answers={}",
+            self.address,
+            given_up.made.elapsed().as_millis(),
+            given_up.handle.answers.get()
+        );
+    }
+
+    /// Waits for the answer to a call until its deadline, and judges the connection by it.
+    async fn finish<T>(
+        self: Rc<Self>,
+        on: Handle,
+        deadline: Duration,
+        call: impl Future<Output = Result<T, capnp::Error>>,
+    ) -> Result<T, LinkError> {
+        let before = on.answers.get();
+        let error = match within(deadline, call).await {
+            Some(Ok(answer)) => {
+                on.answers.set(on.answers.get() + 1);
+                return Ok(answer);
+            }
+            Some(Err(source)) => LinkError::Broken { source },
+            None if on.answers.get() > before => return Err(LinkError::Timeout),
+            None => LinkError::Timeout,
+        };
+        self.discard(on.generation, &error);
+        Err(error)
+    }
+}
+
+/// A call under way. If it is dropped it goes on by itself; its deadline bounds for how long.
+struct PendingCall<T: 'static> {
+    finishing: Option<LocalBoxFuture<'static, Result<T, LinkError>>>,
+    executor: Rc<LocalExecutor<'static>>,
+}
+
+impl<T> Future for PendingCall<T> {
+    type Output = Result<T, LinkError>;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
+        let Some(finishing) = &mut self.finishing else {
+            return Poll::Pending;
+        };
+        let outcome = ready!(finishing.as_mut().poll(cx));
+        self.finishing = None;
+        Poll::Ready(outcome)
+    }
+}
+
+impl<T> Drop for PendingCall<T> {
+    fn drop(&mut self) {
+        if let Some(finishing) = self.finishing.take() {
+            // Nobody waits for what becomes of it; the connection has been judged by then.
+            self.executor.spawn(async move { drop(finishing.await) }).detach();
+        }
+    }
+}
+
 /// The way to one peer.
 pub struct PeerLink {
-    address: SocketAddr,
+    slot: Rc<Slot>,
     learnt: Cell<Option<SocketAddr>>,
     deadline: Duration,
     executor: Rc<LocalExecutor<'static>>,
-    connection: RefCell<Option<Connection>>,
-    generation: RefCell<u64>,
+    generation: Cell<u64>,
     outbox: Sender<Message>,
     /// Takes in what the peer answers at once.
     inbound: Inbound,
@@ -144,12 +218,11 @@
     ) -> Rc<Self> {
         let (outbox, inbox) = smol::channel::bounded(QUEUE);
         let link = Rc::new(Self {
-            address,
+            slot: Rc::new(Slot { address, connection: RefCell::default() }),
             learnt: Cell::new(None),
             deadline,
             executor,
-            connection: RefCell::new(None),
-            generation: RefCell::new(0),
+            generation: Cell::new(0),
             outbox,
             inbound,
             delivery: RefCell::new(None),
@@ -162,7 +235,7 @@
 
     /// Takes in a further address, tried where the first can't be connected to.
     pub fn learn(&self, address: SocketAddr) {
-        if address != self.address {
+        if address != self.slot.address {
             self.learnt.set(Some(address));
         }
     }
@@ -170,18 +243,20 @@
     /// Queues a message; it is dropped where the peer is too slow or away.
     pub fn deliver(&self, message: Message) {
         if self.outbox.try_send(message).is_err() {
-            debug!("A message to {} was dropped because the queue is full.", self.address);
+            debug!("A message to {} was dropped because the queue is full.", self.slot.address);
         }
     }
 
-    /// Makes a call within the deadline. `call` starts it on the client it is given.
+    /// Makes a call within the deadline. `call` starts it on the client it is given. A caller that drops it leaves it to
+    /// go on until the deadline.
     ///
     /// # Errors
     ///
     /// Fails without an answer; [`LinkError::unsent`] tells whether the peer can have seen the call.
     pub async fn call<T, F>(&self, call: impl FnOnce(&peer::Client) -> F) -> Result<T, LinkError>
     where
-        F: Future<Output = Result<T, capnp::Error>>,
+        F: Future<Output = Result<T, capnp::Error>> + 'static,
+        T: 'static,
     {
         self.call_within(self.deadline, call).await
     }
@@ -197,29 +272,20 @@
         call: impl FnOnce(&peer::Client) -> F,
     ) -> Result<T, LinkError>
     where
-        F: Future<Output = Result<T, capnp::Error>>,
+        F: Future<Output = Result<T, capnp::Error>> + 'static,
+        T: 'static,
     {
-        let Way { client, generation, answers } = self.client().await?;
-        let before = answers.get();
-        let outcome = within(deadline, call(&client)).await;
-        let error = match outcome {
-            Some(Ok(answer)) => {
-                answers.set(answers.get() + 1);
-                return Ok(answer);
-            }
-            Some(Err(source)) => LinkError::Broken { source },
-            None if answers.get() > before => return Err(LinkError::Timeout),
-            None => LinkError::Timeout,
-        };
-        self.discard(generation, &error);
-        Err(error)
+        let on = self.client().await?;
+        let started = call(&on.client);
+        let finishing = self.slot.clone().finish(on, deadline, started);
+        PendingCall { finishing: Some(Box::pin(finishing)), executor: self.executor.clone() }.await
     }
 
-    async fn client(&self) -> Result<Way, LinkError> {
-        if let Some(connection) = &*self.connection.borrow() {
-            return Ok(connection.way());
+    async fn client(&self) -> Result<Handle, LinkError> {
+        if let Some(handle) = self.slot.handle() {
+            return Ok(handle);
         }
-        let stream = match (self.connect(self.address).await, self.learnt.get()) {
+        let stream = match (self.connect(self.slot.address).await, self.learnt.get()) {
             (Err(_), Some(learnt)) => self.connect(learnt).await?,
             (outcome, _) => outcome?,
         };
@@ -233,7 +299,7 @@
         Ok(stream)
     }
 
-    fn install(&self, stream: TcpStream) -> Way {
+    fn install(&self, stream: TcpStream) -> Handle {
         let (reader, writer) = stream.split();
         let network = VatNetwork::new(reader, writer, Side::Client, capnp::message::ReaderOptions::new());
         let mut system = RpcSystem::new(Box::new(network), None);
@@ -243,27 +309,12 @@
                 debug!("A connection to a peer ended: {error}.");
             }
         });
-        let generation = *self.generation.borrow() + 1;
-        *self.generation.borrow_mut() = generation;
-        let connection =
-            Connection { client, generation, made: Instant::now(), answers: Rc::default(), _system: running };
-        let way = connection.way();
-        self.connection.replace(Some(connection));
-        way
-    }
-
-    /// Gives up a connection, unless another has already taken its place.
-    fn discard(&self, generation: u64, reason: &LinkError) {
-        let mut connection = self.connection.borrow_mut();
-        let Some(given_up) = connection.take_if(|connection| connection.generation == generation) else {
-            return;
-        };
-        info!(
-            "connection peer={} outcome=given_up reason=\"{reason}\" age_ms={} answers={}",
-            self.address,
-            given_up.made.elapsed().as_millis(),
-            given_up.answers.get()
-        );
+        let generation = self.generation.get() + 1;
+        self.generation.set(generation);
+        let handle = Handle { client, generation, answers: Rc::default() };
+        let connection = Connection { handle: handle.clone(), made: Instant::now(), _system: running };
+        self.slot.connection.replace(Some(connection));
+        handle
     }
 
     async fn deliver_batch(&self, batch: &[Message]) -> Result<(), LinkError> {
@@ -298,7 +349,7 @@
             return;
         };
         if let Err(error) = link.client().await {
-            debug!("No connection to peer {}: {error}.", link.address);
+            debug!("No connection to peer {}: {error}.", link.slot.address);
             // What waited for the peer is old by the time it answers again.
             while inbox.try_recv().is_ok() {}
             Timer::after(RECONNECT_PAUSE).await;
--- a/agatetrestle/src/node/peer_link/tests.rs
+++ b/agatetrestle/src/node/peer_link/tests.rs
@@ -3,7 +3,6 @@
 use std::cell::Cell;
 
 use agatetrestle_fakes::forwarder::Forwarder;
-use futures::future::LocalBoxFuture;
 use smol::net::TcpListener;
 
 use super::*;
@@ -70,7 +69,7 @@
         };
         assert!(matches!(outcome, Err(LinkError::Timeout)));
         assert!(submit_remotely(&link, EVER, GROUP, b"last").await.is_ok());
-        *link.generation.borrow()
+        link.generation.get()
     }))
 }
 
