Make one connection to a peer at a time, for all calls that wait for it

Cause: each call that met no connection made one, and each took the place of the one before. Calls on a connection that lost its place were neither answered nor told, and waited until their deadline, 0.4 to 1 s; to a state group they then counted as sent and of unknown outcome.

Ruled out: a short window. A connection takes a round trip, so after each loss of one all calls of that time are struck.

Change: a lock around the making of a connection. Calls that come meanwhile use the one that was made, or share the failure, so that none of them waits for the others' tries in turn.

--- a/agatetrestle/src/node/peer_link.rs
+++ b/agatetrestle/src/node/peer_link.rs
@@ -10,6 +10,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -34,6 +35,7 @@
 use smol::Timer;
 use smol::channel::Receiver;
 use smol::channel::Sender;
+use smol::lock::Mutex;
 use smol::net::TcpStream;
 use snafu::ResultExt;
 use snafu::Snafu;
@@ -64,7 +66,7 @@
     #[snafu(display("can't connect: {source}"))]
     Connect {
         /// What the operating system said.
-        source: std::io::Error,
+        source: io::Error,
     },
     /// No connection was made in time, so the call was not sent.
     #[snafu(display("can't connect in time"))]
@@ -86,6 +88,15 @@
     pub fn unsent(&self) -> bool {
         matches!(self, Self::Connect { .. } | Self::ConnectTimeout)
     }
+
+    /// What it is to callers that shared the try.
+    fn kind(&self) -> io::ErrorKind {
+        match self {
+            Self::Connect { source } => source.kind(),
+            Self::ConnectTimeout | Self::Timeout => io::ErrorKind::TimedOut,
+            Self::Broken { .. } => io::ErrorKind::NotConnected,
+        }
+    }
 }
 
 /// Bounds a future by a deadline.
@@ -195,6 +206,10 @@
     deadline: Duration,
     executor: Rc<LocalExecutor<'static>>,
     generation: Cell<u64>,
+    /// Held while a connection is made: a second one would take the place of the first under the calls on it.
+    connecting: Mutex<()>,
+    /// Counts the connections that could not be made, and why the last one could not.
+    failed: Cell<(u64, io::ErrorKind)>,
     outbox: Sender<Message>,
     /// Takes in what the peer answers at once.
     inbound: Inbound,
@@ -223,6 +238,8 @@
             deadline,
             executor,
             generation: Cell::new(0),
+            connecting: Mutex::new(()),
+            failed: Cell::new((0, io::ErrorKind::NotConnected)),
             outbox,
             inbound,
             delivery: RefCell::new(None),
@@ -281,15 +298,32 @@
         PendingCall { finishing: Some(Box::pin(finishing)), executor: self.executor.clone() }.await
     }
 
+    /// The connection, made now if there is none. Callers that come meanwhile share it, or its failure.
     async fn client(&self) -> Result<Handle, LinkError> {
         if let Some(handle) = self.slot.handle() {
             return Ok(handle);
         }
-        let stream = match (self.connect(self.slot.address).await, self.learnt.get()) {
-            (Err(_), Some(learnt)) => self.connect(learnt).await?,
-            (outcome, _) => outcome?,
-        };
-        Ok(self.install(stream))
+        let (failures, _) = self.failed.get();
+        let _connecting = self.connecting.lock().await;
+        if let Some(handle) = self.slot.handle() {
+            return Ok(handle);
+        }
+        let (now_failed, kind) = self.failed.get();
+        if now_failed > failures {
+            return Err(LinkError::Connect { source: kind.into() });
+        }
+        let made = self.connect_anywhere().await;
+        if let Err(failure) = &made {
+            self.failed.set((failures + 1, failure.kind()));
+        }
+        Ok(self.install(made?))
+    }
+
+    async fn connect_anywhere(&self) -> Result<TcpStream, LinkError> {
+        match (self.connect(self.slot.address).await, self.learnt.get()) {
+            (Err(_), Some(learnt)) => self.connect(learnt).await,
+            (outcome, _) => outcome,
+        }
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<TcpStream, LinkError> {
--- a/agatetrestle/src/node/peer_link/tests.rs
+++ b/agatetrestle/src/node/peer_link/tests.rs
@@ -3,6 +3,8 @@
 use std::cell::Cell;
 
 use agatetrestle_fakes::forwarder::Forwarder;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use smol::net::TcpListener;
 
 use super::*;
@@ -96,6 +98,42 @@
     }));
 }
 
+#[test]
+fn calls_that_meet_no_connection_share_the_one_that_is_made() {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let forwarder = Forwarder::start(&executor, listener.local_addr().unwrap()).await.unwrap();
+        let mut server = PeerServer::default();
+        server.services.insert(GROUP, Rc::new(Choosy(Cell::new(0))));
+        executor.spawn(peer_server::serve(Rc::new(server), listener, Rc::downgrade(&executor))).detach();
+        let link = Links::new(NodeId(1), EVER, &executor).unnamed(forwarder.address);
+        let calls = (0..CALLERS).map(|_| submit_remotely(&link, EVER, GROUP, b"next"));
+        let mut calls: FuturesUnordered<_> = calls.collect();
+        assert!(calls.next().await.is_some_and(|outcome| outcome.is_ok()));
+        assert_eq!(forwarder.accepted(), 1);
+        while let Some(outcome) = calls.next().await {
+            assert!(outcome.is_ok());
+        }
+    }));
+}
+
+#[test]
+fn calls_to_a_peer_that_is_away_share_the_failure() {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        drop(listener);
+        let link = Links::new(NodeId(1), EVER, &executor).unnamed(address);
+        let calls = (0..CALLERS).map(|_| submit_remotely(&link, EVER, GROUP, b"next"));
+        for outcome in futures::future::join_all(calls).await {
+            assert!(outcome.is_err_and(|failure| failure.unsent()));
+        }
+        assert_eq!(link.failed.get().0, 1);
+    }));
+}
+
 #[test]
 fn a_connection_on_which_others_are_answered_outlives_a_missed_deadline() {
     assert_eq!(connections_after_a_timeout(true), 1);
