--- a/agatetrestle/src/cluster/backends.rs
+++ b/agatetrestle/src/cluster/backends.rs
@@ -1,7 +1,7 @@
-//! The list of backend servers as control keeps and tells it.
+//! The list of backend servers that control distributes, as a whole or as a difference.
 //!
-//! Servers come, go and turn to leaving one by one, and each such change is told to every process. So who knows one of the last
-//! lists is told the difference; docs/CAPACITY.md has what whole lists cost.
+//! Servers come, go and turn to leaving one by one, and each such change goes to every process. A process that holds one of
+//! the last lists gets the difference; docs/CAPACITY.md has what whole lists cost.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -47,7 +47,7 @@
         true
     }
 
-    /// Forgets the list, so that none is told before it was read anew.
+    /// Forgets the list, so that none is sent before it has been read again.
     pub fn forget(&mut self) {
         let count = self.count;
         *self = Self { count, ..Self::default() };
@@ -65,7 +65,7 @@
         self.listed.then_some(Edition { term, count: self.count })
     }
 
-    /// What a process is told that knows an edition.
+    /// The change for a process that holds an edition.
     #[must_use]
     pub fn change_since(&self, known: Edition, term: u64) -> BackendChange {
         let base = self.earlier.iter().find(|(count, _)| known == Edition { term, count: *count });
--- a/agatetrestle/src/cluster/contacts.rs
+++ b/agatetrestle/src/cluster/contacts.rs
@@ -1,7 +1,7 @@
 //! Where the other replicas of a group were last, kept on disk.
 //!
 //! After a restart of all machines control is back last, since its VMs have the least processor time. Stores that know
-//! each other elect their leader meanwhile instead of waiting to be told who is there. What the file says is a hint:
+//! each other elect their leader meanwhile before control has named them. What the file says is a hint:
 //! a message names the replica that it is for, and any other ignores it.
 
 use std::collections::BTreeMap;
--- a/agatetrestle/src/cluster/packs.rs
+++ b/agatetrestle/src/cluster/encoded.rs
@@ -1,6 +1,6 @@
-//! Lists as they are told, packed once for all processes that are told the same.
+//! Parts of updates, encoded once for all processes that get the same.
 //!
-//! A change is told to every process of the deployment within a fraction of a second, by a control replica that has the
+//! A change goes to every process of the deployment within a fraction of a second, from a control replica that has the
 //! least processor time of all; three hundred codings of one list would take it seconds.
 
 use std::cell::RefCell;
@@ -11,15 +11,15 @@
 
 /// The newest packed form of one list.
 #[derive(Debug)]
-pub struct Pack<K>(RefCell<Option<(K, Packed)>>);
+pub struct EncodedCache<K>(RefCell<Option<(K, Packed)>>);
 
-impl<K> Default for Pack<K> {
+impl<K> Default for EncodedCache<K> {
     fn default() -> Self {
         Self(RefCell::default())
     }
 }
 
-impl<K: Copy + PartialEq> Pack<K> {
+impl<K: Copy + PartialEq> EncodedCache<K> {
     /// The packed list of an edition, packed now if it is another one than before.
     pub fn of<T: Serialize>(&self, edition: K, list: impl FnOnce() -> T) -> Packed {
         let mut held = self.0.borrow_mut();
--- a/agatetrestle/src/cluster/roll.rs
+++ b/agatetrestle/src/cluster/membership.rs
@@ -1,4 +1,4 @@
-//! The list of members as control tells it, and for whom a change of it is news.
+//! The members that are alive, with an edition for each role that has to learn of changes.
 
 use agatetrestle_config::deployment::Role;
 
@@ -7,21 +7,21 @@
 
 /// Who is there, and how often that changed.
 #[derive(Debug)]
-pub struct Roll {
+pub struct Membership {
     members: Vec<Member>,
     count: u64,
     /// The count as of the last change among stores and control replicas.
     replicas: u64,
 }
 
-impl Default for Roll {
+impl Default for Membership {
     fn default() -> Self {
         // No process knows count 0, so that the first list is news to everyone.
         Self { members: Vec::new(), count: 1, replicas: 1 }
     }
 }
 
-impl Roll {
+impl Membership {
     /// The members.
     #[must_use]
     pub fn members(&self) -> &[Member] {
@@ -41,18 +41,17 @@
         true
     }
 
-    /// The edition of the part of the list that a process of a role is told, under a leader. Callers ask control alone for
-    /// entries, so other processes are told of stores and control replicas only, and an entry that comes or goes is no
-    /// change for them: hundreds of them start and stop in a day.
+    /// The edition, under a leader, of the members that are visible to a role. Entries are visible to control alone, which
+    /// gives their addresses to callers; hundreds of them start and stop in a day, and that is no news to the rest.
     #[must_use]
     pub fn edition(&self, role: Role, term: u64) -> Edition {
         let count = if role == Role::Control { self.count } else { self.replicas };
         Edition { term, count }
     }
 
-    /// The members that a process of a role is told.
+    /// The members that are visible to a role.
     #[must_use]
-    pub fn told(&self, role: Role) -> Vec<Member> {
+    pub fn visible_to(&self, role: Role) -> Vec<Member> {
         let wanted = |member: &&Member| role == Role::Control || member.role != Role::Entry;
         self.members.iter().filter(wanted).cloned().collect()
     }
--- a/agatetrestle/src/cluster/message.rs
+++ b/agatetrestle/src/cluster/message.rs
@@ -1,4 +1,4 @@
-//! What a process tells the control leader, and what it is told.
+//! The reports of a process to control, the updates that answer them, and requests to the control group.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -35,7 +35,7 @@
     pub group: Option<GroupId>,
 }
 
-/// How far a process has been told; each part is told again in full once it differs.
+/// The editions that a process holds; a part is sent again once the current edition differs.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Known {
     /// Revision of the control group as of the table of routes.
@@ -68,7 +68,7 @@
     pub programs: usize,
 }
 
-/// What a process tells of itself right now.
+/// The present state of a process, as it reports it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Introduction {
     /// The process.
@@ -89,16 +89,18 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Report {
     /// Of itself.
-    pub told: Introduction,
-    /// How far it has been told.
+    #[serde(rename = "told")]
+    pub introduction: Introduction,
+    /// The editions that it holds.
     pub known: Known,
     /// Milliseconds for which the call may be held.
-    pub patience: u32,
+    #[serde(rename = "patience")]
+    pub long_poll_ms: u32,
 }
 
 /// What a control replica answers.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Bulletin {
+pub struct Update {
     /// The control leader with its address, if known.
     pub leader: Option<(NodeId, SocketAddrV4)>,
     /// Whether this comes from a leader that proved itself after the report came.
--- a/agatetrestle/src/cluster/mod.rs
+++ b/agatetrestle/src/cluster/mod.rs
@@ -4,15 +4,15 @@
 //! docs/design/012-a-deployment-of-three-roles.md.
 
 pub mod backends;
-pub mod board;
 pub mod contacts;
+pub mod encoded;
 pub mod identity;
-pub mod keeper;
+pub mod membership;
 pub mod message;
 pub mod overview;
-pub mod packs;
+pub mod registry;
+pub mod repair;
 pub mod report_log;
-pub mod roll;
 pub mod service;
 pub mod subscriber;
 #[cfg(test)]
--- a/agatetrestle/src/cluster/overview.rs
+++ b/agatetrestle/src/cluster/overview.rs
@@ -26,7 +26,7 @@
     pub version: Option<u64>,
     /// Voters of the control group.
     pub control: BTreeSet<NodeId>,
-    /// Voters of each state group, as its leader last told.
+    /// Voters of each state group, as its leader last reported.
     pub groups: BTreeMap<GroupId, BTreeSet<NodeId>>,
     /// The leaders of the state groups.
     pub state_leaders: BTreeSet<NodeId>,
@@ -34,7 +34,7 @@
     pub members: Vec<Member>,
     /// VMs that are to be emptied.
     pub leaving: BTreeSet<Arc<str>>,
-    /// What each store holds, as it last told.
+    /// What each store holds, as it last reported.
     pub holdings: BTreeMap<NodeId, Holdings>,
     /// Backend servers as the platform last listed them.
     pub backends: Vec<Instance>,
--- a/agatetrestle/src/cluster/board.rs
+++ b/agatetrestle/src/cluster/registry.rs
@@ -1,4 +1,4 @@
-//! The control replica's side of reports: who is there, and what each has to be told.
+//! The control replica's side of reports: the members that are alive, and the update that each is due.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -17,17 +17,17 @@
 use crate::clock::Clock;
 use crate::clock::Timestamp;
 use crate::cluster::backends::Backends;
+use crate::cluster::encoded::EncodedCache;
 use crate::cluster::identity::founding_ip;
-use crate::cluster::message::Bulletin;
+use crate::cluster::membership::Membership;
 use crate::cluster::message::Edition;
 use crate::cluster::message::Emptying;
 use crate::cluster::message::Introduction;
 use crate::cluster::message::Known;
 use crate::cluster::message::Member;
 use crate::cluster::message::Report;
+use crate::cluster::message::Update;
 use crate::cluster::overview::Overview;
-use crate::cluster::packs::Pack;
-use crate::cluster::roll::Roll;
 use crate::cluster::voters::Candidate;
 use crate::control::state::ControlState;
 use crate::dispatch::Instance;
@@ -38,27 +38,27 @@
 use crate::node::links::Links;
 use crate::node::peer_link::within;
 
-/// Silence after which a process is held to be gone. Reports come every half second, so two are missing; an entry that is
-/// dropped by mistake is back with its next report.
-pub const SILENCE: Duration = Duration::from_millis(1_200);
-/// Time for which a new leader believes the list that it was told as a follower, so that callers keep their
-/// addresses while the processes find it.
-const INHERITED: Duration = Duration::from_secs(3);
-/// Longest time for which a report is held.
-const MOST_PATIENCE: Duration = Duration::from_secs(2);
+/// Time without a report after which a member counts as failed. Reports come every half second, so two are missing; an
+/// entry that was dropped by mistake is back with its next report.
+pub const FAILURE_DETECTION_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time for which a new leader keeps the members that it learned of as a follower, so that callers keep their
+/// addresses while the members report to it for the first time.
+const HANDOVER_GRACE: Duration = Duration::from_secs(3);
+/// Longest time for which a report without news is held, whatever it asks for.
+const MAX_LONG_POLL: Duration = Duration::from_secs(2);
 
-/// Time for which news of members alone is gathered: when many processes start, each would else be told of each other
-/// one by one.
-const GATHER: Duration = Duration::from_millis(20);
+/// Delay of an update that changes the members alone. When many processes start, it combines what would be an update
+/// for each.
+const BATCH_DELAY: Duration = Duration::from_millis(20);
 
 #[derive(Debug)]
 struct Seen {
-    told: Introduction,
+    introduction: Introduction,
     until: Timestamp,
 }
 
-/// What a control replica knows of the others.
-pub struct Board {
+/// What a control replica knows of the members, and the reports that it holds until there is news.
+pub struct ClusterRegistry {
     own: NodeId,
     own_address: SocketAddrV4,
     peer_port: u16,
@@ -66,24 +66,24 @@
     links: Rc<Links>,
     clock: Clock,
     seen: RefCell<BTreeMap<NodeId, Seen>>,
-    roll: RefCell<Roll>,
+    membership: RefCell<Membership>,
     backends: RefCell<Backends>,
     waiting: RefCell<Vec<oneshot::Sender<()>>>,
     led: Cell<u64>,
-    packs: Packs,
+    encoded: EncodedParts,
 }
 
-/// What is told, packed.
+/// The encoded parts of updates, each shared by all updates that carry it.
 #[derive(Default)]
-struct Packs {
-    routes: Pack<u64>,
-    backends: Pack<(Edition, Edition)>,
-    all_members: Pack<Edition>,
-    replicas: Pack<Edition>,
+struct EncodedParts {
+    routes: EncodedCache<u64>,
+    backends: EncodedCache<(Edition, Edition)>,
+    all_members: EncodedCache<Edition>,
+    replicas: EncodedCache<Edition>,
 }
 
-impl Board {
-    /// A board with nobody on it.
+impl ClusterRegistry {
+    /// A registry without members.
     #[must_use]
     pub fn new(own: &Member, group: Rc<Group<ControlState>>, links: Rc<Links>, clock: Clock) -> Rc<Self> {
         Rc::new(Self {
@@ -94,34 +94,34 @@
             links,
             clock,
             seen: RefCell::default(),
-            roll: RefCell::default(),
+            membership: RefCell::default(),
             backends: RefCell::default(),
             waiting: RefCell::default(),
             led: Cell::new(0),
-            packs: Packs::default(),
+            encoded: EncodedParts::default(),
         })
     }
 
-    /// Answers a report: at once if there is news for the process, else once there is or its patience ends. While nobody is
-    /// known to lead, it is held too: after a restart of all, processes that asked again and again would take the little
-    /// processor time that the replicas need to elect one.
-    pub async fn report(&self, report: Report) -> Bulletin {
+    /// Answers a report: at once if there is news for the process, else once there is or the long poll ends. It is held too
+    /// while no leader is known: after a restart of all machines, repeated reports would take the processor time that the
+    /// replicas need for their election.
+    pub async fn report(&self, report: Report) -> Update {
         self.record(&report);
-        let patience = Duration::from_millis(report.patience.into()).min(MOST_PATIENCE);
-        let deadline = self.clock.now() + patience;
+        let long_poll = Duration::from_millis(report.long_poll_ms.into()).min(MAX_LONG_POLL);
+        let deadline = self.clock.now() + long_poll;
         self.hold_until(deadline, || self.group.leads() || self.group.leader().is_some()).await;
-        let bulletin = Bulletin { leader: self.leader(), control: self.control(), ..Bulletin::default() };
+        let update = Update { leader: self.leader(), control: self.control(), ..Update::default() };
         if !self.group.leads() {
-            return bulletin;
+            return update;
         }
         self.hold_until(deadline, || self.has_news(&report)).await;
         if self.has_only_members(&report) {
-            Timer::after(GATHER).await;
+            Timer::after(BATCH_DELAY).await;
         }
         if self.group.ready().await != Verdict::Ready {
-            return bulletin;
+            return update;
         }
-        self.tell(&report, bulletin)
+        self.fill(&report, update)
     }
 
     /// Holds a report until a condition is met, looked at whenever reports are woken, or until a time.
@@ -136,12 +136,12 @@
         }
     }
 
-    /// Wakes every report that is held, such as after a change of the control state.
+    /// Looks again at every report that is held, such as after a change of the control state.
     pub fn wake(&self) {
         self.waiting.borrow_mut().clear();
     }
 
-    /// Looks who has gone silent, and what changed in the control state. Called a few times a second.
+    /// Drops failed members. Called a few times a second.
     pub fn refresh(&self) {
         let term = self.group.term();
         if self.group.leads() && self.led.replace(term) != term {
@@ -151,17 +151,17 @@
         self.waiting.borrow_mut().retain(|waiter| !waiter.is_canceled());
     }
 
-    /// Takes in the members that a follower was told, which stand for a while if it comes to lead.
-    pub fn inherit(&self, members: &[Member]) {
+    /// Takes over the members that a follower learned of, which stay for [`HANDOVER_GRACE`] if it becomes leader.
+    pub fn take_over(&self, members: &[Member]) {
         if self.group.leads() {
             return;
         }
-        let until = self.clock.now() + INHERITED;
-        let inherited = members.iter().map(|member| {
-            let seen = Seen { told: member.clone().into(), until };
+        let until = self.clock.now() + HANDOVER_GRACE;
+        let taken = members.iter().map(|member| {
+            let seen = Seen { introduction: member.clone().into(), until };
             (member.node, seen)
         });
-        self.seen.replace(inherited.collect());
+        self.seen.replace(taken.collect());
         self.relist();
     }
 
@@ -172,7 +172,7 @@
         }
     }
 
-    /// Forgets the list of backend servers, so that this replica tells none before it has read it anew.
+    /// Forgets the list of backend servers, so that no update carries it before it has been read again.
     pub fn drop_instances(&self) {
         self.backends.borrow_mut().forget();
     }
@@ -183,10 +183,10 @@
         self.backends.borrow().list()
     }
 
-    /// Who is there.
+    /// The members that are alive.
     #[must_use]
     pub fn members(&self) -> Vec<Member> {
-        self.roll.borrow().members().to_vec()
+        self.membership.borrow().members().to_vec()
     }
 
     /// Nodes of a role that could take part in its group.
@@ -199,8 +199,8 @@
             zone: member.zone.clone(),
             leaving: leaving.contains_key(&member.vm),
         };
-        let listed = self.roll.borrow();
-        listed.members().iter().filter(|member| member.role == role).map(candidate).collect()
+        let membership = self.membership.borrow();
+        membership.members().iter().filter(|member| member.role == role).map(candidate).collect()
     }
 
     /// How far the emptying of a store's VM is; `least` is the number of stores that each state group needs.
@@ -223,20 +223,20 @@
         if voters.len() == groups && voters.values().all(sound) { Emptying::Done } else { Emptying::Running }
     }
 
-    /// The voters of each state group whose leader is heard from.
+    /// The voters of each state group, as reported by its leader.
     fn state_groups(&self) -> BTreeMap<GroupId, BTreeSet<NodeId>> {
         let seen = self.seen.borrow();
-        let told = |seen: &Seen| Some((seen.told.member.group?, seen.told.voters.clone()?));
-        seen.values().filter_map(told).collect()
+        let voters = |seen: &Seen| Some((seen.introduction.member.group?, seen.introduction.voters.clone()?));
+        seen.values().filter_map(voters).collect()
     }
 
-    /// What an operator is told.
+    /// The overview for operators.
     #[must_use]
     pub fn overview(&self) -> Overview {
         let seen = self.seen.borrow();
-        let led = |seen: &Seen| seen.told.voters.is_some().then_some(seen.told.member.node);
+        let led = |seen: &Seen| seen.introduction.voters.is_some().then_some(seen.introduction.member.node);
         let state_leaders = seen.values().filter_map(led).collect();
-        let held = |(node, seen): (&NodeId, &Seen)| Some((*node, seen.told.holdings?));
+        let held = |(node, seen): (&NodeId, &Seen)| Some((*node, seen.introduction.holdings?));
         let (version, leaving) = self.group.machine(|state| {
             let leaving = state.configuration().leaving.keys().cloned().collect();
             (state.routes().map(|document| document.version), leaving)
@@ -256,22 +256,22 @@
     }
 
     fn record(&self, report: &Report) {
-        let member = &report.told.member;
+        let member = &report.introduction.member;
         if member.role != Role::Entry {
             self.links.learn(member.node, SocketAddr::V4(member.peer));
         }
-        let until = self.clock.now() + SILENCE;
+        let until = self.clock.now() + FAILURE_DETECTION_TIMEOUT;
         let mut seen = self.seen.borrow_mut();
         if let Some(known) = seen.get_mut(&member.node)
-            && known.told.member == *member
+            && known.introduction.member == *member
         {
-            // Nearly every report. Nothing of it concerns the list, which would be walked and copied for each.
-            *known = Seen { told: report.told.clone(), until };
+            // Nearly every report. It changes no member, so the list need not be built again.
+            *known = Seen { introduction: report.introduction.clone(), until };
             return;
         }
         // A process that comes back with an empty disk has another number at the same address.
-        seen.retain(|node, other| *node == member.node || other.told.member.peer != member.peer);
-        seen.insert(member.node, Seen { told: report.told.clone(), until });
+        seen.retain(|node, other| *node == member.node || other.introduction.member.peer != member.peer);
+        seen.insert(member.node, Seen { introduction: report.introduction.clone(), until });
         drop(seen);
         self.relist();
     }
@@ -280,21 +280,21 @@
         let now = self.clock.now();
         let mut seen = self.seen.borrow_mut();
         seen.retain(|_, seen| seen.until > now);
-        let live: Vec<Member> = seen.values().map(|seen| seen.told.member.clone()).collect();
+        let live: Vec<Member> = seen.values().map(|seen| seen.introduction.member.clone()).collect();
         drop(seen);
-        if self.roll.borrow_mut().replace(live) {
+        if self.membership.borrow_mut().replace(live) {
             self.wake();
         }
     }
 
-    /// The editions that a process of a role is told now.
+    /// The editions that are current for a process of a role.
     fn editions(&self, role: Role) -> Known {
         let term = self.group.term();
         let revision = self.group.machine(|state| state.routes().map_or(0, |document| document.revision));
         Known {
             revision,
             backends: self.backends.borrow().edition(term).unwrap_or_default(),
-            members: self.roll.borrow().edition(role, term),
+            members: self.membership.borrow().edition(role, term),
         }
     }
 
@@ -302,47 +302,47 @@
         self.has_decisions(report) || self.has_only_members(report)
     }
 
-    /// Whether there is another table of routes or list of backend servers, which are told without delay.
+    /// Whether there is another table of routes or list of backend servers, which are sent without delay.
     fn has_decisions(&self, report: &Report) -> bool {
-        let now = self.editions(report.told.member.role);
+        let now = self.editions(report.introduction.member.role);
         let listed = now.backends != Edition::default();
         now.revision > report.known.revision || (listed && now.backends != report.known.backends)
     }
 
     /// Whether the members are all that is new.
     fn has_only_members(&self, report: &Report) -> bool {
-        let now = self.editions(report.told.member.role);
+        let now = self.editions(report.introduction.member.role);
         !self.has_decisions(report) && now.members != report.known.members
     }
 
-    fn tell(&self, report: &Report, mut bulletin: Bulletin) -> Bulletin {
-        let role = report.told.member.role;
+    fn fill(&self, report: &Report, mut update: Update) -> Update {
+        let role = report.introduction.member.role;
         let (editions, known) = (self.editions(role), report.known);
-        bulletin.confirmed = true;
-        bulletin.leader = Some((self.own, self.own_address));
+        update.confirmed = true;
+        update.leader = Some((self.own, self.own_address));
         self.group.machine(|state| {
-            bulletin.revision = state.configuration().revision;
+            update.revision = state.configuration().revision;
             let routes = state.routes().filter(|document| document.revision > known.revision);
-            bulletin.routes = routes.map(|document| {
-                (document.revision, self.packs.routes.of(document.revision, || document.clone()))
+            update.routes = routes.map(|document| {
+                (document.revision, self.encoded.routes.of(document.revision, || document.clone()))
             });
-            bulletin.groups = state.founding().len();
-            if role == Role::Store && !report.told.member.ready {
-                bulletin.founding = state.founding().to_vec();
+            update.groups = state.founding().len();
+            if role == Role::Store && !report.introduction.member.ready {
+                update.founding = state.founding().to_vec();
             }
-            bulletin.leaving = state.configuration().leaving.keys().cloned().collect();
+            update.leaving = state.configuration().leaving.keys().cloned().collect();
         });
         if editions.backends != Edition::default() && editions.backends != known.backends {
             let change = || self.backends.borrow().change_since(known.backends, editions.backends.term);
-            let packed = self.packs.backends.of((known.backends, editions.backends), change);
-            bulletin.backends = Some((editions.backends, packed));
+            let packed = self.encoded.backends.of((known.backends, editions.backends), change);
+            update.backends = Some((editions.backends, packed));
         }
         if editions.members != known.members {
-            let pack = if role == Role::Control { &self.packs.all_members } else { &self.packs.replicas };
-            let packed = pack.of(editions.members, || self.roll.borrow().told(role));
-            bulletin.members = Some((editions.members, packed));
+            let pack = if role == Role::Control { &self.encoded.all_members } else { &self.encoded.replicas };
+            let packed = pack.of(editions.members, || self.membership.borrow().visible_to(role));
+            update.members = Some((editions.members, packed));
         }
-        bulletin
+        update
     }
 
     fn leader(&self) -> Option<(NodeId, SocketAddrV4)> {
@@ -355,7 +355,7 @@
         if node == self.own {
             return Some(self.own_address);
         }
-        let seen = self.seen.borrow().get(&node).map(|seen| seen.told.member.peer);
+        let seen = self.seen.borrow().get(&node).map(|seen| seen.introduction.member.peer);
         seen.or_else(|| founding_ip(node).map(|ip| SocketAddrV4::new(ip, self.peer_port)))
     }
 
--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -9,8 +9,8 @@
 use futures::future::LocalBoxFuture;
 
 use crate::clock::Clock;
-use crate::cluster::board::Board;
 use crate::cluster::message::ControlRequest;
+use crate::cluster::registry::ClusterRegistry;
 use crate::codec::DecodeError;
 use crate::codec::decode;
 use crate::codec::encode;
@@ -32,24 +32,24 @@
 use crate::turns::time::LeaderTime;
 
 /// A control replica.
-pub struct ControlDesk {
+pub struct ControlService {
     /// The replica.
     pub group: Rc<Group<ControlState>>,
     /// Who is there.
-    pub board: Rc<Board>,
+    pub registry: Rc<ClusterRegistry>,
     /// Stores that must stay when one is emptied.
     pub least_stores: usize,
 }
 
-impl ControlDesk {
+impl ControlService {
     async fn serve(&self, request: Vec<u8>) -> Submission {
         match decode::<ControlRequest>(&request) {
             Ok(ControlRequest::Command(command)) => self.commit(command).await,
             Ok(ControlRequest::Routes) => read(&self.group, |state| state.routes().cloned()).await,
             Ok(ControlRequest::Emptying(vm)) => {
-                read(&self.group, |_| self.board.emptying(&vm, self.least_stores)).await
+                read(&self.group, |_| self.registry.emptying(&vm, self.least_stores)).await
             }
-            Ok(ControlRequest::Overview) => read(&self.group, |_| self.board.overview()).await,
+            Ok(ControlRequest::Overview) => read(&self.group, |_| self.registry.overview()).await,
             Err(failure) => Submission::Refused(failure.to_string().into()),
         }
     }
@@ -57,12 +57,12 @@
     async fn commit(&self, command: ControlCommand) -> Submission {
         let submission = commit(&self.group, encode(&command)).await;
         // What was just committed goes to everyone whose report is held.
-        self.board.wake();
+        self.registry.wake();
         submission
     }
 }
 
-impl GroupService for ControlDesk {
+impl GroupService for ControlService {
     fn submit(&self, request: Vec<u8>) -> LocalBoxFuture<'_, Submission> {
         Box::pin(self.serve(request))
     }
@@ -72,21 +72,21 @@
     }
 }
 
-impl ReportService for Board {
+impl ReportService for ClusterRegistry {
     fn take(&self, report: Vec<u8>) -> LocalBoxFuture<'_, Result<Vec<u8>, DecodeError>> {
         Box::pin(async move { Ok(encode(&self.report(decode(&report)?).await)) })
     }
 }
 
 /// A replica of a state group that holds turns. While it leads it tells the group how much time passes, and weighs what begins.
-pub struct TurnDesk {
+pub struct TurnService {
     group: Rc<Group<TurnState>>,
     clock: Clock,
     time: Cell<LeaderTime>,
     openings: Rc<RefCell<Openings>>,
 }
 
-impl TurnDesk {
+impl TurnService {
     /// A desk for a replica.
     #[must_use]
     pub fn new(group: Rc<Group<TurnState>>, clock: Clock, openings: Rc<RefCell<Openings>>) -> Self {
@@ -141,7 +141,7 @@
     }
 }
 
-impl GroupService for TurnDesk {
+impl GroupService for TurnService {
     fn submit(&self, request: Vec<u8>) -> LocalBoxFuture<'_, Submission> {
         Box::pin(self.serve(request))
     }
--- a/agatetrestle/src/cluster/subscriber.rs
+++ b/agatetrestle/src/cluster/subscriber.rs
@@ -1,4 +1,4 @@
-//! The way of a process to the control leader: it reports without end and takes in what it is told.
+//! Reports of a process to the control leader, and the updates that it gets in return.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -23,10 +23,10 @@
 use snafu::Snafu;
 
 use crate::clock::Clock;
-use crate::cluster::board::Board;
-use crate::cluster::message::Bulletin;
 use crate::cluster::message::Introduction;
 use crate::cluster::message::Report;
+use crate::cluster::message::Update;
+use crate::cluster::registry::ClusterRegistry;
 use crate::cluster::report_log::ReportLog;
 use crate::cluster::report_log::ReportOutcome;
 use crate::cluster::view::View;
@@ -49,7 +49,7 @@
 /// Time after which the control replicas to ask are gathered anew, since answers and settings may name others.
 const SEARCH_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Makes an introduction.
+/// Gives the present state of the process.
 pub type Introduce = Rc<dyn Fn() -> Introduction>;
 
 /// Why a report has no answer.
@@ -84,14 +84,14 @@
 
 /// The reports of one process.
 pub struct Subscriber {
-    /// Tells of the process.
+    /// Gives the present state of the process.
     pub introduce: Introduce,
     /// Control addresses from the settings; they may be out of date.
     pub seeds: RefCell<Vec<SocketAddrV4>>,
     /// What the process knows.
     pub view: Rc<View>,
-    /// This process's own board, on control.
-    pub board: Option<Rc<Board>>,
+    /// This process's own registry, on control.
+    pub registry: Option<Rc<ClusterRegistry>>,
     /// The ways to other nodes, which learn addresses from the lists.
     pub links: Rc<Links>,
     /// The process's clock.
@@ -102,22 +102,23 @@
     pub log: ReportLog,
     /// Where their outcomes and times are counted.
     pub recorder: Rc<dyn Recorder>,
-    /// Rung when the process has something new to tell, which the leader would else hear half a second later.
-    pub bell: (Sender<()>, Receiver<()>),
+    /// Notified when the process has to report before the long poll ends.
+    pub notify: (Sender<()>, Receiver<()>),
 }
 
 impl Subscriber {
-    /// Reports again at once, since what the process tells of itself has changed.
-    pub fn renew(&self) {
+    /// Reports at once, since the state of the process has changed.
+    pub fn report_now(&self) {
         // A full channel means that it reports again anyway.
-        let _ = self.bell.0.try_send(());
+        let _ = self.notify.0.try_send(());
     }
 
     /// Reports until the task is dropped.
     pub async fn run(self: Rc<Self>) {
         let mut reached = None;
         loop {
-            let Either::Left((leader, _)) = select(pin!(self.round()), pin!(self.bell.1.recv())).await else {
+            let Either::Left((leader, _)) = select(pin!(self.round()), pin!(self.notify.1.recv())).await
+            else {
                 continue;
             };
             if leader != reached {
@@ -130,8 +131,8 @@
         }
     }
 
-    /// Reports once to the last leader. If it does not answer as one, all known control replicas are asked, each again
-    /// and again by itself: some may be dark, and waiting for their silence would delay what the others say.
+    /// Reports once to the last leader. If that does not confirm, reports to all known control replicas at the same time,
+    /// so that one that is unreachable does not delay the others.
     async fn round(&self) -> Option<SocketAddrV4> {
         if let Some((_, leader)) = self.view.leader()
             && self.report_to(leader).await
@@ -147,7 +148,7 @@
         found
     }
 
-    /// Reports to a control replica until it answers as the leader.
+    /// Reports to a control replica until it confirms as the leader.
     async fn ask_on(&self, contact: SocketAddrV4) -> SocketAddrV4 {
         while !self.report_to(contact).await {
             Timer::after(RETRY_INTERVAL).await;
@@ -155,31 +156,31 @@
         contact
     }
 
-    /// Reports to a control replica; whether it answered as the leader.
+    /// Reports to a control replica; whether it confirmed as the leader.
     async fn report_to(&self, contact: SocketAddrV4) -> bool {
         let sent = self.clock.now();
         self.log.begin(sent, contact);
         let answered = self.ask(contact).await;
         let outcome = match &answered {
-            Ok(bulletin) if bulletin.confirmed => ReportOutcome::Confirmed,
+            Ok(update) if update.confirmed => ReportOutcome::Confirmed,
             Ok(_) => ReportOutcome::NotLeader,
             Err(failure) => failure.outcome(),
         };
         self.log.end(contact, outcome);
         self.recorder.report(outcome.name(), self.clock.now().since(sent));
-        let bulletin = match answered {
-            Ok(bulletin) => bulletin,
+        let update = match answered {
+            Ok(update) => update,
             Err(failure @ ReportError::Answer { .. }) => {
-                warn!("The bulletin of {contact} can't be read: {failure}.");
+                warn!("The update of {contact} can't be read: {failure}.");
                 return false;
             }
             Err(_) => return false,
         };
-        for (node, address) in &bulletin.control {
+        for (node, address) in &update.control {
             self.links.learn(*node, SocketAddr::V4(*address));
         }
         let known = self.view.known().members;
-        self.view.adopt(sent, bulletin);
+        self.view.adopt(sent, update);
         if self.view.known().members != known {
             self.learn_members();
         }
@@ -199,14 +200,14 @@
         }
     }
 
-    async fn ask(&self, contact: SocketAddrV4) -> Result<Bulletin, ReportError> {
-        let told = (self.introduce)();
-        let own = told.member.peer == contact;
-        let patience = u32::try_from(LONG_POLL.as_millis()).unwrap_or(u32::MAX);
-        let report = Report { told, known: self.view.known(), patience };
+    async fn ask(&self, contact: SocketAddrV4) -> Result<Update, ReportError> {
+        let introduction = (self.introduce)();
+        let own = introduction.member.peer == contact;
+        let long_poll_ms = u32::try_from(LONG_POLL.as_millis()).unwrap_or(u32::MAX);
+        let report = Report { introduction, known: self.view.known(), long_poll_ms };
         if own {
-            let board = self.board.clone().ok_or(ReportError::OwnAddress)?;
-            return Ok(board.report(report).await);
+            let registry = self.registry.clone().ok_or(ReportError::OwnAddress)?;
+            return Ok(registry.report(report).await);
         }
         let link = self.link(contact);
         let answer = call(&link, encode(&report)).await.context(CallSnafu)?;
--- a/agatetrestle/src/cluster/subscriber/tests.rs
+++ b/agatetrestle/src/cluster/subscriber/tests.rs
@@ -23,8 +23,8 @@
 
 impl ReportService for Contact {
     fn take(&self, _report: Vec<u8>) -> LocalBoxFuture<'_, Result<Vec<u8>, DecodeError>> {
-        let bulletin = Bulletin { confirmed: self.0.get(), ..Bulletin::default() };
-        Box::pin(async move { Ok(encode(&bulletin)) })
+        let update = Update { confirmed: self.0.get(), ..Update::default() };
+        Box::pin(async move { Ok(encode(&update)) })
     }
 }
 
@@ -49,13 +49,13 @@
         introduce: Rc::new(|| entry().into()),
         seeds: RefCell::new(vec![seed]),
         view: Rc::default(),
-        board: None,
+        registry: None,
         links: Links::new(NodeId(1), REPORT_TIMEOUT, executor),
         clock: Clock::start(),
         by_address: RefCell::default(),
         log: ReportLog::default(),
         recorder: Rc::new(Metrics::new().unwrap()),
-        bell: smol::channel::bounded(1),
+        notify: smol::channel::bounded(1),
     }
 }
 
--- a/agatetrestle/src/cluster/tests.rs
+++ b/agatetrestle/src/cluster/tests.rs
@@ -13,23 +13,25 @@
 use crate::cluster::backends::BackendChange;
 use crate::cluster::backends::Backends;
 use crate::cluster::contacts;
+use crate::cluster::encoded::EncodedCache;
 use crate::cluster::identity;
-use crate::cluster::message::Bulletin;
+use crate::cluster::membership::Membership;
 use crate::cluster::message::Edition;
 use crate::cluster::message::Holdings;
 use crate::cluster::message::Known;
 use crate::cluster::message::Member;
+use crate::cluster::message::Report;
+use crate::cluster::message::Update;
 use crate::cluster::overview::Overview;
-use crate::cluster::packs::Pack;
 use crate::cluster::report_log::ReportLog;
 use crate::cluster::report_log::ReportOutcome;
-use crate::cluster::roll::Roll;
 use crate::cluster::view::View;
 use crate::cluster::voters::Candidate;
 use crate::cluster::voters::Wanted;
 use crate::cluster::voters::lost;
 use crate::cluster::voters::next_change;
 use crate::codec::Packed;
+use crate::codec::decode;
 use crate::codec::encode;
 use crate::dispatch::Instance;
 use crate::ids::FIRST_STATE_GROUP;
@@ -114,6 +116,19 @@
     assert_eq!(log.lines(at(2_700), known, Some(at(2_600))), Vec::<String>::new(), "the search is over");
 }
 
+#[test]
+fn a_report_of_an_earlier_build_is_read() {
+    let report = Report {
+        introduction: member(1, Role::Entry).into(),
+        known: Known { revision: 57, ..Known::default() },
+        long_poll_ms: 500,
+    };
+    let value: ciborium::Value = ciborium::from_reader(&encode(&report)[..]).unwrap();
+    let names: Vec<&str> = value.as_map().unwrap().iter().filter_map(|(name, _)| name.as_text()).collect();
+    assert_eq!(names, ["told", "known", "patience"]);
+    assert_eq!(decode::<Report>(&encode(&value)).unwrap(), report);
+}
+
 fn member(node: u64, role: Role) -> Member {
     let address = SocketAddrV4::new([10, 0, 0, 1].into(), 7_240);
     let (vm, zone) = (node.to_string().into(), "a".into());
@@ -122,29 +137,33 @@
 
 #[test]
 fn an_entry_hears_at_once_of_a_store_but_not_of_another_entry() {
-    let mut roll = Roll::default();
+    let mut membership = Membership::default();
     let store = member(1, Role::Store);
-    assert!(roll.replace(vec![store.clone()]));
-    let known = [Role::Entry, Role::Store, Role::Control].map(|role| (role, roll.edition(role, 5)));
-    let news = |roll: &Roll| known.map(|(role, known)| roll.edition(role, 5) != known);
-    assert_eq!(news(&roll), [false, false, false]);
-    assert!(roll.replace(vec![store.clone(), member(2, Role::Entry)]));
-    assert_eq!(news(&roll), [false, false, true], "an entry came");
-    assert_eq!([Role::Entry, Role::Control].map(|role| roll.told(role).len()), [1, 2]);
-    assert!(roll.replace(vec![member(2, Role::Entry)]));
-    assert_eq!(news(&roll), [true, true, true], "the store went");
-    assert_ne!(roll.edition(Role::Entry, 5), roll.edition(Role::Entry, 6), "another leader may know others");
+    assert!(membership.replace(vec![store.clone()]));
+    let known = [Role::Entry, Role::Store, Role::Control].map(|role| (role, membership.edition(role, 5)));
+    let news = |membership: &Membership| known.map(|(role, known)| membership.edition(role, 5) != known);
+    assert_eq!(news(&membership), [false, false, false]);
+    assert!(membership.replace(vec![store.clone(), member(2, Role::Entry)]));
+    assert_eq!(news(&membership), [false, false, true], "an entry came");
+    assert_eq!([Role::Entry, Role::Control].map(|role| membership.visible_to(role).len()), [1, 2]);
+    assert!(membership.replace(vec![member(2, Role::Entry)]));
+    assert_eq!(news(&membership), [true, true, true], "the store went");
+    assert_ne!(
+        membership.edition(Role::Entry, 5),
+        membership.edition(Role::Entry, 6),
+        "another leader may know others"
+    );
     let waiting = Member { ready: false, ..store.clone() };
-    roll.replace(vec![waiting]);
-    let known = roll.edition(Role::Entry, 5);
-    roll.replace(vec![store]);
-    assert_ne!(roll.edition(Role::Entry, 5), known, "a store that was opened is another");
+    membership.replace(vec![waiting]);
+    let known = membership.edition(Role::Entry, 5);
+    membership.replace(vec![store]);
+    assert_ne!(membership.edition(Role::Entry, 5), known, "a store that was opened is another");
 }
 
 #[test]
 fn a_list_is_packed_once_for_all_who_are_told_it() {
     let members: Vec<Member> = (1..=300).map(|node| member(node, Role::Entry)).collect();
-    let pack = Pack::default();
+    let pack = EncodedCache::default();
     let count = Cell::new(0);
     let of = |edition: u64| {
         pack.of(edition, || {
@@ -152,27 +171,27 @@
             members.clone()
         })
     };
-    let told: Vec<Packed> = [1, 1, 1, 2, 2].map(of).into();
+    let copies: Vec<Packed> = [1, 1, 1, 2, 2].map(of).into();
     assert_eq!(count.get(), 2, "once for each edition");
-    assert!(told.iter().all(|packed| packed.unpack::<Vec<Member>>().unwrap() == members));
+    assert!(copies.iter().all(|packed| packed.unpack::<Vec<Member>>().unwrap() == members));
     let plain = encode(&members).len();
-    assert!(told[0].size() * 8 < plain, "{} of {plain} bytes", told[0].size());
+    assert!(copies[0].size() * 8 < plain, "{} of {plain} bytes", copies[0].size());
 }
 
 #[test]
 fn a_part_that_can_not_be_read_leaves_the_others_and_is_not_asked_for_again() {
     let view = View::default();
     let edition = |count| Edition { term: 1, count };
-    let bulletin = |count, members| Bulletin {
+    let update = |count, members| Update {
         confirmed: true,
         groups: 2,
         backends: Some((edition(count), Packed::new(&BackendChange::Whole(Vec::new())))),
         members: Some((edition(count), members)),
-        ..Bulletin::default()
+        ..Update::default()
     };
     let store = member(1, Role::Store);
-    view.adopt(Timestamp(1), bulletin(1, Packed::new(&vec![store.clone()])));
-    view.adopt(Timestamp(2), bulletin(2, Packed::new(&"of another build")));
+    view.adopt(Timestamp(1), update(1, Packed::new(&vec![store.clone()])));
+    view.adopt(Timestamp(2), update(2, Packed::new(&"of another build")));
     assert_eq!((view.members(), view.groups()), (vec![store], 2));
     assert_eq!((view.known().members, view.known().backends), (edition(2), edition(2)));
 }
@@ -191,8 +210,8 @@
         backends.edition(3) > before,
         "a process that knows the old number would not believe a lower one"
     );
-    let told = backends.change_since(before.unwrap(), 3);
-    assert_eq!(told, BackendChange::Whole(vec![backend("e-2", false)]));
+    let change = backends.change_since(before.unwrap(), 3);
+    assert_eq!(change, BackendChange::Whole(vec![backend("e-2", false)]));
     assert!(!backends.replace(vec![backend("e-2", false)]));
 }
 
@@ -211,7 +230,7 @@
     let other = Edition { term: 3, count: 9 };
     assert_eq!(change.clone().apply(other, &base), None);
     assert_eq!(change.apply(known, &base).map(sorted), Some(sorted(servers(2))));
-    assert!(matches!(backends.change_since(known, 4), BackendChange::Whole(_)), "another leader told it");
+    assert!(matches!(backends.change_since(known, 4), BackendChange::Whole(_)), "it is of another leader");
     let twice = vec![backend("e-1", false), backend("e-1", true)];
     backends.replace(twice.clone());
     let known = Edition { count: known.count + 1, ..known };
@@ -242,9 +261,9 @@
             let edition = backends.edition(5).unwrap();
             if asks && edition != known {
                 let change = backends.change_since(known, 5);
-                let told = change.clone().apply(known, &list).expect("it is from what the process knows");
-                prop_assert_eq!(sorted(told.clone()), sorted(servers));
-                (known, list) = (edition, told);
+                let next = change.clone().apply(known, &list).expect("it is from what the process knows");
+                prop_assert_eq!(sorted(next.clone()), sorted(servers));
+                (known, list) = (edition, next);
                 if late && matches!(change, BackendChange::Since { .. }) {
                     prop_assert_eq!(change.apply(known, &list), None, "an answer that comes twice");
                 }
--- a/agatetrestle/src/cluster/view.rs
+++ b/agatetrestle/src/cluster/view.rs
@@ -1,4 +1,4 @@
-//! What a process knows of the deployment, by the bulletins it got.
+//! What a process knows of the deployment, by the updates it got.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -14,15 +14,15 @@
 
 use crate::clock::Timestamp;
 use crate::cluster::backends::BackendChange;
-use crate::cluster::message::Bulletin;
 use crate::cluster::message::Known;
 use crate::cluster::message::Member;
+use crate::cluster::message::Update;
 use crate::codec::Packed;
 use crate::control::command::Document;
 use crate::dispatch::Instance;
 use crate::ids::NodeId;
 
-/// Told of each part that changes.
+/// Notified of each part that changes.
 pub trait Watcher {
     /// Another table of routes is in force.
     fn routes(&self, _document: &Document) {}
@@ -71,30 +71,30 @@
 }
 
 impl View {
-    /// Sets who is told of changes.
+    /// Sets who is notified of changes.
     pub fn watch(&self, watcher: Rc<dyn Watcher>) {
         self.watcher.replace(watcher);
     }
 
-    /// Takes in a bulletin; `asked` is when the report went out. One that is not confirmed tells only where
+    /// Takes in an update; `asked` is when the report went out. One that is not confirmed tells only where
     /// control is.
-    pub fn adopt(&self, asked: Timestamp, bulletin: Bulletin) {
-        self.control.borrow_mut().extend(bulletin.control);
-        if !bulletin.confirmed {
+    pub fn adopt(&self, asked: Timestamp, update: Update) {
+        self.control.borrow_mut().extend(update.control);
+        if !update.confirmed {
             return;
         }
-        self.leader.set(bulletin.leader);
+        self.leader.set(update.leader);
         self.confirmed_at.set(Some(asked));
-        self.groups.set(bulletin.groups);
-        self.founding.replace(bulletin.founding);
-        self.leaving.replace(bulletin.leaving);
+        self.groups.set(update.groups);
+        self.founding.replace(update.founding);
+        self.leaving.replace(update.leaving);
         let mut known = self.known.get();
         let watcher = self.watcher.borrow().clone();
-        if let Some(document) = newer::<_, Document>(&mut known.revision, bulletin.routes) {
+        if let Some(document) = newer::<_, Document>(&mut known.revision, update.routes) {
             watcher.routes(&document);
         }
         let edition = known.backends;
-        if let Some(change) = newer::<_, BackendChange>(&mut known.backends, bulletin.backends) {
+        if let Some(change) = newer::<_, BackendChange>(&mut known.backends, update.backends) {
             match change.apply(edition, &self.instances()) {
                 Some(instances) => {
                     watcher.backends(&instances);
@@ -104,26 +104,26 @@
                 None => known.backends = edition,
             }
         }
-        if let Some(members) = newer::<_, Vec<Member>>(&mut known.members, bulletin.members) {
+        if let Some(members) = newer::<_, Vec<Member>>(&mut known.members, update.members) {
             watcher.members(&members);
             self.members.replace(members);
         }
         self.known.set(known);
     }
 
-    /// How far the process has been told.
+    /// The editions that the process holds.
     #[must_use]
     pub fn known(&self) -> Known {
         self.known.get()
     }
 
-    /// The control leader, by the last confirmed bulletin.
+    /// The control leader, by the last confirmed update.
     #[must_use]
     pub fn leader(&self) -> Option<(NodeId, SocketAddrV4)> {
         self.leader.get()
     }
 
-    /// The control replicas that were ever told.
+    /// All control replicas that any update named.
     #[must_use]
     pub fn control(&self) -> BTreeMap<NodeId, SocketAddrV4> {
         self.control.borrow().clone()
@@ -147,13 +147,13 @@
         self.instances.borrow().clone()
     }
 
-    /// Number of state groups; 0 before the process was told of any.
+    /// Number of state groups; 0 before an update named any.
     #[must_use]
     pub fn groups(&self) -> usize {
         self.groups.get()
     }
 
-    /// The first voters of each state group, told to stores that are not opened yet.
+    /// The first voters of each state group, while this process is a store that is not opened yet.
     #[must_use]
     pub fn founding(&self) -> Vec<BTreeSet<NodeId>> {
         self.founding.borrow().clone()
@@ -165,22 +165,22 @@
         self.leaving.borrow().contains(vm)
     }
 
-    /// When the report went out to which the last confirmed bulletin was the answer.
+    /// When the report went out to which the last confirmed update was the answer.
     #[must_use]
     pub fn confirmed_at(&self) -> Option<Timestamp> {
         self.confirmed_at.get()
     }
 }
 
-/// What is told, if it is newer than what is known. What can't be read comes from another build: the process goes on with
+/// A part of an update, if it is newer than what is known. What can't be read comes from another build: the process goes on with
 /// what it has, and asks for it no more.
-fn newer<K: Ord, T: DeserializeOwned>(known: &mut K, told: Option<(K, Packed)>) -> Option<T> {
-    let (edition, packed) = told.filter(|(edition, _)| edition > known)?;
+fn newer<K: Ord, T: DeserializeOwned>(known: &mut K, part: Option<(K, Packed)>) -> Option<T> {
+    let (edition, packed) = part.filter(|(edition, _)| edition > known)?;
     *known = edition;
     match packed.unpack() {
         Ok(list) => Some(list),
         Err(failure) => {
-            warn!("What control tells can't be read: {failure}.");
+            warn!("A part of an update can't be read: {failure}.");
             None
         }
     }
--- a/agatetrestle/src/deployment/control.rs
+++ b/agatetrestle/src/deployment/control.rs
@@ -10,19 +10,19 @@
 use log::warn;
 use smol::Timer;
 
-use crate::cluster::board::Board;
 use crate::cluster::identity;
-use crate::cluster::keeper;
 use crate::cluster::message::ControlRequest;
 use crate::cluster::message::Member;
-use crate::cluster::service::ControlDesk;
+use crate::cluster::registry::ClusterRegistry;
+use crate::cluster::repair;
+use crate::cluster::service::ControlService;
 use crate::cluster::voters::Candidate;
 use crate::cluster::voters::Wanted;
 use crate::codec::encode;
 use crate::control::command::ControlCommand;
 use crate::control::state::ControlState;
 use crate::deployment::Frame;
-use crate::deployment::PATIENCE;
+use crate::deployment::REQUEST_TIMEOUTS;
 use crate::deployment::directory;
 use crate::deployment::listing;
 use crate::deployment::operators;
@@ -43,7 +43,7 @@
 /// How often a control replica looks who has gone silent.
 const REFRESH: Duration = Duration::from_millis(200);
 /// How often it looks whether somebody leads while nobody does.
-const ELECTION_LOOK: Duration = Duration::from_millis(10);
+const ELECTION_POLL: Duration = Duration::from_millis(10);
 /// Time for which the same number of stores must be there before the state groups are founded, so that those that start
 /// at the same time all take part.
 const SETTLE: Duration = Duration::from_secs(1);
@@ -57,82 +57,96 @@
 pub(super) async fn start(frame: &Frame) -> Result<Replicated<ControlState>, NodeError> {
     let group = open(frame).await?;
     let member = Member { ready: true, ..frame.member() };
-    let board = Board::new(&member, group.clone(), frame.links.clone(), frame.clock);
-    let desk: Rc<dyn GroupService> = Rc::new(ControlDesk {
+    let registry = ClusterRegistry::new(&member, group.clone(), frame.links.clone(), frame.clock);
+    let desk: Rc<dyn GroupService> = Rc::new(ControlService {
         group: group.clone(),
-        board: board.clone(),
+        registry: registry.clone(),
         least_stores: frame.quorum_base(),
     });
-    let mut server = PeerServer { reports: Some(board.clone()), ..PeerServer::default() };
+    let mut server = PeerServer { reports: Some(registry.clone()), ..PeerServer::default() };
     let receiving = group.clone();
     server.receivers.insert(CONTROL_GROUP, Rc::new(move |message| receiving.receive(message)));
     server.services.insert(CONTROL_GROUP, desk.clone());
     frame.serve_peers(server);
-    let subscriber = frame.subscriber(Rc::new(move || member.clone().into()), Some(board.clone()));
+    let subscriber = frame.subscriber(Rc::new(move || member.clone().into()), Some(registry.clone()));
     let links = frame.links.clone();
-    let router = Router::new(CONTROL_GROUP, frame.node, Some(desk), links, &[], frame.clock, PATIENCE);
+    let router =
+        Router::new(CONTROL_GROUP, frame.node, Some(desk), links, &[], frame.clock, REQUEST_TIMEOUTS);
     let router = Rc::new(router);
-    spawn_upkeep(frame, &group, &board, &router);
+    spawn_upkeep(frame, &group, &registry, &router);
     let bounds = Bounds::new(CONNECTIONS);
     let handler = operators::handler(frame.wire.clone(), router);
     serve_http(frame, frame.settings.listen.operators, handler, bounds.clone());
-    let handler = directory::handler(frame.wire.clone(), board, frame.settings.bounds.address_max_age);
+    let handler = directory::handler(frame.wire.clone(), registry, frame.settings.bounds.address_max_age);
     serve_http(frame, frame.settings.listen.directory, handler, bounds);
     Ok(Replicated { group, subscriber })
 }
 
-/// Waits for the next refresh. While nobody leads it is looked often, and who asked is told once somebody does.
-async fn wait_for_change(group: &Group<ControlState>, board: &Board) {
+/// Waits for the next refresh. While there is no leader it checks often, and wakes held reports once there is one.
+async fn wait_for_change(group: &Group<ControlState>, registry: &ClusterRegistry) {
     let mut left = REFRESH;
     while !left.is_zero() {
         let led = (group.leads(), group.leader());
         // A replica that was just elected leads once a majority has answered it.
         let settled = led.1.is_some_and(|leader| led.0 || !group.is(leader));
-        let pause = if settled { left } else { ELECTION_LOOK.min(left) };
+        let pause = if settled { left } else { ELECTION_POLL.min(left) };
         Timer::after(pause).await;
         left = left.saturating_sub(pause);
         if (group.leads(), group.leader()) != led {
-            board.wake();
+            registry.wake();
         }
     }
 }
 
-fn spawn_upkeep(frame: &Frame, group: &Rc<Group<ControlState>>, board: &Rc<Board>, router: &Rc<Router>) {
+fn spawn_upkeep(
+    frame: &Frame,
+    group: &Rc<Group<ControlState>>,
+    registry: &Rc<ClusterRegistry>,
+    router: &Rc<Router>,
+) {
     let candidates = {
-        let board = board.clone();
-        Rc::new(move || board.candidates(Role::Control))
+        let registry = registry.clone();
+        Rc::new(move || registry.candidates(Role::Control))
     };
     let wanted = Wanted { most: usize::MAX, least: frame.quorum_base() };
-    frame.executor.spawn(keeper::keep(group.clone(), candidates, wanted)).detach();
+    frame.executor.spawn(repair::repair_forever(group.clone(), candidates, wanted)).detach();
     let listing = listing::Listing {
         wire: frame.wire.clone(),
         settings: frame.settings.backend_list,
         group: group.clone(),
-        board: board.clone(),
+        registry: registry.clone(),
         clock: frame.clock,
         recorder: frame.metrics.clone(),
         executor: frame.executor.clone(),
     };
     frame.executor.spawn(listing.run()).detach();
-    frame.executor.spawn(found(group.clone(), board.clone(), router.clone(), frame.quorum_base())).detach();
-    let (group, board, router) = (group.clone(), board.clone(), router.clone());
+    frame
+        .executor
+        .spawn(found(group.clone(), registry.clone(), router.clone(), frame.quorum_base()))
+        .detach();
+    let (group, registry, router) = (group.clone(), registry.clone(), router.clone());
     let (links, view) = (frame.links.clone(), frame.view.clone());
     let refreshing = async move {
         loop {
             // A follower that can't reach the leader goes on with the last list: some address is better than none.
-            board.inherit(&view.members());
-            board.refresh();
+            registry.take_over(&view.members());
+            registry.refresh();
             let voters: Vec<NodeId> = group.replicas().voters.into_iter().collect();
             router.set_holders(&voters);
             super::learn_control(&links, &view);
-            wait_for_change(&group, &board).await;
+            wait_for_change(&group, &registry).await;
         }
     };
     frame.executor.spawn(refreshing).detach();
 }
 
 /// Names the first voters of the state groups once enough stores have been there for a while.
-async fn found(group: Rc<Group<ControlState>>, board: Rc<Board>, router: Rc<Router>, wanted: usize) {
+async fn found(
+    group: Rc<Group<ControlState>>,
+    registry: Rc<ClusterRegistry>,
+    router: Rc<Router>,
+    wanted: usize,
+) {
     let mut settled_for = Duration::ZERO;
     let mut known = 0;
     loop {
@@ -140,7 +154,7 @@
         if !group.machine(|state| state.founding().is_empty()) {
             return;
         }
-        let stores = board.candidates(Role::Store);
+        let stores = registry.candidates(Role::Store);
         let same = std::mem::replace(&mut known, stores.len()) == stores.len();
         if !group.leads() || stores.len() < wanted || !same {
             settled_for = Duration::ZERO;
--- a/agatetrestle/src/deployment/directory.rs
+++ b/agatetrestle/src/deployment/directory.rs
@@ -9,8 +9,8 @@
 use http::StatusCode;
 use http::header::CONTENT_TYPE;
 
-use crate::cluster::board::Board;
 use crate::cluster::message::Member;
+use crate::cluster::registry::ClusterRegistry;
 use crate::gateway::wire::Wire;
 use crate::transport::body::AnswerBody;
 use crate::transport::server::Handler;
@@ -23,12 +23,12 @@
 /// Entries of the caller's own failure domain that suffice, so that the loss of one leaves another.
 const ENOUGH: usize = 2;
 
-pub(super) fn handler(wire: Rc<dyn Wire>, board: Rc<Board>, bound: Duration) -> Handler {
+pub(super) fn handler(wire: Rc<dyn Wire>, registry: Rc<ClusterRegistry>, bound: Duration) -> Handler {
     Rc::new(move |request| {
         let response = match wire.read_lookup(request.uri()) {
             None => empty(StatusCode::NOT_FOUND),
             Some(lookup) => {
-                let addresses = addresses(&board.members(), &lookup.zone);
+                let addresses = addresses(&registry.members(), &lookup.zone);
                 if addresses.is_empty() {
                     empty(StatusCode::SERVICE_UNAVAILABLE)
                 } else {
--- a/agatetrestle/src/deployment/entry.rs
+++ b/agatetrestle/src/deployment/entry.rs
@@ -19,7 +19,7 @@
 use crate::cluster::view::Watcher;
 use crate::control::command::Document;
 use crate::deployment::Frame;
-use crate::deployment::PATIENCE;
+use crate::deployment::REQUEST_TIMEOUTS;
 use crate::deployment::RunningRole;
 use crate::deployment::directory::MAX_AGE;
 use crate::deployment::serve_http;
@@ -87,8 +87,12 @@
 
 pub(super) fn start(frame: &Frame) -> Entry {
     let links = frame.links.clone();
-    let turns =
-        TurnRoute::new(RouteParts { node: frame.node, links, clock: frame.clock, patience: PATIENCE });
+    let turns = TurnRoute::new(RouteParts {
+        node: frame.node,
+        links,
+        clock: frame.clock,
+        timeouts: REQUEST_TIMEOUTS,
+    });
     let sockets = frame.settings.limits.descriptors.saturating_sub(OWN_DESCRIPTORS);
     let bounds = Bounds::new(usize::try_from(sockets).unwrap_or(usize::MAX).max(CHECKS));
     let gateway = Gateway::new(GatewayParts {
--- a/agatetrestle/src/deployment/listing.rs
+++ b/agatetrestle/src/deployment/listing.rs
@@ -21,7 +21,7 @@
 use snafu::Snafu;
 
 use crate::clock::Clock;
-use crate::cluster::board::Board;
+use crate::cluster::registry::ClusterRegistry;
 use crate::control::state::ControlState;
 use crate::dispatch::Instance;
 use crate::gateway::wire::Wire;
@@ -68,7 +68,7 @@
     pub(super) wire: Rc<dyn Wire>,
     pub(super) settings: BackendList,
     pub(super) group: Rc<Group<ControlState>>,
-    pub(super) board: Rc<Board>,
+    pub(super) registry: Rc<ClusterRegistry>,
     pub(super) clock: Clock,
     pub(super) recorder: Rc<dyn Recorder>,
     pub(super) executor: Rc<LocalExecutor<'static>>,
@@ -88,7 +88,7 @@
             if !self.group.leads() {
                 if self.group.leader().is_some() {
                     // What the leader reads is newer. What this replica read stands only until somebody leads.
-                    self.board.drop_instances();
+                    self.registry.drop_instances();
                     early = true;
                 }
                 if std::mem::replace(&mut early, true) {
@@ -99,7 +99,7 @@
             match self.read(&client).await {
                 Ok(list) => {
                     pages = list.pages;
-                    self.board.set_instances(list.instances);
+                    self.registry.set_instances(list.instances);
                     self.note_unreadable(&mut unreadable, list.unreadable);
                     if reachable.replace(true) != Some(true) {
                         info!("The list of backend servers is read.");
--- a/agatetrestle/src/deployment/mod.rs
+++ b/agatetrestle/src/deployment/mod.rs
@@ -41,9 +41,9 @@
 use snafu::Snafu;
 
 use crate::clock::Clock;
-use crate::cluster::board::Board;
 use crate::cluster::identity;
 use crate::cluster::message::Member;
+use crate::cluster::registry::ClusterRegistry;
 use crate::cluster::report_log::ReportLog;
 use crate::cluster::subscriber::Introduce;
 use crate::cluster::subscriber::Subscriber;
@@ -58,7 +58,7 @@
 use crate::node::peer_server;
 use crate::node::peer_server::PeerServer;
 use crate::node::replicas::Opener;
-use crate::node::router::Patience;
+use crate::node::router::RequestTimeouts;
 use crate::transport::server;
 use crate::transport::server::Bounds;
 use crate::transport::server::Handler;
@@ -69,11 +69,12 @@
 const PEER_CALL: Duration = Duration::from_millis(600);
 /// How long one try at a group's leader lasts, and all tries together. A new leader is there about a second after
 /// one was lost.
-const PATIENCE: Patience = Patience { each: Duration::from_millis(400), whole: Duration::from_millis(1_800) };
+const REQUEST_TIMEOUTS: RequestTimeouts =
+    RequestTimeouts { attempt: Duration::from_millis(400), request: Duration::from_millis(1_800) };
 /// Size of a log segment; a snapshot frees whole ones.
 const SEGMENT: u64 = 4 << 20;
-/// Time without a confirmed bulletin after which the settings are read again, since the seeds may have changed.
-const LOST: Duration = Duration::from_secs(2);
+/// Time without a confirmed update after which the settings are read again, since the seeds may have changed.
+const CONTROL_LOST_AFTER: Duration = Duration::from_secs(2);
 
 /// Why a process can't start.
 #[derive(Debug, Snafu)]
@@ -234,19 +235,19 @@
         }
     }
 
-    fn subscriber(&self, introduce: Introduce, board: Option<Rc<Board>>) -> Rc<Subscriber> {
+    fn subscriber(&self, introduce: Introduce, registry: Option<Rc<ClusterRegistry>>) -> Rc<Subscriber> {
         let port = self.settings.process.peer_port;
         let subscriber = Rc::new(Subscriber {
             introduce,
             seeds: RefCell::new(peer_addresses(&self.settings, port)),
             view: self.view.clone(),
-            board,
+            registry,
             links: self.links.clone(),
             clock: self.clock,
             by_address: RefCell::default(),
             log: ReportLog::default(),
             recorder: self.metrics.clone(),
-            bell: smol::channel::bounded(1),
+            notify: smol::channel::bounded(1),
         });
         self.metrics.watch_freshness(subscriber.clone());
         self.executor.spawn(subscriber.clone().run()).detach();
@@ -305,9 +306,9 @@
     /// The settings may also change without a signal; they matter only to a process that has lost control.
     async fn reload_when_lost(&self, file: &Path) {
         loop {
-            Timer::after(LOST).await;
+            Timer::after(CONTROL_LOST_AFTER).await;
             let confirmed = self.view.confirmed_at();
-            if confirmed.is_none_or(|at| self.clock.now().since(at) > LOST) {
+            if confirmed.is_none_or(|at| self.clock.now().since(at) > CONTROL_LOST_AFTER) {
                 self.reload(file);
             }
         }
--- a/agatetrestle/src/deployment/overview.rs
+++ b/agatetrestle/src/deployment/overview.rs
@@ -12,8 +12,8 @@
 use crate::cluster::overview::Overview;
 use crate::codec::decode;
 use crate::codec::encode;
-use crate::deployment::PATIENCE;
 use crate::deployment::PEER_CALL;
+use crate::deployment::REQUEST_TIMEOUTS;
 use crate::deployment::peer_addresses;
 use crate::ids::CONTROL_GROUP;
 use crate::ids::NodeId;
@@ -45,7 +45,7 @@
     let mut answers = Vec::new();
     for address in peer_addresses(settings, settings.process.peer_port) {
         let link = links.unnamed(SocketAddr::V4(address));
-        let answer = match submit_remotely(&link, PATIENCE.each, CONTROL_GROUP, &question).await {
+        let answer = match submit_remotely(&link, REQUEST_TIMEOUTS.attempt, CONTROL_GROUP, &question).await {
             Ok(Submission::Applied(bytes)) => match decode(&bytes) {
                 Ok(overview) => return Ok(overview),
                 Err(failure) => failure.to_string(),
--- a/agatetrestle/src/deployment/store.rs
+++ b/agatetrestle/src/deployment/store.rs
@@ -23,10 +23,10 @@
 use crate::agreement::storage::has_folder;
 use crate::clock::Clock;
 use crate::cluster::contacts;
-use crate::cluster::keeper;
 use crate::cluster::message::Introduction;
 use crate::cluster::message::Member;
-use crate::cluster::service::TurnDesk;
+use crate::cluster::repair;
+use crate::cluster::service::TurnService;
 use crate::cluster::subscriber::Subscriber;
 use crate::cluster::view::View;
 use crate::cluster::view::Watcher;
@@ -71,11 +71,11 @@
     frame.serve_peers(server(frame, &held, &inviting));
     let (id, opened) = open(frame, &held, &subscriber, &invitations).await?;
     held.replica.replace(Some(opened.clone()));
-    subscriber.renew();
+    subscriber.report_now();
     let view = frame.view.clone();
     let candidates = Rc::new(move || candidates(id, &view));
     let wanted = Wanted { most: frame.quorum_base(), least: frame.quorum_base() };
-    frame.executor.spawn(keeper::keep(opened.clone(), candidates, wanted)).detach();
+    frame.executor.spawn(repair::repair_forever(opened.clone(), candidates, wanted)).detach();
     Ok(Replicated { group: opened, subscriber })
 }
 
@@ -134,35 +134,35 @@
             Vec::new()
         };
         server.receivers.insert(id, Rc::new(receive));
-        let desk = StoreDesk { id, held: held.clone(), clock: frame.clock, opened: RefCell::default() };
+        let desk = StoreService { id, held: held.clone(), clock: frame.clock, opened: RefCell::default() };
         server.services.insert(id, Rc::new(desk));
     }
     server
 }
 
 /// What this store offers of one group, once it holds a replica of it.
-struct StoreDesk {
+struct StoreService {
     id: GroupId,
     held: Rc<Held>,
     clock: Clock,
-    opened: RefCell<Option<Rc<TurnDesk>>>,
+    opened: RefCell<Option<Rc<TurnService>>>,
 }
 
-impl StoreDesk {
-    fn desk(&self) -> Option<Rc<TurnDesk>> {
+impl StoreService {
+    fn desk(&self) -> Option<Rc<TurnService>> {
         let replica = self.held.replica_of(self.id)?;
         let mut opened = self.opened.borrow_mut();
         Some(
             opened
                 .get_or_insert_with(|| {
-                    Rc::new(TurnDesk::new(replica, self.clock, self.held.openings.clone()))
+                    Rc::new(TurnService::new(replica, self.clock, self.held.openings.clone()))
                 })
                 .clone(),
         )
     }
 }
 
-impl GroupService for StoreDesk {
+impl GroupService for StoreService {
     fn submit(&self, request: Vec<u8>) -> LocalBoxFuture<'_, Submission> {
         let Some(desk) = self.desk() else {
             return Box::pin(async { Submission::NotLeader(None) });
@@ -275,7 +275,7 @@
         opener.find(id).await?
     } else {
         held.spare.set(true);
-        subscriber.renew();
+        subscriber.report_now();
         info!("The store is spare until a state group takes it in.");
         // The sending side lasts as long as the process.
         opener.find(invitations.recv().await.unwrap_or(FIRST_STATE_GROUP)).await?
--- a/agatetrestle/src/deployment/turns.rs
+++ b/agatetrestle/src/deployment/turns.rs
@@ -21,7 +21,7 @@
 use crate::ids::NodeId;
 use crate::ids::state_groups;
 use crate::node::links::Links;
-use crate::node::router::Patience;
+use crate::node::router::RequestTimeouts;
 use crate::node::router::Router;
 use crate::ports::GroupError;
 use crate::turns::command::Begin;
@@ -39,7 +39,7 @@
     pub(super) node: NodeId,
     pub(super) links: Rc<Links>,
     pub(super) clock: Clock,
-    pub(super) patience: Patience,
+    pub(super) timeouts: RequestTimeouts,
 }
 
 /// Hands commands to the state group of their program.
@@ -69,8 +69,8 @@
     }
 
     fn router(&self, group: GroupId) -> Router {
-        let RouteParts { node, links, clock, patience } = &self.parts;
-        Router::new(group, *node, None, links.clone(), &[], *clock, *patience)
+        let RouteParts { node, links, clock, timeouts } = &self.parts;
+        Router::new(group, *node, None, links.clone(), &[], *clock, *timeouts)
     }
 
     async fn commit(&self, command: TurnCommand) -> Result<TurnReply, GroupError> {
@@ -109,7 +109,7 @@
             if !routers.is_empty() {
                 return Ok(routers);
             }
-            if self.parts.clock.now().since(start) >= self.parts.patience.whole {
+            if self.parts.clock.now().since(start) >= self.parts.timeouts.request {
                 return Err(GroupError::NotProposed { reason: "no state group is known".into() });
             }
             Timer::after(LOOK).await;
--- a/agatetrestle/src/node/assembly.rs
+++ b/agatetrestle/src/node/assembly.rs
@@ -34,7 +34,7 @@
 use crate::node::peer_server::PeerServer;
 use crate::node::registry::Registry;
 use crate::node::replicas;
-use crate::node::router::Patience;
+use crate::node::router::RequestTimeouts;
 use crate::node::router::Router;
 use crate::operator::OperatorServer;
 use crate::orders::engines::HttpEngineAdmin;
@@ -83,8 +83,8 @@
         let router = |group, local| {
             let holders = replicas::holders(settings, group);
             let each = timing.election_timeout * TRY_ELECTION_TIMEOUTS;
-            let patience = Patience { each, whole: timing.peer_call * ROUTER_DEADLINES };
-            Rc::new(Router::new(group, node, local, links.clone(), &holders, clock, patience))
+            let timeouts = RequestTimeouts { attempt: each, request: timing.peer_call * ROUTER_DEADLINES };
+            Rc::new(Router::new(group, node, local, links.clone(), &holders, clock, timeouts))
         };
         let control_router = router(CONTROL_GROUP, replicas.control_service());
         let control = Rc::new(ControlPort::new(control_router, clock, timing.clock_drift, stopping.clone()));
--- a/agatetrestle/src/node/peer_server.rs
+++ b/agatetrestle/src/node/peer_server.rs
@@ -120,9 +120,9 @@
         let Some(reports) = &self.0.reports else {
             return Err(capnp::Error::unimplemented("this node is no control replica".into()));
         };
-        let bulletin = reports.take(params.get()?.get_report()?.to_vec()).await;
-        let bulletin = bulletin.map_err(|failure| capnp::Error::failed(failure.to_string()))?;
-        results.get().set_bulletin(&bulletin);
+        let update = reports.take(params.get()?.get_report()?.to_vec()).await;
+        let update = update.map_err(|failure| capnp::Error::failed(failure.to_string()))?;
+        results.get().set_bulletin(&update);
         Ok(())
     }
 
--- a/agatetrestle/src/node/router.rs
+++ b/agatetrestle/src/node/router.rs
@@ -1,6 +1,6 @@
-//! Finds the leader of a group and hands it requests, from any node.
+//! Finds the leader of a group and forwards requests to it, from any node.
 //!
-//! Every command is safe to hand over again: the ledger knows its attempts and the control state
+//! Every command is idempotent: the ledger knows its attempts and the control state
 //! its change ids. So a lost answer is followed by another try until the deadline, and only then
 //! told as unknown.
 
@@ -26,14 +26,14 @@
 use crate::node::wire::read_submission;
 use crate::ports::GroupError;
 
-/// Pause after a try that found no leader; an election takes longer than this.
-const PAUSE: Duration = Duration::from_millis(20);
-/// Doublings of [`PAUSE`] with each further try of one request. All nodes ask at the same time where a leader is lost or
+/// Time after which a request that found no leader is tried again; an election takes longer.
+const RETRY_INTERVAL: Duration = Duration::from_millis(20);
+/// Doublings of [`RETRY_INTERVAL`] with each further try of one request. All nodes ask at the same time where a leader is lost or
 /// late; 255 of them that asked every 20 ms took the processor time that the group needed to answer.
-const MOST_DOUBLINGS: u32 = 2;
+const MAX_DOUBLINGS: u32 = 2;
 /// Time without an answer after which the other holders are asked whether another one leads by now. A commit takes 10 ms and
 /// a try lasts 400 ms; one that was under way when its leader was lost waited 0.7 s for the next.
-const STALL: Duration = Duration::from_millis(100);
+const SEARCH_DELAY: Duration = Duration::from_millis(100);
 
 /// The way to one group.
 pub struct Router {
@@ -46,7 +46,7 @@
     /// Whether a request asks the holders who leads.
     searching: Cell<bool>,
     clock: Clock,
-    patience: Patience,
+    timeouts: RequestTimeouts,
 }
 
 /// A search under way; dropped, another request may search.
@@ -58,30 +58,30 @@
     }
 }
 
-/// For how long a request is handed over again.
+/// When a request that the leader has no room for is tried again.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Insistence {
-    /// As long as the router is patient.
-    UntilTaken,
+enum RetryRule {
+    /// Until a leader accepts it or its time is up.
+    UntilAccepted,
     /// Until a replica that leads has no room for it.
     UntilRefused,
 }
 
 /// The next pause of a request, longer with each.
 fn pause(pauses: &mut u32) -> Duration {
-    let pause = PAUSE * 2_u32.pow((*pauses).min(MOST_DOUBLINGS));
+    let pause = RETRY_INTERVAL * 2_u32.pow((*pauses).min(MAX_DOUBLINGS));
     *pauses += 1;
     pause
 }
 
-/// How long a router waits.
+/// The timeouts of a router.
 #[derive(Clone, Copy, Debug)]
-pub struct Patience {
-    /// For the answer to one try. Handing over again is safe, so this is short: a replica that leads answers
-    /// much sooner, and one that is frozen never does.
-    pub each: Duration,
-    /// For all tries of one request together.
-    pub whole: Duration,
+pub struct RequestTimeouts {
+    /// Of one attempt. Repeating is safe, so this is short: a leader answers much sooner, and a frozen replica never
+    /// does.
+    pub attempt: Duration,
+    /// Of a request with all its attempts.
+    pub request: Duration,
 }
 
 impl Router {
@@ -94,7 +94,7 @@
         links: Rc<Links>,
         holders: &[NodeId],
         clock: Clock,
-        patience: Patience,
+        timeouts: RequestTimeouts,
     ) -> Self {
         let order = RefCell::default();
         let router = Self {
@@ -106,7 +106,7 @@
             hint: Cell::new(None),
             searching: Cell::new(false),
             clock,
-            patience,
+            timeouts,
         };
         router.set_holders(holders);
         router
@@ -119,37 +119,37 @@
         self.order.replace(order);
     }
 
-    /// Hands over a coded request and returns the coded reply.
+    /// Forwards a coded request and returns the coded reply.
     ///
     /// # Errors
     ///
     /// [`GroupError::NotProposed`] if no replica can have let it into the log, else
     /// [`GroupError::Unknown`].
     pub async fn submit(&self, request: Vec<u8>) -> Result<Vec<u8>, GroupError> {
-        self.hand_over(request, Insistence::UntilTaken).await
+        self.forward(request, RetryRule::UntilAccepted).await
     }
 
-    /// Hands over a request as [`Router::submit`] does, but gives up once a replica says that too much waits already: who
-    /// asks for something new is told so at once.
+    /// Forwards a request as [`Router::submit`] does, but fails at once if the leader's queue is full. For requests that
+    /// begin something new.
     ///
     /// # Errors
     ///
     /// As [`Router::submit`].
     pub async fn offer(&self, request: Vec<u8>) -> Result<Vec<u8>, GroupError> {
-        self.hand_over(request, Insistence::UntilRefused).await
+        self.forward(request, RetryRule::UntilRefused).await
     }
 
-    async fn hand_over(&self, request: Vec<u8>, insistence: Insistence) -> Result<Vec<u8>, GroupError> {
+    async fn forward(&self, request: Vec<u8>, rule: RetryRule) -> Result<Vec<u8>, GroupError> {
         let start = self.clock.now();
         let mut ambiguous = false;
         let mut suspect = None;
         let mut reason: Arc<str> = "the group has no replica".into();
         let mut turn = 0;
         let mut pauses = 0;
-        while self.clock.now().since(start) < self.patience.whole {
+        while self.clock.now().since(start) < self.timeouts.request {
             if self.order.borrow().is_empty() {
                 // A process that has just started is told of the holders a moment after the rest.
-                Timer::after(PAUSE).await;
+                Timer::after(RETRY_INTERVAL).await;
                 continue;
             }
             let target = self.hint.get().unwrap_or_else(|| self.next_holder(&mut turn, suspect));
@@ -163,7 +163,7 @@
                         continue;
                     }
                 }
-                Submission::Refused(text) if insistence == Insistence::UntilRefused && !ambiguous => {
+                Submission::Refused(text) if rule == RetryRule::UntilRefused && !ambiguous => {
                     return Err(GroupError::NotProposed { reason: text });
                 }
                 // It leads and has no room now.
@@ -203,7 +203,7 @@
     /// Tries one holder; while it says nothing for long, the others are asked who leads.
     async fn try_watched(&self, target: NodeId, request: &[u8]) -> Submission {
         let trying = pin!(self.try_once(target, request));
-        let trying = match select(trying, Timer::after(STALL)).await {
+        let trying = match select(trying, Timer::after(SEARCH_DELAY)).await {
             Either::Left((submission, _)) => return self.note(target, submission),
             Either::Right((_, trying)) => trying,
         };
@@ -221,7 +221,7 @@
     }
 
     /// Asks the other holders in turn until one of them leads or names another leader than `silent`; without end otherwise.
-    /// The request may thus be handed over twice, which is safe. Of the requests that wait one asks, and the others see
+    /// The request may thus be sent twice, which is safe. Of the requests that wait one asks, and the others see
     /// what it finds.
     async fn find_other(&self, silent: NodeId, request: &[u8]) -> Submission {
         let mut pauses = 0;
@@ -258,7 +258,7 @@
         let Some(link) = self.links.get(target) else {
             return Submission::NotLeader(None);
         };
-        match submit_remotely(&link, self.patience.each, self.group, request).await {
+        match submit_remotely(&link, self.timeouts.attempt, self.group, request).await {
             Ok(submission) => submission,
             Err(failure) if failure.unsent() => Submission::Unreachable(failure.to_string().into()),
             Err(failure) => Submission::Unknown(failure.to_string().into()),
@@ -266,7 +266,7 @@
     }
 }
 
-/// Hands a request to one replica, once.
+/// Sends a request to one replica, once.
 pub(crate) async fn submit_remotely(
     link: &PeerLink,
     deadline: Duration,
--- a/agatetrestle/src/node/router/tests.rs
+++ b/agatetrestle/src/node/router/tests.rs
@@ -46,10 +46,10 @@
         let links = Links::new(OWN, EVER, &executor);
         links.learn(SILENT, address);
         let replica = Rc::new(Replica { says, asked: Cell::new(0) });
-        let patience = Patience { each: EVER, whole: EVER };
+        let timeouts = RequestTimeouts { attempt: EVER, request: EVER };
         let local: Rc<dyn GroupService> = replica.clone();
         let holders = [OWN, SILENT];
-        let router = Router::new(GroupId(1), OWN, Some(local), links, &holders, Clock::start(), patience);
+        let router = Router::new(GroupId(1), OWN, Some(local), links, &holders, Clock::start(), timeouts);
         router.hint.set(Some(SILENT));
         let all = (0..requests).map(|_| router.submit(vec![7]));
         let answers = futures::future::join_all(all).await;
@@ -75,9 +75,9 @@
     let executor = Rc::new(LocalExecutor::new());
     smol::block_on(executor.run(async {
         let replica = Rc::new(Replica { says: Submission::Applied(vec![9]), asked: Cell::new(0) });
-        let patience = Patience { each: EVER, whole: EVER };
+        let timeouts = RequestTimeouts { attempt: EVER, request: EVER };
         let links = Links::new(OWN, EVER, &executor);
-        let router = Router::new(GroupId(1), OWN, Some(replica), links, &[], Clock::start(), patience);
+        let router = Router::new(GroupId(1), OWN, Some(replica), links, &[], Clock::start(), timeouts);
         let telling = async { router.set_holders(&[OWN]) };
         let (answer, ()) = futures::future::join(router.submit(vec![7]), telling).await;
         assert_eq!(answer.unwrap(), [9]);
@@ -90,10 +90,10 @@
     smol::block_on(executor.run(async {
         let says = Submission::Refused("too many commands are under way".into());
         let replica = Rc::new(Replica { says, asked: Cell::new(0) });
-        let patience = Patience { each: EVER, whole: PAUSE * 4 };
+        let timeouts = RequestTimeouts { attempt: EVER, request: RETRY_INTERVAL * 4 };
         let links = Links::new(OWN, EVER, &executor);
         let local: Rc<dyn GroupService> = replica.clone();
-        let router = Router::new(GroupId(1), OWN, Some(local), links, &[OWN], Clock::start(), patience);
+        let router = Router::new(GroupId(1), OWN, Some(local), links, &[OWN], Clock::start(), timeouts);
         assert!(matches!(router.offer(vec![7]).await, Err(GroupError::NotProposed { .. })));
         assert_eq!(replica.asked.get(), 1);
         assert!(matches!(router.submit(vec![7]).await, Err(GroupError::NotProposed { .. })));
--- a/agatetrestle/src/node/service.rs
+++ b/agatetrestle/src/node/service.rs
@@ -44,7 +44,7 @@
 
 /// Takes what other processes report of themselves.
 pub trait ReportService {
-    /// Answers a coded report by a coded bulletin, which may take as long as the report says.
+    /// Answers a coded report by a coded update, which may take as long as the report says.
     fn take(&self, report: Vec<u8>) -> LocalBoxFuture<'_, Result<Vec<u8>, DecodeError>>;
 }
 
