Let the router's retries be tested in virtual time

try_submit_fails_at_once_and_submit_retries_while_busy gave a request 80 ms of wall clock and expected a retry after 20 ms: it failed once in 25 runs on one core beside 12 busy processes. The router now takes its time from a trait, and the test passes time only when a sleep is awaited; it asserts what it did before, and that try_submit does not wait and that submit does not end before its timeout.

--- a/agatetrestle/src/clock.rs
+++ b/agatetrestle/src/clock.rs
@@ -4,6 +4,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+use smol::Timer;
+
 /// Microseconds since an origin that the driver chooses; monotonic within a process.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Timestamp(pub u64);
@@ -49,3 +53,22 @@
         Timestamp(micros(self.origin.elapsed()))
     }
 }
+
+/// Time as seen by code that waits, so that tests can pass it without waiting.
+pub trait Time {
+    /// Time since the start.
+    fn now(&self) -> Timestamp;
+
+    /// Completes after a delay.
+    fn sleep(&self, delay: Duration) -> LocalBoxFuture<'static, ()>;
+}
+
+impl Time for Clock {
+    fn now(&self) -> Timestamp {
+        Self::now(self)
+    }
+
+    fn sleep(&self, delay: Duration) -> LocalBoxFuture<'static, ()> {
+        Timer::after(delay).map(drop).boxed_local()
+    }
+}
--- a/agatetrestle/src/deployment/control.rs
+++ b/agatetrestle/src/deployment/control.rs
@@ -70,8 +70,8 @@
     context.serve_peers(server);
     let subscriber = context.subscriber(Rc::new(move || member.clone().into()), Some(registry.clone()));
     let links = context.links.clone();
-    let router =
-        Router::new(CONTROL_GROUP, context.node, Some(service), links, &[], context.clock, REQUEST_TIMEOUTS);
+    let clock = Rc::new(context.clock);
+    let router = Router::new(CONTROL_GROUP, context.node, Some(service), links, &[], clock, REQUEST_TIMEOUTS);
     let router = Rc::new(router);
     spawn_background_tasks(context, &group, &registry, &router);
     let limits = ServerLimits::new(MAX_CONTROL_CONNECTIONS);
--- a/agatetrestle/src/deployment/turns.rs
+++ b/agatetrestle/src/deployment/turns.rs
@@ -70,7 +70,7 @@
 
     fn router(&self, group: GroupId) -> Router {
         let TurnRouterParts { node, links, clock, timeouts } = &self.parts;
-        Router::new(group, *node, None, links.clone(), &[], *clock, *timeouts)
+        Router::new(group, *node, None, links.clone(), &[], Rc::new(*clock), *timeouts)
     }
 
     async fn commit(&self, command: TurnCommand) -> Result<TurnReply, GroupError> {
--- a/agatetrestle/src/node/assembly.rs
+++ b/agatetrestle/src/node/assembly.rs
@@ -84,7 +84,7 @@
             let holders = replicas::holders(settings, group);
             let attempt = timing.election_timeout * ATTEMPT_ELECTION_TIMEOUTS;
             let timeouts = RequestTimeouts { attempt, request: timing.peer_call * REQUEST_CALL_DEADLINES };
-            Rc::new(Router::new(group, node, local, links.clone(), &holders, clock, timeouts))
+            Rc::new(Router::new(group, node, local, links.clone(), &holders, Rc::new(clock), timeouts))
         };
         let control_router = router(CONTROL_GROUP, replicas.control_service());
         let control = Rc::new(ControlPort::new(control_router, clock, timing.clock_drift, stopping.clone()));
--- a/agatetrestle/src/node/router.rs
+++ b/agatetrestle/src/node/router.rs
@@ -12,9 +12,8 @@
 
 use futures::future::Either;
 use futures::future::select;
-use smol::Timer;
 
-use crate::clock::Clock;
+use crate::clock::Time;
 use crate::ids::GroupId;
 use crate::ids::NodeId;
 use crate::node::links::Links;
@@ -44,7 +43,7 @@
     leader_hint: Cell<Option<NodeId>>,
     /// Whether a request is searching for the leader; others wait for its result.
     searching: Cell<bool>,
-    clock: Clock,
+    time: Rc<dyn Time>,
     timeouts: RequestTimeouts,
 }
 
@@ -91,7 +90,7 @@
         local: Option<Rc<dyn GroupService>>,
         links: Rc<Links>,
         holders: &[NodeId],
-        clock: Clock,
+        time: Rc<dyn Time>,
         timeouts: RequestTimeouts,
     ) -> Self {
         let router = Self {
@@ -102,7 +101,7 @@
             holders: RefCell::default(),
             leader_hint: Cell::new(None),
             searching: Cell::new(false),
-            clock,
+            time,
             timeouts,
         };
         router.set_holders(holders);
@@ -136,16 +135,16 @@
     }
 
     async fn forward(&self, request: Vec<u8>, policy: BusyPolicy) -> Result<Vec<u8>, GroupError> {
-        let start = self.clock.now();
+        let start = self.time.now();
         let mut ambiguous = false;
         let mut suspect = None;
         let mut reason: Arc<str> = "the group has no replica".into();
         let mut cursor = 0;
         let mut retries = 0;
-        while self.clock.now().since(start) < self.timeouts.request {
+        while self.time.now().since(start) < self.timeouts.request {
             if self.holders.borrow().is_empty() {
                 // A process that has just started learns the holders after a short time.
-                Timer::after(RETRY_DELAY).await;
+                self.time.sleep(RETRY_DELAY).await;
                 continue;
             }
             let target = self.leader_hint.get().unwrap_or_else(|| self.next_holder(&mut cursor, suspect));
@@ -176,7 +175,7 @@
                     reason = text;
                 }
             }
-            Timer::after(next_delay(&mut retries)).await;
+            self.time.sleep(next_delay(&mut retries)).await;
         }
         if ambiguous {
             return Err(GroupError::Unknown { reason });
@@ -199,9 +198,9 @@
     /// Sends the request to one holder, and searches for another leader if there is no answer within [`SEARCH_DELAY`].
     async fn try_or_search(&self, target: NodeId, request: &[u8]) -> Submission {
         let attempt = pin!(self.send_once(target, request));
-        let attempt = match select(attempt, Timer::after(SEARCH_DELAY)).await {
+        let attempt = match select(attempt, self.time.sleep(SEARCH_DELAY)).await {
             Either::Left((submission, _)) => return self.record_leader(target, submission),
-            Either::Right((_, attempt)) => attempt,
+            Either::Right(((), attempt)) => attempt,
         };
         match select(attempt, pin!(self.find_other_leader(target, request))).await {
             Either::Left((submission, _)) => self.record_leader(target, submission),
@@ -243,7 +242,7 @@
                 }
                 drop(search);
             }
-            Timer::after(next_delay(&mut retries)).await;
+            self.time.sleep(next_delay(&mut retries)).await;
         }
     }
 
--- a/agatetrestle/src/node/router/tests.rs
+++ b/agatetrestle/src/node/router/tests.rs
@@ -7,6 +7,8 @@
 use smol::net::TcpListener;
 
 use super::*;
+use crate::clock::Clock;
+use crate::clock::Timestamp;
 
 const OWN: NodeId = NodeId(1);
 const SILENT: NodeId = NodeId(2);
@@ -31,6 +33,21 @@
     }
 }
 
+/// Time that passes at once whenever a sleep is awaited.
+#[derive(Default)]
+struct VirtualTime(Rc<Cell<Timestamp>>);
+
+impl Time for VirtualTime {
+    fn now(&self) -> Timestamp {
+        self.0.get()
+    }
+
+    fn sleep(&self, delay: Duration) -> LocalBoxFuture<'static, ()> {
+        let now = self.0.clone();
+        Box::pin(async move { now.set(now.get() + delay) })
+    }
+}
+
 /// Accepts connections but never answers.
 async fn silent_peer() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -49,7 +66,8 @@
         let timeouts = RequestTimeouts { attempt: NO_TIMEOUT, request: NO_TIMEOUT };
         let local: Rc<dyn GroupService> = replica.clone();
         let holders = [OWN, SILENT];
-        let router = Router::new(GroupId(1), OWN, Some(local), links, &holders, Clock::start(), timeouts);
+        let router =
+            Router::new(GroupId(1), OWN, Some(local), links, &holders, Rc::new(Clock::start()), timeouts);
         router.leader_hint.set(Some(SILENT));
         let all = (0..requests).map(|_| router.submit(vec![7]));
         let answers = futures::future::join_all(all).await;
@@ -78,7 +96,8 @@
             Rc::new(Replica { answer: Submission::Applied(vec![9]), requests_received: Cell::new(0) });
         let timeouts = RequestTimeouts { attempt: NO_TIMEOUT, request: NO_TIMEOUT };
         let links = Links::new(OWN, NO_TIMEOUT, &executor);
-        let router = Router::new(GroupId(1), OWN, Some(replica), links, &[], Clock::start(), timeouts);
+        let router =
+            Router::new(GroupId(1), OWN, Some(replica), links, &[], Rc::new(Clock::start()), timeouts);
         let update = async { router.set_holders(&[OWN]) };
         let (reply, ()) = futures::future::join(router.submit(vec![7]), update).await;
         assert_eq!(reply.unwrap(), [9]);
@@ -94,10 +113,13 @@
         let timeouts = RequestTimeouts { attempt: NO_TIMEOUT, request: RETRY_DELAY * 4 };
         let links = Links::new(OWN, NO_TIMEOUT, &executor);
         let local: Rc<dyn GroupService> = replica.clone();
-        let router = Router::new(GroupId(1), OWN, Some(local), links, &[OWN], Clock::start(), timeouts);
+        let time = Rc::new(VirtualTime::default());
+        let router = Router::new(GroupId(1), OWN, Some(local), links, &[OWN], time.clone(), timeouts);
         assert!(matches!(router.try_submit(vec![7]).await, Err(GroupError::NotProposed { .. })));
         assert_eq!(replica.requests_received.get(), 1);
+        assert_eq!(time.now(), Timestamp(0), "try_submit does not wait");
         assert!(matches!(router.submit(vec![7]).await, Err(GroupError::NotProposed { .. })));
         assert!(replica.requests_received.get() > 2, "submit retries until its timeout");
+        assert!(time.now().since(Timestamp(0)) >= timeouts.request);
     }));
 }
