Forward no promise that a server did not make

A server that ran a request may answer it with 408, 429 or 503, signed and without the header that says that it was not run. That was passed on unchanged, and the caller took it for a promise. It now counts as a request that may have run: 502, or another server where that is allowed.

--- a/agatetrestle/src/gateway/attempt.rs
+++ b/agatetrestle/src/gateway/attempt.rs
@@ -210,6 +210,12 @@
     }
 }
 
+/// Whether a status promises a caller that its request was not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    [StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE]
+        .contains(&status)
+}
+
 fn check_head(
     gateway: &Gateway,
     ctx: &RequestContext,
@@ -238,5 +244,10 @@
         started.slot.release(RequestOutcome::BadResponse);
         return Err(SendFailure::MayHaveRun(format!("the server answered {status} without a signature")));
     }
+    if promises_not_run(status) {
+        // The caller would take the status for a promise that the server did not make.
+        started.slot.release(RequestOutcome::BadResponse);
+        return Err(SendFailure::MayHaveRun(format!("the server answered {status} and may have run it")));
+    }
     Ok(started)
 }
