Report to control through relays, and let lists outlive their leader

Cause: control had no standing leader before a thousand VMs. A version of a list counted within a term only, so a new leader sent 10,000 servers and all members in full to every process; it woke all pending reports at once, so the heartbeats waited behind the answers to all of them and it was deposed after 0.25 to 1.2 s, and its successor did the same. Every process reported to the one leader, and without one every process asked all nine replicas each 50 ms. A process that started had all members copied.

cleared_list_gets_higher_version_in_same_term is gone with the clearing of lists: a follower keeps the list, and superseded_leader_changes_nothing, process_ahead_of_new_leader_gets_full_list and the proptest over changes of leaders hold what it held, that no process takes a lower version or stays with a list that is not the leader's. deltas_reproduce_current_list and delta_is_minimal_and_requires_its_base_version became deltas_reproduce_the_leaders_list, change_of_leader_transfers_only_what_changed and delta_from_another_version_is_ignored, of which the second fails for the old list by its own test ("the base version has another term").

--- a/agatetrestle/src/cluster/message.rs
+++ b/agatetrestle/src/cluster/message.rs
@@ -35,6 +35,15 @@
     pub group: Option<GroupId>,
 }
 
+impl Member {
+    /// Whether it runs a replica of a group, so that all processes need to know it. Entries start and stop too often for
+    /// that, and only control replicas give their addresses to callers.
+    #[must_use]
+    pub fn is_replica(&self) -> bool {
+        self.role != Role::Entry
+    }
+}
+
 /// The versions that a process holds; a list is sent once its current version differs.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct KnownVersions {
@@ -46,12 +55,12 @@
     pub members: ListVersion,
 }
 
-/// Version of a list that a control leader maintains, ordered by term, then by count.
+/// Version of a list that control leaders maintain, ordered by term, then by count.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct ListVersion {
     /// Term of the leader.
     pub term: u64,
-    /// Number of the list within the term.
+    /// Number of the list; it increases across terms too.
     pub count: u64,
 }
 
@@ -85,6 +94,30 @@
     }
 }
 
+/// The entries that report to a relay, as the relay passes them on to the leader.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RelayedMembers {
+    /// Version of the list, counted by the relay.
+    pub version: u64,
+    /// The list, unless the leader already has this version.
+    pub members: Option<Vec<Member>>,
+}
+
+/// What a report asks of the control replica that receives it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub enum ReportTarget {
+    /// To answer if it is the leader, from a process that can't use relays.
+    #[default]
+    Leader,
+    /// To answer if it is the leader, or name a relay other than `avoid`.
+    LeaderOrRelay {
+        /// A relay that the process could not use.
+        avoid: Option<SocketAddrV4>,
+    },
+    /// To answer as a relay.
+    Relay,
+}
+
 /// A report of a process to control.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Report {
@@ -96,6 +129,12 @@
     /// Time for which the answer may be delayed until there is a change.
     #[serde(rename = "patience")]
     pub long_poll_ms: u32,
+    /// What the report asks for. A process of an older build asks for the leader.
+    #[serde(default)]
+    pub target: ReportTarget,
+    /// The entries that report to this process, if it is a control replica.
+    #[serde(default)]
+    pub relayed: Option<RelayedMembers>,
 }
 
 /// A control replica's answer to a report.
@@ -103,18 +142,31 @@
 pub struct Update {
     /// The control leader with its address, if known.
     pub leader: Option<(NodeId, SocketAddrV4)>,
-    /// Whether a quorum confirmed the sender as leader after it received the report.
+    /// Whether the update is current: a quorum confirmed the leader after the sender, or the sender's own leader
+    /// [`Update::age_ms`] earlier, received the report.
     pub confirmed: bool,
+    /// Age of the update, if a relay sent it.
+    #[serde(default)]
+    pub age_ms: u32,
+    /// The relay that the process should report to instead.
+    #[serde(default)]
+    pub relay: Option<SocketAddrV4>,
+    /// Version of [`Report::relayed`] that the leader has; none if it has no list from the process.
+    #[serde(default)]
+    pub relayed_version: Option<u64>,
     /// The control replicas with their addresses.
     pub control: BTreeMap<NodeId, SocketAddrV4>,
     /// Revision of the control group.
     pub revision: u64,
     /// The encoded [`crate::control::command::Document`] of routes, if its revision is newer than the reported one.
     pub routes: Option<(u64, Compressed)>,
-    /// An encoded [`crate::cluster::backends::BackendChange`], if the process holds another version of the list.
+    /// An encoded [`crate::cluster::versioned::BackendChange`], if the process holds an earlier version of the list.
     pub backends: Option<(ListVersion, Compressed)>,
-    /// The encoded list of each [`Member`] visible to the process, if it holds another version.
+    /// The encoded list of each [`Member`] visible to a process of an older build, if it holds another version.
     pub members: Option<(ListVersion, Compressed)>,
+    /// An encoded [`crate::cluster::versioned::MemberChange`], if the process holds an earlier version of the list.
+    #[serde(default)]
+    pub member_change: Option<(ListVersion, Compressed)>,
     /// Number of state groups; 0 before they are created.
     pub groups: usize,
     /// The initial voters of each state group, for a store that is not ready yet.
--- a/agatetrestle/src/cluster/mod.rs
+++ b/agatetrestle/src/cluster/mod.rs
@@ -1,21 +1,22 @@
 //! Cluster membership and distribution of configuration to the processes of a deployment.
 //!
-//! Every process reports to the leader of the control group by long polling and gets updates in the answers; see
-//! docs/design/012-a-deployment-of-three-roles.md.
+//! Every process reports by long polling, to the leader of the control group or to a follower that relays for it, and gets
+//! updates in the answers; see docs/design/012-a-deployment-of-three-roles.md and docs/design/015-a-fleet-of-a-thousand-vms.md.
 
-pub mod backends;
 pub mod contacts;
 pub mod encoded;
 pub mod identity;
-pub mod membership;
+pub mod liveness;
 pub mod message;
 pub mod overview;
 pub mod registry;
+pub mod relays;
 pub mod repair;
 pub mod report_log;
 pub mod service;
 pub mod subscriber;
 #[cfg(test)]
 mod tests;
+pub mod versioned;
 pub mod view;
 pub mod voters;
--- a/agatetrestle/src/cluster/subscriber.rs
+++ b/agatetrestle/src/cluster/subscriber.rs
@@ -23,10 +23,13 @@
 use snafu::Snafu;
 
 use crate::clock::Clock;
+use crate::clock::micros;
 use crate::cluster::message::NodeStatus;
 use crate::cluster::message::Report;
+use crate::cluster::message::ReportTarget;
 use crate::cluster::message::Update;
 use crate::cluster::registry::ClusterRegistry;
+use crate::cluster::relays::AssignedRelay;
 use crate::cluster::report_log::ReportLog;
 use crate::cluster::report_log::ReportOutcome;
 use crate::cluster::view::ClusterView;
@@ -39,16 +42,31 @@
 use crate::node::peer_link::with_deadline;
 use crate::ports::Freshness;
 use crate::ports::Recorder;
+use crate::scheduler::random::Random;
 
 /// Time for which the leader may delay its answer until there is a change. It sets the reporting interval.
 const REPORT_LONG_POLL: Duration = Duration::from_millis(500);
 /// Time to wait for the answer to a report before another control replica is tried.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Delay before a report is sent again to a control replica that is unreachable or not the leader.
+/// First delay before a report is sent again to a control replica that is unreachable or not the leader; doubled each time.
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(50);
+const MAX_REPORT_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Time without an answer after which a search for the leader asks the next control replica too.
+const HEDGE_DELAY: Duration = Duration::from_millis(100);
 /// Duration of a search for the leader, after which the addresses are read again from updates and settings.
 const LEADER_SEARCH_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// What became of a report.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Answer {
+    /// The update is current, or names a relay.
+    Confirmed,
+    /// The replica is not the leader, and named this one.
+    Redirected(SocketAddrV4),
+    /// There was no usable answer, and no leader was named.
+    Failed,
+}
+
 /// Returns the current status of the process.
 pub type StatusSource = Rc<dyn Fn() -> NodeStatus>;
 
@@ -98,6 +116,10 @@
     pub clock: Clock,
     /// Connections by address, since the node ID behind an address may be unknown.
     pub links_by_address: RefCell<BTreeMap<SocketAddrV4, Rc<PeerLink>>>,
+    /// The control replica that relays to this process.
+    pub relay: AssignedRelay,
+    /// Random numbers, other ones in each process, so that processes do not act in step.
+    pub random: RefCell<Random>,
     /// Outcomes of recent reports.
     pub log: ReportLog,
     /// Records outcomes and durations of reports as metrics.
@@ -115,54 +137,97 @@
 
     /// Reports until the task is dropped.
     pub async fn run(self: Rc<Self>) {
-        let mut last_leader = None;
+        let mut last_contact = None;
         loop {
-            let Either::Left((leader, _)) =
-                select(pin!(self.report_to_leader()), pin!(self.notify.1.recv())).await
+            let Either::Left((contact, _)) =
+                select(pin!(self.report_once()), pin!(self.notify.1.recv())).await
             else {
                 continue;
             };
-            if leader != last_leader {
-                match leader {
-                    Some(leader) => info!("Control is reached: {leader} leads."),
+            if contact != last_contact {
+                match contact {
+                    Some(contact) => info!("Control is reached through {contact}."),
                     None => warn!("Control is lost: no leader found among {:?}.", self.contacts()),
                 }
-                last_leader = leader;
+                last_contact = contact;
             }
         }
     }
 
-    /// Reports once to the last known leader. If it does not confirm, reports to all known control replicas concurrently, so
-    /// that an unreachable one does not delay the others.
-    async fn report_to_leader(&self) -> Option<SocketAddrV4> {
+    /// Reports once, to the relay if there is one, else to the last known leader. If neither confirms, searches for the
+    /// leader.
+    async fn report_once(&self) -> Option<SocketAddrV4> {
+        if let Some(relay) = self.relay.current(self.clock.now()) {
+            if self.report_to(relay, ReportTarget::Relay).await == Answer::Confirmed {
+                return Some(relay);
+            }
+            self.relay.give_up(relay);
+            // While there is no leader, relays would be given up as fast as they are assigned.
+            Timer::after(self.jittered(REPORT_RETRY_DELAY)).await;
+        }
         if let Some((_, leader)) = self.view.leader()
-            && self.report_to(leader).await
+            && self.report_to(leader, self.relay.target()).await == Answer::Confirmed
         {
             return Some(leader);
         }
-        let contacts = self.contacts();
-        let mut searches: FuturesUnordered<_> =
-            contacts.iter().map(|contact| self.poll_until_leader(*contact)).collect();
-        let found = with_deadline(LEADER_SEARCH_TIMEOUT, searches.next()).await.flatten();
+        let found = with_deadline(LEADER_SEARCH_TIMEOUT, self.find_leader()).await.flatten();
         if found.is_none() {
             self.log.write(self.clock.now(), self.view.known(), self.view.confirmed_at());
         }
         found
     }
 
-    /// Reports to a control replica until it confirms that it is the leader.
+    /// Asks the control replicas one after the other, in an order of its own, and goes on to the next when one does not answer
+    /// within [`HEDGE_DELAY`], which doubles with each, so that slow answers do not multiply the reports. One that knows the leader names it. So an unreachable replica delays the search by little, and
+    /// a lost leader is not followed by reports of every process to every replica.
+    async fn find_leader(&self) -> Option<SocketAddrV4> {
+        let mut contacts = shuffled(self.contacts(), &mut self.random.borrow_mut());
+        if contacts.is_empty() {
+            Timer::after(LEADER_SEARCH_TIMEOUT).await;
+        }
+        let mut searches = FuturesUnordered::new();
+        let mut delay = HEDGE_DELAY;
+        loop {
+            if let Some(contact) = contacts.pop() {
+                searches.push(self.poll_until_leader(contact));
+            }
+            let answered = with_deadline(delay, searches.next()).await;
+            delay *= 2;
+            match answered {
+                Some(Some(found)) => return Some(found),
+                Some(None) => return None,
+                None => {}
+            }
+        }
+    }
+
+    /// Reports to a control replica, and to the leader that it names, until one confirms that it is the leader.
     async fn poll_until_leader(&self, contact: SocketAddrV4) -> SocketAddrV4 {
-        while !self.report_to(contact).await {
-            Timer::after(REPORT_RETRY_DELAY).await;
+        let mut delay = REPORT_RETRY_DELAY;
+        let mut target = contact;
+        loop {
+            target = match self.report_to(target, self.relay.target()).await {
+                Answer::Confirmed => return target,
+                Answer::Redirected(leader) if leader != target => leader,
+                Answer::Redirected(_) | Answer::Failed => contact,
+            };
+            if target == contact {
+                Timer::after(self.jittered(delay)).await;
+                delay = (delay * 2).min(MAX_REPORT_RETRY_DELAY);
+            }
         }
-        contact
     }
 
-    /// Reports to a control replica and returns whether it confirmed that it is the leader.
-    async fn report_to(&self, contact: SocketAddrV4) -> bool {
+    /// A random time between a delay and twice that.
+    fn jittered(&self, delay: Duration) -> Duration {
+        delay + Duration::from_micros(self.random.borrow_mut().below(micros(delay)))
+    }
+
+    /// Reports to a control replica.
+    async fn report_to(&self, contact: SocketAddrV4, target: ReportTarget) -> Answer {
         let sent = self.clock.now();
         self.log.record_sent(sent, contact);
-        let answer = self.send_report(contact).await;
+        let answer = self.send_report(contact, target).await;
         let outcome = match &answer {
             Ok(update) if update.confirmed => ReportOutcome::Confirmed,
             Ok(_) => ReportOutcome::NotLeader,
@@ -174,19 +239,28 @@
             Ok(update) => update,
             Err(error @ ReportError::Answer { .. }) => {
                 warn!("Could not decode the update from {contact}: {error}.");
-                return false;
+                return Answer::Failed;
             }
-            Err(_) => return false,
+            Err(_) => return Answer::Failed,
         };
         for (node, address) in &update.control {
             self.links.add_address(*node, SocketAddr::V4(*address));
         }
+        let (leader, assigned) = (update.leader, update.relay.is_some());
+        if assigned || (outcome == ReportOutcome::Confirmed && target != ReportTarget::Relay) {
+            self.relay.assign(sent, update.relay, &mut self.random.borrow_mut());
+        }
         let known = self.view.known().members;
         self.view.apply_update(sent, update);
         if self.view.known().members != known {
             self.add_addresses();
         }
-        outcome == ReportOutcome::Confirmed
+        match (outcome, leader) {
+            _ if assigned => Answer::Confirmed,
+            (ReportOutcome::Confirmed, _) => Answer::Confirmed,
+            (_, Some((_, leader))) => Answer::Redirected(leader),
+            (_, None) => Answer::Failed,
+        }
     }
 
     /// Addresses of the known control replicas and of the settings.
@@ -202,11 +276,12 @@
         }
     }
 
-    async fn send_report(&self, contact: SocketAddrV4) -> Result<Update, ReportError> {
+    async fn send_report(&self, contact: SocketAddrV4, target: ReportTarget) -> Result<Update, ReportError> {
         let status = (self.status_source)();
         let is_own_address = status.member.peer == contact;
         let long_poll_ms = u32::try_from(REPORT_LONG_POLL.as_millis()).unwrap_or(u32::MAX);
-        let report = Report { introduction: status, known: self.view.known(), long_poll_ms };
+        let relayed = self.registry.as_ref().and_then(|registry| registry.relayed_members());
+        let report = Report { introduction: status, known: self.view.known(), long_poll_ms, target, relayed };
         if is_own_address {
             let registry = self.registry.clone().ok_or(ReportError::OwnAddress)?;
             return Ok(registry.report(report).await);
@@ -232,6 +307,14 @@
     }
 }
 
+/// Addresses in a random order.
+fn shuffled(contacts: BTreeSet<SocketAddrV4>, random: &mut Random) -> Vec<SocketAddrV4> {
+    let mut keyed: Vec<(u64, SocketAddrV4)> =
+        contacts.into_iter().map(|contact| (random.below(u64::MAX), contact)).collect();
+    keyed.sort_unstable();
+    keyed.into_iter().map(|(_, contact)| contact).collect()
+}
+
 async fn call(link: &PeerLink, report: Vec<u8>) -> Result<Vec<u8>, LinkError> {
     link.call_within(REPORT_TIMEOUT, |client| {
         let mut request = client.report_request();
--- a/agatetrestle/src/cluster/subscriber/tests.rs
+++ b/agatetrestle/src/cluster/subscriber/tests.rs
@@ -53,6 +53,8 @@
         links: Links::new(NodeId(1), REPORT_TIMEOUT, executor),
         clock: Clock::start(),
         links_by_address: RefCell::default(),
+        relay: AssignedRelay::default(),
+        random: RefCell::new(Random::new(1)),
         log: ReportLog::default(),
         recorder: Rc::new(Metrics::new().unwrap()),
         notify: smol::channel::bounded(1),
@@ -71,12 +73,13 @@
         let subscriber = subscriber(forwarder.address, &executor);
         // The connection leads to a follower, which loses power and restarts as the leader.
         let address = subscriber.contacts().first().copied().unwrap();
-        assert!(!subscriber.report_to(address).await);
+        let answer = subscriber.report_to(address, subscriber.relay.target()).await;
+        assert_eq!(answer, Answer::Failed);
         forwarder.blackhole_existing();
         replica.0.set(true);
         for _ in 0..MAX_SEARCHES {
             // Each search is cancelled before the timeout of its report.
-            if with_deadline(REPORT_TIMEOUT / 2, subscriber.report_to_leader()).await.flatten().is_some() {
+            if with_deadline(REPORT_TIMEOUT / 2, subscriber.report_once()).await.flatten().is_some() {
                 return;
             }
         }
--- a/agatetrestle/src/cluster/tests.rs
+++ b/agatetrestle/src/cluster/tests.rs
@@ -1,4 +1,8 @@
-//! Tests of membership changes, versioned lists, reports and stored identities.
+//! Tests of membership changes, reports and stored identities.
+
+mod liveness;
+mod relays;
+mod versioned;
 
 use std::cell::Cell;
 use std::collections::BTreeSet;
@@ -10,21 +14,20 @@
 use crate::agreement::ReplicaChange;
 use crate::agreement::Replicas;
 use crate::clock::Timestamp;
-use crate::cluster::backends::BackendChange;
-use crate::cluster::backends::VersionedBackends;
 use crate::cluster::contacts;
 use crate::cluster::encoded::EncodedCache;
 use crate::cluster::identity;
-use crate::cluster::membership::Membership;
 use crate::cluster::message::KnownVersions;
 use crate::cluster::message::ListVersion;
 use crate::cluster::message::Member;
 use crate::cluster::message::Report;
+use crate::cluster::message::ReportTarget;
 use crate::cluster::message::StoreUsage;
 use crate::cluster::message::Update;
 use crate::cluster::overview::Overview;
 use crate::cluster::report_log::ReportLog;
 use crate::cluster::report_log::ReportOutcome;
+use crate::cluster::versioned::BackendChange;
 use crate::cluster::view::ClusterView;
 use crate::cluster::voters::Candidate;
 use crate::cluster::voters::VoterCounts;
@@ -131,11 +134,16 @@
         introduction: member(1, Role::Entry).into(),
         known: KnownVersions { revision: 57, ..KnownVersions::default() },
         long_poll_ms: 500,
+        target: ReportTarget::Relay,
+        relayed: None,
     };
     let value: ciborium::Value = ciborium::from_reader(&encode(&report)[..]).unwrap();
     let names: Vec<&str> = value.as_map().unwrap().iter().filter_map(|(name, _)| name.as_text()).collect();
-    assert_eq!(names, ["told", "known", "patience"]);
+    assert_eq!(names, ["told", "known", "patience", "target", "relayed"]);
     assert_eq!(decode::<Report>(&encode(&value)).unwrap(), report);
+    let older = ciborium::Value::Map(value.into_map().unwrap().into_iter().take(3).collect());
+    let decoded = decode::<Report>(&encode(&older)).unwrap();
+    assert_eq!(decoded.target, ReportTarget::Leader, "a process of an older build gets no relay");
 }
 
 fn member(node: u64, role: Role) -> Member {
@@ -144,31 +152,6 @@
     Member { node: NodeId(node), role, vm, zone, peer: address, callers: None, ready: true, group: None }
 }
 
-#[test]
-fn entries_are_notified_of_stores_but_not_of_entries() {
-    let mut membership = Membership::default();
-    let store = member(1, Role::Store);
-    assert!(membership.replace(vec![store.clone()]));
-    let known = [Role::Entry, Role::Store, Role::Control].map(|role| (role, membership.version(role, 5)));
-    let changed = |membership: &Membership| known.map(|(role, known)| membership.version(role, 5) != known);
-    assert_eq!(changed(&membership), [false, false, false]);
-    assert!(membership.replace(vec![store.clone(), member(2, Role::Entry)]));
-    assert_eq!(changed(&membership), [false, false, true], "an entry was added");
-    assert_eq!([Role::Entry, Role::Control].map(|role| membership.visible_to(role).len()), [1, 2]);
-    assert!(membership.replace(vec![member(2, Role::Entry)]));
-    assert_eq!(changed(&membership), [true, true, true], "the store was removed");
-    assert_ne!(
-        membership.version(Role::Entry, 5),
-        membership.version(Role::Entry, 6),
-        "versions of different terms differ"
-    );
-    let not_ready = Member { ready: false, ..store.clone() };
-    membership.replace(vec![not_ready]);
-    let known = membership.version(Role::Entry, 5);
-    membership.replace(vec![store]);
-    assert_ne!(membership.version(Role::Entry, 5), known, "a change of readiness changes the version");
-}
-
 #[test]
 fn encodes_list_once_per_version() {
     let members: Vec<Member> = (1..=300).map(|node| member(node, Role::Entry)).collect();
@@ -205,85 +188,7 @@
     assert_eq!((view.known().members, view.known().backends), (version(2), version(2)));
 }
 
-#[test]
-fn cleared_list_gets_higher_version_in_same_term() {
-    let mut backends = VersionedBackends::default();
-    assert_eq!(backends.version(3), None);
-    assert!(backends.replace(vec![backend("e-1", false)]));
-    assert!(backends.replace(vec![backend("e-1", true)]));
-    let before = backends.version(3);
-    backends.clear();
-    assert_eq!((backends.version(3), backends.list().len()), (None, 0));
-    assert!(backends.replace(vec![backend("e-2", false)]));
-    assert!(backends.version(3) > before, "processes ignore a version that is not higher");
-    let change = backends.change_since(before.unwrap(), 3);
-    assert_eq!(change, BackendChange::Whole(vec![backend("e-2", false)]));
-    assert!(!backends.replace(vec![backend("e-2", false)]));
-}
-
-#[test]
-fn delta_is_minimal_and_requires_its_base_version() {
-    let mut backends = VersionedBackends::default();
-    let servers = |leaving: usize| -> Vec<Instance> {
-        (0..1_000).map(|number| backend(&format!("e-{number}"), number == leaving)).collect()
-    };
-    backends.replace(servers(1));
-    let known = backends.version(3).unwrap();
-    let base = servers(1);
-    backends.replace(servers(2));
-    let change = backends.change_since(known, 3);
-    assert!(matches!(&change, BackendChange::Since { gone, put, .. } if gone.is_empty() && put.len() == 2));
-    let other = ListVersion { term: 3, count: 9 };
-    assert_eq!(change.clone().apply(other, &base), None);
-    assert_eq!(change.apply(known, &base).map(sorted), Some(sorted(servers(2))));
-    assert!(
-        matches!(backends.change_since(known, 4), BackendChange::Whole(_)),
-        "the base version has another term"
-    );
-    let duplicates = vec![backend("e-1", false), backend("e-1", true)];
-    backends.replace(duplicates.clone());
-    let known = ListVersion { count: known.count + 1, ..known };
-    assert_eq!(
-        backends.change_since(known, 3),
-        BackendChange::Whole(duplicates),
-        "duplicate IDs prevent a delta"
-    );
-}
-
-fn sorted(mut list: Vec<Instance>) -> Vec<Instance> {
-    list.sort_by(|a, b| a.id.cmp(&b.id));
-    list
-}
-
 proptest! {
-    #[test]
-    fn deltas_reproduce_current_list(
-        steps in prop::collection::vec(
-            (prop::collection::btree_map(0_u8..12, any::<bool>(), 0..10), any::<bool>(), 0_u8..12, any::<bool>()),
-            1..40,
-        ),
-    ) {
-        let (mut backends, mut known, mut list) = (VersionedBackends::default(), ListVersion::default(), Vec::new());
-        for (servers, reports, clear_choice, repeats) in steps {
-            let servers: Vec<Instance> =
-                servers.into_iter().map(|(number, leaving)| backend(&number.to_string(), leaving)).collect();
-            if clear_choice == 0 {
-                backends.clear();
-            }
-            backends.replace(servers.clone());
-            let version = backends.version(5).unwrap();
-            if reports && version != known {
-                let change = backends.change_since(known, 5);
-                let next = change.clone().apply(known, &list).expect("the base version is known");
-                prop_assert_eq!(sorted(next.clone()), sorted(servers));
-                (known, list) = (version, next);
-                if repeats && matches!(change, BackendChange::Since { .. }) {
-                    prop_assert_eq!(change.apply(known, &list), None, "a duplicate answer is rejected");
-                }
-            }
-        }
-    }
-
     #[test]
     fn removal_keeps_min_healthy_voters(
         voters in prop::collection::btree_set(1_u64..9, 1..6),
--- a/agatetrestle/src/deployment/backend_list.rs
+++ b/agatetrestle/src/deployment/backend_list.rs
@@ -80,23 +80,29 @@
         let mut malformed = 0;
         // A starting replica reads the list once before there is a leader. So after a restart of all control replicas, the
         // first leader has the list at once.
+        let mut initial_list = None;
         let mut initial_read_done = false;
         loop {
             if !self.group.leads() {
-                if self.group.leader().is_some() {
-                    // The leader has a newer list.
-                    self.registry.clear_instances();
-                    initial_read_done = true;
-                }
+                // A follower receives the list from the leader.
+                initial_read_done |= self.group.leader().is_some();
                 if std::mem::replace(&mut initial_read_done, true) {
                     Timer::after(LEADERSHIP_POLL_INTERVAL).await;
                     continue;
                 }
+            } else if let Some(instances) = initial_list.take()
+                && !self.registry.has_instances()
+            {
+                self.registry.set_instances(instances);
             }
             match self.read(&client).await {
                 Ok(list) => {
                     pages = list.pages;
-                    self.registry.set_instances(list.instances);
+                    if self.group.leads() {
+                        self.registry.set_instances(list.instances);
+                    } else {
+                        initial_list = Some(list.instances);
+                    }
                     self.record_malformed(&mut malformed, list.malformed);
                     if available.replace(true) != Some(true) {
                         info!("The list of backend servers is read.");
--- a/agatetrestle/src/deployment/control.rs
+++ b/agatetrestle/src/deployment/control.rs
@@ -16,10 +16,13 @@
 use crate::cluster::registry::ClusterRegistry;
 use crate::cluster::repair;
 use crate::cluster::service::ControlService;
+use crate::cluster::versioned::BackendChange;
+use crate::cluster::view::Watcher;
 use crate::cluster::voters::Candidate;
 use crate::cluster::voters::VoterCounts;
 use crate::codec::encode;
 use crate::control::command::ControlCommand;
+use crate::control::command::Document;
 use crate::control::state::ControlState;
 use crate::deployment::ProcessContext;
 use crate::deployment::REQUEST_TIMEOUTS;
@@ -51,24 +54,43 @@
 const SPARE_STORES_PER_GROUP: usize = 1;
 /// Log bytes after which a snapshot is taken.
 const SNAPSHOT_THRESHOLD_BYTES: usize = 4 << 20;
+/// Pause after each connection from another process. A thousand of them connect within a second.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(1);
 /// Connections of operators and of callers that look up addresses.
 const MAX_CONTROL_CONNECTIONS: usize = 1_024;
 
 pub(super) async fn start(context: &ProcessContext) -> Result<ReplicaProcess<ControlState>, NodeError> {
     let group = open(context).await?;
     let member = Member { ready: true, ..context.member() };
-    let registry = ClusterRegistry::new(&member, group.clone(), context.links.clone(), context.clock);
+    let registry = ClusterRegistry::new(
+        &member,
+        group.clone(),
+        context.links.clone(),
+        context.clock,
+        context.view.clone(),
+    );
     let service: Rc<dyn GroupService> = Rc::new(ControlService {
         group: group.clone(),
         registry: registry.clone(),
         min_voters: context.replication_factor(),
     });
-    let mut server = PeerServer { reports: Some(registry.clone()), ..PeerServer::default() };
+    let mut server = PeerServer {
+        reports: Some(registry.clone()),
+        accept_interval: ACCEPT_INTERVAL,
+        ..PeerServer::default()
+    };
     let receiver = group.clone();
     server.handlers.insert(CONTROL_GROUP, Rc::new(move |message| receiver.receive(message)));
     server.services.insert(CONTROL_GROUP, service.clone());
     context.serve_peers(server);
     let subscriber = context.subscriber(Rc::new(move || member.clone().into()), Some(registry.clone()));
+    let reporting = Rc::downgrade(&subscriber);
+    registry.set_report_now(Rc::new(move || {
+        if let Some(subscriber) = reporting.upgrade() {
+            subscriber.report_now();
+        }
+    }));
+    context.view.watch(Rc::new(ControlWatcher(registry.clone())));
     let links = context.links.clone();
     let clock = Rc::new(context.clock);
     let router = Router::new(CONTROL_GROUP, context.node, Some(service), links, &[], clock, REQUEST_TIMEOUTS);
@@ -82,6 +104,23 @@
     Ok(ReplicaProcess { group, subscriber })
 }
 
+/// Wakes the processes that a control replica relays to when there is a change for them.
+struct ControlWatcher(Rc<ClusterRegistry>);
+
+impl Watcher for ControlWatcher {
+    fn routes(&self, _document: &Document) {
+        self.0.wake();
+    }
+
+    fn backends(&self, _change: &BackendChange) {
+        self.0.wake();
+    }
+
+    fn members(&self, _members: &[Member]) {
+        self.0.wake();
+    }
+}
+
 /// Waits for the next refresh, and wakes the pending reports at each change of leadership before it.
 async fn wait_for_change(group: &Group<ControlState>, registry: &ClusterRegistry) {
     let mut remaining = REFRESH_INTERVAL;
@@ -129,12 +168,14 @@
             context.replication_factor(),
         ))
         .detach();
+    let batching = registry.clone();
+    context.executor.spawn(async move { batching.batch_member_changes().await }).detach();
+    let waking = registry.clone();
+    context.executor.spawn(async move { waking.wake_in_batches().await }).detach();
     let (group, registry, router) = (group.clone(), registry.clone(), router.clone());
     let (links, view) = (context.links.clone(), context.view.clone());
     let refreshing = async move {
         loop {
-            // A follower that can't reach the leader keeps the last list: stale addresses are better than none.
-            registry.adopt_members(&view.members());
             registry.refresh();
             let voters: Vec<NodeId> = group.replicas().voters.into_iter().collect();
             router.set_holders(&voters);
--- a/agatetrestle/src/deployment/entry.rs
+++ b/agatetrestle/src/deployment/entry.rs
@@ -15,6 +15,7 @@
 use crate::clock::Clock;
 use crate::cluster::message::Member;
 use crate::cluster::subscriber::Subscriber;
+use crate::cluster::versioned::BackendChange;
 use crate::cluster::view::ClusterView;
 use crate::cluster::view::Watcher;
 use crate::control::command::Document;
@@ -27,7 +28,6 @@
 use crate::deployment::turns::TurnRouter;
 use crate::deployment::turns::TurnRouterParts;
 use crate::dispatch::Dispatch;
-use crate::dispatch::Instance;
 use crate::gateway::Gateway;
 use crate::gateway::GatewayParts;
 use crate::ids::GroupId;
@@ -69,8 +69,8 @@
         self.gateway.routes(document);
     }
 
-    fn backends(&self, instances: &[Instance]) {
-        self.gateway.backends(instances);
+    fn backends(&self, change: &BackendChange) {
+        self.gateway.backends(change);
     }
 
     fn members(&self, members: &[Member]) {
--- a/agatetrestle/src/deployment/mod.rs
+++ b/agatetrestle/src/deployment/mod.rs
@@ -44,6 +44,7 @@
 use crate::cluster::identity;
 use crate::cluster::message::Member;
 use crate::cluster::registry::ClusterRegistry;
+use crate::cluster::relays::AssignedRelay;
 use crate::cluster::report_log::ReportLog;
 use crate::cluster::subscriber::StatusSource;
 use crate::cluster::subscriber::Subscriber;
@@ -59,6 +60,7 @@
 use crate::node::peer_server::PeerServer;
 use crate::node::replicas::ReplicaOpener;
 use crate::node::router::RequestTimeouts;
+use crate::scheduler::random::Random;
 use crate::transport::server;
 use crate::transport::server::Handler;
 use crate::transport::server::ServerLimits;
@@ -246,6 +248,8 @@
             links: self.links.clone(),
             clock: self.clock,
             links_by_address: RefCell::default(),
+            relay: AssignedRelay::default(),
+            random: RefCell::new(Random::new(self.node.0)),
             log: ReportLog::default(),
             recorder: self.metrics.clone(),
             notify: smol::channel::bounded(1),
--- a/agatetrestle/src/dispatch/mod.rs
+++ b/agatetrestle/src/dispatch/mod.rs
@@ -21,6 +21,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -28,6 +29,7 @@
 use slotmap::SlotMap;
 
 use crate::clock::Timestamp;
+use crate::cluster::versioned::BackendChange;
 use crate::dispatch::response_starts::ResponseStarts;
 use crate::dispatch::server::Server;
 use crate::health::failure_rates::FailureRates;
@@ -120,6 +122,29 @@
         decisions
     }
 
+    /// Updates the servers from a change of the list.
+    pub fn apply_change(&mut self, now: Timestamp, change: &BackendChange) -> Vec<Decision> {
+        match change {
+            BackendChange::Whole(instances) => self.replace_instances(now, instances),
+            BackendChange::Since { gone, put, .. } => {
+                let changed: HashSet<&str> =
+                    gone.iter().chain(put.iter().map(|instance| &instance.id)).map(|id| &**id).collect();
+                let listed =
+                    self.servers.values().filter(|server| server.listed).map(|server| &server.instance);
+                let kept = listed.filter(|instance| !changed.contains(&*instance.id)).cloned();
+                let instances: Vec<Instance> = kept.chain(put.iter().cloned()).collect();
+                self.replace_instances(now, &instances)
+            }
+        }
+    }
+
+    /// Number of known instances, and how many of them are leaving.
+    #[must_use]
+    pub fn instance_counts(&self) -> (usize, usize) {
+        let leaving = self.servers.values().filter(|server| server.instance.leaving).count();
+        (self.servers.len(), leaving)
+    }
+
     /// Adds or updates a listed server. A newer instance under a known id is added as another server, which takes over
     /// nothing from the earlier one.
     fn update_instance(&mut self, instance: &Instance) {
--- a/agatetrestle/src/gateway/mod.rs
+++ b/agatetrestle/src/gateway/mod.rs
@@ -36,11 +36,11 @@
 
 use crate::clock::Clock;
 use crate::clock::Timestamp;
+use crate::cluster::versioned::BackendChange;
 use crate::cluster::view::Watcher;
 use crate::control::command::Document;
 use crate::dispatch::Decision;
 use crate::dispatch::Dispatch;
-use crate::dispatch::Instance;
 use crate::dispatch::RequestOutcome;
 use crate::dispatch::ServerKey;
 use crate::gateway::slot::Assignment;
@@ -262,11 +262,11 @@
         }
     }
 
-    fn backends(&self, instances: &[Instance]) {
-        let decisions = self.dispatch.borrow_mut().replace_instances(self.clock.now(), instances);
+    fn backends(&self, change: &BackendChange) {
+        let decisions = self.dispatch.borrow_mut().apply_change(self.clock.now(), change);
         self.apply(decisions);
-        let leaving = instances.iter().filter(|instance| instance.leaving).count();
-        info!("{} backend servers are listed, {leaving} of them leaving.", instances.len());
+        let (listed, leaving) = self.dispatch.borrow().instance_counts();
+        info!("{listed} backend servers are listed, {leaving} of them leaving.");
     }
 }
 
