Choose among few servers, and apply a change of the list at its own cost

Cause: each request looked at all servers of all services several times with a hash of each id, 0.45 ms of a whole core before 10,000 servers, eight times that on an entry's share; each change of the list made every entry build the list anew and go through all of it, 2 ms of a whole core.

Change: servers are indexed by service. A choice looks at those in use and at a window of 64, in the failure domain and of all, which for a prompt is the same on every node; at all of them only if no candidate has a free slot. A change of the list touches what it names, and a service's slots are counted as they change. A service of up to 64 servers is looked at as a whole, as before.

Tests: choice_looks_at_as_many_servers_in_a_fleet_of_any_size (the code before looked at all), the spread of prompts, one server a prompt from every node, all servers when the candidates are full, and the same effect as the full list.

--- a/agatetrestle/src/dispatch/mod.rs
+++ b/agatetrestle/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod choice;
 mod decision;
 mod outlier;
+mod pool;
 mod response_starts;
 mod server;
 #[cfg(test)]
@@ -20,8 +21,8 @@
 pub use self::server::ServerLoad;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,6 +31,7 @@
 
 use crate::clock::Timestamp;
 use crate::cluster::versioned::BackendChange;
+use crate::dispatch::pool::Pool;
 use crate::dispatch::response_starts::ResponseStarts;
 use crate::dispatch::server::Server;
 use crate::health::failure_rates::FailureRates;
@@ -79,6 +81,10 @@
 pub struct Dispatch {
     servers: SlotMap<ServerKey, Server>,
     by_id: HashMap<Arc<str>, ServerKey>,
+    /// The servers of each service.
+    pools: HashMap<Arc<str>, Pool>,
+    /// Servers that are no longer listed but still have requests of this node.
+    unlisted: BTreeSet<ServerKey>,
     queues: HashMap<Arc<str>, Queue>,
     zone: Arc<str>,
     rng: Random,
@@ -94,6 +100,8 @@
         Self {
             servers: SlotMap::default(),
             by_id: HashMap::new(),
+            pools: HashMap::new(),
+            unlisted: BTreeSet::new(),
             queues: HashMap::new(),
             zone,
             rng: Random::new(seed),
@@ -111,70 +119,106 @@
     /// Updates the servers from a list. Servers that are missing from it get no more requests, and neither do servers
     /// once known to be leaving: the list may be stale, so it can't revoke that.
     pub fn replace_instances(&mut self, now: Timestamp, instances: &[Instance]) -> Vec<Decision> {
-        for server in self.servers.values_mut() {
-            server.listed = false;
+        let known: Vec<ServerKey> = self.servers.keys().collect();
+        for key in known {
+            self.unlist(key);
         }
         for instance in instances {
             self.update_instance(instance);
         }
-        let mut decisions = self.remove_unlisted();
-        decisions.extend(self.dispatch_all(now));
-        decisions
+        self.finish_update(now)
     }
 
-    /// Updates the servers from a change of the list.
+    /// Updates the servers from a change of the list, at the cost of the change.
     pub fn apply_change(&mut self, now: Timestamp, change: &BackendChange) -> Vec<Decision> {
         match change {
             BackendChange::Whole(instances) => self.replace_instances(now, instances),
             BackendChange::Since { gone, put, .. } => {
-                let changed: HashSet<&str> =
-                    gone.iter().chain(put.iter().map(|instance| &instance.id)).map(|id| &**id).collect();
-                let listed =
-                    self.servers.values().filter(|server| server.listed).map(|server| &server.instance);
-                let kept = listed.filter(|instance| !changed.contains(&*instance.id)).cloned();
-                let instances: Vec<Instance> = kept.chain(put.iter().cloned()).collect();
-                self.replace_instances(now, &instances)
+                for id in gone.iter().chain(put.iter().map(|instance| &instance.id)) {
+                    if let Some(key) = self.by_id.get(id) {
+                        self.unlist(*key);
+                    }
+                }
+                for instance in put {
+                    self.update_instance(instance);
+                }
+                self.finish_update(now)
             }
         }
     }
 
-    /// Number of known instances, and how many of them are leaving.
-    #[must_use]
-    pub fn instance_counts(&self) -> (usize, usize) {
-        let leaving = self.servers.values().filter(|server| server.instance.leaving).count();
-        (self.servers.len(), leaving)
+    fn finish_update(&mut self, now: Timestamp) -> Vec<Decision> {
+        let mut decisions = self.remove_unlisted();
+        decisions.extend(self.dispatch_all(now));
+        decisions
+    }
+
+    fn unlist(&mut self, key: ServerKey) {
+        self.update_server(key, |server| server.listed = false);
+        self.unlisted.insert(key);
+    }
+
+    /// Changes what the pool of a server depends on.
+    fn update_server(&mut self, key: ServerKey, update: impl FnOnce(&mut Server)) {
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        let used = self.pools.get_mut(&server.instance.service).is_some_and(|pool| pool.remove(key, server));
+        update(server);
+        let pool = self.pools.entry(server.instance.service.clone()).or_default();
+        pool.insert(key, server, server.instance.zone == self.zone);
+        if used {
+            pool.mark_in_use(key);
+        }
     }
 
     /// Adds or updates a listed server. A newer instance under a known id is added as another server, which takes over
     /// nothing from the earlier one.
     fn update_instance(&mut self, instance: &Instance) {
         let known = self.by_id.get(&instance.id).copied();
-        match known.and_then(|key| self.servers.get_mut(key)) {
-            Some(server) if !instance.is_newer_than(&server.instance) => server.update(instance),
-            _ => {
-                let key = self.servers.insert(Server::new(instance));
-                self.by_id.insert(instance.id.clone(), key);
-            }
+        if let Some(key) = known.filter(|key| !instance.is_newer_than(&self.servers[*key].instance)) {
+            self.update_server(key, |server| server.update(instance));
+            self.unlisted.remove(&key);
+            return;
         }
+        let key = self.servers.insert(Server::new(instance));
+        self.by_id.insert(instance.id.clone(), key);
+        let pool = self.pools.entry(instance.service.clone()).or_default();
+        pool.insert(key, &self.servers[key], instance.zone == self.zone);
     }
 
     /// Reports unlisted servers once, and removes them when none of this node's requests is in flight there.
     fn remove_unlisted(&mut self) -> Vec<Decision> {
         let mut decisions = Vec::new();
-        let by_id = &mut self.by_id;
-        self.servers.retain(|key, server| {
-            if !server.listed && !std::mem::replace(&mut server.removal_reported, true) {
+        for key in std::mem::take(&mut self.unlisted) {
+            let server = &mut self.servers[key];
+            if !std::mem::replace(&mut server.removal_reported, true) {
                 decisions.push(Decision::DropConnections { address: server.instance.address });
             }
-            let retained = server.listed || server.in_flight > 0;
-            if !retained && by_id.get(&server.instance.id) == Some(&key) {
-                by_id.remove(&server.instance.id);
+            if server.in_flight > 0 {
+                self.unlisted.insert(key);
+            } else {
+                self.remove_server(key);
             }
-            retained
-        });
+        }
         decisions
     }
 
+    fn remove_server(&mut self, key: ServerKey) {
+        let Some(server) = self.servers.remove(key) else {
+            return;
+        };
+        if self.by_id.get(&server.instance.id) == Some(&key) {
+            self.by_id.remove(&server.instance.id);
+        }
+        if let Some(pool) = self.pools.get_mut(&server.instance.service) {
+            pool.remove(key, &server);
+            if pool.len() == 0 {
+                self.pools.remove(&server.instance.service);
+            }
+        }
+    }
+
     /// The instance behind a key.
     #[must_use]
     pub fn instance(&self, key: ServerKey) -> Option<&Instance> {
@@ -191,12 +235,17 @@
         self.servers.iter().map(|(key, server)| (key, &server.instance))
     }
 
+    /// Number of known instances, and how many of them are leaving.
+    #[must_use]
+    pub fn instance_counts(&self) -> (usize, usize) {
+        let leaving = self.servers.values().filter(|server| server.instance.leaving).count();
+        (self.servers.len(), leaving)
+    }
+
     /// Total slots of the servers of a service that accept requests.
     #[must_use]
     pub fn total_slots(&self, service: &Arc<str>) -> u32 {
-        let accepting =
-            |server: &&Server| server.listed && !server.instance.leaving && server.serves(service);
-        self.servers.values().filter(accepting).map(|server| server.instance.slots).sum()
+        self.pools.get(service).map_or(0, Pool::slots)
     }
 
     /// Number of queued requests of all services.
@@ -238,6 +287,7 @@
     pub fn record_load(&mut self, now: Timestamp, key: ServerKey, load: ServerLoad) {
         if let Some(server) = self.servers.get_mut(key) {
             server.record_load(now, load);
+            mark_in_use(&mut self.pools, key, server);
         }
     }
 
@@ -267,9 +317,7 @@
 
     /// Marks a server that has announced its shutdown, or at whose address another instance answers.
     pub fn mark_leaving(&mut self, key: ServerKey) {
-        if let Some(server) = self.servers.get_mut(key) {
-            server.instance.leaving = true;
-        }
+        self.update_server(key, |server| server.instance.leaving = true);
     }
 
     /// Records how a request ended, and dispatches queued requests to the freed slot.
@@ -300,9 +348,9 @@
     /// Ejects a server if the evidence suffices and not too many servers of its service are ejected already.
     fn eject_outlier(&mut self, now: Timestamp, key: ServerKey) -> Option<Timestamp> {
         let service = self.servers.get(key)?.instance.service.clone();
-        let of_service = || self.servers.values().filter(|server| server.serves(&service) && server.listed);
-        let ejected = of_service().filter(|server| server.is_ejected(now)).count();
-        if ejected >= max_ejected(of_service().count()) {
+        let listed = || self.servers_of(&service).filter(|(_, server)| server.listed);
+        let ejected = listed().filter(|(_, server)| server.is_ejected(now)).count();
+        if ejected >= max_ejected(listed().count()) {
             return None;
         }
         self.servers.get_mut(key)?.eject_outlier(now)
@@ -337,6 +385,7 @@
                 }
                 Some(server) => {
                     self.servers[server].in_flight += 1;
+                    mark_in_use(&mut self.pools, server, &self.servers[server]);
                     decisions.push(Decision::Send { ticket: request.ticket, server });
                 }
                 None if request.excluded.is_empty() => {
@@ -417,14 +466,32 @@
         service: &Arc<str>,
         excluded: &[ServerKey],
     ) -> Option<Duration> {
-        let servers =
-            self.servers.iter().filter(|(key, server)| server.serves(service) && !excluded.contains(key));
-        servers.filter_map(|(_, server)| server.backoff_left(now)).min()
+        let mut shortest = None;
+        for (_, server) in self.servers_of(service).filter(|(key, _)| !excluded.contains(key)) {
+            match server.backoff_left(now) {
+                Some(Duration::ZERO) => return Some(Duration::ZERO),
+                left => shortest = left.into_iter().chain(shortest).min(),
+            }
+        }
+        shortest
     }
 
     /// This node's requests in flight at all servers of a service.
     fn in_flight(&self, service: &Arc<str>) -> u32 {
-        self.servers.values().filter(|server| server.serves(service)).map(|server| server.in_flight).sum()
+        let in_use = self.pools.get(service).into_iter().flat_map(Pool::in_use);
+        in_use.map(|key| self.servers[key].in_flight).sum()
+    }
+
+    /// All servers of a service.
+    fn servers_of(&self, service: &Arc<str>) -> impl Iterator<Item = (ServerKey, &Server)> {
+        let keys = self.pools.get(service).into_iter().flat_map(Pool::all);
+        keys.map(|key| (key, &self.servers[key]))
+    }
+}
+
+fn mark_in_use(pools: &mut HashMap<Arc<str>, Pool>, key: ServerKey, server: &Server) {
+    if let Some(pool) = pools.get_mut(&server.instance.service) {
+        pool.mark_in_use(key);
     }
 }
 
--- a/agatetrestle/src/dispatch/server.rs
+++ b/agatetrestle/src/dispatch/server.rs
@@ -137,10 +137,6 @@
         self.instance = Instance { leaving, born, ..instance.clone() };
     }
 
-    pub(super) fn serves(&self, service: &Arc<str>) -> bool {
-        self.instance.service == *service
-    }
-
     /// Time until its backoff ends; `None` if it accepts no more requests.
     pub(super) fn backoff_left(&self, now: Timestamp) -> Option<Duration> {
         (self.listed && !self.instance.leaving).then(|| self.backoff_until.since(now))
@@ -239,6 +235,11 @@
         now < self.ejected_until
     }
 
+    /// Whether its state differs from that of a server which this node has not used lately.
+    pub(super) fn is_in_use(&self, now: Timestamp, load_ttl: Duration) -> bool {
+        self.in_flight > 0 || self.has_warm_connection(now) || self.recent_other_load(now, load_ttl).is_some()
+    }
+
     /// Whether a connection to it is likely to be open.
     pub(super) fn has_warm_connection(&self, now: Timestamp) -> bool {
         self.last_response_at.is_some_and(|at| now.since(at) < WARM_CONNECTION_TIME)
