--- a/agatetrestle/src/cluster/overview.rs
+++ b/agatetrestle/src/cluster/overview.rs
@@ -28,6 +28,9 @@
     pub control: BTreeSet<NodeId>,
     /// Voters of each state group, as its leader last reported.
     pub groups: BTreeMap<GroupId, BTreeSet<NodeId>>,
+    /// Voters that each state group needs for the tolerance of the settings.
+    #[serde(default)]
+    pub required_voters: usize,
     /// The leaders of the state groups.
     pub state_leaders: BTreeSet<NodeId>,
     /// The live processes.
@@ -65,6 +68,14 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let version = self.version.map_or_else(|| "none".to_owned(), |version| version.to_string());
         writeln!(f, "routes of version {version}; control leader {} in term {}", self.leader.0, self.term)?;
+        for (group, voters) in self.groups.iter().filter(|(_, voters)| voters.len() < self.required_voters) {
+            let (count, required) = (voters.len(), self.required_voters);
+            writeln!(
+                f,
+                "group {} has {count} of {required} voters and bears the loss of fewer stores",
+                group.0
+            )?;
+        }
         let mut members: Vec<&Member> = self.members.iter().collect();
         members.sort_by(|a, b| (a.role as u8, &a.vm).cmp(&(b.role as u8, &b.vm)));
         for member in members {
--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -49,7 +49,9 @@
             Ok(ControlRequest::Emptying(vm)) => {
                 read(&self.group, |_| self.registry.drain_status(&vm, self.min_voters)).await
             }
-            Ok(ControlRequest::Overview) => read(&self.group, |_| self.registry.overview()).await,
+            Ok(ControlRequest::Overview) => {
+                read(&self.group, |_| self.registry.overview(self.min_voters)).await
+            }
             Err(error) => Submission::Refused(error.to_string().into()),
         }
     }
--- a/agatetrestle/src/cluster/tests.rs
+++ b/agatetrestle/src/cluster/tests.rs
@@ -245,6 +245,7 @@
         version: Some(12),
         control: [NodeId(1)].into(),
         groups: [(FIRST_STATE_GROUP, [NodeId(2)].into())].into(),
+        required_voters: 3,
         state_leaders: [NodeId(2)].into(),
         members: vec![entry, store, spare, member(1, Role::Control)],
         leaving: ["store-1".into()].into(),
--- a/agatetrestle/src/deployment/control.rs
+++ b/agatetrestle/src/deployment/control.rs
@@ -41,6 +41,7 @@
 use crate::node::replicas::MissingFiles;
 use crate::node::router::Router;
 use crate::node::service::GroupService;
+use crate::ports::Recorder;
 use crate::transport::server::ServerLimits;
 
 /// How often a control replica checks which members have stopped reporting.
@@ -50,12 +51,12 @@
 /// Time for which the number of stores must not change before the state groups are created, so that stores that start
 /// together all take part.
 const STORE_COUNT_SETTLE_TIME: Duration = Duration::from_secs(1);
+/// Time for which the number of stores must not change if they are fewer than a group needs.
+const MISSING_STORES_SETTLE_TIME: Duration = Duration::from_secs(5);
 /// Stores for each state group beyond its voters, so that a lost voter can be replaced by one without a group.
 const SPARE_STORES_PER_GROUP: usize = 1;
 /// Log bytes after which a snapshot is taken.
 const SNAPSHOT_THRESHOLD_BYTES: usize = 4 << 20;
-/// Pause after each connection from another process. A thousand of them connect within a second.
-const ACCEPT_INTERVAL: Duration = Duration::from_millis(1);
 /// Connections of operators and of callers that look up addresses.
 const MAX_CONTROL_CONNECTIONS: usize = 1_024;
 
@@ -74,11 +75,7 @@
         registry: registry.clone(),
         min_voters: context.replication_factor(),
     });
-    let mut server = PeerServer {
-        reports: Some(registry.clone()),
-        accept_interval: ACCEPT_INTERVAL,
-        ..PeerServer::default()
-    };
+    let mut server = PeerServer { reports: Some(registry.clone()), ..PeerServer::default() };
     let receiver = group.clone();
     server.handlers.insert(CONTROL_GROUP, Rc::new(move |message| receiver.receive(message)));
     server.services.insert(CONTROL_GROUP, service.clone());
@@ -172,11 +169,14 @@
     context.executor.spawn(async move { batching.batch_member_changes().await }).detach();
     let waking = registry.clone();
     context.executor.spawn(async move { waking.wake_in_batches().await }).detach();
+    let (metrics, required_voters) = (context.metrics.clone(), context.replication_factor());
     let (group, registry, router) = (group.clone(), registry.clone(), router.clone());
     let (links, view) = (context.links.clone(), context.view.clone());
     let refreshing = async move {
         loop {
             registry.refresh();
+            let missing = if group.leads() { registry.missing_voters(required_voters) } else { 0 };
+            metrics.record_missing_voters(u64::try_from(missing).unwrap_or(u64::MAX));
             let voters: Vec<NodeId> = group.replicas().voters.into_iter().collect();
             router.set_holders(&voters);
             super::update_control_addresses(&links, &view);
@@ -186,6 +186,25 @@
     context.executor.spawn(refreshing).detach();
 }
 
+/// Decides when there are enough stores to create the state groups.
+#[derive(Debug, Default)]
+pub(super) struct StoreCount {
+    count: usize,
+    unchanged_for: Duration,
+}
+
+impl StoreCount {
+    /// Counts the stores after `elapsed`, and returns whether to create groups of `group_size` voters with them. Fewer stores
+    /// than a group needs are waited for longer, and then serve until others come.
+    pub(super) fn is_settled(&mut self, stores: usize, group_size: usize, elapsed: Duration) -> bool {
+        let unchanged = std::mem::replace(&mut self.count, stores) == stores;
+        self.unchanged_for = if unchanged { self.unchanged_for + elapsed } else { Duration::ZERO };
+        let settle_time =
+            if stores >= group_size { STORE_COUNT_SETTLE_TIME } else { MISSING_STORES_SETTLE_TIME };
+        stores > 0 && self.unchanged_for >= settle_time
+    }
+}
+
 /// Proposes the initial voters of the state groups once enough stores are up and their number is stable.
 async fn create_state_groups(
     group: Rc<Group<ControlState>>,
@@ -193,23 +212,23 @@
     router: Rc<Router>,
     group_size: usize,
 ) {
-    let mut stable_for = Duration::ZERO;
-    let mut previous = 0;
+    let mut count = StoreCount::default();
     loop {
         Timer::after(REFRESH_INTERVAL).await;
         if !group.machine(|state| state.initial_voters().is_empty()) {
             return;
         }
-        let stores = registry.candidates(Role::Store);
-        let unchanged = std::mem::replace(&mut previous, stores.len()) == stores.len();
-        if !group.leads() || stores.len() < group_size || !unchanged {
-            stable_for = Duration::ZERO;
+        if !group.leads() {
+            count = StoreCount::default();
             continue;
         }
-        stable_for += REFRESH_INTERVAL;
-        if stable_for < STORE_COUNT_SETTLE_TIME {
+        let stores = registry.candidates(Role::Store);
+        if !count.is_settled(stores.len(), group_size, REFRESH_INTERVAL) {
             continue;
         }
+        if stores.len() < group_size {
+            warn!("Only {} of {group_size} stores that the tolerance needs are up.", stores.len());
+        }
         let groups = initial_voters(stores, group_size);
         info!("Creating the state groups with initial voters {groups:?}.");
         let request = ControlRequest::Command(ControlCommand::Found { groups });
--- a/agatetrestle/src/deployment/tests.rs
+++ b/agatetrestle/src/deployment/tests.rs
@@ -2,11 +2,13 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use agatetrestle_config::deployment::Role;
 
 use crate::cluster::message::Member;
 use crate::cluster::voters::Candidate;
+use crate::deployment::control::StoreCount;
 use crate::deployment::control::initial_voters;
 use crate::deployment::directory::addresses;
 use crate::deployment::turns::group_index;
@@ -52,6 +54,27 @@
     (1..=count).map(store).collect()
 }
 
+/// Seconds after which groups of five are created, if the number of stores is as given in each second.
+fn created_after(stores: &[usize]) -> Option<usize> {
+    let mut count = StoreCount::default();
+    stores.iter().position(|stores| count.is_settled(*stores, 5, Duration::from_secs(1)))
+}
+
+#[test]
+fn creates_groups_with_fewer_stores_after_a_longer_wait() {
+    assert_eq!(created_after(&[0, 2, 6, 6, 6]), Some(3));
+    assert_eq!(created_after(&[3; 4]), None, "more may come");
+    assert_eq!(created_after(&[3; 9]), Some(5));
+    assert_eq!(created_after(&[1, 2, 3, 4, 5, 5]), Some(5), "they start one after the other");
+    assert_eq!(created_after(&[0; 30]), None);
+}
+
+#[test]
+fn fewer_stores_than_a_group_needs_form_one() {
+    let groups = initial_voters(stores(3, 3), 5);
+    assert_eq!(groups, [[1, 2, 3].map(NodeId).into()]);
+}
+
 #[test]
 fn spreads_disjoint_groups_over_failure_domains() {
     for (count, group_size, groups) in [(3, 3, 1), (7, 3, 1), (8, 3, 2), (10, 5, 1), (36, 5, 6), (400, 5, 32)]
--- a/agatetrestle/src/metrics/instruments.rs
+++ b/agatetrestle/src/metrics/instruments.rs
@@ -45,6 +45,7 @@
     revision: Gauge<u64>,
     taking_work: Gauge<u64>,
     malformed_entries: Counter<u64>,
+    missing_voters: Gauge<u64>,
     control_reports: Histogram<f64>,
     confirmed_age: Gauge<f64>,
 }
@@ -102,6 +103,10 @@
                 "agatetrestle_unreadable_entries",
                 "Entries of the platform's list that name no server, since they can't be read.",
             ),
+            missing_voters: gauge(
+                "agatetrestle_missing_voters",
+                "Voters that all state groups together lack for the tolerance of the settings.",
+            ),
             control_reports: histogram(
                 "agatetrestle_control_report",
                 "One report to a control replica, by what became of it.",
@@ -156,6 +161,10 @@
         self.malformed_entries.add(entries, &[]);
     }
 
+    pub(super) fn record_missing_voters(&self, missing: u64) {
+        self.missing_voters.record(missing, &[]);
+    }
+
     pub(super) fn record_cache(&self, held: u64, wasted: u64) {
         self.cache_held.record(held, &[]);
         self.cache_wasted.record(wasted, &[]);
--- a/agatetrestle/src/metrics/mod.rs
+++ b/agatetrestle/src/metrics/mod.rs
@@ -129,6 +129,10 @@
     fn record_malformed(&self, entries: u64) {
         self.instruments.record_malformed(entries);
     }
+
+    fn record_missing_voters(&self, missing: u64) {
+        self.instruments.record_missing_voters(missing);
+    }
 }
 
 #[cfg(test)]
--- a/agatetrestle/src/metrics/tests.rs
+++ b/agatetrestle/src/metrics/tests.rs
@@ -65,6 +65,7 @@
     }
     metrics.record_cache(100, 3);
     metrics.record_malformed(2);
+    metrics.record_missing_voters(2);
     metrics.record_report("timeout", time);
     metrics.observe_freshness(Rc::new(FixedFreshness));
     let text = rendered(&metrics);
--- a/agatetrestle/src/node/peer_server.rs
+++ b/agatetrestle/src/node/peer_server.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
 
 use agatetrestle_schema::peer_capnp::peer;
 use capnp_rpc::RpcSystem;
@@ -11,7 +10,6 @@
 use futures::AsyncReadExt;
 use log::debug;
 use smol::LocalExecutor;
-use smol::Timer;
 use smol::net::TcpListener;
 use smol::net::TcpStream;
 
@@ -44,8 +42,6 @@
     pub registry: Option<Rc<MemberRegistry>>,
     /// Answers reports if this node is a control replica of a deployment with automatic membership.
     pub reports: Option<Rc<dyn ReportService>>,
-    /// Pause after each accepted connection. It leaves processor time for heartbeats while all nodes connect at once.
-    pub accept_interval: Duration,
 }
 
 #[derive(Clone)]
@@ -173,9 +169,6 @@
             drop(permit);
         };
         executor.spawn(serving).detach();
-        if !server.accept_interval.is_zero() {
-            Timer::after(server.accept_interval).await;
-        }
     }
 }
 
--- a/agatetrestle/src/ports.rs
+++ b/agatetrestle/src/ports.rs
@@ -246,4 +246,7 @@
 
     /// Counts malformed entries of the platform's list of backend servers.
     fn record_malformed(&self, _entries: u64) {}
+
+    /// Sets the number of voters that all state groups together lack for the tolerance of the settings.
+    fn record_missing_voters(&self, _missing: u64) {}
 }
