--- a/agatetrestle_replay/src/lib.rs
+++ b/agatetrestle_replay/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod cache;
 pub mod catalog;
+pub mod control_traffic;
 pub mod counters;
 pub mod detect;
 pub mod engine;
--- a/agatetrestle_replay/src/main.rs
+++ b/agatetrestle_replay/src/main.rs
@@ -10,6 +10,7 @@
 use agatetrestle::trace;
 use agatetrestle::trace::TraceError;
 use agatetrestle_replay::catalog::PoolConfig;
+use agatetrestle_replay::control_traffic;
 use agatetrestle_replay::detect;
 use agatetrestle_replay::faults;
 use agatetrestle_replay::faults::Fault;
@@ -28,6 +29,8 @@
 use snafu::Snafu;
 
 const DEFAULT_ENGINES: usize = 8;
+/// VMs of the fleets that are modelled by default.
+const DEFAULT_FLEETS: [u64; 4] = [250, 500, 1_000, 2_000];
 
 /// Replays traces of agent programs in virtual time.
 #[derive(Bpaf, Clone, Debug)]
@@ -73,6 +76,19 @@
         #[bpaf(argument("COUNT"), fallback(1))]
         rate: u32,
     },
+    /// Models what control sends to the processes of fleets of several sizes.
+    #[bpaf(command)]
+    Control {
+        /// Number of VMs; may be repeated. Without it, 250, 500, 1,000 and 2,000.
+        #[bpaf(argument("COUNT"))]
+        vms: Vec<u64>,
+        /// Seed of all random choices.
+        #[bpaf(argument("NUMBER"), fallback(1))]
+        seed: u64,
+        /// `table` or `json`.
+        #[bpaf(argument("FORM"), fallback(OutputFormat::Table))]
+        output: OutputFormat,
+    },
     /// Replays synthetic traces of several seeds under several policies and prints medians.
     #[bpaf(command)]
     Score {
@@ -241,6 +257,14 @@
             trace::format(&synth::synthesise(&shape.synth(*seed))).context(WriteSnafu)
         }
         Command::Detect { rate } => Ok(detect::table(*rate)),
+        Command::Control { vms, seed, output } => {
+            let sizes = if vms.is_empty() { &DEFAULT_FLEETS } else { &vms[..] };
+            let models: Vec<_> = sizes.iter().map(|vms| control_traffic::model(*vms, *seed)).collect();
+            match output {
+                OutputFormat::Table => Ok(control_traffic::table(&models)),
+                OutputFormat::Json => serde_json::to_string_pretty(&models).context(WriteSnafu),
+            }
+        }
         Command::Score { shape, policy, first, last, step, jobs, set, faults } => {
             let score = ScoreOptions {
                 synth: shape.synth(*first),
