Let control replicas find each other again after all have restarted

Cause: a follower no longer took the addresses of replicas that report to it, since it recorded reports as a relay alone.

Change: a control replica records every report of a replica when it arrives, leading or not, and gives the addresses out; entries that merely search are still not recorded by followers, and only entries are passed on as relayed.

--- a/agatetrestle/src/cluster/liveness.rs
+++ b/agatetrestle/src/cluster/liveness.rs
@@ -114,10 +114,17 @@
         self.reporters.values().map(|reporter| &reporter.status)
     }
 
-    /// The processes that report to this replica.
+    /// The entries that report to this replica.
     #[must_use]
-    pub fn reporting_members(&self) -> Vec<Member> {
-        self.statuses().map(|status| status.member.clone()).collect()
+    pub fn reporting_entries(&self) -> Vec<Member> {
+        let members = self.statuses().map(|status| &status.member);
+        members.filter(|member| member.role == Role::Entry).cloned().collect()
+    }
+
+    /// A process that reports to this replica.
+    #[must_use]
+    pub fn reporter(&self, node: NodeId) -> Option<&Member> {
+        self.reporters.get(&node).map(|reporter| &reporter.status.member)
     }
 
     /// All live members, ordered by node. A process counts with its own report, else with a relay's, else as inherited.
@@ -134,10 +141,4 @@
         }
         members.into_values().cloned().collect()
     }
-
-    /// Whether a process of a role reports to this replica.
-    #[must_use]
-    pub fn reports(&self, role: Role) -> bool {
-        self.statuses().any(|status| status.member.role == role)
-    }
 }
--- a/agatetrestle/src/cluster/registry.rs
+++ b/agatetrestle/src/cluster/registry.rs
@@ -275,7 +275,7 @@
         let mut liveness = self.liveness.borrow_mut();
         liveness.expire(self.clock.now());
         if !self.group.leads() {
-            let reporting = liveness.reporting_members();
+            let reporting = liveness.reporting_entries();
             drop(liveness);
             self.update_relayed(reporting);
             return;
@@ -310,8 +310,10 @@
         if node == self.own {
             return Some(self.own_address);
         }
+        let liveness = self.liveness.borrow();
         let members = self.view.member_list().borrow();
-        let reported = members.get(&node).first().map(|member| member.peer);
+        let known = liveness.reporter(node).or_else(|| members.get(&node).first());
+        let reported = known.map(|member| member.peer);
         reported.or_else(|| founder_ip(node).map(|ip| SocketAddrV4::new(ip, self.peer_port)))
     }
 
--- a/agatetrestle/src/cluster/registry/reports.rs
+++ b/agatetrestle/src/cluster/registry/reports.rs
@@ -33,6 +33,10 @@
     pub async fn report(&self, report: Report) -> Update {
         let long_poll = Duration::from_millis(report.long_poll_ms.into()).min(MAX_LONG_POLL);
         let deadline = self.clock.now() + long_poll;
+        if report.introduction.member.is_replica() {
+            // After a restart of all replicas this is how they find each other, before there is a leader.
+            self.record(&report);
+        }
         if report.target == ReportTarget::Relay && !self.group.leads() {
             return self.report_to_relay(&report, deadline).await;
         }
