Hold again which role is told of entries

The test of the list of members asked for roles before its rewrite in and for scopes after it, so nothing held which scope a role has, nor that an unchanged list is no change. Both are asserted again.

--- a/agatetrestle/src/cluster/registry/tests.rs
+++ b/agatetrestle/src/cluster/registry/tests.rs
@@ -1,11 +1,14 @@
-//! Tests of how pending reports are woken.
+//! Tests of how pending reports are woken, and of what each role sees.
 
+use agatetrestle_config::deployment::Role;
 use futures::FutureExt;
 use futures::channel::oneshot::Receiver;
 use smol::LocalExecutor;
 
 use super::pending::PendingReports;
 use super::pending::WAKE_BATCH_REPORTS;
+use super::scope;
+use crate::cluster::versioned::Scope;
 
 fn woken(reports: &mut [Receiver<()>]) -> usize {
     reports.iter_mut().filter_map(FutureExt::now_or_never).count()
@@ -39,3 +42,9 @@
         }
     }));
 }
+
+#[test]
+fn only_control_replicas_see_entries() {
+    let scopes = [Role::Entry, Role::Store, Role::Control].map(scope);
+    assert_eq!(scopes, [Scope::Public, Scope::Public, Scope::All]);
+}
--- a/agatetrestle/src/cluster/tests/versioned.rs
+++ b/agatetrestle/src/cluster/tests/versioned.rs
@@ -153,6 +153,7 @@
         [0, 1].map(|scope| current[scope] != known[scope])
     };
     let known = versions(&members);
+    assert_eq!(changed(&members, known), [false, false], "nothing has changed yet");
     assert!(members.replace(5, vec![store.clone(), entry.clone()]));
     assert_eq!(changed(&members, known), [false, true], "an entry was added");
     assert_eq!([Scope::Public, Scope::All].map(|scope| members.visible_items(scope).len()), [1, 2]);
