--- a/agatetrestle/src/gateway/reserve.rs
+++ b/agatetrestle/src/gateway/reserve.rs
@@ -61,6 +61,8 @@
         patience: millis(ctx.deadline.since(gateway.clock.now())),
         finish_in: ctx.metadata.finish_in.map(millis),
         begins: !ctx.program_started,
+        capacity: None,
+        candidates: Vec::new(),
     };
     let begin = Begin {
         program: ctx.metadata.program.clone().unwrap_or_default(),
@@ -74,7 +76,7 @@
     };
     let (turn, reply) = OpenTurn::reserve(gateway, begin).await;
     match reply {
-        Ok(TurnReply::Begun { chain }) => {
+        Ok(TurnReply::Begun { chain, .. }) => {
             ctx.chain_bytes = chain.iter().map(|text| text.len()).sum();
             let mut body = BytesMut::with_capacity(ctx.chain_bytes + ctx.body.len());
             for text in &chain {
--- a/agatetrestle/src/gateway/turn.rs
+++ b/agatetrestle/src/gateway/turn.rs
@@ -96,7 +96,15 @@
 
     fn finish_command(&self, kept: Option<RetainedTurn>) -> TurnCommand {
         let (program, team, turn) = (self.program.clone(), self.team.clone(), self.name.clone());
-        TurnCommand::Finish(Finish { program, team, turn, spent: self.spent, ran: self.run_ms, kept })
+        TurnCommand::Finish(Finish {
+            program,
+            team,
+            turn,
+            spent: self.spent,
+            ran: self.run_ms,
+            kept,
+            ..Finish::default()
+        })
     }
 }
 
--- a/agatetrestle/src/turns/command.rs
+++ b/agatetrestle/src/turns/command.rs
@@ -56,6 +56,24 @@
     pub finish_in: Option<u64>,
     /// Whether the entry considers it the first turn of its program. The leader decides by its own state.
     pub begins: bool,
+    /// What the service's servers can do at present, in hundredths of slots; `None` from entries that do not estimate it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub capacity: Option<u32>,
+    /// Servers that may run the turn, the entry's own choice first, at most [`MAX_CANDIDATES`].
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub candidates: Vec<Candidate>,
+}
+
+/// Servers that an entry names for a turn. More improve the choice little and lengthen each log entry.
+pub const MAX_CANDIDATES: usize = 8;
+
+/// A server that may run a turn.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Candidate {
+    /// The server's identifier.
+    pub server: Arc<str>,
+    /// Microseconds that the entry expects the turn to take there without the load of other requests.
+    pub expected_us: u32,
 }
 
 /// Header of an encoded command: milliseconds since the leader's previous command, then the length of the encoded part that
@@ -179,7 +197,7 @@
 }
 
 /// Payload of [`TurnCommand::Finish`].
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Finish {
     /// The program that the turn belongs to.
     pub program: Arc<str>,
@@ -193,6 +211,15 @@
     /// Milliseconds that a server spent on it; `None` if no server completed it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ran: Option<u64>,
+    /// The server that the turn was last sent to; `None` if it was not sent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub server: Option<Arc<str>>,
+    /// Requests that the server reported as running and as waiting with its last response.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub load: Option<(u32, u32)>,
+    /// Whether the server failed the turn.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub failed: bool,
     /// The turn to retain, if it completed on a route that retains turns.
     pub kept: Option<RetainedTurn>,
 }
@@ -216,6 +243,9 @@
     Begun {
         /// Texts of the turns that it continues, oldest first.
         chain: Vec<Blob>,
+        /// Index of the candidate that the leader proposes, if it has an estimate.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        server: Option<u32>,
     },
     /// The program's remaining budget is too small for the turn, which must not run.
     Spent,
--- a/agatetrestle/src/turns/state.rs
+++ b/agatetrestle/src/turns/state.rs
@@ -139,7 +139,7 @@
             TurnReply::Spent
         } else {
             account.open.entry(begin.turn).or_insert(begin.most);
-            TurnReply::Begun { chain }
+            TurnReply::Begun { chain, server: None }
         };
         self.touch(&key);
         reply
--- a/agatetrestle/src/turns/tests.rs
+++ b/agatetrestle/src/turns/tests.rs
@@ -68,11 +68,12 @@
         spent,
         ran: None,
         kept,
+        ..Finish::default()
     })
 }
 
 fn begun(texts: &[&str]) -> TurnReply {
-    TurnReply::Begun { chain: texts.iter().map(|text| Blob::from(text.as_bytes())).collect() }
+    TurnReply::Begun { chain: texts.iter().map(|text| Blob::from(text.as_bytes())).collect(), server: None }
 }
 
 #[test]
--- a/agatetrestle/tests/store_memory.rs
+++ b/agatetrestle/tests/store_memory.rs
@@ -76,6 +76,7 @@
         spent: 50,
         ran: None,
         kept,
+        ..Finish::default()
     })
 }
 
