Admit programs by class, share and reservation where teams are declared

Cause: the limiter admits in order of arrival, so a burst of one team on the less urgent route refuses all teams and routes alike. Change: turns/program_admission, wired into TurnAdmission where the table declares teams; recent programs of teams in the replicated state, from which a new leader rebuilds; a replay of contention in virtual time.

--- a/agatetrestle/src/deployment/turns.rs
+++ b/agatetrestle/src/deployment/turns.rs
@@ -133,6 +133,7 @@
         return Ok(None);
     };
     params.places = group_share(params.places, routers.len());
+    params.capacity = params.capacity.map(|capacity| group_share(capacity, routers.len()));
     let account_group = group_index(&begin.team, routers.len());
     if !params.charge || account_group == own_group {
         return Ok(None);
--- a/agatetrestle/src/gateway/reserve.rs
+++ b/agatetrestle/src/gateway/reserve.rs
@@ -63,6 +63,7 @@
         begins: !ctx.program_started,
         capacity: None,
         candidates: Vec::new(),
+        priority: ctx.priority(),
     };
     let begin = Begin {
         program: ctx.metadata.program.clone().unwrap_or_default(),
--- a/agatetrestle/src/turns/admission.rs
+++ b/agatetrestle/src/turns/admission.rs
@@ -1,6 +1,7 @@
 //! Admission of turns by the leader of a state group: rate limits of teams and limits of active programs.
 //!
-//! This state is not replicated: a new leader starts with empty buckets ([`crate::allowance`]) and no active programs.
+//! This state is not replicated: a new leader starts with empty buckets ([`crate::allowance`]). Where teams are declared it
+//! rebuilds the active programs from the log; without teams it starts with none.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use crate::allowance::RequestKind;
 use crate::clock::Timestamp;
 use crate::routing::Team;
+use crate::turns::command::AdmissionParams;
 use crate::turns::command::Begin;
 use crate::turns::command::Take;
 use crate::turns::command::TurnCommand;
@@ -21,25 +23,74 @@
 use crate::turns::limiter::ProgramLimiter;
 use crate::turns::limiter::ProgramStart;
 use crate::turns::limiter::TurnStart;
+use crate::turns::program_admission;
+use crate::turns::program_admission::ProgramAdmission;
 use crate::turns::state::TurnState;
+use crate::turns::state::account_key;
+
+/// Hundredths of slots in one slot.
+const HUNDREDTHS: f64 = 100.0;
 
 /// Admission checks of one state group.
 #[derive(Debug)]
 pub struct TurnAdmission {
     rate_limiter: RateLimiter,
     program_limiter: ProgramLimiter,
+    /// Replaces the limiter where teams are declared.
+    program_admission: Option<TermAdmission>,
+}
+
+/// The admission of programs during one term.
+#[derive(Debug, Default)]
+struct TermAdmission {
+    admission: ProgramAdmission,
+    term: Option<u64>,
+    /// Whether a command of this term was applied, so that all commands of earlier terms were.
+    applied: bool,
+}
+
+impl TermAdmission {
+    /// Rebuilds the programs from the log if this replica has begun to lead.
+    fn start_term(&mut self, now: Timestamp, term: u64, state: &TurnState) {
+        if self.term != Some(term) {
+            self.term = Some(term);
+            self.applied = false;
+            self.admission.clear();
+            self.reconcile(now, state);
+        }
+    }
+
+    /// Reads the log again when the first command of the term was applied, since commands of earlier terms may have been
+    /// applied since the term began.
+    fn record_first_applied(&mut self, now: Timestamp, state: &TurnState) {
+        if self.term.is_some() && !self.applied {
+            self.applied = true;
+            self.reconcile(now, state);
+        }
+    }
+
+    fn reconcile(&mut self, now: Timestamp, state: &TurnState) {
+        self.admission.reconcile(now, state.recent_programs());
+        let (open, programs, _) = self.admission.counts();
+        info!("Rebuilt the admission of programs from the log: open_turns={open} programs={programs}.");
+    }
 }
 
 impl TurnAdmission {
     /// Starts without teams and active programs.
     #[must_use]
     pub fn new(bounds: AllowanceBounds) -> Self {
-        Self { rate_limiter: RateLimiter::new(bounds), program_limiter: ProgramLimiter::default() }
+        Self { rate_limiter: RateLimiter::new(bounds), program_limiter: ProgramLimiter::default(), program_admission: None }
     }
 
     /// Replaces the configured teams.
     pub fn set_teams(&mut self, now: Timestamp, teams: &[Arc<Team>]) {
         self.rate_limiter.set_teams(now, teams);
+        if teams.is_empty() {
+            self.program_admission = None;
+        } else {
+            self.program_admission.get_or_insert_default().admission.set_teams(teams);
+        }
     }
 
     /// Checks a command before the leader of `term` appends it to the log.
@@ -61,7 +112,73 @@
         let Some(params) = begin.opening.as_ref().filter(|_| !is_open(state, begin)) else {
             return Ok(());
         };
+        if let Some(term_admission) = &mut self.program_admission {
+            term_admission.start_term(now, term, state);
+        }
         let starts_program = !state.has_begun(&begin.team, &begin.program) && begin.previous.is_none();
+        if starts_program {
+            self.admit_program(now, begin, params)?;
+        }
+        if params.charge {
+            let kind = if starts_program { RequestKind::Beginning } else { RequestKind::Request };
+            let request = OutgoingRequest { team: &begin.team, program: Some(&begin.program), kind };
+            let charged = self.charge(now, term, request);
+            if charged.is_err()
+                && starts_program
+                && let Some(TermAdmission { admission, .. }) = &mut self.program_admission
+            {
+                admission.withdraw(&params.service, &account_key(&begin.team, &begin.program));
+            }
+            charged?;
+        }
+        Ok(())
+    }
+
+    /// Decides whether a program may begin.
+    fn admit_program(
+        &mut self,
+        now: Timestamp,
+        begin: &Begin,
+        params: &AdmissionParams,
+    ) -> Result<(), TurnReply> {
+        let Some(TermAdmission { admission, .. }) = &mut self.program_admission else {
+            return self.admit_to_limiter(now, begin, params);
+        };
+        let capacity = params.capacity.unwrap_or(params.places.saturating_mul(100));
+        let start = program_admission::ProgramStart {
+            service: &params.service,
+            route: &params.route,
+            team: &begin.team,
+            program: &account_key(&begin.team, &begin.program),
+            class: params.priority,
+            capacity: f64::from(capacity) / HUNDREDTHS,
+            finish_in: params.finish_in.map(Duration::from_millis),
+            patience: Duration::from_millis(params.patience),
+        };
+        admission.check(now, &start).map_err(|refusal| {
+            let retry_ms = millis(refusal.retry_after);
+            info!(
+                "turn={} program={} team={} route={} priority={} may not begin: reason={} retry_ms={retry_ms} \
+                 capacity={:.1} demand={:.1}",
+                begin.turn,
+                begin.program,
+                begin.team,
+                params.route,
+                params.priority,
+                refusal.reason,
+                refusal.capacity,
+                refusal.demand
+            );
+            TurnReply::Crowded(retry_ms)
+        })
+    }
+
+    fn admit_to_limiter(
+        &mut self,
+        now: Timestamp,
+        begin: &Begin,
+        params: &AdmissionParams,
+    ) -> Result<(), TurnReply> {
         let start = ProgramStart {
             service: &params.service,
             route: &params.route,
@@ -70,48 +187,56 @@
             turn: &begin.turn,
             finish_in: params.finish_in.map(Duration::from_millis),
         };
-        if starts_program && let Err(millis) = self.program_limiter.admit(now, start) {
+        self.program_limiter.admit(now, start).map_err(|millis| {
             let (open, programs) = self.program_limiter.counts();
             info!(
                 "turn={} program={} is over the program limit: open_turns={open} programs={programs} places={} \
                  retry_ms={millis}",
                 begin.turn, begin.program, params.places
             );
-            return Err(TurnReply::Crowded(millis));
-        }
-        if params.charge {
-            let kind = if starts_program { RequestKind::Beginning } else { RequestKind::Request };
-            self.charge(
-                now,
-                term,
-                OutgoingRequest { team: &begin.team, program: Some(&begin.program), kind },
-            )?;
-        }
-        Ok(())
+            TurnReply::Crowded(millis)
+        })
     }
 
     /// Updates the active programs after a command was applied.
     pub fn record_applied(&mut self, now: Timestamp, command: &TurnCommand, state: &TurnState) {
+        if let Some(term_admission) = &mut self.program_admission {
+            term_admission.record_first_applied(now, state);
+        }
         match command {
-            TurnCommand::Begin(begin) if is_open(state, begin) => {
-                if let Some(params) = &begin.opening {
-                    let start = TurnStart {
-                        service: &params.service,
-                        route: &params.route,
-                        program: &begin.program,
-                        turn: &begin.turn,
-                        timeout: Duration::from_millis(params.patience),
-                    };
-                    self.program_limiter.begin(now, start);
-                }
-            }
+            TurnCommand::Begin(begin) if is_open(state, begin) => self.record_begin(now, begin),
             TurnCommand::Finish(finish) => {
-                self.program_limiter.finish(now, &finish.turn, finish.ran.map(Duration::from_millis));
+                let server_time = finish.ran.map(Duration::from_millis);
+                match &mut self.program_admission {
+                    Some(TermAdmission { admission, .. }) => admission.finish(now, &finish.turn, server_time),
+                    None => self.program_limiter.finish(now, &finish.turn, server_time),
+                }
             }
             _ => {}
         }
     }
 
+    fn record_begin(&mut self, now: Timestamp, begin: &Begin) {
+        let Some(params) = &begin.opening else {
+            return;
+        };
+        let (service, route, turn) = (&params.service, &params.route, &begin.turn);
+        let timeout = Duration::from_millis(params.patience);
+        match &mut self.program_admission {
+            Some(TermAdmission { admission, .. }) => {
+                let program = &account_key(&begin.team, &begin.program);
+                let (team, class) = (&begin.team, params.priority);
+                let start =
+                    program_admission::TurnStart { service, route, team, program, turn, class, timeout };
+                admission.begin(now, start);
+            }
+            None => {
+                let start = TurnStart { service, route, program: &begin.program, turn, timeout };
+                self.program_limiter.begin(now, start);
+            }
+        }
+    }
+
     /// Charges one request to a team's rate limit, as the leader of `term`.
     pub fn take(&mut self, now: Timestamp, term: u64, take: &Take) -> TurnReply {
         let kind = if take.begins { RequestKind::Beginning } else { RequestKind::Request };
--- a/agatetrestle/src/turns/command.rs
+++ b/agatetrestle/src/turns/command.rs
@@ -62,6 +62,15 @@
     /// Servers that may run the turn, the entry's own choice first, at most [`MAX_CANDIDATES`].
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub candidates: Vec<Candidate>,
+    /// Priority of the team, then of the route, 0 for the most urgent; 0 from entries that do not send it.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub priority: u8,
+}
+
+// Serde passes a reference.
+#[expect(clippy::trivially_copy_pass_by_ref)]
+fn is_zero(value: &u8) -> bool {
+    *value == 0
 }
 
 /// Servers that an entry names for a turn. More improve the choice little and lengthen each log entry.
--- a/agatetrestle/src/turns/mod.rs
+++ b/agatetrestle/src/turns/mod.rs
@@ -7,6 +7,8 @@
 pub mod clock;
 pub mod command;
 pub mod limiter;
+pub mod program_admission;
+pub mod recent;
 pub mod state;
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/agatetrestle/src/turns/program_admission/classes.rs
@@ -0,0 +1,180 @@
+//! Use and demand of each priority class, and the shares of its teams.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::Timestamp;
+use crate::turns::program_admission::estimates::DecayingSum;
+use crate::turns::program_admission::shares::Claim;
+use crate::turns::program_admission::shares::Shares;
+
+/// How often shares are computed anew. Between, a team's use changes by few programs, and a computation for 2,200 teams
+/// takes some hundred microseconds.
+const SHARES_INTERVAL: Duration = Duration::from_millis(100);
+/// Demand in slots below which an idle team is dropped.
+const NEGLIGIBLE_DEMAND: f64 = 0.01;
+
+/// Counts of active programs by route.
+#[derive(Debug, Default)]
+struct ProgramCounts(Vec<(usize, u32)>);
+
+impl ProgramCounts {
+    fn add(&mut self, route: usize) {
+        match self.0.iter_mut().find(|(known, _)| *known == route) {
+            Some((_, count)) => *count += 1,
+            None => self.0.push((route, 1)),
+        }
+    }
+
+    fn remove(&mut self, route: usize) {
+        if let Some(index) = self.0.iter().position(|(known, _)| *known == route) {
+            self.0[index].1 -= 1;
+            if self.0[index].1 == 0 {
+                self.0.swap_remove(index);
+            }
+        }
+    }
+
+    fn slots(&self, per_program: &[f64]) -> f64 {
+        self.0.iter().map(|(route, count)| f64::from(*count) * per_program[*route]).sum()
+    }
+}
+
+/// Programs of one team in one class.
+#[derive(Debug, Default)]
+struct TeamLoad {
+    demand: DecayingSum,
+    programs: ProgramCounts,
+}
+
+/// Programs of one priority class.
+#[derive(Debug)]
+struct ClassLoad {
+    /// Seconds of a slot that programs which arrived need, refused ones included.
+    demand: DecayingSum,
+    programs: ProgramCounts,
+    teams: HashMap<Arc<str>, TeamLoad>,
+    shares: Shares,
+    shared_at: Option<Timestamp>,
+}
+
+impl Default for ClassLoad {
+    fn default() -> Self {
+        Self {
+            demand: DecayingSum::default(),
+            programs: ProgramCounts::default(),
+            teams: HashMap::new(),
+            shares: Shares::Spare(0.0),
+            shared_at: None,
+        }
+    }
+}
+
+/// Slots in use and kept free, as seen by one class.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ClassView {
+    /// Slots that active programs of all classes need.
+    pub(super) used: f64,
+    /// Slots that more urgent classes needed recently and do not use now.
+    pub(super) kept_for_urgent: f64,
+    /// Slots that more urgent classes use or have kept for them.
+    pub(super) urgent: f64,
+}
+
+/// All classes of one service, by priority.
+#[derive(Debug, Default)]
+pub(super) struct Classes(BTreeMap<u8, ClassLoad>);
+
+impl Classes {
+    /// Records that a program arrived that needs this many seconds of a slot.
+    pub(super) fn record_arrival(&mut self, now: Timestamp, class: u8, team: &Arc<str>, slot_seconds: f64) {
+        let load = self.0.entry(class).or_default();
+        load.demand.add(now, slot_seconds);
+        load.teams.entry(team.clone()).or_default().demand.add(now, slot_seconds);
+    }
+
+    /// Takes back an arrival.
+    pub(super) fn withdraw_arrival(&mut self, at: Timestamp, class: u8, team: &Arc<str>, slot_seconds: f64) {
+        self.record_arrival(at, class, team, -slot_seconds);
+    }
+
+    pub(super) fn add_program(&mut self, class: u8, team: &Arc<str>, route: usize) {
+        let load = self.0.entry(class).or_default();
+        load.programs.add(route);
+        load.teams.entry(team.clone()).or_default().programs.add(route);
+    }
+
+    pub(super) fn remove_program(&mut self, class: u8, team: &Arc<str>, route: usize) {
+        if let Some(load) = self.0.get_mut(&class) {
+            load.programs.remove(route);
+            if let Some(team) = load.teams.get_mut(team) {
+                team.programs.remove(route);
+            }
+        }
+    }
+
+    /// The use of all classes as seen by one of them. Demand fluctuates, so a more urgent class has its mean and one
+    /// standard deviation kept free.
+    pub(super) fn view(&self, now: Timestamp, class: u8, per_program: &[f64]) -> ClassView {
+        let mut view = ClassView { used: 0.0, kept_for_urgent: 0.0, urgent: 0.0 };
+        for (priority, load) in &self.0 {
+            let used = load.programs.slots(per_program);
+            view.used += used;
+            if *priority < class {
+                let demand = load.demand.per_second(now);
+                let needed = if demand < NEGLIGIBLE_DEMAND { 0.0 } else { demand + demand.sqrt() };
+                view.kept_for_urgent += (needed - used).max(0.0);
+                view.urgent += needed.max(used);
+            }
+        }
+        view
+    }
+
+    /// Slots that a team uses in a class.
+    pub(super) fn team_use(&self, class: u8, team: &Arc<str>, per_program: &[f64]) -> f64 {
+        let team = self.0.get(&class).and_then(|load| load.teams.get(team));
+        team.map_or(0.0, |team| team.programs.slots(per_program))
+    }
+
+    /// Slots that a team may use of the capacity that is left for its class.
+    pub(super) fn team_share(
+        &mut self,
+        now: Timestamp,
+        class: u8,
+        team: &Arc<str>,
+        capacity: f64,
+        weights: &HashMap<Arc<str>, f64>,
+    ) -> f64 {
+        let weight = |team: &Arc<str>| weights.get(team).copied().unwrap_or(1.0);
+        let load = self.0.entry(class).or_default();
+        if load.shared_at.is_none_or(|at| now.since(at) >= SHARES_INTERVAL) {
+            load.teams.retain(|_, team| {
+                !team.programs.0.is_empty() || team.demand.per_second(now) >= NEGLIGIBLE_DEMAND
+            });
+            let claim = |(name, team): (&Arc<str>, &TeamLoad)| Claim {
+                weight: weight(name),
+                demand: team.demand.per_second(now),
+            };
+            let mut claims: Vec<Claim> = load.teams.iter().map(claim).collect();
+            // Teams within their shares fluctuate around their demand, for which a standard deviation is kept.
+            let total: f64 = claims.iter().map(|claim| claim.demand).sum();
+            load.shares = Shares::new(capacity - total.min(capacity).max(0.0).sqrt(), &mut claims);
+            load.shared_at = Some(now);
+        }
+        let demand = load.teams.get(team).map_or(0.0, |team| team.demand.per_second(now));
+        load.shares.allowed(Claim { weight: weight(team), demand })
+    }
+
+    /// Slots that the programs which arrived recently need.
+    pub(super) fn demand(&self, now: Timestamp) -> f64 {
+        self.0.values().map(|load| load.demand.per_second(now)).sum()
+    }
+
+    /// Programs per second that end, times their slots.
+    pub(super) fn release_rate(&self, per_program: &[f64], seconds: &[f64]) -> f64 {
+        let counts = self.0.values().flat_map(|load| &load.programs.0);
+        counts.map(|(route, count)| f64::from(*count) * per_program[*route] / seconds[*route]).sum()
+    }
+}
--- /dev/null
+++ b/agatetrestle/src/turns/program_admission/tests.rs
@@ -0,0 +1,1 @@
+//! Unit tests of the admission of programs.
--- a/agatetrestle/src/turns/state.rs
+++ b/agatetrestle/src/turns/state.rs
@@ -28,6 +28,7 @@
 use crate::turns::command::TurnCommand;
 use crate::turns::command::TurnId;
 use crate::turns::command::TurnReply;
+use crate::turns::recent::RecentPrograms;
 
 /// Added to a turn's retention, since the caller counts it from when it received the last bytes of the answer. Clock skew
 /// needs no margin: only intervals measured by a leader count.
@@ -77,6 +78,9 @@
     kept_bytes: usize,
     /// Bytes of retained turns beyond which no turn begins; 0 for no limit.
     room: usize,
+    /// Programs of teams that ran recently, for the admission of the next leader. Empty in snapshots of older builds.
+    #[serde(default, skip_serializing_if = "RecentPrograms::is_empty")]
+    recent: RecentPrograms,
 }
 
 impl TurnState {
@@ -111,6 +115,12 @@
         self.accounts.contains_key(&account_key(team, program))
     }
 
+    /// Programs of teams that ran recently.
+    #[must_use]
+    pub fn recent_programs(&self) -> &RecentPrograms {
+        &self.recent
+    }
+
     /// Counts and sizes reported to operators.
     #[must_use]
     pub fn usage(&self) -> StoreUsage {
@@ -138,6 +148,11 @@
         let reply = if !is_repeat && begin.budget.is_some_and(|budget| total > budget) {
             TurnReply::Spent
         } else {
+            if !begin.team.is_empty()
+                && let Some(params) = &begin.opening
+            {
+                self.recent.begin(&key, &begin.team, &begin.turn, params);
+            }
             account.open.entry(begin.turn).or_insert(begin.most);
             TurnReply::Begun { chain, server: None }
         };
@@ -152,6 +167,7 @@
         {
             account.spent = account.spent.saturating_add(finish.spent);
         }
+        self.recent.finish(&key, &finish);
         self.touch(&key);
         if let Some(kept) = finish.kept {
             self.retain(&finish.team, finish.turn, kept);
@@ -237,6 +253,7 @@
     fn advance(&mut self, elapsed: Duration) {
         let elapsed = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
         self.now = self.now.saturating_add(elapsed);
+        self.recent.advance(self.now);
         while let Some((until, _)) = self.turns_by_end.first()
             && *until < self.now
             && let Some((_, name)) = self.turns_by_end.pop_first()
@@ -255,7 +272,7 @@
 }
 
 /// Key of a program's account; programs of different teams may share a name.
-fn account_key(team: &str, program: &Arc<str>) -> Arc<str> {
+pub(super) fn account_key(team: &str, program: &Arc<str>) -> Arc<str> {
     if team.is_empty() { program.clone() } else { format!("{team}\0{program}").into() }
 }
 
--- a/agatetrestle/src/turns/tests.rs
+++ b/agatetrestle/src/turns/tests.rs
@@ -19,6 +19,7 @@
 use crate::turns::state::TurnState;
 
 mod burst;
+mod contention;
 mod limiter;
 
 const RETENTION: u64 = 60_000;
