--- a/agatetrestle/src/turns/program_admission/estimates.rs
+++ b/agatetrestle/src/turns/program_admission/estimates.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::clock::Timestamp;
+use crate::turns::program_admission::programs::IDLE_TIMEOUT;
 
 /// Time constant of all estimates. Longer than most programs last, since programs that began together need fewer slots at
 /// first than later.
@@ -76,10 +77,13 @@
 }
 
 impl RouteEstimate {
-    /// Turns that one program has open on average.
-    pub(super) fn open_turns_per_program(&self) -> f64 {
-        (self.mean_open_turns + PRIOR_SLOTS_PER_PROGRAM * PRIOR_PROGRAMS)
-            / (self.mean_programs + PRIOR_PROGRAMS)
+    /// Slots that one active program needs, if turns spend a part of their time on servers. Programs that began together have
+    /// few turns open at first, so it is at least the mean over the time of programs that ended.
+    pub(super) fn slots_per_program(&self, server_share: f64) -> f64 {
+        let open_turns = (self.mean_open_turns + PRIOR_SLOTS_PER_PROGRAM * PRIOR_PROGRAMS)
+            / (self.mean_programs + PRIOR_PROGRAMS);
+        let counted_seconds = self.seconds + self.ended * IDLE_TIMEOUT.as_secs_f64();
+        if self.ended > PRIOR_ENDED { self.slot_seconds / counted_seconds } else { open_turns * server_share }
     }
 
     /// Time that a program is expected to take at the present speed.
--- a/agatetrestle/src/turns/program_admission/service.rs
+++ b/agatetrestle/src/turns/program_admission/service.rs
@@ -23,9 +23,9 @@
 /// Part of a service's capacity that active programs may need together. Above 1, since a short queue keeps servers busy and
 /// programs have some slack.
 const MAX_UTILIZATION: f64 = 1.1;
-/// Part of the capacity by which a returning program with a reservation may exceed that limit. The expected time of its
-/// capacity is a mean, and a second refusal costs the program more than a slightly longer queue costs the others.
-const RESERVED_OVERRUN: f64 = 0.05;
+/// Part of the capacity by which that limit may be exceeded by a returning program with a reservation, since the expected
+/// time of its capacity is a mean, and by a program of a team that asks for no more than its share.
+const OVERRUN: f64 = 0.1;
 /// Longest expected wait for which capacity is reserved. Less than the 200 to 400 ms that even the shortest deadlines leave,
 /// and than the third of 3 s for which callers wait.
 pub(super) const MAX_RESERVED_WAIT: Duration = Duration::from_millis(250);
@@ -85,7 +85,7 @@
             let slot_seconds = self.routes[route].slot_seconds(first.finish_in);
             self.classes.record_arrival(now, start.class, start.team, slot_seconds);
         }
-        let decision = self.decide(now, start, route, first, weights);
+        let decision = self.decide(now, start, route, refused, weights);
         match &decision {
             Ok(()) => {
                 self.refused.remove(start.program);
@@ -116,39 +116,46 @@
         now: Timestamp,
         start: &ProgramStart<'_>,
         route: usize,
-        first: FirstRequest,
+        refused: Option<FirstRequest>,
         weights: &HashMap<Arc<str>, f64>,
     ) -> Result<(), Refusal> {
         let ProgramStart { class, team, program, capacity, .. } = *start;
         let slots = self.slots_per_program[route];
-        let duration = self.routes[route].duration(first.finish_in);
+        let finish_in = refused.map_or(start.finish_in, |first| first.finish_in);
+        let duration = self.routes[route].duration(finish_in);
         let slack = start.finish_in.map(|left| left.saturating_sub(duration.mul_f64(FEASIBLE_DURATION_RATIO)));
         let refuse = |this: &Self, reason, delay: Duration| {
-            let retry_after = delay.clamp(RETRY_DELAY.0, RETRY_DELAY.1);
+            let retry_after = delay.max(RETRY_DELAY.0);
             Err(Refusal { reason, retry_after, capacity, demand: this.classes.demand(now) })
         };
         if slack.is_some_and(|slack| slack.is_zero()) {
             self.reservations.remove(program);
-            return refuse(self, RefusalReason::Infeasible, RETRY_DELAY.1);
+            return refuse(self, RefusalReason::Infeasible, start.patience);
         }
         let reserved = self.reservations.remove(program);
         let limit = capacity * MAX_UTILIZATION;
         let view = self.classes.view(now, class, &self.slots_per_program);
         let used = view.used + slots + view.kept_for_urgent;
-        if reserved && used <= limit + capacity * RESERVED_OVERRUN {
+        if reserved && used <= limit + capacity * OVERRUN {
             return Ok(());
         }
         let ahead = used + self.reservations.slots_up_to(class);
         let share = self.classes.team_share(now, class, team, limit - view.urgent, weights);
         let team_use = self.classes.team_use(class, team, &self.slots_per_program)
             + self.reservations.slots_of_team(class, team);
-        let within_share = team_use + slots <= share.max(slots);
-        if within_share && ahead <= limit {
+        let within_share = team_use + slots <= share.slots.max(slots);
+        // The overrun of others must not delay a team that keeps to its share, or a more urgent class.
+        let overrun = capacity * OVERRUN;
+        let guaranteed = share.guaranteed || view.less_urgent > overrun;
+        if within_share && (ahead <= limit || guaranteed && used <= limit + overrun) {
             return Ok(());
         }
-        let wait = self.time_until_free(ahead - limit, view.urgent);
+        let wait = self.time_until_free(ahead - limit, view.urgent / view.used.max(1.0));
+        let over_share = (team_use + slots - share.slots).max(0.0);
+        let of_others = 1.0 - team_use / view.used.max(1.0);
+        let wait = wait.max(self.time_until_free(over_share, of_others));
         let latest = slack.map_or(RETRY_DELAY.1, |slack| slack.min(RETRY_DELAY.1));
-        if within_share && wait <= MAX_RESERVED_WAIT.min(latest).min(start.patience / 3) {
+        if wait <= MAX_RESERVED_WAIT.min(latest / 2).min(start.patience / 3) {
             let delay = wait.max(RETRY_DELAY.0);
             self.reservations.insert(program, class, team, slots, now + delay);
             return refuse(self, RefusalReason::Reserved, delay);
@@ -161,16 +168,15 @@
         refuse(self, reason, wait.max(MAX_RESERVED_WAIT).min(latest))
     }
 
-    /// Expected time until programs that end have released a number of slots, of which more urgent classes take their part.
-    fn time_until_free(&self, slots: f64, urgent: f64) -> Duration {
+    /// Expected time until programs that end have released a number of slots, of which a part is for others.
+    fn time_until_free(&self, slots: f64, of_others: f64) -> Duration {
         if slots <= 0.0 {
             return Duration::ZERO;
         }
         let idle = IDLE_TIMEOUT.as_secs_f64();
         let seconds: Vec<f64> = self.routes.iter().map(|route| route.mean_seconds() + idle).collect();
         let rate = self.classes.release_rate(&self.slots_per_program, &seconds);
-        let used: f64 = self.classes.view(self.updated, 0, &self.slots_per_program).used;
-        let part = (1.0 - urgent / used.max(1.0)).max(MIN_RELEASED_PART);
+        let part = (1.0 - of_others).max(MIN_RELEASED_PART);
         Duration::try_from_secs_f64(slots / (rate * part)).unwrap_or(RETRY_DELAY.1).min(RETRY_DELAY.1)
     }
 
@@ -313,7 +319,7 @@
     }
 
     fn slots_of(&self, route: usize) -> f64 {
-        self.routes[route].open_turns_per_program() * self.server_share.value()
+        self.routes[route].slots_per_program(self.server_share.value())
     }
 
     fn add_active(&mut self, class: u8, team: &Arc<str>, route: usize) {
--- a/agatetrestle/src/turns/program_admission/shares.rs
+++ b/agatetrestle/src/turns/program_admission/shares.rs
@@ -34,6 +34,11 @@
         Self::Spare(left)
     }
 
+    /// Whether a team asks for less than its share while others ask for more than theirs.
+    pub(super) fn is_guaranteed(self, claim: Claim) -> bool {
+        matches!(self, Self::Level(level) if claim.demand < claim.weight * level)
+    }
+
     /// Slots that a team may use. A team below its share may grow up to it, and a spare capacity is lent to any team.
     pub(super) fn allowed(self, claim: Claim) -> f64 {
         match self {
--- a/agatetrestle/src/turns/tests/contention.rs
+++ b/agatetrestle/src/turns/tests/contention.rs
@@ -159,6 +159,19 @@
         (total, ratio(usize::try_from(of_rejected).unwrap(), rejected.len()))
     }
 
+    pub(super) fn diagnose(&self) {
+        for (team0, route) in [(false, 0), (false, 1), (true, 1)] {
+            let of: Vec<&Program> = self.programs.iter().filter(|p| BURST.contains(&(p.start / SECOND)) && (p.team == 0) == team0 && p.route == route).collect();
+            let never = of.iter().filter(|p| !p.begun).count();
+            let late = of.iter().filter(|p| p.begun && !p.on_time).count();
+            let late_direct = of.iter().filter(|p| p.begun && !p.on_time && p.refusals == 0).count();
+            let refused = of.iter().filter(|p| p.refusals > 0).count();
+            let late_by: Vec<usize> = (6..12).map(|s| of.iter().filter(|p| p.begun && !p.on_time && p.start / SECOND == s).count()).collect();
+            let never_by: Vec<usize> = (6..12).map(|s| of.iter().filter(|p| !p.begun && p.start / SECOND == s).count()).collect();
+            println!("   burst team {team0} route {route}: {} programs, refused {refused} never {never} {never_by:?} late {late} {late_by:?} (direct {late_direct})", of.len());
+        }
+    }
+
     pub(super) fn total_on_time(&self) -> usize {
         let in_burst = |program: &&Program| BURST.contains(&(program.start / SECOND)) && program.on_time;
         self.programs.iter().filter(in_burst).count()
