Answer a turn's begin before its commit

Change: the leader tells an entry that a begin will be granted as soon as it is in its log, if its lease is valid, its own term is committed, and the budget, the turns that it continues and the memory hold it whatever becomes of the commands that are not applied yet. The entry sends the request at once and delivers nothing, not even a head, before the commit. A failed or unknown commit cancels the run and is 502. The access log tells the time to the commit as `commit_us`, and `begin_us` is the time before the request is sent.

--- a/agatetrestle/src/agreement/replica/lease.rs
+++ b/agatetrestle/src/agreement/replica/lease.rs
@@ -31,6 +31,12 @@
         self.quorum_acked_at(now).is_some_and(|sent| now.since(sent) < lease)
     }
 
+    /// Whether no other node can be leader as of `now`, and the log up to this leader's own term is committed.
+    #[must_use]
+    pub fn confirms_leadership(&self, now: Timestamp) -> bool {
+        self.lease_valid(now) && self.has_committed_own_term()
+    }
+
     /// When the latest round was sent that a majority of voters acknowledged. This node acknowledges as of `now`.
     pub(super) fn quorum_acked_at(&self, now: Timestamp) -> Option<Timestamp> {
         let Role::Leader(leader) = &self.role else {
--- a/agatetrestle/src/agreement/storage/mod.rs
+++ b/agatetrestle/src/agreement/storage/mod.rs
@@ -9,7 +9,7 @@
 mod recovery;
 mod snapshot_file;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 use std::fmt;
 use std::path::Path;
--- a/agatetrestle/src/agreement/storage/tests.rs
+++ b/agatetrestle/src/agreement/storage/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the storage on real files, and on an in-memory disk with crashes, torn writes and limited space.
 
-mod memory;
+pub(crate) mod memory;
 mod random;
 
 use std::path::PathBuf;
--- a/agatetrestle/src/agreement/storage/tests/memory.rs
+++ b/agatetrestle/src/agreement/storage/tests/memory.rs
@@ -28,7 +28,7 @@
 
 /// Handle to a disk; clones share the disk.
 #[derive(Clone, Debug)]
-pub(super) struct MemoryDisk(Arc<Mutex<State>>);
+pub(crate) struct MemoryDisk(Arc<Mutex<State>>);
 
 impl Default for MemoryDisk {
     fn default() -> Self {
@@ -54,7 +54,7 @@
         Self(Arc::new(Mutex::new(self.state().clone())))
     }
 
-    pub(super) fn syncs(&self) -> usize {
+    pub(crate) fn syncs(&self) -> usize {
         self.state().syncs
     }
 
--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -26,9 +26,13 @@
 use crate::node::service::to_submission;
 use crate::turns::admission::TurnAdmission;
 use crate::turns::clock::LeaderClock;
+use crate::turns::command::BeginQuery;
 use crate::turns::command::Take;
 use crate::turns::command::TimedCommand;
 use crate::turns::command::TurnCommand;
+use crate::turns::command::TurnReply;
+use crate::turns::state::LogProgress;
+use crate::turns::state::PendingCommands;
 use crate::turns::state::TurnState;
 
 /// The service of a control replica.
@@ -86,13 +90,15 @@
     clock: Clock,
     leader_clock: Cell<LeaderClock>,
     admission: Rc<RefCell<TurnAdmission>>,
+    /// Proposals of this leader that are not applied yet.
+    pending: RefCell<PendingCommands>,
 }
 
 impl TurnService {
     /// Creates the service of a replica.
     #[must_use]
     pub fn new(group: Rc<Group<TurnState>>, clock: Clock, admission: Rc<RefCell<TurnAdmission>>) -> Self {
-        Self { group, clock, leader_clock: Cell::default(), admission }
+        Self { group, clock, leader_clock: Cell::default(), admission, pending: RefCell::default() }
     }
 
     fn elapsed(&self) -> Duration {
@@ -108,7 +114,7 @@
         }
         TimedCommand::set_elapsed(&mut request, self.elapsed());
         let payload: Arc<[u8]> = request.into();
-        let Some(TimedCommand { command, .. }) = TimedCommand::decode(&payload) else {
+        let Some(TimedCommand { elapsed, command }) = TimedCommand::decode(&payload) else {
             return commit(&self.group, payload).await;
         };
         let now = self.clock.now();
@@ -118,17 +124,46 @@
         let admitted = self
             .group
             .machine(|state| self.admission.borrow_mut().check(now, self.group.term(), &command, state));
-        match admitted {
-            Ok(()) => {
-                let submission = commit(&self.group, payload).await;
-                if matches!(submission, Submission::Applied(_)) {
-                    let now = self.clock.now();
-                    self.group
-                        .machine(|state| self.admission.borrow_mut().record_applied(now, &command, state));
-                }
-                submission
-            }
-            Err(reply) => Submission::Applied(encode(&reply)),
+        if let Err(reply) = admitted {
+            return Submission::Applied(encode(&reply));
+        }
+        let command = Rc::new(command);
+        let (index, outcome) = self.group.propose(payload);
+        if index.is_some() {
+            self.pending.borrow_mut().push(self.progress(), elapsed, command.clone());
+        }
+        let submission = to_submission(outcome.await);
+        if matches!(submission, Submission::Applied(_)) {
+            let now = self.clock.now();
+            self.group.machine(|state| self.admission.borrow_mut().record_applied(now, &command, state));
+        }
+        submission
+    }
+
+    fn progress(&self) -> LogProgress {
+        LogProgress {
+            term: self.group.term(),
+            last: self.group.last_index(),
+            applied: self.group.applied_index(),
+        }
+    }
+
+    /// Answers an encoded [`BeginQuery`]: the reply that the begin will get when it commits if that is certain now, else a
+    /// refusal, after which the entry waits for the commit.
+    #[must_use]
+    pub fn answer_early(&self, query: &[u8]) -> Submission {
+        if !self.group.confirms_leadership() {
+            return Submission::NotLeader(None);
+        }
+        let query = match decode::<BeginQuery>(query) {
+            Ok(query) => query,
+            Err(error) => return Submission::Refused(error.to_string().into()),
+        };
+        let progress = self.progress();
+        let mut pending = self.pending.borrow_mut();
+        match self.group.machine(|state| pending.granted_chain(progress, state, &query)) {
+            Some(chain) => Submission::Applied(encode(&TurnReply::Begun { chain, server: None })),
+            None => Submission::Refused("the outcome is not certain before the commit".into()),
         }
     }
 
--- a/agatetrestle/src/deployment/store.rs
+++ b/agatetrestle/src/deployment/store.rs
@@ -138,9 +138,14 @@
             Vec::new()
         };
         server.handlers.insert(id, Rc::new(receive));
-        let service =
-            StoreService { id, replica: replica.clone(), clock: context.clock, service: RefCell::default() };
-        server.services.insert(id, Rc::new(service));
+        let service = Rc::new(StoreService {
+            id,
+            replica: replica.clone(),
+            clock: context.clock,
+            service: RefCell::default(),
+        });
+        server.services.insert(id.early_answers(), Rc::new(EarlyAnswerService(service.clone())));
+        server.services.insert(id, service);
     }
     server
 }
@@ -180,6 +185,21 @@
     }
 }
 
+/// Tells entries of begins that will be granted; see docs/design/020-commit-latency.md.
+struct EarlyAnswerService(Rc<StoreService>);
+
+impl GroupService for EarlyAnswerService {
+    fn submit(&self, request: Vec<u8>) -> LocalBoxFuture<'_, Submission> {
+        let service = self.0.turn_service();
+        let answer = service.map_or(Submission::NotLeader(None), |service| service.answer_early(&request));
+        Box::pin(async { answer })
+    }
+
+    fn history(&self, _offset: u64) -> Vec<u8> {
+        Vec::new()
+    }
+}
+
 /// The stores that may take part in a group: those that run a replica of it and spare ones.
 fn candidates(group: GroupId, view: &ClusterView) -> Vec<Candidate> {
     let eligible = |store: &Member| store.ready && store.group.is_none_or(|id| id == group);
--- a/agatetrestle/src/deployment/tests.rs
+++ b/agatetrestle/src/deployment/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of address lookups, of the initial voters of state groups and of the routing of turns.
 
+mod state_group;
+
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
--- /dev/null
+++ b/agatetrestle/src/deployment/tests/state_group.rs
@@ -0,0 +1,297 @@
+//! Tests of an entry with the three replicas of a state group, which exchange messages over loopback connections.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use agatetrestle_config::deployment::AllowanceBounds;
+use futures::channel::oneshot;
+use futures::future::LocalBoxFuture;
+use smol::LocalExecutor;
+use smol::Timer;
+use smol::net::TcpListener;
+
+use crate::agreement::Replicas;
+use crate::agreement::Snapshot;
+use crate::agreement::StateMachine;
+use crate::agreement::message::Position;
+use crate::agreement::replica::Replica;
+use crate::agreement::replica::ReplicaConfig;
+use crate::agreement::storage::Storage;
+use crate::agreement::storage::StorageConfig;
+use crate::agreement::storage::tests::memory::MemoryDisk;
+use crate::clock::Clock;
+use crate::cluster::service::TurnService;
+use crate::deployment::turns::TurnRouter;
+use crate::deployment::turns::TurnRouterParts;
+use crate::ids::FIRST_STATE_GROUP;
+use crate::ids::NodeId;
+use crate::node::group::Group;
+use crate::node::group::GroupParts;
+use crate::node::links::Links;
+use crate::node::peer_link::MessageHandler;
+use crate::node::peer_server;
+use crate::node::peer_server::PeerServer;
+use crate::node::router::RequestTimeouts;
+use crate::node::service::GroupService;
+use crate::node::service::Submission;
+use crate::ports::GroupError;
+use crate::turns::admission::TurnAdmission;
+use crate::turns::command::Begin;
+use crate::turns::command::Finish;
+use crate::turns::command::TurnCommand;
+use crate::turns::command::TurnReply;
+use crate::turns::state::TurnState;
+
+const STORES: [NodeId; 3] = [NodeId(1), NodeId(2), NodeId(3)];
+const ENTRY: NodeId = NodeId(9);
+const TICK: Duration = Duration::from_millis(5);
+/// Longer than any test.
+const NO_TIMEOUT: Duration = Duration::from_hours(1);
+/// Long enough that a busy machine does not cause an election.
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(600);
+
+struct Store {
+    group: Rc<Group<TurnState>>,
+    service: Rc<TurnService>,
+    /// Whether the store's messages to other stores are lost.
+    cut: Rc<Cell<bool>>,
+}
+
+struct EarlyAnswers(Rc<TurnService>);
+
+impl GroupService for EarlyAnswers {
+    fn submit(&self, request: Vec<u8>) -> LocalBoxFuture<'_, Submission> {
+        let answer = self.0.answer_early(&request);
+        Box::pin(async { answer })
+    }
+
+    fn history(&self, _offset: u64) -> Vec<u8> {
+        Vec::new()
+    }
+}
+
+/// What the builds of all stores support.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Build {
+    Current,
+    WithoutEarlyAnswers,
+}
+
+struct StateGroup {
+    stores: Vec<Store>,
+    router: Rc<TurnRouter>,
+}
+
+fn start_store(
+    executor: &Rc<LocalExecutor<'static>>,
+    node: NodeId,
+    addresses: &BTreeMap<NodeId, SocketAddr>,
+    listener: TcpListener,
+    build: Build,
+) -> Store {
+    let links = Links::new(node, NO_TIMEOUT, executor);
+    for (peer, address) in addresses {
+        links.add_address(*peer, *address);
+    }
+    let cfg = StorageConfig { group: FIRST_STATE_GROUP, segment_bytes: 1 << 20 };
+    let (mut storage, mut restored) = Storage::open_on(Box::new(MemoryDisk::default()), cfg).unwrap();
+    let replicas = Replicas { voters: STORES.into(), ..Replicas::default() };
+    let data = TurnState::default().snapshot().into();
+    let initial = Snapshot { position: Position::default(), replicas: replicas.clone(), data };
+    storage.save_snapshot(&initial).unwrap();
+    restored.snapshot = Some(initial);
+    let clock = Clock::start();
+    let make_replica = Rc::new(move |restored, now| {
+        let cfg = ReplicaConfig {
+            group: FIRST_STATE_GROUP,
+            node,
+            leader_interval: Duration::from_millis(40),
+            election_timeout: ELECTION_TIMEOUT,
+            clock_drift: Duration::from_millis(5),
+            seed: 7,
+            max_in_flight: 64,
+            max_commit_wait: NO_TIMEOUT,
+            max_batch_bytes: 1 << 16,
+        };
+        Replica::new(cfg, Replicas::default(), restored, now)
+    });
+    let cut = Rc::new(Cell::new(false));
+    let (outbox_links, outbox_cut) = (links.clone(), cut.clone());
+    let (group, jobs) = Group::new(GroupParts {
+        id: FIRST_STATE_GROUP,
+        clock,
+        replica: make_replica(restored, clock.now()),
+        machine: TurnState::default(),
+        outbox: Rc::new(move |message| {
+            if let Some(link) = outbox_links.get(message.to).filter(|_| !outbox_cut.get()) {
+                link.deliver(message);
+            }
+        }),
+        replicas,
+        applied: Position::default(),
+        snapshot_after: u64::MAX,
+        history_source: Rc::new(|_| Box::pin(async { None })),
+        reopen: Rc::new(|| unreachable!("memory disks do not fail")),
+        make_replica,
+        initial_state: Vec::new(),
+    });
+    let receiver = group.clone();
+    let handler: MessageHandler = Rc::new(move |message| receiver.receive(message));
+    links.set_handlers([(FIRST_STATE_GROUP, handler.clone())].into());
+    let admission = Rc::new(RefCell::new(TurnAdmission::new(AllowanceBounds::default())));
+    let service = Rc::new(TurnService::new(group.clone(), clock, admission));
+    let mut server = PeerServer::default();
+    server.handlers.insert(FIRST_STATE_GROUP, handler);
+    server.services.insert(FIRST_STATE_GROUP, service.clone());
+    if build == Build::Current {
+        let early: Rc<dyn GroupService> = Rc::new(EarlyAnswers(service.clone()));
+        server.services.insert(FIRST_STATE_GROUP.early_answers(), early);
+    }
+    executor.spawn(peer_server::serve(Rc::new(server), listener, Rc::downgrade(executor))).detach();
+    executor.spawn(group.clone().run(storage, jobs, TICK)).detach();
+    Store { group, service, cut }
+}
+
+impl StateGroup {
+    async fn start(executor: &Rc<LocalExecutor<'static>>, build: Build) -> Self {
+        let mut listeners = Vec::new();
+        let mut addresses = BTreeMap::new();
+        for node in STORES {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            addresses.insert(node, listener.local_addr().unwrap());
+            listeners.push(listener);
+        }
+        let mut stores = Vec::new();
+        for (node, listener) in STORES.into_iter().zip(listeners) {
+            stores.push(start_store(executor, node, &addresses, listener, build));
+        }
+        let links = Links::new(ENTRY, NO_TIMEOUT, executor);
+        for (node, address) in addresses {
+            links.add_address(node, address);
+        }
+        let timeouts = RequestTimeouts { attempt: NO_TIMEOUT, request: NO_TIMEOUT };
+        let router = TurnRouter::new(TurnRouterParts { node: ENTRY, links, clock: Clock::start(), timeouts });
+        router.set_holders(1, &[(FIRST_STATE_GROUP, STORES.to_vec())].into());
+        let group = Self { stores, router };
+        // The entry knows the leader from now on.
+        let reply = group.router.commit(TurnCommand::Finish(Finish::default())).await;
+        assert_eq!(reply.unwrap(), TurnReply::Settled);
+        group
+    }
+
+    fn leader(&self) -> &Store {
+        self.stores.iter().find(|store| store.group.confirms_leadership()).expect("a leader")
+    }
+
+    /// Begins a turn. Returns its early answer and the reply of the commit.
+    async fn begin(&self, begin: Begin) -> (Option<TurnReply>, Result<TurnReply, GroupError>) {
+        let (sender, early) = oneshot::channel();
+        let reply = self.router.begin(begin, sender).await;
+        (early.await.ok(), reply)
+    }
+}
+
+fn begin(turn: &str, most: u64, budget: u64) -> Begin {
+    Begin {
+        program: "program".into(),
+        team: "".into(),
+        turn: turn.into(),
+        budget: Some(budget),
+        most,
+        previous: None,
+        carried: Vec::new(),
+        opening: None,
+    }
+}
+
+fn begun() -> TurnReply {
+    TurnReply::Begun { chain: Vec::new(), server: None }
+}
+
+fn run<F: Future<Output = ()>>(test: impl FnOnce(Rc<LocalExecutor<'static>>) -> F) {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(test(executor.clone())));
+}
+
+/// Guards against a query that overtakes its begin on the way to the leader, after which no answer would come early.
+#[test]
+fn leader_answers_a_begin_before_its_commit() {
+    run(|executor| async move {
+        let group = StateGroup::start(&executor, Build::Current).await;
+        let (sender, early) = oneshot::channel();
+        let leader = group.leader();
+        leader.cut.set(true);
+        let committing = executor.spawn({
+            let router = group.router.clone();
+            async move { router.begin(begin("a", 10, 10), sender).await }
+        });
+        assert_eq!(early.await, Ok(begun()), "the leader can't commit it yet");
+        assert!(!committing.is_finished());
+        leader.cut.set(false);
+        assert_eq!(committing.await.unwrap(), begun());
+        for turn in ["b", "c", "d"] {
+            let (early, reply) = group.begin(begin(turn, 10, 10)).await;
+            assert_eq!((early, reply.unwrap()), (None, TurnReply::Spent), "the budget is spent");
+        }
+    });
+}
+
+/// Guards against two turns of one program that are both sent although its budget holds only one.
+#[test]
+fn racing_turns_are_not_both_answered_early() {
+    run(|executor| async move {
+        let group = StateGroup::start(&executor, Build::Current).await;
+        let turns = ["a", "b", "c"].map(|turn| group.begin(begin(turn, 10, 25)));
+        let outcomes = futures::future::join_all(turns).await;
+        for (early, reply) in &outcomes {
+            let reply = reply.as_ref().unwrap();
+            assert!(early.is_none() || *reply == begun(), "{early:?} is followed by {reply:?}");
+        }
+        assert_eq!(outcomes.iter().filter(|(_, reply)| reply.as_ref().unwrap() == &begun()).count(), 2);
+        assert_eq!(outcomes.iter().filter(|(early, _)| early.is_some()).count(), 2);
+    });
+}
+
+/// Guards against an entry that takes the answer of an older leader for an early one, or that fails without it.
+#[test]
+fn leader_without_early_answers_commits_as_before() {
+    run(|executor| async move {
+        let group = StateGroup::start(&executor, Build::WithoutEarlyAnswers).await;
+        for turn in ["a", "b"] {
+            let (early, reply) = group.begin(begin(turn, 1, 10)).await;
+            assert_eq!((early, reply.unwrap()), (None, begun()));
+        }
+        let leader = &group.leader().group;
+        let (commands, elections) = (3, leader.term());
+        assert!(leader.last_index() <= commands + elections, "an old leader logs no queries");
+    });
+}
+
+/// Guards against early answers of a leader that lost its followers, and against a begin that is lost with it.
+#[test]
+fn deposed_leader_gives_no_early_answers() {
+    run(|executor| async move {
+        let group = StateGroup::start(&executor, Build::Current).await;
+        let (sender, early) = oneshot::channel();
+        let old = group.leader();
+        old.cut.set(true);
+        let committing = executor.spawn({
+            let router = group.router.clone();
+            async move { router.begin(begin("a", 10, 10), sender).await }
+        });
+        assert_eq!(early.await, Ok(begun()));
+        while old.group.confirms_leadership() {
+            Timer::after(TICK).await;
+        }
+        let query = crate::codec::encode(&crate::turns::command::BeginQuery::from(&begin("a", 10, 10)));
+        assert!(matches!(old.service.answer_early(&query), Submission::NotLeader(_)));
+        assert_eq!(committing.await.unwrap(), begun(), "the next leader commits the repeated begin");
+        assert!(!old.group.confirms_leadership());
+        let (_, reply) = group.begin(begin("b", 10, 10)).await;
+        assert_eq!(reply.unwrap(), TurnReply::Spent);
+    });
+}
--- a/agatetrestle/src/deployment/turns.rs
+++ b/agatetrestle/src/deployment/turns.rs
@@ -5,17 +5,22 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::channel::oneshot;
+use futures::future::Either;
 use futures::future::LocalBoxFuture;
 use futures::future::join_all;
+use futures::future::select;
 use log::info;
 use smol::Timer;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Clock;
 use crate::codec::decode;
+use crate::codec::encode;
 use crate::gateway::turn::TurnClient;
 use crate::ids::GroupId;
 use crate::ids::NodeId;
@@ -25,6 +30,7 @@
 use crate::node::router::Router;
 use crate::ports::GroupError;
 use crate::turns::command::Begin;
+use crate::turns::command::BeginQuery;
 use crate::turns::command::Take;
 use crate::turns::command::TransferredTurn;
 use crate::turns::command::TurnCommand;
@@ -73,20 +79,30 @@
         Router::new(group, *node, None, links.clone(), &[], Rc::new(*clock), *timeouts)
     }
 
-    async fn commit(&self, command: TurnCommand) -> Result<TurnReply, GroupError> {
+    pub(super) async fn commit(&self, command: TurnCommand) -> Result<TurnReply, GroupError> {
+        if let TurnCommand::Begin(begin) = command {
+            return self.begin(begin, oneshot::channel().0).await;
+        }
         let routers = self.wait_for_routers().await?;
         if let TurnCommand::Take(take) = &command {
             let account_group = group_index(&take.team, routers.len());
             return request(&routers[account_group], command).await;
         }
         let own_group = group_index(command.program(), routers.len());
-        let TurnCommand::Begin(mut begin) = command else {
-            return request(&routers[own_group], command).await;
-        };
+        request(&routers[own_group], command).await
+    }
+
+    pub(super) async fn begin(
+        &self,
+        mut begin: Begin,
+        early: oneshot::Sender<TurnReply>,
+    ) -> Result<TurnReply, GroupError> {
+        let routers = self.wait_for_routers().await?;
+        let own_group = group_index(&begin.program, routers.len());
         if let Some(reply) = prepare(&mut begin, own_group, &routers).await? {
             return Ok(reply);
         }
-        let first = request(&routers[own_group], TurnCommand::Begin(begin.clone())).await?;
+        let first = request_begin(&routers[own_group], &begin, early).await?;
         let previous = begin.previous.clone().filter(|_| first == TurnReply::NoSuchTurn && routers.len() > 1);
         let Some(previous) = previous else {
             return Ok(first);
@@ -171,6 +187,34 @@
     decode(&reply).map_err(|error| GroupError::Unknown { reason: error.to_string().into() })
 }
 
+/// Sends a begin, and its early answer to `early` if the leader gives one.
+async fn request_begin(
+    router: &Router,
+    begin: &Begin,
+    early: oneshot::Sender<TurnReply>,
+) -> Result<TurnReply, GroupError> {
+    if early.is_canceled() {
+        return request(router, TurnCommand::Begin(begin.clone())).await;
+    }
+    let encoded = TurnCommand::Begin(begin.clone()).encode(Duration::ZERO);
+    let query = encode(&BeginQuery::from(begin));
+    let (answer_sender, answer) = oneshot::channel::<Vec<u8>>();
+    let committing = pin!(router.try_submit_early(encoded, &query, answer_sender));
+    let reply = match select(committing, answer).await {
+        Either::Left((reply, _)) => reply,
+        Either::Right((answer, committing)) => {
+            if let Some(reply) = answer.ok().and_then(|answer| decode(&answer).ok()) {
+                // A caller that left has dropped the receiver.
+                let _ = early.send(reply);
+            } else {
+                drop(early);
+            }
+            committing.await
+        }
+    };
+    decode(&reply?).map_err(|error| GroupError::Unknown { reason: error.to_string().into() })
+}
+
 /// Fetches the chain of a turn from the group that holds it; empty if every group answers that it has none.
 async fn fetch_chain<'a>(
     routers: impl Iterator<Item = &'a Rc<Router>>,
@@ -197,4 +241,13 @@
         let router = self.0.clone();
         Box::pin(async move { router.commit(command).await })
     }
+
+    fn begin(
+        &self,
+        begin: Begin,
+        early: oneshot::Sender<TurnReply>,
+    ) -> LocalBoxFuture<'static, Result<TurnReply, GroupError>> {
+        let router = self.0.clone();
+        Box::pin(async move { router.begin(begin, early).await })
+    }
 }
--- a/agatetrestle/src/gateway/access_log.rs
+++ b/agatetrestle/src/gateway/access_log.rs
@@ -29,8 +29,10 @@
     pub(super) server: Arc<str>,
     /// Attempts to send the request to a backend server.
     pub(super) tries: u32,
-    /// Time to reserve the turn.
+    /// Time to reserve the turn, after which the request is sent.
     pub(super) reserve_time: Duration,
+    /// Time to commit the reservation; longer than `reserve_time` after an early answer.
+    pub(super) commit_time: Duration,
     /// Time in the dispatch queue.
     pub(super) queue_time: Duration,
     /// Time from arrival to the response head.
@@ -53,9 +55,10 @@
         info!(
             "request={attempt_id} version={version} route={route} service={service} team={team} \
              server={server} tries={tries} status={status} outcome=\"{outcome}\" \
-             wait_us={} begin_us={} head_us={} finish_us={} total_us={}",
+             wait_us={} begin_us={} commit_us={} head_us={} finish_us={} total_us={}",
             self.queue_time.as_micros(),
             self.reserve_time.as_micros(),
+            self.commit_time.as_micros(),
             self.head_time.as_micros(),
             self.finish_time.as_micros(),
             total_time.as_micros(),
@@ -67,8 +70,8 @@
         let labels = Labels { partner: self.service.clone(), class: self.route.clone() };
         let record = |measure| gateway.recorder.record(&labels, &measure);
         record(Measurement::QueueWait(self.queue_time));
-        if !self.reserve_time.is_zero() {
-            record(Measurement::Commit(self.reserve_time));
+        if !self.commit_time.is_zero() {
+            record(Measurement::Commit(self.commit_time));
         }
         if !self.head_time.is_zero() {
             record(Measurement::FirstToken(self.head_time));
--- a/agatetrestle/src/gateway/mod.rs
+++ b/agatetrestle/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod access_log;
 mod attempt;
 mod body;
+mod commit;
 mod context;
 pub mod event_splitter;
 mod relay;
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -25,6 +25,7 @@
 use crate::gateway::attempt;
 use crate::gateway::attempt::SendFailure;
 use crate::gateway::body::read_body;
+use crate::gateway::commit::PendingCommit;
 use crate::gateway::context::ErrorResponse;
 use crate::gateway::context::FAILOVER_RETRY_AFTER;
 use crate::gateway::context::RequestContext;
@@ -214,6 +215,7 @@
 ) -> Result<Response<ResponseBody>, ErrorResponse> {
     let mut retries = RetryState::default();
     let mut turn: Option<OpenTurn> = None;
+    let mut commit = PendingCommit::default();
     let mut reserved = !reserve::needs_turn(&ctx);
     if reserved {
         reserve::charge_team(gateway, &ctx).await?;
@@ -226,17 +228,24 @@
         let assigned_at = gateway.clock.now();
         log_entry.queue_time += assigned_at.since(queued_at);
         if !reserved {
-            turn = Some(reserve::reserve_turn(gateway, &mut ctx).await?);
+            let (reserved_turn, pending) = reserve::reserve_turn(gateway, &mut ctx).await?;
+            turn = Some(reserved_turn);
+            commit = pending;
             log_entry.reserve_time = gateway.clock.now().since(assigned_at);
+            log_entry.commit_time = log_entry.reserve_time;
             reserved = true;
         }
         log_entry.tries += 1;
         retries.tried.push(slot.server);
         log_entry.server = gateway.address(slot.server).map(|(id, _)| id).unwrap_or_default();
         let is_last = !may_retry(&ctx, retries.may_have_run + 1);
-        let failure = match attempt::send(gateway, &ctx, slot, is_last).await {
+        let sending = commit.race(attempt::send(gateway, &ctx, slot, is_last)).await;
+        let failure = match sending? {
             Ok(started) => {
                 log_entry.head_time = gateway.clock.now().since(ctx.arrived_at);
+                // Dropping the response closes its connection, which cancels the run.
+                commit.finish(ctx.deadline.since(gateway.clock.now())).await?;
+                log_entry.commit_time = commit.took().unwrap_or(log_entry.commit_time);
                 match relay::forward(gateway, &ctx, started, &mut turn, log_entry).await {
                     Ok(response) => return Ok(response),
                     Err(reason) => SendFailure::MayHaveRun(reason),
--- a/agatetrestle/src/gateway/reserve.rs
+++ b/agatetrestle/src/gateway/reserve.rs
@@ -7,10 +7,12 @@
 use http::StatusCode;
 
 use crate::gateway::Gateway;
+use crate::gateway::commit::PendingCommit;
 use crate::gateway::context::ErrorResponse;
 use crate::gateway::context::FAILOVER_RETRY_AFTER;
 use crate::gateway::context::RequestContext;
 use crate::gateway::turn::OpenTurn;
+use crate::gateway::turn::Reservation;
 use crate::node::peer_link::with_deadline;
 use crate::ports::GroupError;
 use crate::turns::command::AdmissionParams;
@@ -48,11 +50,13 @@
     }
 }
 
-/// Reserves a turn and prepends the text of the turns that it continues to the request body.
+/// Reserves a turn and prepends the text of the turns that it continues to the request body. The returned commit must be
+/// awaited before the caller gets anything.
 pub(super) async fn reserve_turn(
     gateway: &Rc<Gateway>,
     ctx: &mut RequestContext,
-) -> Result<OpenTurn, ErrorResponse> {
+) -> Result<(OpenTurn, PendingCommit), ErrorResponse> {
+    let started_at = gateway.clock.now();
     let opening = AdmissionParams {
         service: ctx.service.clone(),
         route: ctx.route.name.clone(),
@@ -74,9 +78,9 @@
         carried: Vec::new(),
         opening: Some(opening),
     };
-    let (turn, reply) = OpenTurn::reserve(gateway, begin).await;
-    match reply {
-        Ok(TurnReply::Begun { chain, .. }) => {
+    let (turn, reservation) = OpenTurn::reserve(gateway, begin).await;
+    match reservation {
+        Ok(Reservation { reply: TurnReply::Begun { chain, .. }, commit }) => {
             ctx.chain_bytes = chain.iter().map(|text| text.len()).sum();
             let mut body = BytesMut::with_capacity(ctx.chain_bytes + ctx.body.len());
             for text in &chain {
@@ -84,9 +88,9 @@
             }
             body.extend_from_slice(&ctx.body);
             ctx.body = body.freeze();
-            Ok(turn)
+            Ok((turn, PendingCommit::new(gateway, started_at, commit)))
         }
-        Ok(reply) => {
+        Ok(Reservation { reply, .. }) => {
             turn.discard();
             Err(error_response(&reply))
         }
--- a/agatetrestle/src/gateway/tests.rs
+++ b/agatetrestle/src/gateway/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the splitting of server-sent events and of request priorities.
 
+mod early;
+
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/agatetrestle/src/gateway/turn.rs
+++ b/agatetrestle/src/gateway/turn.rs
@@ -4,7 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::channel::oneshot;
+use futures::future::Either;
 use futures::future::LocalBoxFuture;
+use futures::future::select;
 use log::warn;
 
 use crate::codec::Blob;
@@ -21,6 +24,22 @@
 pub trait TurnClient {
     /// Commits a command to the group of its program or team.
     fn commit(&self, command: TurnCommand) -> LocalBoxFuture<'static, Result<TurnReply, GroupError>>;
+
+    /// Commits a begin. If its leader is certain before the commit that the turn will be granted, `early` gets the reply
+    /// then. The future must be awaited all the same: the commit can still fail.
+    fn begin(
+        &self,
+        begin: Begin,
+        early: oneshot::Sender<TurnReply>,
+    ) -> LocalBoxFuture<'static, Result<TurnReply, GroupError>>;
+}
+
+/// The reply to a begin, and its commit if the reply came ahead of it.
+pub struct Reservation {
+    /// The leader's reply.
+    pub reply: TurnReply,
+    /// The commit, unless it is complete.
+    pub commit: Option<LocalBoxFuture<'static, Result<TurnReply, GroupError>>>,
 }
 
 /// A reserved turn. Dropping it unsettled settles it in the background with the tokens delivered so far.
@@ -48,7 +67,7 @@
 impl OpenTurn {
     /// Reserves a turn's tokens and fetches the turns that it continues. The caller must hold the returned turn until the
     /// request ends whatever the reply is, since the reservation may have taken effect.
-    pub async fn reserve(gateway: &Rc<Gateway>, begin: Begin) -> (Self, Result<TurnReply, GroupError>) {
+    pub async fn reserve(gateway: &Rc<Gateway>, begin: Begin) -> (Self, Result<Reservation, GroupError>) {
         let turn = Self {
             gateway: gateway.clone(),
             program: begin.program.clone(),
@@ -58,8 +77,17 @@
             run_ms: None,
             settled: false,
         };
-        let reply = gateway.turns.commit(TurnCommand::Begin(begin)).await;
-        (turn, reply)
+        let (early_sender, early) = oneshot::channel();
+        let (early, commit) = match select(gateway.turns.begin(begin, early_sender), early).await {
+            Either::Left((reply, _)) => {
+                return (turn, reply.map(|reply| Reservation { reply, commit: None }));
+            }
+            Either::Right(outcome) => outcome,
+        };
+        match early {
+            Ok(reply @ TurnReply::Begun { .. }) => (turn, Ok(Reservation { reply, commit: Some(commit) })),
+            _ => (turn, commit.await.map(|reply| Reservation { reply, commit: None })),
+        }
     }
 
     /// Counts tokens delivered to the caller.
--- a/agatetrestle/src/ids.rs
+++ b/agatetrestle/src/ids.rs
@@ -30,6 +30,18 @@
     (FIRST_STATE_GROUP.0..).take(MAX_STATE_GROUPS).map(GroupId)
 }
 
+/// Added to the id of a state group to address the early answers of its leader. A node of an older build has no such group,
+/// so it answers that it does not lead it, and logs nothing.
+const EARLY_ANSWERS: u32 = 1 << 16;
+
+impl GroupId {
+    /// The address of the early answers of a state group; see docs/design/020-commit-latency.md.
+    #[must_use]
+    pub const fn early_answers(self) -> Self {
+        Self(self.0 | EARLY_ANSWERS)
+    }
+}
+
 /// Id of a program. The partner is part of it, so that programs of two partners can't collide.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct ProgramId {
--- a/agatetrestle/src/node/group.rs
+++ b/agatetrestle/src/node/group.rs
@@ -17,6 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::FutureExt;
 use futures::channel::oneshot;
 use futures::future::LocalBoxFuture;
 use log::error;
@@ -288,6 +289,18 @@
         self.request(|ticket| Input::Propose { ticket, payload }).await
     }
 
+    /// Proposes a command at once. Returns the index that it was appended at, unless it was rejected, and its outcome.
+    pub fn propose(
+        &self,
+        payload: Arc<[u8]>,
+    ) -> (Option<u64>, impl Future<Output = ProposalOutcome> + use<M>) {
+        let before = self.last_index();
+        let ticket = self.new_ticket();
+        let outcome = self.start_request(ticket, Input::Propose { ticket, payload });
+        let after = self.last_index();
+        ((after == before + 1).then_some(after), outcome)
+    }
+
     /// Waits until a read of the state machine is linearizable, which only the leader's can be.
     pub async fn read_barrier(&self) -> ProposalOutcome {
         self.request(Input::Read).await
@@ -304,12 +317,22 @@
     }
 
     async fn request(&self, input: impl FnOnce(Ticket) -> Input) -> ProposalOutcome {
+        let ticket = self.new_ticket();
+        self.start_request(ticket, input(ticket)).await
+    }
+
+    fn new_ticket(&self) -> Ticket {
         let ticket = Ticket(self.next_ticket.get());
         self.next_ticket.set(ticket.0 + 1);
+        ticket
+    }
+
+    /// Passes a request to the replica at once and returns its outcome.
+    fn start_request(&self, ticket: Ticket, input: Input) -> impl Future<Output = ProposalOutcome> + use<M> {
         let (tx, rx) = oneshot::channel();
         self.waiters.borrow_mut().insert(ticket, tx);
-        self.process(input(ticket));
-        rx.await.unwrap_or(ProposalOutcome::Unknown)
+        self.process(input);
+        rx.map(|outcome| outcome.unwrap_or(ProposalOutcome::Unknown))
     }
 
     fn step(&self, input: Input) -> Vec<Output> {
--- a/agatetrestle/src/node/group/reading.rs
+++ b/agatetrestle/src/node/group/reading.rs
@@ -25,6 +25,21 @@
         self.replica.borrow().lease_valid(time)
     }
 
+    /// Whether this replica is the leader, its lease is valid, and it has committed an entry of its own term.
+    pub fn confirms_leadership(&self) -> bool {
+        self.replica.borrow().confirms_leadership(self.clock.now())
+    }
+
+    /// Index of the last log entry, committed or not.
+    pub fn last_index(&self) -> u64 {
+        self.replica.borrow().last_position().index
+    }
+
+    /// Index of the last command that the state machine has applied.
+    pub fn applied_index(&self) -> u64 {
+        self.applied.get().index
+    }
+
     /// Returns the leader, if known.
     pub fn leader(&self) -> Option<NodeId> {
         self.replica.borrow().leader()
--- a/agatetrestle/src/node/router.rs
+++ b/agatetrestle/src/node/router.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::channel::oneshot;
 use futures::future::Either;
 use futures::future::select;
 
@@ -134,6 +135,44 @@
         self.forward(request, BusyPolicy::Fail).await
     }
 
+    /// Forwards a request as [`Router::try_submit`] does, and asks the known leader with `query` for an early answer to it,
+    /// which is sent to `early` if there is one before the reply.
+    ///
+    /// # Errors
+    ///
+    /// As [`Router::submit`].
+    pub async fn try_submit_early(
+        &self,
+        request: Vec<u8>,
+        query: &[u8],
+        early: oneshot::Sender<Vec<u8>>,
+    ) -> Result<Vec<u8>, GroupError> {
+        // Polled first, so that the request is sent before the query about it.
+        let forwarding = pin!(self.forward(request, BusyPolicy::Fail));
+        match select(forwarding, pin!(self.ask_early(query))).await {
+            Either::Left((reply, _)) => reply,
+            Either::Right((answer, forwarding)) => {
+                if let Some(answer) = answer {
+                    // A caller that left has dropped the receiver.
+                    let _ = early.send(answer);
+                } else {
+                    drop(early);
+                }
+                forwarding.await
+            }
+        }
+    }
+
+    /// Returns the early answer of the known leader; `None` if it gives none or runs a build without early answers.
+    async fn ask_early(&self, query: &[u8]) -> Option<Vec<u8>> {
+        let link = self.links.get(self.leader_hint.get()?)?;
+        let group = self.group.early_answers();
+        match submit_remotely(&link, self.timeouts.attempt, group, query).await {
+            Ok(Submission::Applied(answer)) => Some(answer),
+            _ => None,
+        }
+    }
+
     async fn forward(&self, request: Vec<u8>, policy: BusyPolicy) -> Result<Vec<u8>, GroupError> {
         let start = self.time.now();
         let mut ambiguous = false;
--- a/agatetrestle/src/turns/command.rs
+++ b/agatetrestle/src/turns/command.rs
@@ -174,6 +174,24 @@
     pub opening: Option<AdmissionParams>,
 }
 
+/// Asks a leader whether a [`Begin`] that was submitted just before will be granted; see docs/design/020-commit-latency.md.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BeginQuery {
+    /// The team that owns the program; empty if none.
+    #[serde(default, skip_serializing_if = "str::is_empty")]
+    pub team: Arc<str>,
+    /// The program that the turn belongs to.
+    pub program: Arc<str>,
+    /// The turn that begins.
+    pub turn: TurnId,
+}
+
+impl From<&Begin> for BeginQuery {
+    fn from(begin: &Begin) -> Self {
+        Self { team: begin.team.clone(), program: begin.program.clone(), turn: begin.turn.clone() }
+    }
+}
+
 /// A retained turn that is copied to another group.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TransferredTurn {
--- a/agatetrestle/src/turns/state.rs
+++ b/agatetrestle/src/turns/state.rs
@@ -1,5 +1,10 @@
 //! The replicated state machine of a state group.
 
+mod pending;
+
+pub use self::pending::LogProgress;
+pub use self::pending::PendingCommands;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
--- a/agatetrestle_cli/src/losses.rs
+++ b/agatetrestle_cli/src/losses.rs
@@ -154,6 +154,7 @@
     match *fields.get("status")? {
         "0" => Some(Cause::CallerLeft),
         "502" if outcome.contains("silent") || outcome.contains("says nothing") => Some(Cause::ServerSilent),
+        "502" if outcome.starts_with("the turn is not committed") => Some(Cause::NotReady),
         "502" => Some(Cause::ServerFailed),
         "504" if outcome != "whole" => Some(Cause::ServerSilent),
         "503" if ["NoServer", "TooLate", "QueueFull"].contains(&outcome) => Some(Cause::TurnedAway),
@@ -161,7 +162,7 @@
         _ if outcome.starts_with("the server broke off") => Some(Cause::ServerFailed),
         _ if outcome.starts_with("the caller left") => Some(Cause::CallerLeft),
         _ if micros("wait_us") > MAX_NORMAL_WAIT_US => Some(Cause::Held),
-        _ if micros("begin_us") > MAX_NORMAL_COMMIT_US => Some(Cause::SlowCommit),
+        _ if micros("begin_us").max(micros("commit_us")) > MAX_NORMAL_COMMIT_US => Some(Cause::SlowCommit),
         _ => None,
     }
 }
--- a/agatetrestle_cli/src/losses/tests.rs
+++ b/agatetrestle_cli/src/losses/tests.rs
@@ -33,6 +33,20 @@
     insta::assert_snapshot!(table(&summary.losses()));
 }
 
+/// Guards against commits that are attributed to the server, since the request is sent before its commit is complete.
+#[test]
+fn commits_after_an_early_answer_are_the_state_groups() {
+    let mut summary = LossSummary::new(1);
+    let slow = line(1, "app", 200, "whole", 0, 900).replace("head_us=9", "commit_us=700000 head_us=700009");
+    let failed = line(1, "app", 502, "the turn is not committed: no leader", 0, 900);
+    for (line, cause) in [(slow, Cause::SlowCommit), (failed, Cause::NotReady)] {
+        let (_, fields) = parse_line(&line).unwrap();
+        assert_eq!(classify(&fields, outcome(&line)), Some(cause));
+        summary.add(&line);
+    }
+    assert_eq!(summary.losses().len(), 2);
+}
+
 #[test]
 fn counts_prefixed_lines_and_skips_others() {
     let mut summary = LossSummary::new(1);
