Send a request elsewhere if no byte of it was written

Cause: a request on a pooled connection whose server was gone ended as 502, since only requests that the HTTP library gave back were known not to be sent.

Change: the stream under the HTTP library counts the bytes that the socket accepted. If none of a request was, and the connection's task is cancelled, it was not sent: a new connection to the server is tried, then another server, and neither is an attempt. Before a pooled connection is reused for a request that runs once, an end that has arrived is looked for, which its task may not know yet.

Result: a request is called unsent after 0 bytes and never after 1 to 49; a connection closed by its server is not reused; a request passes by six servers that refuse. Not measured on a deployment.

--- a/agatetrestle/src/gateway/attempt.rs
+++ b/agatetrestle/src/gateway/attempt.rs
@@ -44,6 +44,8 @@
 /// Why an attempt produced no response to forward.
 #[derive(Debug)]
 pub(super) enum SendFailure {
+    /// The server refused the connection, or closed it before anything was written.
+    NotSent(String),
     /// The server did not run the request.
     NotRun(String),
     /// The server may have run the request.
@@ -63,34 +65,28 @@
         slot.release(RequestOutcome::Cancelled);
         return Err(SendFailure::NotRun("the server is gone".into()));
     };
-    let reuse = if ctx.route.is_at_most_once() { ReusePolicy::RecentOnly } else { ReusePolicy::Any };
-    let mut connection = match gateway.client.acquire(address, reuse).await {
-        Ok(connection) => connection,
-        Err(error) => {
-            slot.release(RequestOutcome::Unreachable);
-            return Err(SendFailure::NotRun(error.to_string()));
+    let mut reuse = if ctx.route.is_at_most_once() { ReusePolicy::RecentOnly } else { ReusePolicy::Any };
+    let (exchange, outcome) = loop {
+        let connection = match gateway.client.acquire(address, reuse).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                gateway.client.close_idle(address);
+                slot.release(RequestOutcome::Unreachable);
+                return Err(SendFailure::NotSent(error.to_string()));
+            }
+        };
+        let mut exchange = Exchange::start(gateway, ctx, connection, is_last);
+        slot.response_due = Some(exchange.sent_at + ctx.route.objective);
+        let outcome = exchange.run(gateway, ctx, &instance).await;
+        match outcome {
+            // The server may have closed idle connections only, as after a restart.
+            SendOutcome::Started(Err(SendError::Connect { .. })) if exchange.connection.reused => {
+                reuse = ReusePolicy::Never;
+            }
+            outcome => break (exchange, outcome),
         }
     };
-    let sent_at = gateway.clock.now();
-    slot.response_due = Some(sent_at + ctx.route.objective);
-    let left = ctx.deadline.since(sent_at);
-    let team = ctx.team.as_ref().map(|team| &*team.name);
-    let metadata = ForwardMetadata {
-        time_left: left,
-        instance: &instance,
-        priority: ctx.server_priority(sent_at),
-        team,
-    };
-    let request = build_request(gateway, ctx, metadata);
-    let timeout = if is_last { left } else { left.min(ctx.route.objective * ATTEMPT_TIMEOUT_PERCENT / 100) };
-    let outcome = if ctx.route.is_streaming() {
-        let wait = ResponseWait { gateway, ctx, sent_at, timeout };
-        wait.run(connection.send(request)).await
-    } else {
-        with_deadline(timeout, connection.send(request))
-            .await
-            .map_or(SendOutcome::TimedOut, SendOutcome::Started)
-    };
+    let Exchange { connection, sent_at, timeout, left } = exchange;
     let response = match outcome {
         SendOutcome::Unresponsive => {
             slot.release(RequestOutcome::Unresponsive);
@@ -105,8 +101,8 @@
             return Err(SendFailure::TimedOut);
         }
         SendOutcome::Started(Err(error @ SendError::Connect { .. })) => {
-            slot.release(RequestOutcome::Cancelled);
-            return Err(SendFailure::NotRun(error.to_string()));
+            slot.release(RequestOutcome::Unreachable);
+            return Err(SendFailure::NotSent(error.to_string()));
         }
         SendOutcome::Started(Err(error @ SendError::NoResponse { .. })) => {
             slot.release(RequestOutcome::BadResponse);
@@ -119,6 +115,42 @@
     check_head(gateway, ctx, StartedResponse { slot, connection, response, sent_at })
 }
 
+/// A request on a connection, up to the response head.
+struct Exchange {
+    connection: PooledConnection,
+    sent_at: Timestamp,
+    /// Limit on the time to the head.
+    timeout: Duration,
+    /// Time until the request's deadline.
+    left: Duration,
+}
+
+impl Exchange {
+    fn start(gateway: &Gateway, ctx: &RequestContext, connection: PooledConnection, is_last: bool) -> Self {
+        let sent_at = gateway.clock.now();
+        let left = ctx.deadline.since(sent_at);
+        let timeout =
+            if is_last { left } else { left.min(ctx.route.objective * ATTEMPT_TIMEOUT_PERCENT / 100) };
+        Self { connection, sent_at, timeout, left }
+    }
+
+    async fn run(&mut self, gateway: &Rc<Gateway>, ctx: &RequestContext, instance: &str) -> SendOutcome {
+        let metadata = ForwardMetadata {
+            time_left: self.left,
+            instance,
+            priority: ctx.server_priority(self.sent_at),
+            team: ctx.team.as_ref().map(|team| &*team.name),
+        };
+        let request = build_request(gateway, ctx, metadata);
+        let sending = self.connection.send(request);
+        if ctx.route.is_streaming() {
+            let wait = ResponseWait { gateway, ctx, sent_at: self.sent_at, timeout: self.timeout };
+            return wait.run(sending).await;
+        }
+        with_deadline(self.timeout, sending).await.map_or(SendOutcome::TimedOut, SendOutcome::Started)
+    }
+}
+
 /// How the wait for the response head ended.
 enum SendOutcome {
     /// The response started, or sending failed.
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -41,6 +41,9 @@
 
 /// Servers that may decline to run a request before it is rejected.
 const MAX_NOT_RUN_ATTEMPTS: u32 = 4;
+/// Servers that nothing could be sent to before a request is rejected. They are no attempts; the limit bounds the time while
+/// many servers are down, until dispatch knows them all.
+const MAX_UNREACHABLE_SERVERS: u32 = 8;
 /// Divisor of a route's latency objective that bounds the queue wait before a program's first turn. A program rejected
 /// early can still retry in time, and longer waits would delay programs that have started.
 const QUEUE_WAIT_DIVISOR: u32 = 2;
@@ -170,6 +173,8 @@
     tried: Vec<ServerKey>,
     /// Number of servers that declined to run the request.
     not_run: u32,
+    /// Number of servers that could not be sent anything.
+    unreachable: u32,
     /// Number of servers that may have run the request.
     may_have_run: u32,
 }
@@ -188,6 +193,13 @@
                 }
                 Err(ErrorResponse::new(StatusCode::BAD_GATEWAY, reason))
             }
+            SendFailure::NotSent(reason) => {
+                self.unreachable += 1;
+                if self.unreachable < MAX_UNREACHABLE_SERVERS {
+                    return Ok(());
+                }
+                Err(self.give_up(reason, FAILOVER_RETRY_AFTER))
+            }
             SendFailure::NotRun(reason) => {
                 self.not_run += 1;
                 if self.not_run < MAX_NOT_RUN_ATTEMPTS {
@@ -253,6 +265,9 @@
             }
             Err(failure) => failure,
         };
+        if matches!(failure, SendFailure::NotSent(_)) {
+            log_entry.tries -= 1;
+        }
         retries.record_failure(&ctx, failure)?;
     }
 }
--- a/agatetrestle/src/gateway/tests/early.rs
+++ b/agatetrestle/src/gateway/tests/early.rs
@@ -197,6 +197,15 @@
 
 impl Harness {
     async fn start(executor: &Rc<LocalExecutor<'static>>, early: Option<TurnReply>) -> Self {
+        Self::start_with(executor, early, 0).await
+    }
+
+    /// Starts a gateway that also knows servers of its own failure domain, which refuse connections.
+    async fn start_with(
+        executor: &Rc<LocalExecutor<'static>>,
+        early: Option<TurnReply>,
+        refusing_servers: u16,
+    ) -> Self {
         let (servers, server_address) = bind().await;
         let (listener, callers) = bind().await;
         let (commits, receiver) = smol::channel::unbounded();
@@ -219,15 +228,21 @@
             executor: executor.clone(),
         });
         gateway.routes(&Document { version: 1, text: "".into(), revision: 1 });
-        gateway.backends(&BackendChange::Whole(vec![Instance {
-            id: "x".into(),
+        let instance = |id: String, address: SocketAddrV4, zone: &str| Instance {
+            id: id.into(),
             service: "engines".into(),
-            address: server_address,
-            zone: "a".into(),
+            address,
+            zone: zone.into(),
             slots: 2,
             leaving: false,
             born: None,
-        }]));
+        };
+        let mut instances = vec![instance("x".into(), server_address, "b")];
+        for number in 0..refusing_servers {
+            let (_, address) = bind().await;
+            instances.push(instance(format!("refusing-{number}"), address, "a"));
+        }
+        gateway.backends(&BackendChange::Whole(instances));
         let responses = Rc::new(Cell::new(0));
         let counted = responses.clone();
         let handler: Handler = Rc::new(move |request| {
@@ -384,3 +399,16 @@
         assert_eq!(gateway.await_finish().await.spent, 0);
     });
 }
+
+/// Guards against a request that is refused, or counted as sent, because servers refuse its connections.
+#[test]
+fn refused_connections_are_no_attempts() {
+    run(|executor| async move {
+        let gateway = Harness::start_with(&executor, Some(begun(&[])), 6).await;
+        gateway.commits.send(Ok(begun(&[]))).await.unwrap();
+        let mut caller = gateway.send().await;
+        let mut server = gateway.receive(b"hey").await;
+        server.write_all(RESPONSE).await.unwrap();
+        assert_eq!(read_status(&mut caller).await, 200);
+    });
+}
--- a/agatetrestle/src/transport/client.rs
+++ b/agatetrestle/src/transport/client.rs
@@ -6,12 +6,16 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::AsyncRead;
+use futures::AsyncWrite;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
@@ -21,6 +25,7 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use log::debug;
+use smol::Async;
 use smol::LocalExecutor;
 use smol::Task;
 use smol::net::TcpStream;
@@ -30,6 +35,8 @@
 use crate::clock::Clock;
 use crate::clock::Timestamp;
 use crate::node::peer_link::with_deadline;
+use crate::transport::counted::CountedStream;
+use crate::transport::counted::WriteCounter;
 
 /// Shorter than the one second after which a lost SYN is retransmitted.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -61,9 +68,17 @@
     },
 }
 
-struct IdleConnection {
+/// An open connection with the task that reads and writes it.
+struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    driver: Task<()>,
+    driver: Option<Task<()>>,
+    written: WriteCounter,
+    /// The socket, to look for its end; `None` for streams that are no sockets.
+    socket: Option<TcpStream>,
+}
+
+struct IdleConnection {
+    connection: Connection,
     idle_since: Timestamp,
     expires_at: Timestamp,
 }
@@ -71,7 +86,9 @@
 /// Which idle connections a request may use.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReusePolicy {
-    /// Only recently used ones, for requests that must not be sent twice.
+    /// None.
+    Never,
+    /// Only recently used ones that the server has not closed, for requests that must not be sent twice.
     RecentOnly,
     /// All that have not expired.
     Any,
@@ -79,8 +96,7 @@
 
 /// A connection that is reserved for one request.
 pub struct PooledConnection {
-    sender: SendRequest<Full<Bytes>>,
-    driver: Task<()>,
+    connection: Connection,
     address: SocketAddrV4,
     /// Whether the connection was idle in the pool before.
     pub reused: bool,
@@ -118,8 +134,8 @@
         address: SocketAddrV4,
         reuse: ReusePolicy,
     ) -> Result<PooledConnection, SendError> {
-        if let Some(IdleConnection { sender, driver, .. }) = self.take_idle(address, reuse) {
-            return Ok(PooledConnection { sender, driver, address, reused: true });
+        if let Some(IdleConnection { connection, .. }) = self.take_idle(address, reuse) {
+            return Ok(PooledConnection { connection, address, reused: true });
         }
         self.connect(address).await
     }
@@ -130,9 +146,22 @@
         let pooled = idle.get_mut(&address)?;
         pooled.retain(|connection| connection.is_open(now));
         // Reuses the newest connection first, so that surplus ones expire.
-        let newest = pooled.last()?;
-        let usable = reuse == ReusePolicy::Any || now.since(newest.idle_since) < RECENT_IDLE_LIMIT;
-        if usable { pooled.pop() } else { None }
+        match reuse {
+            ReusePolicy::Never => None,
+            ReusePolicy::Any => pooled.pop(),
+            ReusePolicy::RecentOnly => {
+                while let Some(newest) = pooled.pop() {
+                    if now.since(newest.idle_since) >= RECENT_IDLE_LIMIT {
+                        pooled.push(newest);
+                        return None;
+                    }
+                    if !newest.connection.was_closed_by_peer() {
+                        return Some(newest);
+                    }
+                }
+                None
+            }
+        }
     }
 
     async fn connect(&self, address: SocketAddrV4) -> Result<PooledConnection, SendError> {
@@ -143,6 +172,22 @@
             .ok_or_else(|| connect_error(&"connection timed out"))?
             .map_err(|error| connect_error(&error))?;
         stream.set_nodelay(true).map_err(|error| connect_error(&error))?;
+        let socket = stream.clone();
+        let mut connection = self.start(address, stream).await?;
+        connection.connection.socket = Some(socket);
+        Ok(connection)
+    }
+
+    /// Starts HTTP on a stream to a server.
+    pub(super) async fn start(
+        &self,
+        address: SocketAddrV4,
+        stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+    ) -> Result<PooledConnection, SendError> {
+        let connect_error =
+            |reason: &dyn std::fmt::Display| SendError::Connect { reason: reason.to_string() };
+        let written = WriteCounter::default();
+        let stream = CountedStream { stream, written: written.clone() };
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
             .handshake(FuturesIo::new(stream))
@@ -157,7 +202,8 @@
             }
         });
         self.opened.set(self.opened.get() + 1);
-        Ok(PooledConnection { sender, driver, address, reused: false })
+        let connection = Connection { sender, driver: Some(driver), written, socket: None };
+        Ok(PooledConnection { connection, address, reused: false })
     }
 
     /// Returns a connection to the pool, unless the response closes it or the pool is full. The response
@@ -173,8 +219,8 @@
         let pooled = idle.entry(connection.address).or_default();
         if pooled.len() < MAX_IDLE_PER_SERVER {
             let expires_at = now + idle_timeout(headers);
-            let PooledConnection { sender, driver, .. } = connection;
-            pooled.push(IdleConnection { sender, driver, idle_since: now, expires_at });
+            let PooledConnection { connection, .. } = connection;
+            pooled.push(IdleConnection { connection, idle_since: now, expires_at });
         }
     }
 
@@ -194,9 +240,32 @@
     }
 }
 
+impl Connection {
+    /// Whether the end of the connection, or bytes that no request asked for, have arrived. The driver learns of them only
+    /// when it runs next.
+    fn was_closed_by_peer(&self) -> bool {
+        let Some(socket) = &self.socket else {
+            return false;
+        };
+        let socket: Arc<Async<std::net::TcpStream>> = socket.clone().into();
+        let peeked = socket.get_ref().peek(&mut [0]);
+        !peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Whether nothing was written since `written` and nothing ever will be. Closes the connection.
+    async fn close_unwritten(&mut self, written: u64) -> bool {
+        if let Some(driver) = self.driver.take() {
+            driver.cancel().await;
+        }
+        self.written.get() == written
+    }
+}
+
 impl IdleConnection {
     fn is_open(&self, now: Timestamp) -> bool {
-        self.sender.is_ready() && !self.driver.is_finished() && now < self.expires_at
+        let Connection { sender, driver, .. } = &self.connection;
+        let running = driver.as_ref().is_some_and(|driver| !driver.is_finished());
+        sender.is_ready() && running && now < self.expires_at
     }
 }
 
@@ -222,9 +291,17 @@
     /// [`SendError::Connect`] if the connection was closed before anything was written, otherwise
     /// [`SendError::NoResponse`].
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, SendError> {
-        self.sender.try_send_request(request).await.map_err(|mut error| match error.take_message() {
-            Some(_) => SendError::Connect { reason: "the idle connection was closed".into() },
-            None => SendError::NoResponse { source: error.into_error() },
-        })
+        let written = self.connection.written.get();
+        let mut error = match self.connection.sender.try_send_request(request).await {
+            Ok(response) => return Ok(response),
+            Err(error) => error,
+        };
+        let unsent = error.take_message().is_some();
+        let source = error.into_error();
+        if self.connection.close_unwritten(written).await || unsent {
+            let reason = format!("the connection was closed before the request was written: {source}");
+            return Err(SendError::Connect { reason });
+        }
+        Err(SendError::NoResponse { source })
     }
 }
--- a/agatetrestle/src/transport/mod.rs
+++ b/agatetrestle/src/transport/mod.rs
@@ -6,6 +6,7 @@
 pub mod body;
 pub mod client;
 mod connection_state;
+mod counted;
 pub mod observed;
 pub mod server;
 #[cfg(test)]
--- a/agatetrestle/src/transport/tests.rs
+++ b/agatetrestle/src/transport/tests.rs
@@ -1,9 +1,13 @@
 //! Tests of the HTTP server and client against misbehaving peers.
 
 use std::cell::RefCell;
+use std::io;
 use std::net::SocketAddrV4;
+use std::pin::Pin;
 use std::pin::pin;
 use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -284,3 +288,72 @@
     assert!(invalid.map(timeout_ms).iter().all(|timeout| *timeout == RECENT_IDLE_LIMIT.as_millis()));
     assert_eq!(idle_timeout(&http::HeaderMap::new()), RECENT_IDLE_LIMIT);
 }
+
+/// A stream that accepts some bytes and then fails.
+struct FailingStream {
+    accepts: usize,
+}
+
+impl futures::AsyncRead for FailingStream {
+    fn poll_read(self: Pin<&mut Self>, _: &mut Context<'_>, _: &mut [u8]) -> Poll<io::Result<usize>> {
+        Poll::Pending
+    }
+}
+
+impl futures::AsyncWrite for FailingStream {
+    fn poll_write(mut self: Pin<&mut Self>, _: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        if self.accepts == 0 {
+            return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
+        }
+        let count = buf.len().min(self.accepts);
+        self.accepts -= count;
+        Poll::Ready(Ok(count))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_close(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// Guards against a request that is called unsent after a part of it was written, and so may run twice.
+#[test]
+fn request_is_unsent_only_if_no_byte_was_written() {
+    run(|executor| async move {
+        let client = HttpClient::new(&executor, Clock::start());
+        let address = "127.0.0.1:1".parse().unwrap();
+        let shorter_than_any_request = 50;
+        for accepts in 0..shorter_than_any_request {
+            let mut connection = client.start(address, FailingStream { accepts }).await.unwrap();
+            let error = connection.send(get(b"a body")).await.unwrap_err();
+            let unsent = matches!(error, SendError::Connect { .. });
+            assert_eq!(unsent, accepts == 0, "after {accepts} bytes: {error}");
+        }
+    });
+}
+
+/// Guards against a request on a pooled connection whose server has closed it, which the connection's task learns of only
+/// when it runs next. Once written, such a request may have run.
+#[test]
+fn closed_connection_is_not_reused_for_a_request_that_runs_once() {
+    run(|executor| async move {
+        let (listener, address) = bind().await;
+        let client = HttpClient::new(&executor, Clock::start());
+        let mut connection = client.acquire(address, ReusePolicy::Any).await.unwrap();
+        let (mut server, _) = listener.accept().await.unwrap();
+        let answering = async {
+            read_head(&mut server).await;
+            server.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await.unwrap();
+        };
+        let (response, ()) = futures::future::join(connection.send(get(b"")), answering).await;
+        let (head, body) = response.unwrap().into_parts();
+        body.collect().await.unwrap();
+        client.release(connection, &head.headers);
+        drop(server);
+        let connection = client.acquire(address, ReusePolicy::RecentOnly).await.unwrap();
+        assert!(!connection.reused);
+    });
+}
