Answer rate-limit checks without a read, and admit nothing without a lease

Cause: a check under a valid lease sent no messages already, but took a ticket, a channel and a place behind entries that are not applied. Two faults: a leader without a lease appended begins without admission and logged checks, and time reported with requests that are not appended was lost to the state.

Change: a check under a lease is answered at once. A leader without one waits for a confirmed round before it admits anything. Time counts as reported once its command is appended.

The 300 tests of the library pass.

--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -4,7 +4,6 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use futures::future::LocalBoxFuture;
 
@@ -101,18 +100,17 @@
         Self { group, clock, leader_clock: Cell::default(), admission, pending: RefCell::default() }
     }
 
-    fn elapsed(&self) -> Duration {
-        let mut clock = self.leader_clock.get();
-        let elapsed = clock.advance(self.group.term(), self.clock.now());
-        self.leader_clock.set(clock);
-        elapsed
-    }
-
     async fn serve(&self, mut request: Vec<u8>) -> Submission {
+        // A leader without a lease may have been replaced, and admits nothing before a quorum has confirmed it.
         if !self.group.leads() {
-            return commit(&self.group, request).await;
+            match self.group.read_barrier().await {
+                ProposalOutcome::Ready => {}
+                outcome => return to_submission(outcome),
+            }
         }
-        TimedCommand::set_elapsed(&mut request, self.elapsed());
+        let mut leader_clock = self.leader_clock.get();
+        let elapsed = leader_clock.advance(self.group.term(), self.clock.now());
+        TimedCommand::set_elapsed(&mut request, elapsed);
         let payload: Arc<[u8]> = request.into();
         let Some(TimedCommand { elapsed, command }) = TimedCommand::decode(&payload) else {
             return commit(&self.group, payload).await;
@@ -130,6 +128,8 @@
         let command = Rc::new(command);
         let (index, outcome) = self.group.propose(payload);
         if index.is_some() {
+            // Time reported with a command that is not appended would be lost.
+            self.leader_clock.set(leader_clock);
             self.pending.borrow_mut().push(self.progress(), elapsed, command.clone());
         }
         let submission = to_submission(outcome.await);
@@ -167,15 +167,17 @@
         }
     }
 
-    /// Takes a request from a team's account, which requires that a quorum confirms the leader after the request arrived.
+    /// Takes a request from a team's account, which requires a valid lease, or that a quorum confirms the leader after the
+    /// request arrived. The account is no part of the state machine, so a read of that is not waited for.
     async fn take(&self, take: &Take) -> Submission {
-        match self.group.read_barrier().await {
-            ProposalOutcome::Ready => {
-                let (now, term) = (self.clock.now(), self.group.term());
-                Submission::Applied(encode(&self.admission.borrow_mut().take(now, term, take)))
+        if !self.group.confirms_leadership() {
+            match self.group.read_barrier().await {
+                ProposalOutcome::Ready => {}
+                outcome => return to_submission(outcome),
             }
-            outcome => to_submission(outcome),
         }
+        let (now, term) = (self.clock.now(), self.group.term());
+        Submission::Applied(encode(&self.admission.borrow_mut().take(now, term, take)))
     }
 }
 
--- a/agatetrestle/src/turns/state.rs
+++ b/agatetrestle/src/turns/state.rs
@@ -116,6 +116,12 @@
         self.accounts.contains_key(&account_key(team, program))
     }
 
+    /// Milliseconds that leaders measured between commands so far.
+    #[must_use]
+    pub fn now(&self) -> u64 {
+        self.now
+    }
+
     /// Counts and sizes reported to operators.
     #[must_use]
     pub fn usage(&self) -> StoreUsage {
