Refuse turns at once while no replica of their group answers

Cause: a turn was held for 1.8 s and then refused while no replica of its state group could be reached.

Change: a circuit breaker in each router, a pure state machine. It opens when no replica has answered for 1 s and most were asked, refuses new work but for one probe, and closes with the first reply of a leader. Followers answer during an election, so that does not open it. Ends of turns are not refused.

--- a/agatetrestle/src/node/mod.rs
+++ b/agatetrestle/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! A node with its sockets, replicas and background tasks.
 
 mod assembly;
+mod breaker;
 pub mod control_port;
 mod error;
 pub mod group;
--- a/agatetrestle/src/node/router.rs
+++ b/agatetrestle/src/node/router.rs
@@ -13,10 +13,15 @@
 use futures::channel::oneshot;
 use futures::future::Either;
 use futures::future::select;
+use log::info;
+use log::warn;
 
 use crate::clock::Time;
+use crate::clock::Timestamp;
 use crate::ids::GroupId;
 use crate::ids::NodeId;
+use crate::node::breaker::Admission;
+use crate::node::breaker::CircuitBreaker;
 use crate::node::links::Links;
 use crate::node::peer_link::LinkError;
 use crate::node::peer_link::PeerLink;
@@ -34,6 +39,9 @@
 /// the timeout of an attempt.
 const SEARCH_DELAY: Duration = Duration::from_millis(100);
 
+/// Why new work is refused while the circuit breaker is open.
+const UNREACHABLE: &str = "no replica of the group answers";
+
 /// Routes requests to the leader of one group.
 pub struct Router {
     group: GroupId,
@@ -44,6 +52,7 @@
     leader_hint: Cell<Option<NodeId>>,
     /// Whether a request is searching for the leader; others wait for its result.
     searching: Cell<bool>,
+    breaker: RefCell<CircuitBreaker>,
     time: Rc<dyn Time>,
     timeouts: RequestTimeouts,
 }
@@ -57,10 +66,20 @@
     }
 }
 
-/// What to do when the leader's queue is full.
+/// Ends a probe when dropped.
+struct ProbeGuard<'a>(&'a RefCell<CircuitBreaker>);
+
+impl Drop for ProbeGuard<'_> {
+    fn drop(&mut self) {
+        self.0.borrow_mut().end_probe();
+    }
+}
+
+/// What to do when the leader's queue is full, or the group is unreachable.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum BusyPolicy {
-    /// Retry until a leader accepts the request or its timeout ends.
+    /// Retry until a leader accepts the request or its timeout ends. Ends of turns must be recorded, so they keep trying, and
+    /// may be the first to reach the group again.
     Retry,
     /// Fail at once.
     Fail,
@@ -102,6 +121,7 @@
             holders: RefCell::default(),
             leader_hint: Cell::new(None),
             searching: Cell::new(false),
+            breaker: RefCell::default(),
             time,
             timeouts,
         };
@@ -126,7 +146,8 @@
         self.forward(request, BusyPolicy::Retry).await
     }
 
-    /// Forwards a request as [`Router::submit`] does, but fails at once if the leader's queue is full. For new work.
+    /// Forwards a request as [`Router::submit`] does, but fails at once if the leader's queue is full or the group is
+    /// unreachable. For new work.
     ///
     /// # Errors
     ///
@@ -174,6 +195,14 @@
     }
 
     async fn forward(&self, request: Vec<u8>, policy: BusyPolicy) -> Result<Vec<u8>, GroupError> {
+        let admission = match policy {
+            BusyPolicy::Retry => Admission::Pass,
+            BusyPolicy::Fail => self.breaker.borrow_mut().admit(),
+        };
+        if admission == Admission::Refuse {
+            return Err(GroupError::NotProposed { reason: UNREACHABLE.into() });
+        }
+        let probe = (admission == Admission::Probe).then(|| ProbeGuard(&self.breaker));
         let start = self.time.now();
         let mut ambiguous = false;
         let mut suspect = None;
@@ -181,6 +210,10 @@
         let mut cursor = 0;
         let mut retries = 0;
         while self.time.now().since(start) < self.timeouts.request {
+            if policy == BusyPolicy::Fail && probe.is_none() && self.breaker.borrow().is_open() {
+                reason = UNREACHABLE.into();
+                break;
+            }
             if self.holders.borrow().is_empty() {
                 // A process that has just started learns the holders after a short time.
                 self.time.sleep(RETRY_DELAY).await;
@@ -294,10 +327,36 @@
         let Some(link) = self.links.get(target) else {
             return Submission::NotLeader(None);
         };
+        let sent_at = self.time.now();
         match submit_remotely(&link, self.timeouts.attempt, self.group, request).await {
-            Ok(submission) => submission,
-            Err(error) if error.is_unsent() => Submission::Unreachable(error.to_string().into()),
-            Err(error) => Submission::Unknown(error.to_string().into()),
+            Ok(submission) => {
+                self.record_answer(&submission);
+                submission
+            }
+            Err(error) => {
+                self.record_failure(target, sent_at);
+                let reason = error.to_string().into();
+                if error.is_unsent() { Submission::Unreachable(reason) } else { Submission::Unknown(reason) }
+            }
+        }
+    }
+
+    fn record_answer(&self, submission: &Submission) {
+        let mut breaker = self.breaker.borrow_mut();
+        match submission {
+            Submission::Applied(_) | Submission::Refused(_) => {
+                if breaker.record_leader() {
+                    info!("Group {} is reachable again.", self.group.0);
+                }
+            }
+            _ => breaker.record_answer(),
+        }
+    }
+
+    fn record_failure(&self, target: NodeId, sent_at: Timestamp) {
+        let replicas = self.holders.borrow().len();
+        if self.breaker.borrow_mut().record_failure(target, replicas, sent_at, self.time.now()) {
+            warn!("Group {} is unreachable: no replica answers; refusing new work.", self.group.0);
         }
     }
 }
--- a/agatetrestle/src/node/router/tests.rs
+++ b/agatetrestle/src/node/router/tests.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use futures::FutureExt;
 use futures::future::LocalBoxFuture;
 use smol::LocalExecutor;
 use smol::net::TcpListener;
@@ -9,6 +10,8 @@
 use super::*;
 use crate::clock::Clock;
 use crate::clock::Timestamp;
+use crate::node::peer_server;
+use crate::node::peer_server::PeerServer;
 
 const OWN: NodeId = NodeId(1);
 const SILENT: NodeId = NodeId(2);
@@ -123,3 +126,38 @@
         assert!(time.now().since(Timestamp(0)) >= timeouts.request);
     }));
 }
+
+/// Guards against turns that are all held until their timeout while no replica answers, and against a breaker that stays open.
+#[test]
+fn unreachable_group_refuses_all_but_one_probe() {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(async {
+        let links = Links::new(OWN, NO_TIMEOUT, &executor);
+        let holders = [NodeId(2), NodeId(3), NodeId(4)];
+        let mut last_address = None;
+        for holder in holders {
+            // Nothing listens on the address once the listener is dropped.
+            let (_, address) = silent_peer().await;
+            links.add_address(holder, address);
+            last_address = Some(address);
+        }
+        let timeouts = RequestTimeouts { attempt: NO_TIMEOUT, request: NO_TIMEOUT };
+        let clock = Rc::new(Clock::start());
+        let router = Router::new(GroupId(1), OWN, None, links, &holders, clock, timeouts);
+        let held = futures::future::join_all((0..3).map(|_| router.try_submit(vec![7]))).await;
+        assert!(held.iter().all(|reply| matches!(reply, Err(GroupError::NotProposed { .. }))));
+        let mut probe = pin!(router.try_submit(vec![7]));
+        assert!(futures::poll!(probe.as_mut()).is_pending());
+        let other = router.try_submit(vec![7]).now_or_never();
+        assert!(matches!(other, Some(Err(GroupError::NotProposed { .. }))), "refused at once");
+        let listener = TcpListener::bind(last_address.unwrap()).await.unwrap();
+        let replica =
+            Rc::new(Replica { answer: Submission::Applied(vec![9]), requests_received: Cell::new(0) });
+        let mut server = PeerServer::default();
+        server.services.insert(GroupId(1), replica);
+        executor.spawn(peer_server::serve(Rc::new(server), listener, Rc::downgrade(&executor))).detach();
+        assert_eq!(probe.await.unwrap(), [9]);
+        let replies = futures::future::join_all((0..3).map(|_| router.try_submit(vec![7]))).await;
+        assert!(replies.into_iter().all(|reply| reply.unwrap() == [9]));
+    }));
+}
