--- a/agatetrestle/src/turns/state.rs
+++ b/agatetrestle/src/turns/state.rs
@@ -126,6 +126,12 @@
         &self.recent
     }
 
+    /// Milliseconds that leaders measured between commands so far.
+    #[must_use]
+    pub fn now(&self) -> u64 {
+        self.now
+    }
+
     /// Counts and sizes reported to operators.
     #[must_use]
     pub fn usage(&self) -> StoreUsage {
