Place turns by the leader of the state group where the settings say so

Cause: an entry sends a turn to any given engine about every 4 s, so it knows load and speed only as they were seconds ago. The leader of the state group sees every turn begin and end.

Change: with the new setting `placement: leader` (default `entry`) an entry sends at most 8 candidates with a begin, its own choice first, and reports server, load, run time and failure with the finish. The leader chooses the candidate with the earliest expected completion by its own open turns, the reported load of others, speed and failures, and adds the choice to the reply of the committed begin. The candidates are removed before the command is appended, so the log does not grow by them. Evidence of one entry counts at most a third. A line per service every 5 s tells turns in flight and the slowest servers. With `entry` nothing is sent or decided differently.

--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -29,6 +29,7 @@
 use crate::turns::command::Take;
 use crate::turns::command::TimedCommand;
 use crate::turns::command::TurnCommand;
+use crate::turns::command::TurnReply;
 use crate::turns::state::TurnState;
 
 /// The service of a control replica.
@@ -106,7 +107,8 @@
         if !self.group.leads() {
             return commit(&self.group, request).await;
         }
-        TimedCommand::set_elapsed(&mut request, self.elapsed());
+        let elapsed = self.elapsed();
+        TimedCommand::set_elapsed(&mut request, elapsed);
         let payload: Arc<[u8]> = request.into();
         let Some(TimedCommand { command, .. }) = TimedCommand::decode(&payload) else {
             return commit(&self.group, payload).await;
@@ -120,13 +122,17 @@
             .machine(|state| self.admission.borrow_mut().check(now, self.group.term(), &command, state));
         match admitted {
             Ok(()) => {
-                let submission = commit(&self.group, payload).await;
+                let placed = self.admission.borrow_mut().place(now, &command);
+                let shortened = command.without_candidates().map(|logged| logged.encode(elapsed).into());
+                let submission = commit(&self.group, shortened.unwrap_or(payload)).await;
                 if matches!(submission, Submission::Applied(_)) {
                     let now = self.clock.now();
                     self.group
                         .machine(|state| self.admission.borrow_mut().record_applied(now, &command, state));
+                } else {
+                    self.admission.borrow_mut().abandon(&command);
                 }
-                submission
+                with_server(submission, placed)
             }
             Err(reply) => Submission::Applied(encode(&reply)),
         }
@@ -144,6 +150,19 @@
     }
 }
 
+/// Adds the leader's choice of a server to the reply of the state machine, which is the same on every replica.
+fn with_server(submission: Submission, placed: Option<u32>) -> Submission {
+    let (Submission::Applied(reply), Some(_)) = (&submission, placed) else {
+        return submission;
+    };
+    match decode::<TurnReply>(reply) {
+        Ok(TurnReply::Begun { chain, .. }) => {
+            Submission::Applied(encode(&TurnReply::Begun { chain, server: placed }))
+        }
+        Ok(_) | Err(_) => submission,
+    }
+}
+
 impl GroupService for TurnService {
     fn submit(&self, request: Vec<u8>) -> LocalBoxFuture<'_, Submission> {
         Box::pin(self.serve(request))
--- a/agatetrestle/src/deployment/entry.rs
+++ b/agatetrestle/src/deployment/entry.rs
@@ -101,7 +101,8 @@
         turns: Rc::new(RoutedTurnClient(turns.clone())),
         dispatch: Dispatch::new(context.settings.process.failure_domain.clone(), context.node.0)
             .with_policy(context.settings.decisions),
-        seed: context.node.0,
+        node: context.node,
+        placement: context.settings.placement,
         clock: context.clock,
         limits: limits.clone(),
         body_buffer_bytes: context.memory_bytes() / BODY_MEMORY_DIVISOR,
--- a/agatetrestle/src/dispatch/mod.rs
+++ b/agatetrestle/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 //! Every node decides on its own, from the requests that it has sent and the loads that responses report. The module
 //! does no I/O and takes the time as an argument. The rules are described in docs/design/012-a-deployment-of-three-roles.md.
 
+mod candidates;
 mod choice;
 mod decision;
 mod outlier;
--- a/agatetrestle/src/gateway/attempt.rs
+++ b/agatetrestle/src/gateway/attempt.rs
@@ -17,6 +17,7 @@
 
 use crate::clock::Timestamp;
 use crate::dispatch::RequestOutcome;
+use crate::dispatch::ServerLoad;
 use crate::gateway::Gateway;
 use crate::gateway::context::RequestContext;
 use crate::gateway::slot::ServerSlot;
@@ -39,6 +40,8 @@
     pub(super) connection: PooledConnection,
     pub(super) response: Response<Incoming>,
     pub(super) sent_at: Timestamp,
+    /// Load of the server from all nodes, as the head reports it.
+    pub(super) load: Option<ServerLoad>,
 }
 
 /// Why an attempt produced no response to forward.
@@ -116,7 +119,7 @@
     };
     slot.response_due = None;
     gateway.dispatch.borrow_mut().record_response_start(gateway.clock.now(), &ctx.service, sent_at);
-    check_head(gateway, ctx, StartedResponse { slot, connection, response, sent_at })
+    check_head(gateway, ctx, StartedResponse { slot, connection, response, sent_at, load: None })
 }
 
 /// How the wait for the response head ended.
@@ -219,11 +222,12 @@
 fn check_head(
     gateway: &Gateway,
     ctx: &RequestContext,
-    started: StartedResponse,
+    mut started: StartedResponse,
 ) -> Result<StartedResponse, SendFailure> {
     let status = started.response.status();
     let metadata = gateway.wire.read_response(started.response.headers());
     let server = started.slot.server;
+    started.load = metadata.load;
     if let Some(load) = metadata.load {
         gateway.dispatch.borrow_mut().record_load(gateway.clock.now(), server, load);
     }
--- a/agatetrestle/src/gateway/mod.rs
+++ b/agatetrestle/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use agatetrestle_config::deployment::Placement;
 use futures::channel::oneshot;
 use http::Request;
 use http::Response;
@@ -48,6 +49,7 @@
 use crate::gateway::turn::TurnClient;
 use crate::gateway::wire::RequestMetadata;
 use crate::gateway::wire::WireFormat;
+use crate::ids::NodeId;
 use crate::ports::Recorder;
 use crate::routing::RouteTable;
 use crate::scheduler::random::Random;
@@ -72,8 +74,10 @@
     pub turns: Rc<dyn TurnClient>,
     /// Dispatch state without any known backend server.
     pub dispatch: Dispatch,
-    /// Seed of the random choice among a route's services.
-    pub seed: u64,
+    /// The node that runs the gateway; seeds the random choice among a route's services.
+    pub node: NodeId,
+    /// Who chooses the server of a turn that is reserved at a state group.
+    pub placement: Placement,
     /// The clock of the process.
     pub clock: Clock,
     /// Limits on caller connections, updated from the route table.
@@ -98,6 +102,8 @@
     client: Rc<HttpClient>,
     clock: Clock,
     limits: Rc<ServerLimits>,
+    node: NodeId,
+    placement: Placement,
     random: RefCell<Random>,
     free_body_bytes: Cell<usize>,
     in_flight: Cell<usize>,
@@ -116,7 +122,8 @@
             wire,
             turns,
             dispatch,
-            seed,
+            node,
+            placement,
             clock,
             limits,
             body_buffer_bytes,
@@ -133,7 +140,9 @@
             client: HttpClient::new(&executor, clock),
             clock,
             limits,
-            random: RefCell::new(Random::new(seed)),
+            node,
+            placement,
+            random: RefCell::new(Random::new(node.0)),
             free_body_bytes: Cell::new(body_buffer_bytes),
             in_flight: Cell::new(0),
             last_turns: RefCell::default(),
--- a/agatetrestle/src/gateway/relay.rs
+++ b/agatetrestle/src/gateway/relay.rs
@@ -125,9 +125,12 @@
     turn: &mut Option<OpenTurn>,
     log_entry: &AccessLogEntry,
 ) -> Result<Response<ResponseBody>, String> {
-    let StartedResponse { slot, connection, response, sent_at } = started;
+    let StartedResponse { slot, connection, response, sent_at, load } = started;
     let (mut head, body) = response.into_parts();
     let status = head.status;
+    if let Some(turn) = turn.as_mut() {
+        turn.record_head(load, status.is_server_error());
+    }
     let headers = head.headers.clone();
     strip_hop_headers(&mut head.headers);
     let length = body.size_hint().exact();
@@ -225,6 +228,9 @@
                     result.err().map(|cut| (Err(cut), None))
                 }
                 Err(reason) => {
+                    if let Some(turn) = &mut events.turn {
+                        turn.record_failure();
+                    }
                     events.response.fail();
                     events.response.log(reason);
                     Some((Err(TruncatedBody), None))
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -221,18 +221,22 @@
     loop {
         let queued_at = gateway.clock.now();
         let slot = ServerSlot::acquire(gateway, dispatch_request(&ctx, queued_at, &retries.tried)).await;
-        let slot = slot
+        let mut slot = slot
             .map_err(|rejection| retries.give_up(format!("{:?}", rejection.reason), rejection.retry_after))?;
         let assigned_at = gateway.clock.now();
         log_entry.queue_time += assigned_at.since(queued_at);
         if !reserved {
-            turn = Some(reserve::reserve_turn(gateway, &mut ctx).await?);
+            let request = dispatch_request(&ctx, assigned_at, &retries.tried);
+            turn = Some(reserve::reserve_turn(gateway, &mut ctx, &mut slot, &request).await?);
             log_entry.reserve_time = gateway.clock.now().since(assigned_at);
             reserved = true;
         }
         log_entry.tries += 1;
         retries.tried.push(slot.server);
         log_entry.server = gateway.address(slot.server).map(|(id, _)| id).unwrap_or_default();
+        if let Some(turn) = &mut turn {
+            turn.record_server(&log_entry.server);
+        }
         let is_last = !may_retry(&ctx, retries.may_have_run + 1);
         let failure = match attempt::send(gateway, &ctx, slot, is_last).await {
             Ok(started) => {
@@ -244,6 +248,9 @@
             }
             Err(failure) => failure,
         };
+        if let (Some(turn), SendFailure::MayHaveRun(_) | SendFailure::TimedOut) = (&mut turn, &failure) {
+            turn.record_failure();
+        }
         retries.record_failure(&ctx, failure)?;
     }
 }
--- a/agatetrestle/src/gateway/reserve.rs
+++ b/agatetrestle/src/gateway/reserve.rs
@@ -3,18 +3,24 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use agatetrestle_config::deployment::Placement;
 use bytes::BytesMut;
 use http::StatusCode;
 
+use crate::dispatch;
+use crate::dispatch::ServerKey;
 use crate::gateway::Gateway;
 use crate::gateway::context::ErrorResponse;
 use crate::gateway::context::FAILOVER_RETRY_AFTER;
 use crate::gateway::context::RequestContext;
+use crate::gateway::slot::ServerSlot;
 use crate::gateway::turn::OpenTurn;
 use crate::node::peer_link::with_deadline;
 use crate::ports::GroupError;
 use crate::turns::command::AdmissionParams;
 use crate::turns::command::Begin;
+use crate::turns::command::Candidate;
+use crate::turns::command::MAX_CANDIDATES;
 use crate::turns::command::Take;
 use crate::turns::command::TurnCommand;
 use crate::turns::command::TurnReply;
@@ -49,10 +55,17 @@
 }
 
 /// Reserves a turn and prepends the text of the turns that it continues to the request body.
+/// If the settings let the leader of the state group place turns, the slot moves to the server that it chooses.
 pub(super) async fn reserve_turn(
     gateway: &Rc<Gateway>,
     ctx: &mut RequestContext,
+    slot: &mut ServerSlot,
+    request: &dispatch::Request,
 ) -> Result<OpenTurn, ErrorResponse> {
+    let candidates = match gateway.placement {
+        Placement::Entry => Vec::new(),
+        Placement::Leader => candidates(gateway, slot.server, request),
+    };
     let opening = AdmissionParams {
         service: ctx.service.clone(),
         route: ctx.route.name.clone(),
@@ -62,7 +75,8 @@
         finish_in: ctx.metadata.finish_in.map(millis),
         begins: !ctx.program_started,
         capacity: None,
-        candidates: Vec::new(),
+        candidates: named(gateway, &candidates),
+        entry: (!candidates.is_empty()).then_some(gateway.node),
     };
     let begin = Begin {
         program: ctx.metadata.program.clone().unwrap_or_default(),
@@ -76,7 +90,11 @@
     };
     let (turn, reply) = OpenTurn::reserve(gateway, begin).await;
     match reply {
-        Ok(TurnReply::Begun { chain, .. }) => {
+        Ok(TurnReply::Begun { chain, server }) => {
+            let chosen = server.and_then(|index| candidates.get(usize::try_from(index).ok()?));
+            if let Some((server, _)) = chosen {
+                slot.move_to(*server);
+            }
             ctx.chain_bytes = chain.iter().map(|text| text.len()).sum();
             let mut body = BytesMut::with_capacity(ctx.chain_bytes + ctx.body.len());
             for text in &chain {
@@ -97,6 +115,35 @@
     }
 }
 
+/// Servers that may run the turn with the time expected there, the one whose slot is held first.
+fn candidates(gateway: &Gateway, own: ServerKey, request: &dispatch::Request) -> Vec<(ServerKey, Duration)> {
+    let mut found = gateway.dispatch.borrow_mut().candidates(gateway.clock.now(), request);
+    let expected = found.iter().find(|(server, _)| *server == own).or(found.first());
+    let Some((_, expected)) = expected.copied() else {
+        return Vec::new();
+    };
+    found.retain(|(server, _)| *server != own);
+    found.insert(0, (own, expected));
+    found.truncate(MAX_CANDIDATES);
+    found
+}
+
+/// The candidates as they are sent to the state group. A server is left unnamed if the list no longer holds it.
+fn named(gateway: &Gateway, candidates: &[(ServerKey, Duration)]) -> Vec<Candidate> {
+    let dispatch = gateway.dispatch.borrow();
+    let mut previous_slots = 0;
+    let candidate = |(server, expected): &(ServerKey, Duration)| {
+        let instance = dispatch.instance(*server);
+        let slots = instance.map_or(previous_slots, |instance| instance.slots);
+        Candidate {
+            server: instance.map(|instance| instance.id.clone()).unwrap_or_default(),
+            expected_us: u32::try_from(expected.as_micros()).unwrap_or(u32::MAX),
+            slots: if std::mem::replace(&mut previous_slots, slots) == slots { 0 } else { slots },
+        }
+    };
+    candidates.iter().map(candidate).collect()
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/agatetrestle/src/gateway/slot.rs
+++ b/agatetrestle/src/gateway/slot.rs
@@ -76,6 +76,14 @@
         }
     }
 
+    /// Moves the slot to another server before the request is sent, if that server accepts it.
+    pub(super) fn move_to(&mut self, server: ServerKey) {
+        let now = self.gateway.clock.now();
+        if self.gateway.dispatch.borrow_mut().reassign(now, self.server, server) {
+            self.server = server;
+        }
+    }
+
     /// Releases the slot and reports how the attempt ended.
     pub(super) fn release(mut self, outcome: RequestOutcome) {
         self.finish(outcome);
--- a/agatetrestle/src/gateway/turn.rs
+++ b/agatetrestle/src/gateway/turn.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use agatetrestle_config::deployment::Placement;
 use futures::future::LocalBoxFuture;
 use log::warn;
 
 use crate::codec::Blob;
+use crate::dispatch::ServerLoad;
 use crate::gateway::Gateway;
 use crate::ports::GroupError;
 use crate::turns::command::Begin;
@@ -31,6 +33,10 @@
     name: TurnId,
     spent: u64,
     run_ms: Option<u64>,
+    /// The server that it was last sent to, with its load as it reported it, and whether it failed the turn.
+    server: Option<Arc<str>>,
+    load: Option<(u32, u32)>,
+    failed: bool,
     settled: bool,
 }
 
@@ -56,6 +62,9 @@
             name: begin.turn.clone(),
             spent: 0,
             run_ms: None,
+            server: None,
+            load: None,
+            failed: false,
             settled: false,
         };
         let reply = gateway.turns.commit(TurnCommand::Begin(begin)).await;
@@ -72,6 +81,22 @@
         self.run_ms = u64::try_from(took.as_millis()).ok();
     }
 
+    /// Records that the turn is sent to a server.
+    pub fn record_server(&mut self, server: &Arc<str>) {
+        (self.server, self.load, self.failed) = (Some(server.clone()), None, false);
+    }
+
+    /// Records the load that the server reported with its response, and whether that is an error of the server.
+    pub fn record_head(&mut self, load: Option<ServerLoad>, failed: bool) {
+        self.load = load.map(|load| (load.running, load.waiting));
+        self.failed = failed;
+    }
+
+    /// Records that the server did not complete the turn.
+    pub fn record_failure(&mut self) {
+        self.failed = true;
+    }
+
     /// Settles the turn and retains its transcript.
     ///
     /// # Errors
@@ -96,14 +121,13 @@
 
     fn finish_command(&self, kept: Option<RetainedTurn>) -> TurnCommand {
         let (program, team, turn) = (self.program.clone(), self.team.clone(), self.name.clone());
-        TurnCommand::Finish(Finish {
-            program,
-            team,
-            turn,
-            spent: self.spent,
-            ran: self.run_ms,
-            kept,
-            ..Finish::default()
+        let finish =
+            Finish { program, team, turn, spent: self.spent, ran: self.run_ms, kept, ..Finish::default() };
+        TurnCommand::Finish(match self.gateway.placement {
+            Placement::Entry => finish,
+            Placement::Leader => {
+                Finish { server: self.server.clone(), load: self.load, failed: self.failed, ..finish }
+            }
         })
     }
 }
--- a/agatetrestle/src/turns/admission.rs
+++ b/agatetrestle/src/turns/admission.rs
@@ -1,6 +1,7 @@
-//! Admission of turns by the leader of a state group: rate limits of teams and limits of active programs.
+//! Admission of turns by the leader of a state group: rate limits of teams, limits of active programs, and placement.
 //!
-//! This state is not replicated: a new leader starts with empty buckets ([`crate::allowance`]) and no active programs.
+//! This state is not replicated: a new leader starts with empty buckets ([`crate::allowance`]), no active programs and no
+//! knowledge of servers.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,6 +22,7 @@
 use crate::turns::limiter::ProgramLimiter;
 use crate::turns::limiter::ProgramStart;
 use crate::turns::limiter::TurnStart;
+use crate::turns::placement::Placement;
 use crate::turns::state::TurnState;
 
 /// Admission checks of one state group.
@@ -28,13 +30,18 @@
 pub struct TurnAdmission {
     rate_limiter: RateLimiter,
     program_limiter: ProgramLimiter,
+    placement: Placement,
 }
 
 impl TurnAdmission {
     /// Starts without teams and active programs.
     #[must_use]
     pub fn new(bounds: AllowanceBounds) -> Self {
-        Self { rate_limiter: RateLimiter::new(bounds), program_limiter: ProgramLimiter::default() }
+        Self {
+            rate_limiter: RateLimiter::new(bounds),
+            program_limiter: ProgramLimiter::default(),
+            placement: Placement::default(),
+        }
     }
 
     /// Replaces the configured teams.
@@ -90,7 +97,25 @@
         Ok(())
     }
 
-    /// Updates the active programs after a command was applied.
+    /// Chooses among the candidates of a turn that [`Self::check`] let pass; see [`Placement::place`].
+    pub fn place(&mut self, now: Timestamp, command: &TurnCommand) -> Option<u32> {
+        let TurnCommand::Begin(begin) = command else {
+            return None;
+        };
+        for report in self.placement.take_report(now) {
+            info!("{report}");
+        }
+        self.placement.place(now, begin)
+    }
+
+    /// Forgets the choice for a turn whose command was not applied.
+    pub fn abandon(&mut self, command: &TurnCommand) {
+        if let TurnCommand::Begin(begin) = command {
+            self.placement.abandon(&begin.turn);
+        }
+    }
+
+    /// Updates the active programs and the load of servers after a command was applied.
     pub fn record_applied(&mut self, now: Timestamp, command: &TurnCommand, state: &TurnState) {
         match command {
             TurnCommand::Begin(begin) if is_open(state, begin) => {
@@ -105,7 +130,9 @@
                     self.program_limiter.begin(now, start);
                 }
             }
+            TurnCommand::Begin(_) => self.abandon(command),
             TurnCommand::Finish(finish) => {
+                self.placement.finish(now, finish);
                 self.program_limiter.finish(now, &finish.turn, finish.ran.map(Duration::from_millis));
             }
             _ => {}
--- a/agatetrestle/src/turns/command.rs
+++ b/agatetrestle/src/turns/command.rs
@@ -9,6 +9,7 @@
 use crate::codec::Blob;
 use crate::codec::decode;
 use crate::codec::encode;
+use crate::ids::NodeId;
 
 /// Identifier of a turn: the caller's attempt that it answers.
 pub type TurnId = Arc<str>;
@@ -62,6 +63,9 @@
     /// Servers that may run the turn, the entry's own choice first, at most [`MAX_CANDIDATES`].
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub candidates: Vec<Candidate>,
+    /// The entry that sends the command, if it names candidates; see [`crate::turns::placement`].
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub entry: Option<NodeId>,
 }
 
 /// Servers that an entry names for a turn. More improve the choice little and lengthen each log entry.
@@ -74,6 +78,14 @@
     pub server: Arc<str>,
     /// Microseconds that the entry expects the turn to take there without the load of other requests.
     pub expected_us: u32,
+    /// Requests that the server runs concurrently; 0 if as many as the candidate before it.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub slots: u32,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_zero(number: &u32) -> bool {
+    *number == 0
 }
 
 /// Header of an encoded command: milliseconds since the leader's previous command, then the length of the encoded part that
@@ -114,6 +126,18 @@
         }
     }
 
+    /// The command as it is appended to the log: without the candidates, which only the leader that decides needs. `None` if it
+    /// names none.
+    #[must_use]
+    pub fn without_candidates(&self) -> Option<Self> {
+        let Self::Begin(begin) = self else {
+            return None;
+        };
+        let opening = begin.opening.as_ref().filter(|opening| !opening.candidates.is_empty())?;
+        let opening = AdmissionParams { candidates: Vec::new(), entry: None, ..opening.clone() };
+        Some(Self::Begin(Begin { opening: Some(opening), ..begin.clone() }))
+    }
+
     fn text(&self) -> &[u8] {
         match self {
             Self::Finish(Finish { kept: Some(kept), .. }) => &kept.text,
--- a/agatetrestle/src/turns/mod.rs
+++ b/agatetrestle/src/turns/mod.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod command;
 pub mod limiter;
+pub mod placement;
 pub mod state;
 #[cfg(test)]
 mod tests;
--- a/agatetrestle/src/turns/tests.rs
+++ b/agatetrestle/src/turns/tests.rs
@@ -20,6 +20,7 @@
 
 mod burst;
 mod limiter;
+mod placement;
 
 const RETENTION: u64 = 60_000;
 
--- a/agatetrestle/src/turns/tests/burst.rs
+++ b/agatetrestle/src/turns/tests/burst.rs
@@ -1,7 +1,8 @@
 //! Simulates a burst of programs in virtual time, with the real dispatch of each entry and the real program limiter.
 //!
 //! Programs have 1 to 13 turns, some followed by sub-agents, and a deadline relative to their duration on idle engines.
-//! Rejected programs retry after the returned delay.
+//! Rejected programs retry after the returned delay. Engines may differ in speed, and the leaders of the state groups may place
+//! the turns.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -20,10 +21,18 @@
 use crate::dispatch::RequestOutcome;
 use crate::dispatch::ServerKey;
 use crate::dispatch::ServerLoad;
+use crate::ids::NodeId;
 use crate::scheduler::random::Random;
+use crate::turns::command::AdmissionParams;
+use crate::turns::command::Begin;
+use crate::turns::command::Candidate;
+use crate::turns::command::Finish;
+use crate::turns::command::MAX_CANDIDATES;
 use crate::turns::limiter::ProgramLimiter;
 use crate::turns::limiter::ProgramStart;
 use crate::turns::limiter::TurnStart;
+use crate::turns::placement::Placement;
+use crate::turns::placement::ServiceReport;
 
 const ENTRIES: usize = 57;
 const ENGINES: usize = 48;
@@ -50,6 +59,14 @@
 const BURST_START_SECOND: u64 = 6;
 const BURST_END_SECOND: u64 = 12;
 const SIMULATED_SECONDS: u64 = 22;
+/// Percentage by which each other running turn slows a turn down on engines of uneven speed.
+const CONCURRENCY_SLOWDOWN_PERCENT: u64 = 3;
+/// Speeds of uneven engines: the time of a turn in hundredths of the average.
+const UNEVEN_SPEED_PERCENT: (u64, u64) = (60, 144);
+/// Each fifth engine is five times slower in these seconds of a scenario with slow engines.
+const SLOW_SECONDS: std::ops::Range<u64> = 3..7;
+/// Time without placement after the leaders are lost.
+const ELECTION_US: u64 = SECOND;
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Event {
@@ -82,6 +99,38 @@
     Timeout {
         ticket: u64,
     },
+    /// The end of the turn is committed.
+    Settle {
+        ticket: u64,
+    },
+}
+
+/// Speeds of the engines.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Speeds {
+    /// Each turn takes [`SERVICE_TIME_US`].
+    Even,
+    /// Turns differ in size, and engines differ by a factor of 2.4.
+    Uneven,
+    /// Turns differ in size, and a fifth of the engines is five times slower in [`SLOW_SECONDS`].
+    FifthSlow,
+}
+
+/// Parameters of a simulation.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Scenario {
+    pub(super) with_limiter: bool,
+    pub(super) seconds: u64,
+    /// Programs that start in a second of the burst, and in any other.
+    pub(super) burst_load: u64,
+    pub(super) base_load: u64,
+    pub(super) speeds: Speeds,
+    /// State groups whose leaders place turns; 0 leaves the choice to each entry.
+    pub(super) groups: usize,
+    /// Time at which all leaders are lost.
+    pub(super) leaders_lost_at: Option<u64>,
+    /// Whether the first entry reports each of its turns as failed, and the second one ten times their run time.
+    pub(super) wrong_reports: bool,
 }
 
 #[derive(Default)]
@@ -109,17 +158,36 @@
     expires: u64,
     sent_at: u64,
     excluded: Vec<ServerKey>,
+    arrived_at: u64,
+    engine: Option<usize>,
+    /// Load of the engine when it started the turn.
+    load: Option<(u32, u32)>,
 }
 
 /// Outcomes of the programs that started in one second.
 #[derive(Clone, Copy, Debug, Default)]
-struct SecondStats {
-    begun: u32,
-    on_time: u32,
+pub(super) struct SecondStats {
+    pub(super) begun: u32,
+    pub(super) on_time: u32,
     rejected: u32,
 }
 
+/// Results of a simulation.
+pub(super) struct Results {
+    pub(super) seconds: Vec<SecondStats>,
+    /// Sorted times of completed turns from their arrival, in microseconds.
+    pub(super) latencies: Vec<u64>,
+    /// Reports of the leaders, the first group first.
+    pub(super) reports: Vec<ServiceReport>,
+}
+
 struct Simulation {
+    scenario: Scenario,
+    leaders: Vec<Placement>,
+    /// Ends of turns that are not committed yet, by ticket.
+    settling: HashMap<u64, (usize, Finish)>,
+    latencies: Vec<u64>,
+    reports: Vec<ServiceReport>,
     rng: Random,
     limiter: Option<ProgramLimiter>,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
@@ -138,6 +206,20 @@
 }
 
 fn simulate(with_limiter: bool, seed: u64) -> Vec<SecondStats> {
+    let scenario = Scenario {
+        with_limiter,
+        seconds: SIMULATED_SECONDS,
+        burst_load: BURST_LOAD_PER_SECOND,
+        base_load: BASE_LOAD_PER_SECOND,
+        speeds: Speeds::Even,
+        groups: 0,
+        leaders_lost_at: None,
+        wrong_reports: false,
+    };
+    simulate_scenario(scenario, seed).seconds
+}
+
+pub(super) fn simulate_scenario(scenario: Scenario, seed: u64) -> Results {
     let instance = |number: usize| Instance {
         id: format!("e-{number}").into(),
         service: SERVICE.into(),
@@ -150,7 +232,12 @@
     let instances: Vec<Instance> = (0..ENGINES).map(instance).collect();
     let mut simulation = Simulation {
         rng: Random::new(seed),
-        limiter: with_limiter.then(ProgramLimiter::default),
+        limiter: scenario.with_limiter.then(ProgramLimiter::default),
+        leaders: (0..scenario.groups).map(|_| Placement::default()).collect(),
+        settling: HashMap::new(),
+        latencies: Vec::new(),
+        reports: Vec::new(),
+        scenario,
         events: BinaryHeap::new(),
         sequence: 0,
         entries: Vec::new(),
@@ -172,16 +259,21 @@
         simulation.entries.push(entry);
     }
     simulation.run();
-    simulation.stats.into_values().collect()
+    simulation.latencies.sort_unstable();
+    Results {
+        seconds: simulation.stats.into_values().collect(),
+        latencies: simulation.latencies,
+        reports: simulation.reports,
+    }
 }
 
 impl Simulation {
     fn run(&mut self) {
-        for second in 0..SIMULATED_SECONDS {
+        for second in 0..self.scenario.seconds {
             let rate = if (BURST_START_SECOND..BURST_END_SECOND).contains(&second) {
-                BURST_LOAD_PER_SECOND
+                self.scenario.burst_load
             } else {
-                BASE_LOAD_PER_SECOND
+                self.scenario.base_load
             };
             for _ in 0..rate {
                 let start = second * SECOND + self.rng.below(SECOND);
@@ -233,6 +325,7 @@
             Event::Complete { engine, ticket } => self.complete(now, engine, ticket),
             Event::Respond { engine, ticket, load, full } => self.respond(now, engine, ticket, load, full),
             Event::Timeout { ticket } => self.timeout(now, ticket),
+            Event::Settle { ticket } => self.settle(now, ticket),
         }
     }
 
@@ -275,6 +368,9 @@
                 expires: now + TURN_TIMEOUT_US,
                 sent_at: now,
                 excluded: Vec::new(),
+                arrived_at: now,
+                engine: None,
+                load: None,
             },
         );
         self.schedule(now + COMMIT_DELAY_US, Event::Dispatch { ticket });
@@ -296,8 +392,14 @@
         let Some(turn) = self.turns.get(&ticket) else {
             return;
         };
-        let (entry, program) = (turn.entry, &self.programs[turn.program]);
-        let request = Request {
+        let (entry, request) = (turn.entry, self.request(ticket, turn));
+        let decisions = self.entries[entry].submit(Timestamp(now), request);
+        self.apply(now, entry, decisions);
+    }
+
+    fn request(&self, ticket: u64, turn: &Turn) -> Request {
+        let program = &self.programs[turn.program];
+        Request {
             ticket,
             service: SERVICE.into(),
             priority: 1,
@@ -307,19 +409,100 @@
             finish_by: Timestamp(program.deadline),
             affinity: Some(turn.program as u64),
             excluded: turn.excluded.clone(),
+        }
+    }
+
+    /// Lets the leader of the program's group choose the server of a turn, and moves the turn there.
+    fn place(&mut self, now: u64, ticket: u64, own: ServerKey) -> ServerKey {
+        let Some(turn) = self.turns.get(&ticket) else {
+            return own;
         };
-        let decisions = self.entries[entry].submit(Timestamp(now), request);
-        self.apply(now, entry, decisions);
+        let lost = |at: u64| (at..at + ELECTION_US).contains(&now);
+        if self.leaders.is_empty()
+            || !turn.excluded.is_empty()
+            || self.scenario.leaders_lost_at.is_some_and(lost)
+        {
+            return own;
+        }
+        let request = self.request(ticket, turn);
+        let entry = &mut self.entries[turn.entry];
+        let mut candidates = entry.candidates(Timestamp(now), &request);
+        let expected =
+            candidates.iter().find(|(key, _)| *key == own).map_or(candidates[0].1, |found| found.1);
+        candidates.retain(|(key, _)| *key != own);
+        candidates.insert(0, (own, expected));
+        candidates.truncate(MAX_CANDIDATES);
+        let candidate = |(key, expected): &(ServerKey, Duration)| Candidate {
+            server: entry.instance(*key).unwrap().id.clone(),
+            expected_us: u32::try_from(expected.as_micros()).unwrap(),
+            slots: SLOTS_PER_ENGINE,
+        };
+        let opening = AdmissionParams {
+            service: SERVICE.into(),
+            route: SERVICE.into(),
+            patience: (turn.expires - now) / MILLISECOND,
+            candidates: candidates.iter().map(candidate).collect(),
+            entry: Some(NodeId(turn.entry as u64 + 1)),
+            ..AdmissionParams::default()
+        };
+        let begin = Begin {
+            program: name(turn.program as u64),
+            team: "".into(),
+            turn: name(ticket),
+            budget: None,
+            most: 0,
+            previous: None,
+            carried: Vec::new(),
+            opening: Some(opening),
+        };
+        let leader = &mut self.leaders[turn.program % self.scenario.groups];
+        self.reports.extend(leader.take_report(Timestamp(now)));
+        let chosen = leader.place(Timestamp(now), &begin).map_or(own, |index| candidates[index as usize].0);
+        if entry.reassign(Timestamp(now), own, chosen) { chosen } else { own }
+    }
+
+    /// What the entry reports at the end of a turn.
+    fn report(&mut self, now: u64, ticket: u64, turn: &Turn, completed: bool) {
+        if self.leaders.is_empty() {
+            return;
+        }
+        let wrong = |entry: usize| self.scenario.wrong_reports && turn.entry == entry;
+        let factor = if wrong(1) { 10 } else { 1 };
+        let finish = Finish {
+            program: name(turn.program as u64),
+            turn: name(ticket),
+            ran: (completed && !wrong(0)).then(|| (now - turn.sent_at) / MILLISECOND * factor),
+            server: turn.engine.map(|engine| format!("e-{engine}").into()),
+            load: turn.load,
+            failed: wrong(0),
+            ..Finish::default()
+        };
+        self.settling.insert(ticket, (turn.program % self.scenario.groups, finish));
+        self.schedule(now + COMMIT_DELAY_US, Event::Settle { ticket });
+    }
+
+    fn settle(&mut self, now: u64, ticket: u64) {
+        let (group, finish) = self.settling.remove(&ticket).unwrap();
+        if let Some(at) = self.scenario.leaders_lost_at.filter(|at| *at <= now) {
+            for leader in &mut self.leaders {
+                *leader = Placement::default();
+            }
+            // The next leaders start without evidence, and learn nothing before they lead.
+            self.scenario.leaders_lost_at = (now < at + ELECTION_US).then_some(at);
+        }
+        self.leaders[group].finish(Timestamp(now), &finish);
     }
 
     fn apply(&mut self, now: u64, entry: usize, decisions: Vec<Decision>) {
         for decision in decisions {
             match decision {
                 Decision::Send { ticket, server } => {
+                    let server = self.place(now, ticket, server);
+                    let engine = self.server_keys[entry].iter().position(|key| *key == server).unwrap();
                     if let Some(turn) = self.turns.get_mut(&ticket) {
                         turn.sent_at = now;
+                        turn.engine = Some(engine);
                     }
-                    let engine = self.server_keys[entry].iter().position(|key| *key == server).unwrap();
                     self.schedule(now + NETWORK_DELAY_US, Event::Deliver { engine, ticket });
                 }
                 Decision::Reject { ticket, retry_after, .. } => {
@@ -346,6 +529,10 @@
             let server_time = completed.then(|| Duration::from_micros(now - turn.sent_at));
             limiter.finish(Timestamp(now + COMMIT_DELAY_US), &name(ticket), server_time);
         }
+        if completed {
+            self.latencies.push(now - turn.arrived_at);
+        }
+        self.report(now, ticket, &turn, completed);
         Some(turn)
     }
 
@@ -353,7 +540,7 @@
         let state = &mut self.engines[engine];
         if state.running < SLOTS_PER_ENGINE {
             state.running += 1;
-            self.schedule(now + SERVICE_TIME_US, Event::Complete { engine, ticket });
+            self.start_service(now, engine, ticket);
         } else if state.queue.len() < MAX_QUEUE_PER_ENGINE {
             state.queue.insert((1, ticket));
         } else {
@@ -362,6 +549,31 @@
         }
     }
 
+    fn start_service(&mut self, now: u64, engine: usize, ticket: u64) {
+        let state = &self.engines[engine];
+        if let Some(turn) = self.turns.get_mut(&ticket) {
+            turn.load = Some((state.running, u32::try_from(state.queue.len()).unwrap()));
+        }
+        let others = u64::from(state.running - 1);
+        let service_time = self.service_time(now, engine, ticket, others);
+        self.schedule(now + service_time, Event::Complete { engine, ticket });
+    }
+
+    fn service_time(&self, now: u64, engine: usize, ticket: u64, others: u64) -> u64 {
+        let (fastest, slowest) = UNEVEN_SPEED_PERCENT;
+        let percent = match self.scenario.speeds {
+            Speeds::Even => return SERVICE_TIME_US,
+            Speeds::Uneven => fastest + (slowest - fastest) * (engine as u64 * 7 % 48) / 47,
+            Speeds::FifthSlow => {
+                let is_slow = engine.is_multiple_of(5) && SLOW_SECONDS.contains(&(now / SECOND));
+                if is_slow { 500 } else { 100 }
+            }
+        };
+        let size_percent = 50 + Random::new(ticket).below(101);
+        let time = SERVICE_TIME_US * size_percent / 100 * percent / 100;
+        time * (100 + CONCURRENCY_SLOWDOWN_PERCENT * others) / 100
+    }
+
     fn complete(&mut self, now: u64, engine: usize, ticket: u64) {
         let state = &mut self.engines[engine];
         state.running -= 1;
@@ -370,7 +582,7 @@
         while let Some((_, next)) = state.queue.pop_first() {
             if self.turns.contains_key(&next) {
                 state.running += 1;
-                self.schedule(now + SERVICE_TIME_US, Event::Complete { engine, ticket: next });
+                self.start_service(now, engine, next);
                 break;
             }
         }
@@ -381,15 +593,17 @@
         let Some(turn) = self.turns.get_mut(&ticket) else {
             return;
         };
-        let entry = turn.entry;
+        let (entry, sent_at) = (turn.entry, turn.sent_at);
         let key = self.server_keys[entry][engine];
         turn.excluded.push(key);
         let load = ServerLoad { running: load.0, waiting: load.1 };
         self.entries[entry].record_load(Timestamp(now), key, load);
         let outcome = if full {
             RequestOutcome::Full
-        } else {
+        } else if self.scenario.speeds == Speeds::Even {
             RequestOutcome::Completed(Duration::from_micros(SERVICE_TIME_US + 2 * NETWORK_DELAY_US))
+        } else {
+            RequestOutcome::Completed(Duration::from_micros(now - sent_at))
         };
         let decisions = self.entries[entry].finish(Timestamp(now), key, outcome);
         self.apply(now, entry, decisions);
@@ -460,7 +674,7 @@
     }
 }
 
-fn on_time_ratio(seconds: &[SecondStats]) -> f64 {
+pub(super) fn on_time_ratio(seconds: &[SecondStats]) -> f64 {
     let begun: u32 = seconds.iter().map(|second| second.begun).sum();
     let on_time: u32 = seconds.iter().map(|second| second.on_time).sum();
     f64::from(on_time) / f64::from(begun)
--- a/agatetrestle_config/src/deployment.rs
+++ b/agatetrestle_config/src/deployment.rs
@@ -60,6 +60,20 @@
     /// Scheduling policy of an entry.
     #[serde(default)]
     pub decisions: Decisions,
+    /// Who chooses the server of a turn that is reserved at a state group; read by entries.
+    #[serde(default)]
+    pub placement: Placement,
+}
+
+/// Who chooses the server of a turn that is reserved at a state group.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Placement {
+    /// The entry that forwards it.
+    #[default]
+    Entry,
+    /// The leader of the state group, among the candidates that the entry sends.
+    Leader,
 }
 
 /// Scheduling policy of an entry: the default or, for comparisons, one with a decision replaced by a baseline.
--- a/agatetrestle_config/src/deployment/tests.rs
+++ b/agatetrestle_config/src/deployment/tests.rs
@@ -60,6 +60,17 @@
     assert!(parse_error(&missing_unit).contains("line 21"), "{}", parse_error(&missing_unit));
 }
 
+/// Guards against sending candidates where the settings do not ask for it, and against accepting misspelt values.
+#[test]
+fn placement_defaults_to_the_entry() {
+    let parse = |text: &str| Deployment::parse("process.yaml", text).unwrap().placement;
+    assert_eq!(parse(ENTRY), Placement::Entry);
+    assert_eq!(parse(&format!("{ENTRY}placement: entry\n")), Placement::Entry);
+    assert_eq!(parse(&format!("{ENTRY}placement: leader\n")), Placement::Leader);
+    let message = parse_error(&format!("{ENTRY}placement: leaders\n"));
+    assert!(message.contains("unknown variant `leaders`, expected `entry` or `leader`"), "{message}");
+}
+
 #[test]
 fn allowance_bounds_default_to_no_excess() {
     let with_allowance = |fields: &str| {
