--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -125,8 +125,10 @@
         if let Err(reply) = admitted {
             return Submission::Applied(encode(&reply));
         }
+        let placed = self.admission.borrow_mut().place(now, &command);
+        let shortened = command.without_candidates().map(|logged| logged.encode(elapsed).into());
         let command = Rc::new(command);
-        let (index, outcome) = self.group.propose(payload);
+        let (index, outcome) = self.group.propose(shortened.unwrap_or(payload));
         if index.is_some() {
             // Time reported with a command that is not appended would be lost.
             self.leader_clock.set(leader_clock);
@@ -136,8 +138,10 @@
         if matches!(submission, Submission::Applied(_)) {
             let now = self.clock.now();
             self.group.machine(|state| self.admission.borrow_mut().record_applied(now, &command, state));
+        } else {
+            self.admission.borrow_mut().abandon(&command);
         }
-        submission
+        with_server(submission, placed)
     }
 
     fn progress(&self) -> LogProgress {
@@ -162,7 +166,10 @@
         let progress = self.progress();
         let mut pending = self.pending.borrow_mut();
         match self.group.machine(|state| pending.granted_chain(progress, state, &query)) {
-            Some(chain) => Submission::Applied(encode(&TurnReply::Begun { chain, server: None })),
+            Some(chain) => {
+                let server = self.admission.borrow().placed(&query.turn);
+                Submission::Applied(encode(&TurnReply::Begun { chain, server }))
+            }
             None => Submission::Refused("the outcome is not certain before the commit".into()),
         }
     }
@@ -181,6 +188,19 @@
     }
 }
 
+/// Adds the leader's choice of a server to the reply of the state machine, which is the same on every replica.
+fn with_server(submission: Submission, placed: Option<u32>) -> Submission {
+    let (Submission::Applied(reply), Some(_)) = (&submission, placed) else {
+        return submission;
+    };
+    match decode::<TurnReply>(reply) {
+        Ok(TurnReply::Begun { chain, .. }) => {
+            Submission::Applied(encode(&TurnReply::Begun { chain, server: placed }))
+        }
+        Ok(_) | Err(_) => submission,
+    }
+}
+
 impl GroupService for TurnService {
     fn submit(&self, request: Vec<u8>) -> LocalBoxFuture<'_, Submission> {
         Box::pin(self.serve(request))
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -235,12 +235,14 @@
     loop {
         let queued_at = gateway.clock.now();
         let slot = ServerSlot::acquire(gateway, dispatch_request(&ctx, queued_at, &retries.tried)).await;
-        let slot = slot
+        let mut slot = slot
             .map_err(|rejection| retries.give_up(format!("{:?}", rejection.reason), rejection.retry_after))?;
         let assigned_at = gateway.clock.now();
         log_entry.queue_time += assigned_at.since(queued_at);
         if !reserved {
-            let (reserved_turn, pending) = reserve::reserve_turn(gateway, &mut ctx).await?;
+            let request = dispatch_request(&ctx, assigned_at, &retries.tried);
+            let (reserved_turn, pending) =
+                reserve::reserve_turn(gateway, &mut ctx, &mut slot, &request).await?;
             turn = Some(reserved_turn);
             commit = pending;
             log_entry.reserve_time = gateway.clock.now().since(assigned_at);
@@ -250,6 +252,9 @@
         log_entry.tries += 1;
         retries.tried.push(slot.server);
         log_entry.server = gateway.address(slot.server).map(|(id, _)| id).unwrap_or_default();
+        if let Some(turn) = &mut turn {
+            turn.record_server(&log_entry.server);
+        }
         let is_last = !may_retry(&ctx, retries.may_have_run + 1);
         let sending = commit.race(attempt::send(gateway, &ctx, slot, is_last)).await;
         let failure = match sending? {
@@ -268,6 +273,9 @@
         if matches!(failure, SendFailure::NotSent(_)) {
             log_entry.tries -= 1;
         }
+        if let (Some(turn), SendFailure::MayHaveRun(_) | SendFailure::TimedOut) = (&mut turn, &failure) {
+            turn.record_failure();
+        }
         retries.record_failure(&ctx, failure)?;
     }
 }
--- a/agatetrestle/src/gateway/tests/early.rs
+++ b/agatetrestle/src/gateway/tests/early.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use agatetrestle_config::deployment::Placement;
 use futures::AsyncReadExt;
 use futures::AsyncWriteExt;
 use futures::FutureExt;
@@ -41,6 +42,7 @@
 use crate::gateway::wire::RequestMetadata;
 use crate::gateway::wire::ResponseMetadata;
 use crate::gateway::wire::WireFormat;
+use crate::ids::NodeId;
 use crate::ports::GroupError;
 use crate::ports::Labels;
 use crate::ports::Measurement;
@@ -220,7 +222,8 @@
             wire: wire.clone(),
             turns: turns.clone(),
             dispatch: Dispatch::new("a".into(), 1),
-            seed: 1,
+            node: NodeId(1),
+            placement: Placement::Entry,
             clock: Clock::start(),
             limits: limits.clone(),
             body_buffer_bytes: 1 << 20,
--- a/agatetrestle/src/turns/admission.rs
+++ b/agatetrestle/src/turns/admission.rs
@@ -1,7 +1,7 @@
-//! Admission of turns by the leader of a state group: rate limits of teams and limits of active programs.
+//! Admission of turns by the leader of a state group: rate limits of teams, limits of active programs, and placement.
 //!
-//! This state is not replicated: a new leader starts with empty buckets ([`crate::allowance`]). Where teams are declared it
-//! rebuilds the active programs from the log; without teams it starts with none.
+//! This state is not replicated: a new leader starts with empty buckets ([`crate::allowance`]) and no knowledge of servers.
+//! Where teams are declared it rebuilds the active programs from the log; without teams it starts with none.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,10 +19,12 @@
 use crate::turns::command::Begin;
 use crate::turns::command::Take;
 use crate::turns::command::TurnCommand;
+use crate::turns::command::TurnId;
 use crate::turns::command::TurnReply;
 use crate::turns::limiter::ProgramLimiter;
 use crate::turns::limiter::ProgramStart;
 use crate::turns::limiter::TurnStart;
+use crate::turns::placement::Placement;
 use crate::turns::program_admission;
 use crate::turns::program_admission::ProgramAdmission;
 use crate::turns::state::TurnState;
@@ -38,6 +40,7 @@
     program_limiter: ProgramLimiter,
     /// Replaces the limiter where teams are declared.
     program_admission: Option<TermAdmission>,
+    placement: Placement,
 }
 
 /// The admission of programs during one term.
@@ -80,7 +83,12 @@
     /// Starts without teams and active programs.
     #[must_use]
     pub fn new(bounds: AllowanceBounds) -> Self {
-        Self { rate_limiter: RateLimiter::new(bounds), program_limiter: ProgramLimiter::default(), program_admission: None }
+        Self {
+            rate_limiter: RateLimiter::new(bounds),
+            program_limiter: ProgramLimiter::default(),
+            program_admission: None,
+            placement: Placement::default(),
+        }
     }
 
     /// Replaces the configured teams.
@@ -198,7 +206,31 @@
         })
     }
 
-    /// Updates the active programs after a command was applied.
+    /// Chooses among the candidates of a turn that [`Self::check`] let pass; see [`Placement::place`].
+    pub fn place(&mut self, now: Timestamp, command: &TurnCommand) -> Option<u32> {
+        let TurnCommand::Begin(begin) = command else {
+            return None;
+        };
+        for report in self.placement.take_report(now) {
+            info!("{report}");
+        }
+        self.placement.place(now, begin)
+    }
+
+    /// The index of the candidate that was chosen for an open turn, if it is not the entry's own choice.
+    #[must_use]
+    pub fn placed(&self, turn: &TurnId) -> Option<u32> {
+        self.placement.placed(turn)
+    }
+
+    /// Forgets the choice for a turn whose command was not applied.
+    pub fn abandon(&mut self, command: &TurnCommand) {
+        if let TurnCommand::Begin(begin) = command {
+            self.placement.abandon(&begin.turn);
+        }
+    }
+
+    /// Updates the active programs and the load of servers after a command was applied.
     pub fn record_applied(&mut self, now: Timestamp, command: &TurnCommand, state: &TurnState) {
         if let Some(term_admission) = &mut self.program_admission {
             term_admission.record_first_applied(now, state);
@@ -206,12 +238,14 @@
         match command {
             TurnCommand::Begin(begin) if is_open(state, begin) => self.record_begin(now, begin),
             TurnCommand::Finish(finish) => {
+                self.placement.finish(now, finish);
                 let server_time = finish.ran.map(Duration::from_millis);
                 match &mut self.program_admission {
                     Some(TermAdmission { admission, .. }) => admission.finish(now, &finish.turn, server_time),
                     None => self.program_limiter.finish(now, &finish.turn, server_time),
                 }
             }
+            TurnCommand::Begin(_) => self.abandon(command),
             _ => {}
         }
     }
--- a/agatetrestle/src/turns/mod.rs
+++ b/agatetrestle/src/turns/mod.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod command;
 pub mod limiter;
+pub mod placement;
 pub mod program_admission;
 pub mod recent;
 pub mod state;
--- a/agatetrestle/src/turns/program_admission/classes.rs
+++ b/agatetrestle/src/turns/program_admission/classes.rs
@@ -190,7 +190,10 @@
             let mut claims: Vec<Claim> = load.teams.iter().map(claim).collect();
             // Teams within their shares fluctuate around their demand, for which a standard deviation is kept.
             let total: f64 = claims.iter().map(|claim| claim.demand).sum();
-            load.shares = Shares::new(capacity - HEADROOM_DEVIATIONS * total.min(capacity).max(0.0).sqrt(), &mut claims);
+            load.shares = Shares::new(
+                capacity - HEADROOM_DEVIATIONS * total.min(capacity).max(0.0).sqrt(),
+                &mut claims,
+            );
             load.shared_at = Some(now);
         }
         let demand = load.teams.get(team).map_or(0.0, |team| team.demand.per_second(now) * correction);
--- a/agatetrestle/src/turns/program_admission/mod.rs
+++ b/agatetrestle/src/turns/program_admission/mod.rs
@@ -217,8 +217,7 @@
     pub fn reconcile(&mut self, now: Timestamp, recent: &RecentPrograms) {
         let at = |millis: u64| Timestamp(now.0.saturating_sub(recent.age(millis).saturating_mul(1_000)));
         let ended = |(turn, open): &(&TurnId, &OpenTurn)| !recent.is_open(&open.program, turn);
-        let ended: Vec<TurnId> =
-            self.open_turns.iter().filter(ended).map(|(turn, _)| turn.clone()).collect();
+        let ended: Vec<TurnId> = self.open_turns.iter().filter(ended).map(|(turn, _)| turn.clone()).collect();
         for turn in ended {
             self.finish(now, &turn, None);
         }
--- a/agatetrestle/src/turns/program_admission/service.rs
+++ b/agatetrestle/src/turns/program_admission/service.rs
@@ -123,7 +123,8 @@
         let slots = self.slots_per_program[route];
         let finish_in = refused.map_or(start.finish_in, |first| first.finish_in);
         let duration = self.routes[route].duration(finish_in);
-        let slack = start.finish_in.map(|left| left.saturating_sub(duration.mul_f64(FEASIBLE_DURATION_RATIO)));
+        let slack =
+            start.finish_in.map(|left| left.saturating_sub(duration.mul_f64(FEASIBLE_DURATION_RATIO)));
         let refuse = |this: &Self, reason, delay: Duration| {
             let retry_after = delay.max(RETRY_DELAY.0);
             Err(Refusal { reason, retry_after, capacity, demand: this.classes.demand(now) })
--- a/agatetrestle/src/turns/tests.rs
+++ b/agatetrestle/src/turns/tests.rs
@@ -22,6 +22,7 @@
 mod contention;
 mod limiter;
 mod pending;
+mod placement;
 
 const RETENTION: u64 = 60_000;
 
--- a/agatetrestle/src/turns/tests/contention.rs
+++ b/agatetrestle/src/turns/tests/contention.rs
@@ -161,14 +161,24 @@
 
     pub(super) fn diagnose(&self) {
         for (team0, route) in [(false, 0), (false, 1), (true, 1)] {
-            let of: Vec<&Program> = self.programs.iter().filter(|p| BURST.contains(&(p.start / SECOND)) && (p.team == 0) == team0 && p.route == route).collect();
+            let of: Vec<&Program> = self
+                .programs
+                .iter()
+                .filter(|p| BURST.contains(&(p.start / SECOND)) && (p.team == 0) == team0 && p.route == route)
+                .collect();
             let never = of.iter().filter(|p| !p.begun).count();
             let late = of.iter().filter(|p| p.begun && !p.on_time).count();
             let late_direct = of.iter().filter(|p| p.begun && !p.on_time && p.refusals == 0).count();
             let refused = of.iter().filter(|p| p.refusals > 0).count();
-            let late_by: Vec<usize> = (6..12).map(|s| of.iter().filter(|p| p.begun && !p.on_time && p.start / SECOND == s).count()).collect();
-            let never_by: Vec<usize> = (6..12).map(|s| of.iter().filter(|p| !p.begun && p.start / SECOND == s).count()).collect();
-            println!("   burst team {team0} route {route}: {} programs, refused {refused} never {never} {never_by:?} late {late} {late_by:?} (direct {late_direct})", of.len());
+            let late_by: Vec<usize> = (6..12)
+                .map(|s| of.iter().filter(|p| p.begun && !p.on_time && p.start / SECOND == s).count())
+                .collect();
+            let never_by: Vec<usize> =
+                (6..12).map(|s| of.iter().filter(|p| !p.begun && p.start / SECOND == s).count()).collect();
+            println!(
+                "   burst team {team0} route {route}: {} programs, refused {refused} never {never} {never_by:?} late {late} {late_by:?} (direct {late_direct})",
+                of.len()
+            );
         }
     }
 
@@ -283,12 +293,13 @@
         let name: Arc<str> = ticket.to_string().into();
         let patience = REQUEST_TIMEOUT_US - refused_at.map_or(0, |at| now - at);
         let program = &mut self.programs[index];
-        if !program.begun && let Err(millis) = self.admission.admit(now, program, &name, patience) {
+        if !program.begun
+            && let Err(millis) = self.admission.admit(now, program, &name, patience)
+        {
             program.refusals += 1;
             if refused_at.is_none() {
                 let delay = (millis * MILLISECOND).min(patience / 3);
-                let retry =
-                    Event::Request { program: index, subagent_turns, resends, refused_at: Some(now) };
+                let retry = Event::Request { program: index, subagent_turns, resends, refused_at: Some(now) };
                 self.schedule(now + delay, retry);
             } else if resends < MAX_RESENDS {
                 let delay = (100 + self.rng.below(301)) * MILLISECOND;
