Replace the token bucket of a team by a sliding window, and decide first requests by what programs still need

Cause: a team whose limit is about its mean load got 736 of 911 responses 429, all for first requests. The bucket forgets unused rate beyond the burst, and its reserve assumed that active programs send their remaining requests within 1.25 s.

Change: the window holds rate * window + burst and 0.9 of the permitted overrun, under a line that lets a new leader grant half of the rate at once without knowing what was granted before. A program begins if what it, the active programs and reservations are expected to send fits into the window over the time in which they send it; its size comes from the route and the time to the deadline, which Take now carries too (optional fields). A refused program gets a reservation at its retry delay, and its size is remembered while it retries. The tests of allowance/tests.rs are unchanged.

--- a/agatetrestle/src/turns/admission.rs
+++ b/agatetrestle/src/turns/admission.rs
@@ -1,6 +1,6 @@
 //! Admission of turns by the leader of a state group: rate limits of teams and limits of active programs.
 //!
-//! This state is not replicated: a new leader starts with empty buckets ([`crate::allowance`]) and no active programs.
+//! This state is not replicated: a new leader starts with full windows ([`crate::allowance`]) and no active programs.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +10,7 @@
 
 use crate::allowance::Denial;
 use crate::allowance::OutgoingRequest;
+use crate::allowance::ProgramSize;
 use crate::allowance::RateLimiter;
 use crate::allowance::RequestKind;
 use crate::clock::Timestamp;
@@ -81,11 +82,9 @@
         }
         if params.charge {
             let kind = if starts_program { RequestKind::Beginning } else { RequestKind::Request };
-            self.charge(
-                now,
-                term,
-                OutgoingRequest { team: &begin.team, program: Some(&begin.program), kind },
-            )?;
+            let size = ProgramSize { route: Some(&params.route), finish_in: start.finish_in };
+            let request = OutgoingRequest { team: &begin.team, program: Some(&begin.program), kind };
+            self.charge(now, term, request, size)?;
         }
         Ok(())
     }
@@ -116,11 +115,19 @@
     pub fn take(&mut self, now: Timestamp, term: u64, take: &Take) -> TurnReply {
         let kind = if take.begins { RequestKind::Beginning } else { RequestKind::Request };
         let request = OutgoingRequest { team: &take.team, program: take.program.as_ref(), kind };
-        self.charge(now, term, request).err().unwrap_or(TurnReply::Taken)
+        let finish_in = take.finish_in.map(Duration::from_millis);
+        let size = ProgramSize { route: take.route.as_ref(), finish_in };
+        self.charge(now, term, request, size).err().unwrap_or(TurnReply::Taken)
     }
 
-    fn charge(&mut self, now: Timestamp, term: u64, request: OutgoingRequest<'_>) -> Result<(), TurnReply> {
-        self.rate_limiter.take(now, term, request).map_err(|denial| match denial {
+    fn charge(
+        &mut self,
+        now: Timestamp,
+        term: u64,
+        request: OutgoingRequest<'_>,
+        size: ProgramSize<'_>,
+    ) -> Result<(), TurnReply> {
+        self.rate_limiter.take_sized(now, term, request, size).map_err(|denial| match denial {
             Denial::OverLimit(retry_after) => {
                 let OutgoingRequest { team, kind, .. } = request;
                 info!(
--- a/agatetrestle/src/turns/command.rs
+++ b/agatetrestle/src/turns/command.rs
@@ -28,7 +28,7 @@
 }
 
 /// Payload of [`TurnCommand::Take`].
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Take {
     /// The team whose rate limit is charged.
     pub team: Arc<str>,
@@ -37,6 +37,12 @@
     pub program: Option<Arc<str>>,
     /// Whether the request is the first of its program.
     pub begins: bool,
+    /// The route that the request arrived on; `None` from entries that do not send it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub route: Option<Arc<str>>,
+    /// Milliseconds until the program's deadline; `None` if unknown.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub finish_in: Option<u64>,
 }
 
 /// Inputs for the leader's admission check of a turn that are not in the replicated state.
