--- a/agatetrestle/src/turns/admission.rs
+++ b/agatetrestle/src/turns/admission.rs
@@ -80,7 +80,11 @@
     /// Starts without teams and active programs.
     #[must_use]
     pub fn new(bounds: AllowanceBounds) -> Self {
-        Self { rate_limiter: RateLimiter::new(bounds), program_limiter: ProgramLimiter::default(), program_admission: None }
+        Self {
+            rate_limiter: RateLimiter::new(bounds),
+            program_limiter: ProgramLimiter::default(),
+            program_admission: None,
+        }
     }
 
     /// Replaces the configured teams.
@@ -222,18 +226,14 @@
         };
         let (service, route, turn) = (&params.service, &params.route, &begin.turn);
         let timeout = Duration::from_millis(params.patience);
-        match &mut self.program_admission {
-            Some(TermAdmission { admission, .. }) => {
-                let program = &account_key(&begin.team, &begin.program);
-                let (team, class) = (&begin.team, params.priority);
-                let start =
-                    program_admission::TurnStart { service, route, team, program, turn, class, timeout };
-                admission.begin(now, start);
-            }
-            None => {
-                let start = TurnStart { service, route, program: &begin.program, turn, timeout };
-                self.program_limiter.begin(now, start);
-            }
+        if let Some(TermAdmission { admission, .. }) = &mut self.program_admission {
+            let program = &account_key(&begin.team, &begin.program);
+            let (team, class) = (&begin.team, params.priority);
+            let start = program_admission::TurnStart { service, route, team, program, turn, class, timeout };
+            admission.begin(now, start);
+        } else {
+            let start = TurnStart { service, route, program: &begin.program, turn, timeout };
+            self.program_limiter.begin(now, start);
         }
     }
 
--- a/agatetrestle/src/turns/program_admission/classes.rs
+++ b/agatetrestle/src/turns/program_admission/classes.rs
@@ -15,8 +15,9 @@
 /// takes some hundred microseconds.
 const SHARES_INTERVAL: Duration = Duration::from_millis(100);
 /// Demand in slots below which an idle team is dropped.
-const HEADROOM_DEVIATIONS: f64 = 2.0;
 const NEGLIGIBLE_DEMAND: f64 = 0.01;
+/// Standard deviations of the demand that are kept free of teams which ask for more than their share.
+const HEADROOM_DEVIATIONS: f64 = 3.0;
 /// Shortest time from which demand is extrapolated.
 const MIN_KNOWN_TIME: Duration = Duration::from_secs(1);
 
@@ -188,9 +189,11 @@
                 demand: team.demand.per_second(now) * correction,
             };
             let mut claims: Vec<Claim> = load.teams.iter().map(claim).collect();
-            // Teams within their shares fluctuate around their demand, for which a standard deviation is kept.
-            let total: f64 = claims.iter().map(|claim| claim.demand).sum();
-            load.shares = Shares::new(capacity - HEADROOM_DEVIATIONS * total.min(capacity).max(0.0).sqrt(), &mut claims);
+            // What all teams but the largest need fluctuates around their demand.
+            let demands = || claims.iter().map(|claim| claim.demand);
+            let of_others = demands().sum::<f64>() - demands().fold(0.0, f64::max);
+            let headroom = HEADROOM_DEVIATIONS * of_others.clamp(0.0, capacity.max(0.0)).sqrt();
+            load.shares = Shares::new(capacity - headroom, &mut claims);
             load.shared_at = Some(now);
         }
         let demand = load.teams.get(team).map_or(0.0, |team| team.demand.per_second(now) * correction);
--- a/agatetrestle/src/turns/program_admission/estimates.rs
+++ b/agatetrestle/src/turns/program_admission/estimates.rs
@@ -23,6 +23,9 @@
 /// Duration of a program before any measurement, for those without a deadline.
 const PRIOR_DURATION_SECONDS: f64 = 3.0;
 
+/// Programs that must have ended before their slots are derived from them.
+const MIN_ENDED: f64 = 4.0;
+
 /// Factor by which an estimate decays over a time.
 pub(super) fn decay(elapsed: Duration) -> f64 {
     (-elapsed.as_secs_f64() / TIME_CONSTANT.as_secs_f64()).exp()
@@ -77,13 +80,17 @@
 }
 
 impl RouteEstimate {
-    /// Slots that one active program needs, if turns spend a part of their time on servers. Programs that began together have
-    /// few turns open at first, so it is at least the mean over the time of programs that ended.
+    /// Slots that one active program needs, if turns spend a part of their time on servers. This is the mean of two estimates:
+    /// the turns that are open now, too few while programs that began together are young, and the slot time of programs that
+    /// ended, which is late when servers become slow.
     pub(super) fn slots_per_program(&self, server_share: f64) -> f64 {
         let open_turns = (self.mean_open_turns + PRIOR_SLOTS_PER_PROGRAM * PRIOR_PROGRAMS)
             / (self.mean_programs + PRIOR_PROGRAMS);
+        if self.ended < MIN_ENDED {
+            return open_turns * server_share;
+        }
         let counted_seconds = self.seconds + self.ended * IDLE_TIMEOUT.as_secs_f64();
-        if self.ended > PRIOR_ENDED { self.slot_seconds / counted_seconds } else { open_turns * server_share }
+        f64::midpoint(self.slot_seconds / counted_seconds, open_turns * server_share)
     }
 
     /// Time that a program is expected to take at the present speed.
@@ -99,16 +106,13 @@
 
     /// Seconds of a slot that a program is expected to take.
     pub(super) fn slot_seconds(&self, finish_in: Option<Duration>) -> f64 {
-        match finish_in {
-            Some(finish_in) => {
-                finish_in.as_secs_f64() * (self.slot_ratios + PRIOR_SLOT_RATIO * PRIOR_ENDED)
-                    / (self.ended_with_deadline + PRIOR_ENDED)
-            }
-            None => {
-                let prior = PRIOR_DURATION_SECONDS * PRIOR_SLOTS_PER_PROGRAM;
-                (self.slot_seconds + prior * PRIOR_ENDED) / (self.ended + PRIOR_ENDED)
-            }
+        if let Some(finish_in) = finish_in {
+            let ratio = (self.slot_ratios + PRIOR_SLOT_RATIO * PRIOR_ENDED)
+                / (self.ended_with_deadline + PRIOR_ENDED);
+            return finish_in.as_secs_f64() * ratio;
         }
+        let prior = PRIOR_DURATION_SECONDS * PRIOR_SLOTS_PER_PROGRAM;
+        (self.slot_seconds + prior * PRIOR_ENDED) / (self.ended + PRIOR_ENDED)
     }
 
     /// Mean duration of a program.
--- a/agatetrestle/src/turns/program_admission/mod.rs
+++ b/agatetrestle/src/turns/program_admission/mod.rs
@@ -35,6 +35,8 @@
 /// Programs that are remembered on one service. Further ones begin without being counted; it is beyond the 310,000 programs
 /// of the whole design size.
 const MAX_PROGRAMS: usize = 400_000;
+/// Age in milliseconds beyond which a program without an open turn has ended.
+const ENDED_AGE_MS: u64 = 2_500;
 /// Weight of a team that declares no rate limit.
 const DEFAULT_WEIGHT: f64 = 1.0;
 /// Least weight, so that a team with a rate limit of zero divides nothing by zero.
@@ -217,12 +219,16 @@
     pub fn reconcile(&mut self, now: Timestamp, recent: &RecentPrograms) {
         let at = |millis: u64| Timestamp(now.0.saturating_sub(recent.age(millis).saturating_mul(1_000)));
         let ended = |(turn, open): &(&TurnId, &OpenTurn)| !recent.is_open(&open.program, turn);
-        let ended: Vec<TurnId> =
-            self.open_turns.iter().filter(ended).map(|(turn, _)| turn.clone()).collect();
+        let ended: Vec<TurnId> = self.open_turns.iter().filter(ended).map(|(turn, _)| turn.clone()).collect();
         for turn in ended {
             self.finish(now, &turn, None);
         }
+        let first = self.services.is_empty();
         for (name, program) in recent.programs() {
+            // What can be learnt from programs that ended was learnt the first time.
+            if !first && program.open.is_empty() && recent.age(program.last_used) > ENDED_AGE_MS {
+                continue;
+            }
             if self.services.len() >= MAX_SERVICES && !self.services.contains_key(&program.service) {
                 continue;
             }
--- a/agatetrestle/src/turns/program_admission/service.rs
+++ b/agatetrestle/src/turns/program_admission/service.rs
@@ -24,8 +24,10 @@
 /// programs have some slack.
 const MAX_UTILIZATION: f64 = 1.1;
 /// Part of the capacity by which that limit may be exceeded by a returning program with a reservation, since the expected
-/// time of its capacity is a mean, and by a program of a team that asks for no more than its share.
-const OVERRUN: f64 = 0.1;
+/// time of its capacity is a mean, and by a program of a team that asks for less than its share.
+const OVERRUN: f64 = 0.15;
+/// The same for a program of a class that is more urgent than those which use as much.
+const URGENT_OVERRUN: f64 = 0.3;
 /// Longest expected wait for which capacity is reserved. Less than the 200 to 400 ms that even the shortest deadlines leave,
 /// and than the third of 3 s for which callers wait.
 pub(super) const MAX_RESERVED_WAIT: Duration = Duration::from_millis(250);
@@ -123,7 +125,8 @@
         let slots = self.slots_per_program[route];
         let finish_in = refused.map_or(start.finish_in, |first| first.finish_in);
         let duration = self.routes[route].duration(finish_in);
-        let slack = start.finish_in.map(|left| left.saturating_sub(duration.mul_f64(FEASIBLE_DURATION_RATIO)));
+        let slack =
+            start.finish_in.map(|left| left.saturating_sub(duration.mul_f64(FEASIBLE_DURATION_RATIO)));
         let refuse = |this: &Self, reason, delay: Duration| {
             let retry_after = delay.max(RETRY_DELAY.0);
             Err(Refusal { reason, retry_after, capacity, demand: this.classes.demand(now) })
@@ -145,9 +148,10 @@
             + self.reservations.slots_of_team(class, team);
         let within_share = team_use + slots <= share.slots.max(slots);
         // The overrun of others must not delay a team that keeps to its share, or a more urgent class.
-        let overrun = capacity * OVERRUN;
-        let guaranteed = share.guaranteed || view.less_urgent > overrun;
-        if within_share && (ahead <= limit || guaranteed && used <= limit + overrun) {
+        let for_share = if share.guaranteed { capacity * OVERRUN } else { 0.0 };
+        let for_urgent = view.less_urgent.min(capacity * URGENT_OVERRUN);
+        let overrun = for_share.max(for_urgent);
+        if within_share && (ahead <= limit || overrun > 0.0 && used <= limit + overrun) {
             return Ok(());
         }
         let wait = self.time_until_free(ahead - limit, view.urgent / view.used.max(1.0));
@@ -285,8 +289,9 @@
         self.updated = self.updated.max(now);
     }
 
-    /// Takes the rebuilt counts as means.
+    /// Drops what has ended and takes the counts of the rest as means.
     pub(super) fn complete_rebuild(&mut self, now: Timestamp) {
+        self.advance(now);
         for route in &mut self.routes {
             route.seed_means();
         }
--- a/agatetrestle/src/turns/tests.rs
+++ b/agatetrestle/src/turns/tests.rs
@@ -21,6 +21,7 @@
 mod burst;
 mod contention;
 mod limiter;
+mod recent;
 
 const RETENTION: u64 = 60_000;
 
--- a/agatetrestle/src/turns/tests/contention.rs
+++ b/agatetrestle/src/turns/tests/contention.rs
@@ -37,8 +37,8 @@
 /// Programs per second of the urgent route and of the other one, three quarters of what the engines can do together.
 const URGENT_PER_SECOND: u64 = 92;
 const OTHER_PER_SECOND: u64 = 62;
-const BURST: std::ops::Range<u64> = 6..12;
-const SIMULATED_SECONDS: u64 = 18;
+const BURST: std::ops::Range<u64> = 5..11;
+const SIMULATED_SECONDS: u64 = 13;
 const URGENT: usize = 0;
 const OTHER: usize = 1;
 
@@ -53,7 +53,6 @@
     fork_points: Vec<u64>,
     open_subagents: u64,
     begun: bool,
-    done: bool,
     /// Responses 503 and the outcome.
     refusals: u32,
     on_time: bool,
@@ -76,6 +75,8 @@
     pub(super) burst_tenths: u64,
     /// Second at which the leader is replaced.
     pub(super) leader_lost: Option<u64>,
+    /// Engines that are slower by a factor of five during the burst.
+    pub(super) slow_engines: usize,
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -119,6 +120,7 @@
     turns: HashMap<u64, Turn>,
     engines: Vec<Engine>,
     max_open_turns: usize,
+    slow_engines: usize,
 }
 
 /// What became of the programs, and the most turns that were open at once.
@@ -136,7 +138,7 @@
         ratio(on_time, programs.len())
     }
 
-    pub(super) fn on_time_of_team(&self, team: usize) -> f64 {
+    fn on_time_of_team(&self, team: usize) -> f64 {
         self.on_time(|program| program.team == team)
     }
 
@@ -145,6 +147,25 @@
         teams.map(|team| self.on_time_of_team(team)).fold(1.0, f64::min)
     }
 
+    pub(super) fn other_teams(&self) -> f64 {
+        self.on_time(|program| program.team != BURST_TEAM)
+    }
+
+    /// Part of a route's programs of the burst that began.
+    pub(super) fn begun_of_route(&self, route: usize) -> f64 {
+        let chosen = |program: &&Program| BURST.contains(&(program.start / SECOND)) && program.route == route;
+        let programs: Vec<&Program> = self.programs.iter().filter(chosen).collect();
+        ratio(programs.iter().filter(|program| program.begun).count(), programs.len())
+    }
+
+    /// Responses 503 for each refused program of the other teams.
+    pub(super) fn refusals_of_other_teams(&self) -> f64 {
+        let refused = |program: &&Program| program.team != BURST_TEAM && program.refusals > 0;
+        let refusals: Vec<u32> =
+            self.programs.iter().filter(refused).map(|program| program.refusals).collect();
+        ratio(usize::try_from(refusals.iter().sum::<u32>()).unwrap(), refusals.len())
+    }
+
     pub(super) fn on_time_of_route(&self, route: usize) -> f64 {
         self.on_time(|program| program.route == route)
     }
@@ -159,19 +180,6 @@
         (total, ratio(usize::try_from(of_rejected).unwrap(), rejected.len()))
     }
 
-    pub(super) fn diagnose(&self) {
-        for (team0, route) in [(false, 0), (false, 1), (true, 1)] {
-            let of: Vec<&Program> = self.programs.iter().filter(|p| BURST.contains(&(p.start / SECOND)) && (p.team == 0) == team0 && p.route == route).collect();
-            let never = of.iter().filter(|p| !p.begun).count();
-            let late = of.iter().filter(|p| p.begun && !p.on_time).count();
-            let late_direct = of.iter().filter(|p| p.begun && !p.on_time && p.refusals == 0).count();
-            let refused = of.iter().filter(|p| p.refusals > 0).count();
-            let late_by: Vec<usize> = (6..12).map(|s| of.iter().filter(|p| p.begun && !p.on_time && p.start / SECOND == s).count()).collect();
-            let never_by: Vec<usize> = (6..12).map(|s| of.iter().filter(|p| !p.begun && p.start / SECOND == s).count()).collect();
-            println!("   burst team {team0} route {route}: {} programs, refused {refused} never {never} {never_by:?} late {late} {late_by:?} (direct {late_direct})", of.len());
-        }
-    }
-
     pub(super) fn total_on_time(&self) -> usize {
         let in_burst = |program: &&Program| BURST.contains(&(program.start / SECOND)) && program.on_time;
         self.programs.iter().filter(in_burst).count()
@@ -195,6 +203,7 @@
         turns: HashMap::new(),
         engines: std::iter::repeat_with(engine).take(ENGINES).collect(),
         max_open_turns: 0,
+        slow_engines: load.slow_engines,
     };
     for second in 0..SIMULATED_SECONDS {
         for number in 0..URGENT_PER_SECOND + OTHER_PER_SECOND {
@@ -245,7 +254,6 @@
             fork_points,
             open_subagents: 0,
             begun: false,
-            done: false,
             refusals: 0,
             on_time: false,
         });
@@ -283,12 +291,13 @@
         let name: Arc<str> = ticket.to_string().into();
         let patience = REQUEST_TIMEOUT_US - refused_at.map_or(0, |at| now - at);
         let program = &mut self.programs[index];
-        if !program.begun && let Err(millis) = self.admission.admit(now, program, &name, patience) {
+        if !program.begun
+            && let Err(millis) = self.admission.admit(now, program, &name, patience)
+        {
             program.refusals += 1;
             if refused_at.is_none() {
                 let delay = (millis * MILLISECOND).min(patience / 3);
-                let retry =
-                    Event::Request { program: index, subagent_turns, resends, refused_at: Some(now) };
+                let retry = Event::Request { program: index, subagent_turns, resends, refused_at: Some(now) };
                 self.schedule(now + delay, retry);
             } else if resends < MAX_RESENDS {
                 let delay = (100 + self.rng.below(301)) * MILLISECOND;
@@ -309,11 +318,16 @@
         self.schedule(sent, Event::Deliver { turn: ticket });
     }
 
+    fn service_time(&self, now: u64, turn: u64) -> u64 {
+        let slow = self.turns[&turn].engine < self.slow_engines && BURST.contains(&(now / SECOND));
+        if slow { SERVICE_US * 5 } else { SERVICE_US }
+    }
+
     fn deliver(&mut self, now: u64, turn: u64) {
         let engine = &mut self.engines[self.turns[&turn].engine];
         if engine.running < SLOTS_PER_ENGINE {
             engine.running += 1;
-            self.schedule(now + SERVICE_US, Event::Complete { turn });
+            self.schedule(now + self.service_time(now, turn), Event::Complete { turn });
         } else {
             engine.queue.push_back(turn);
         }
@@ -323,7 +337,10 @@
         let turn = self.turns.remove(&ticket).unwrap();
         let engine = &mut self.engines[turn.engine];
         match engine.queue.pop_front() {
-            Some(next) => self.schedule(now + SERVICE_US, Event::Complete { turn: next }),
+            Some(next) => {
+                let ends = now + self.service_time(now, next);
+                self.schedule(ends, Event::Complete { turn: next });
+            }
             None => engine.running -= 1,
         }
         let ended = now + COMMIT_US;
@@ -355,7 +372,6 @@
         } else if program.remaining_turns > 0 {
             self.schedule(at, next(0));
         } else {
-            program.done = true;
             program.on_time = ended <= program.deadline;
         }
     }
--- a/agatetrestle/src/turns/tests/contention/leader.rs
+++ b/agatetrestle/src/turns/tests/contention/leader.rs
@@ -1,13 +1,13 @@
 //! The leader's admission with the replicated state: with teams the rule under test, without teams the present limiter.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use agatetrestle_config::deployment::AllowanceBounds;
 
 use crate::routing::RateLimit;
 use crate::routing::Team;
 use crate::turns::admission::TurnAdmission;
+use crate::turns::clock::LeaderClock;
 use crate::turns::command::AdmissionParams;
 use crate::turns::command::Begin;
 use crate::turns::command::Finish;
@@ -28,7 +28,7 @@
     state: TurnState,
     teams: Vec<Arc<Team>>,
     term: u64,
-    executed: u64,
+    clock: LeaderClock,
 }
 
 impl Leader {
@@ -53,7 +53,7 @@
     fn new(teams: Vec<Arc<Team>>) -> Self {
         let mut admission = TurnAdmission::new(AllowanceBounds::default());
         admission.set_teams(at(0), &teams);
-        Self { admission, state: TurnState::default(), teams, term: 1, executed: 0 }
+        Self { admission, state: TurnState::default(), teams, term: 1, clock: LeaderClock::default() }
     }
 
     fn begin_command(
@@ -86,12 +86,10 @@
         })
     }
 
-    fn execute(&mut self, now: u64, command: TurnCommand) {
-        // Programs may report a finish before another's earlier begin by some milliseconds of commit time.
-        let elapsed = Duration::from_micros(now.saturating_sub(self.executed));
-        self.executed = self.executed.max(now);
+    fn execute(&mut self, now: u64, command: &TurnCommand) {
+        let elapsed = self.clock.advance(self.term, at(now));
         self.state.execute(TimedCommand { elapsed, command: command.clone() });
-        self.admission.record_applied(at(now), &command, &self.state);
+        self.admission.record_applied(at(now), command, &self.state);
     }
 }
 
@@ -111,7 +109,7 @@
 
     fn begin(&mut self, now: u64, program: &Program, turn: &Arc<str>, patience: u64) {
         let command = self.begin_command(now, program, turn, patience, true);
-        self.execute(now, command);
+        self.execute(now, &command);
     }
 
     fn finish(&mut self, now: u64, program: &Program, turn: &Arc<str>, server_us: u64) {
@@ -122,7 +120,7 @@
             ran: Some(server_us / 1_000),
             ..Finish::default()
         };
-        self.execute(now, TurnCommand::Finish(finish));
+        self.execute(now, &TurnCommand::Finish(finish));
     }
 
     fn replace_leader(&mut self) {
