--- a/agatetrestle/src/turns/tests.rs
+++ b/agatetrestle/src/turns/tests.rs
@@ -23,6 +23,7 @@
 mod limiter;
 mod pending;
 mod placement;
+mod recent;
 
 const RETENTION: u64 = 60_000;
 
