Write all queued calls between processes at once

Cause: the RPC library writes each message in two or more pieces and flushes after each message, and every piece was a system call and a packet.

Change: what is queued when a connection's task runs is collected and written in that poll; reads go through a buffer. A query for an early answer can now be read together with its begin, so the leader waits up to three turns of its executor for the begin.

--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use futures::future::LocalBoxFuture;
+use smol::future::yield_now;
 
 use crate::clock::Clock;
 use crate::cluster::message::ControlRequest;
@@ -83,6 +84,9 @@
     }
 }
 
+/// How often a query for an early answer lets other tasks run until its begin is proposed.
+const MAX_QUERY_YIELDS: u32 = 3;
+
 /// The service of a state group's replica. As the leader it adds the elapsed time to commands and admits new turns.
 pub struct TurnService {
     group: Rc<Group<TurnState>>,
@@ -150,15 +154,21 @@
 
     /// Answers an encoded [`BeginQuery`]: the reply that the begin will get when it commits if that is certain now, else a
     /// refusal, after which the entry waits for the commit.
-    #[must_use]
-    pub fn answer_early(&self, query: &[u8]) -> Submission {
-        if !self.group.confirms_leadership() {
-            return Submission::NotLeader(None);
-        }
+    pub async fn answer_early(&self, query: &[u8]) -> Submission {
         let query = match decode::<BeginQuery>(query) {
             Ok(query) => query,
             Err(error) => return Submission::Refused(error.to_string().into()),
         };
+        // The begin arrives first, but the RPC library may run its handler after that of the query.
+        for _ in 0..MAX_QUERY_YIELDS {
+            if self.pending.borrow().contains(&query) {
+                break;
+            }
+            yield_now().await;
+        }
+        if !self.group.confirms_leadership() {
+            return Submission::NotLeader(None);
+        }
         let progress = self.progress();
         let mut pending = self.pending.borrow_mut();
         match self.group.machine(|state| pending.granted_chain(progress, state, &query)) {
--- a/agatetrestle/src/deployment/store.rs
+++ b/agatetrestle/src/deployment/store.rs
@@ -190,9 +190,10 @@
 
 impl GroupService for EarlyAnswerService {
     fn submit(&self, request: Vec<u8>) -> LocalBoxFuture<'_, Submission> {
-        let service = self.0.turn_service();
-        let answer = service.map_or(Submission::NotLeader(None), |service| service.answer_early(&request));
-        Box::pin(async { answer })
+        let Some(service) = self.0.turn_service() else {
+            return Box::pin(async { Submission::NotLeader(None) });
+        };
+        Box::pin(async move { service.answer_early(&request).await })
     }
 
     fn history(&self, _offset: u64) -> Vec<u8> {
--- a/agatetrestle/src/node/mod.rs
+++ b/agatetrestle/src/node/mod.rs
@@ -16,6 +16,7 @@
 pub mod registry;
 pub mod replicas;
 pub mod router;
+pub(crate) mod rpc_stream;
 pub mod service;
 mod vm_list;
 pub mod wire;
--- a/agatetrestle/src/node/peer_link.rs
+++ b/agatetrestle/src/node/peer_link.rs
@@ -22,8 +22,6 @@
 use agatetrestle_schema::peer_capnp::peer;
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
-use capnp_rpc::twoparty::VatNetwork;
-use futures::AsyncReadExt;
 use futures::future::Either;
 use futures::future::LocalBoxFuture;
 use futures::future::select;
@@ -41,6 +39,7 @@
 
 use crate::agreement::message::Message;
 use crate::ids::GroupId;
+use crate::node::rpc_stream::RpcStream;
 use crate::node::wire::WireError;
 use crate::node::wire::read_message;
 use crate::node::wire::write_message;
@@ -312,7 +311,7 @@
         if let Err(error) = &connected {
             self.connect_failures.set((failures + 1, error.kind()));
         }
-        Ok(self.start_rpc(connected?))
+        Ok(self.start_rpc(&connected?))
     }
 
     async fn connect_any(&self) -> Result<TcpStream, LinkError> {
@@ -329,13 +328,13 @@
         Ok(stream)
     }
 
-    fn start_rpc(&self, stream: TcpStream) -> ConnectionHandle {
-        let (reader, writer) = stream.split();
-        let network = VatNetwork::new(reader, writer, Side::Client, capnp::message::ReaderOptions::new());
-        let mut system = RpcSystem::new(Box::new(network), None);
+    fn start_rpc(&self, stream: &TcpStream) -> ConnectionHandle {
+        let (connection, network) =
+            RpcStream::new(stream, Side::Client, capnp::message::ReaderOptions::new());
+        let mut system = RpcSystem::new(network, None);
         let client: peer::Client = system.bootstrap(Side::Server);
         let running = self.executor.spawn(async move {
-            if let Err(error) = system.await {
+            if let Err(error) = connection.drive(system).await {
                 debug!("A connection to a peer closed: {error}.");
             }
         });
--- a/agatetrestle/src/node/peer_server.rs
+++ b/agatetrestle/src/node/peer_server.rs
@@ -6,8 +6,6 @@
 use agatetrestle_schema::peer_capnp::peer;
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
-use capnp_rpc::twoparty::VatNetwork;
-use futures::AsyncReadExt;
 use log::debug;
 use smol::LocalExecutor;
 use smol::net::TcpListener;
@@ -16,6 +14,7 @@
 use crate::ids::GroupId;
 use crate::node::peer_link::MessageHandlers;
 use crate::node::registry::MemberRegistry;
+use crate::node::rpc_stream::RpcStream;
 use crate::node::service::GroupService;
 use crate::node::service::ReportService;
 use crate::node::service::Submission;
@@ -177,13 +176,12 @@
         debug!("Failed to set up a connection from a peer: {error}.");
         return;
     }
-    let (reader, writer) = stream.split();
     let mut options = capnp::message::ReaderOptions::new();
     options.traversal_limit_in_words(Some(MAX_CALL_WORDS));
-    let network = VatNetwork::new(reader, writer, Side::Server, options);
+    let (connection, network) = RpcStream::new(&stream, Side::Server, options);
     let client: peer::Client = capnp_rpc::new_client(handler);
-    let system = RpcSystem::new(Box::new(network), Some(client.client));
-    if let Err(error) = system.await {
+    let system = RpcSystem::new(network, Some(client.client));
+    if let Err(error) = connection.drive(system).await {
         debug!("A connection from a peer closed: {error}.");
     }
 }
--- a/agatetrestle/src/turns/state/pending.rs
+++ b/agatetrestle/src/turns/state/pending.rs
@@ -65,6 +65,13 @@
         }
     }
 
+    /// Whether a begin is recorded and may not be applied.
+    #[must_use]
+    pub fn contains(&self, query: &BeginQuery) -> bool {
+        let named = |pending: &PendingCommand| matches!(&*pending.command, TurnCommand::Begin(begin) if query.names(begin));
+        self.commands.iter().rev().any(named)
+    }
+
     /// The texts of the turns that a proposed begin continues, if it will certainly be granted when it commits. The caller
     /// must be a leader whose lease is valid and that has committed an entry of its own term.
     ///
