Choose servers by the expected completion time

Cause: the choice by numbers of requests uses one service time for all servers of a service, so a server that is slow but not full keeps its share of the requests, and neither contention nor the memory of engines counts.

Change: a performance model of each server (dispatch/model.rs, speed.rs) and a choice by the expected completion time (expected.rs), on only where a table declares kv_cache_tokens, responses carry the fourth figure of the load header, or speeds differ clearly. Dispatch::capacity, candidates, reassign and finish_request are new; reserve.rs passes the capacity. dispatch/mod.rs is split. Existing tests change only by the new fields of ServerLoad, Request, Service and Scenario and by one import.

--- a/agatetrestle/src/dispatch/choice.rs
+++ b/agatetrestle/src/dispatch/choice.rs
@@ -28,7 +28,7 @@
 
 impl Dispatch {
     /// Mean load that other nodes put on a server of a service, by recent reports.
-    fn mean_other_load(&self, now: Timestamp, service: &Arc<str>, load_ttl: Duration) -> f64 {
+    pub(super) fn mean_other_load(&self, now: Timestamp, service: &Arc<str>, load_ttl: Duration) -> f64 {
         let in_use = self.pools.get(service).into_iter().flat_map(Pool::in_use);
         let (mut sum, mut count) = (0.0, 0.0);
         for load in in_use.filter_map(|key| self.servers[key].recent_other_load(now, load_ttl)) {
@@ -60,6 +60,9 @@
         if is_partial && !keys.iter().any(|key| self.has_free_slot(now, *key, request, load_ttl)) {
             keys = self.pools[&request.service].all().collect();
         }
+        if self.is_modelled(now, &request.service) {
+            return self.choose_by_time(now, request, service_time, &keys, &candidates);
+        }
         let scored = self.score(now, &keys, request, load_ttl, tie_seed);
         let best = scored.iter().min_by(|a, b| a.1.total_cmp(&b.1).then(a.2.cmp(&b.2)))?;
         if self.policy == Decisions::RoundRobin {
--- a/agatetrestle/src/dispatch/decision.rs
+++ b/agatetrestle/src/dispatch/decision.rs
@@ -28,6 +28,30 @@
     pub affinity: Option<u64>,
     /// Servers that have already received it and must not receive it again.
     pub excluded: Vec<ServerKey>,
+    /// What indicates how long it takes.
+    pub profile: RequestProfile,
+}
+
+/// What indicates how long a request takes, as far as its caller declares it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RequestProfile {
+    /// Hash of the route's name. Requests of unknown size are expected to take as long as others of their route.
+    pub route: u64,
+    /// Tokens of the prompt, those of earlier turns included.
+    pub prompt_tokens: Option<u64>,
+    /// Limit on the generated tokens.
+    pub max_tokens: Option<u64>,
+    /// Hash and tokens of a prefix of the prompt that requests of other programs have too.
+    pub shared_prefix: Option<(u64, u64)>,
+}
+
+/// What was observed of the run of a request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RunProgress {
+    /// Time from sending the request to the start of its response.
+    pub first_byte: Option<Duration>,
+    /// Tokens that the response has brought.
+    pub generated_tokens: u64,
 }
 
 /// An action for the driver to carry out.
--- a/agatetrestle/src/dispatch/server.rs
+++ b/agatetrestle/src/dispatch/server.rs
@@ -10,11 +10,17 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Timestamp;
+use crate::dispatch::RequestProfile;
+use crate::dispatch::model::ServiceModel;
+use crate::dispatch::model::to_f64;
 use crate::dispatch::outlier::OutlierState;
+use crate::dispatch::speed::SpeedEstimate;
 
 /// Requests sent to a server beyond its slots, as a share of the slots. They take a freed slot at once, while requests
 /// queued at a node wait for its next response. A server that is full rejects a request without running it.
 const OVERCOMMIT_RATIO: f64 = 1.0;
+/// Weight of a new report in the average of a server's reports.
+const USUAL_LOAD_RATE: f64 = 0.3;
 /// Age up to which reported loads count towards the mean of the service, in multiples of the load TTL.
 const MEAN_LOAD_TTL_FACTOR: u32 = 4;
 /// Time after a response for which its connection is likely to be open; servers close idle ones later.
@@ -66,6 +72,8 @@
     pub running: u32,
     /// Requests queued in the server.
     pub waiting: u32,
+    /// How long work takes on the server's machine at the moment, in percent of the usual time.
+    pub percent: Option<u32>,
 }
 
 /// How a request to a server ended.
@@ -87,6 +95,17 @@
     Cancelled,
 }
 
+/// A request of this node at a server.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Run {
+    pub(super) ticket: u64,
+    pub(super) assigned_at: Timestamp,
+    pub(super) affinity: Option<u64>,
+    pub(super) profile: RequestProfile,
+    /// Tokens in the server's memory, without those of a shared prefix.
+    pub(super) held_tokens: f64,
+}
+
 /// A server and what this node knows about it.
 #[derive(Debug)]
 pub(super) struct Server {
@@ -99,6 +118,11 @@
     /// Requests of other nodes, as last reported.
     other_load: f64,
     load_reported_at: Timestamp,
+    /// Moving average of the reported requests of other nodes.
+    usual_other_load: Option<f64>,
+    /// This node's requests there, in the order in which they were assigned.
+    runs: Vec<Run>,
+    pub(super) speed: SpeedEstimate,
     backoff_until: Timestamp,
     consecutive_failures: u32,
     outlier: OutlierState,
@@ -117,6 +141,9 @@
             in_flight: 0,
             other_load: 0.0,
             load_reported_at: Timestamp(0),
+            usual_other_load: None,
+            runs: Vec::new(),
+            speed: SpeedEstimate::default(),
             backoff_until: Timestamp(0),
             consecutive_failures: 0,
             outlier: OutlierState::default(),
@@ -184,6 +211,61 @@
         let total = f64::from(load.running.saturating_add(load.waiting));
         self.other_load = (total - f64::from(self.in_flight)).max(0.0);
         self.load_reported_at = now;
+        let usual = self.usual_other_load.unwrap_or(self.other_load);
+        self.usual_other_load = Some(usual + (self.other_load - usual) * USUAL_LOAD_RATE);
+    }
+
+    /// Counts a request as in flight here.
+    pub(super) fn start_run(&mut self, run: Run) {
+        self.in_flight += 1;
+        self.runs.push(run);
+    }
+
+    /// Removes the request with a ticket, or the oldest one. The caller reports its end by [`Server::finish`].
+    pub(super) fn end_run(&mut self, ticket: Option<u64>) -> Option<Run> {
+        let index = ticket.and_then(|ticket| self.runs.iter().position(|run| run.ticket == ticket));
+        (!self.runs.is_empty()).then(|| self.runs.remove(index.unwrap_or(0)))
+    }
+
+    /// Takes back the request that was assigned last.
+    pub(super) fn take_last_run(&mut self) -> Option<Run> {
+        let run = self.runs.pop();
+        self.in_flight -= u32::from(run.is_some());
+        run
+    }
+
+    /// Factor by which it is slower than usual ones at least, since its oldest request is still in flight.
+    pub(super) fn overdue(&self, now: Timestamp, model: &ServiceModel, service_time: Duration) -> f64 {
+        let age = |run: &Run| model.overdue(now.since(run.assigned_at), &run.profile, service_time);
+        self.runs.first().map_or(1.0, age)
+    }
+
+    /// Tokens that this node's requests hold in the server's memory, with the prefix of one more request. Requests with the
+    /// same prefix share it.
+    pub(super) fn held_tokens(&self, prefix: Option<(u64, u64)>) -> f64 {
+        let own: f64 = self.runs.iter().map(|run| run.held_tokens).sum();
+        let mut prefixes: Vec<(u64, u64)> =
+            self.runs.iter().filter_map(|run| run.profile.shared_prefix).chain(prefix).collect();
+        prefixes.sort_unstable();
+        prefixes.dedup_by_key(|(hash, _)| *hash);
+        own + prefixes.iter().map(|(_, tokens)| to_f64(*tokens)).sum::<f64>()
+    }
+
+    /// Expected requests there and the variance of that number. Over the TTL a report loses its weight to an average of
+    /// the server's reports and of the service's.
+    pub(super) fn expected_load(
+        &self,
+        now: Timestamp,
+        mean_other_load: f64,
+        load_ttl: Duration,
+        own_weight: f64,
+    ) -> (f64, f64) {
+        let age = now.since(self.load_reported_at).as_secs_f64() / load_ttl.as_secs_f64();
+        let weight = (1.0 - age).max(0.0);
+        let usual = self.usual_other_load.unwrap_or(mean_other_load);
+        let expected = usual * own_weight + mean_other_load * (1.0 - own_weight);
+        let load = f64::from(self.in_flight) + self.other_load * weight + expected * (1.0 - weight);
+        (load, expected * (1.0 - weight))
     }
 
     pub(super) fn finish(&mut self, now: Timestamp, outcome: RequestOutcome) {
--- a/agatetrestle/src/dispatch/tests.rs
+++ b/agatetrestle/src/dispatch/tests.rs
@@ -4,9 +4,12 @@
 
 use super::*;
 
+mod engines;
+mod expected_time;
 mod large_fleet;
 mod simulation;
 mod stale_load;
+mod uneven_servers;
 mod unresponsive;
 
 const SERVICE: &str = "engines";
@@ -44,6 +47,7 @@
         finish_by: at(deadline),
         affinity: None,
         excluded: Vec::new(),
+        profile: RequestProfile::default(),
     }
 }
 
@@ -160,7 +164,7 @@
 fn avoids_server_loaded_by_other_nodes() {
     let mut dispatch = dispatch(&[instance("x", 4, "a"), instance("y", 4, "a")]);
     let first = server_of(&dispatch.submit(at(0), request(0, 4_000)));
-    dispatch.record_load(at(0), first, ServerLoad { running: 4, waiting: 1 });
+    dispatch.record_load(at(0), first, ServerLoad { running: 4, waiting: 1, percent: None });
     for ticket in 1..4 {
         assert_ne!(server_of(&dispatch.submit(at(1), request(ticket, 4_000))), first);
     }
@@ -221,10 +225,10 @@
         servers.push(server_of(&dispatch.submit(at(0), request(ticket, 9_000))));
     }
     for server in &servers {
-        dispatch.record_load(at(0), *server, ServerLoad { running: 7, waiting: 0 });
+        dispatch.record_load(at(0), *server, ServerLoad { running: 7, waiting: 0, percent: None });
     }
     for server in &servers[..2] {
-        dispatch.record_load(at(1_000), *server, ServerLoad { running: 7, waiting: 0 });
+        dispatch.record_load(at(1_000), *server, ServerLoad { running: 7, waiting: 0, percent: None });
     }
     let mut to_third = 0;
     for ticket in 10..16 {
@@ -439,7 +443,7 @@
     let mut dispatch = dispatch(&[started_at("x", 1_000)]);
     let first = server_of(&dispatch.submit(at(0), request(0, 9_000)));
     let in_flight = server_of(&dispatch.submit(at(0), request(1, 9_000)));
-    dispatch.record_load(at(1), first, ServerLoad { running: 6, waiting: 4 });
+    dispatch.record_load(at(1), first, ServerLoad { running: 6, waiting: 4, percent: None });
     dispatch.finish(at(1), first, COMPLETED);
     dispatch.mark_leaving(first);
     assert_eq!(dispatch.replace_instances(at(2), &[started_at("x", 1_000)]), [], "the same instance");
--- a/agatetrestle/src/dispatch/tests/large_fleet.rs
+++ b/agatetrestle/src/dispatch/tests/large_fleet.rs
@@ -5,6 +5,7 @@
 
 use super::*;
 use crate::cluster::message::ListVersion;
+use crate::cluster::versioned::BackendChange;
 use crate::scheduler::random::Random;
 
 const ZONES: usize = 5;
--- a/agatetrestle/src/dispatch/tests/simulation.rs
+++ b/agatetrestle/src/dispatch/tests/simulation.rs
@@ -5,6 +5,8 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
+use super::engines::EngineBehavior;
+use super::engines::Workload;
 use super::*;
 
 /// One-way network latency between a node and a server.
@@ -31,6 +33,8 @@
     pub(super) slowdown: u64,
     /// Time from the arrival of a request to its deadline.
     pub(super) time_limit: u64,
+    /// Model engines that run programs, in place of plain servers with requests of random length.
+    pub(super) engines: Option<EngineBehavior>,
 }
 
 /// Results of a simulation.
@@ -44,6 +48,12 @@
     pub(super) waits: Vec<u64>,
     /// Sorted times from arrival to response, in microseconds.
     pub(super) latencies: Vec<u64>,
+    /// Requests to engines that took clearly longer than they would on idle ones.
+    pub(super) late: usize,
+    /// Turns that an engine preempted for lack of memory.
+    pub(super) preempted: usize,
+    /// Turns run by each engine.
+    pub(super) runs: Vec<usize>,
 }
 
 impl Stats {
@@ -63,6 +73,8 @@
 
 #[derive(Default)]
 struct SimulatedServer {
+    /// Tokens of the running turns, on an engine.
+    held_tokens: u64,
     running: u32,
     queue: VecDeque<(usize, u64)>,
 }
@@ -77,6 +89,7 @@
     servers: Vec<SimulatedServer>,
     /// Times of arrival and of sending, by ticket.
     times: HashMap<u64, (u64, u64)>,
+    workload: Workload,
     stats: Stats,
 }
 
@@ -91,12 +104,15 @@
         keys: Vec::new(),
         servers: (0..scenario.servers).map(|_| SimulatedServer::default()).collect(),
         times: HashMap::new(),
-        stats: Stats::default(),
+        workload: Workload::new(scenario.engines.as_ref().map_or(1, |engines| engines.max_turns)),
+        stats: Stats { runs: vec![0; scenario.servers], ..Stats::default() },
         scenario,
     };
     for number in 0..simulation.scenario.nodes {
         let mut node = Dispatch::new("a".into(), seed ^ number as u64).with_policy(policy);
         node.replace_instances(Timestamp(0), &instances);
+        let memory = simulation.scenario.engines.as_ref().and_then(|engines| engines.memory_tokens);
+        node.set_memory(memory.map(|tokens| (SERVICE.into(), tokens)));
         let by_id = |instance: &Instance| node.by_id[&instance.id];
         simulation.keys.push(instances.iter().map(by_id).collect());
         simulation.nodes.push(node);
@@ -149,13 +165,24 @@
         let ticket = self.sequence;
         self.sequence += 1;
         self.times.insert(ticket, (now, now));
-        let deadline = Timestamp(now + self.scenario.time_limit);
-        let request = Request { started: true, deadline, finish_by: deadline, ..request(ticket, 0) };
+        if self.scenario.engines.is_some() {
+            self.workload.add_turn(&mut self.rng, ticket);
+        }
+        let request = self.request(ticket, now);
         let decisions = self.nodes[node].submit(Timestamp(now), request);
         self.apply(now, node, decisions);
         self.schedule_tick(now, node);
     }
 
+    fn request(&self, ticket: u64, arrived: u64) -> Request {
+        let deadline = Timestamp(arrived + self.scenario.time_limit);
+        let request = Request { started: true, deadline, finish_by: deadline, ..request(ticket, 0) };
+        match self.workload.turns.get(&ticket) {
+            Some(turn) => Request { affinity: Some(turn.program), profile: turn.profile(), ..request },
+            None => request,
+        }
+    }
+
     fn schedule_tick(&mut self, now: u64, node: usize) {
         if self.nodes[node].waiting() > 0 {
             self.schedule(now + TICK_INTERVAL_US, Event::Tick { node });
@@ -203,6 +230,14 @@
     }
 
     fn start(&mut self, now: u64, node: usize, server: usize, ticket: u64) {
+        if let Some(engines) = &self.scenario.engines {
+            let held = &mut self.servers[server].held_tokens;
+            let run = self.workload.start(engines, now, server, ticket, held);
+            self.stats.runs[server] += 1;
+            self.stats.preempted += usize::from(run.preempted);
+            self.schedule(run.ends_at, Event::Complete { node, server, ticket });
+            return;
+        }
         let slowdown = if server == 0 { self.scenario.slowdown } else { 1 };
         let service_time = self.random_below(2 * self.scenario.service_time) * slowdown;
         self.schedule(now + service_time, Event::Complete { node, server, ticket });
@@ -211,6 +246,9 @@
     fn complete(&mut self, now: u64, node: usize, server: usize, ticket: u64) {
         let state = &mut self.servers[server];
         state.running -= 1;
+        if let Some(engines) = &self.scenario.engines {
+            self.workload.complete(engines, now, server, ticket, &mut state.held_tokens);
+        }
         let next = state.queue.pop_front();
         state.running += u32::from(next.is_some());
         let load = (state.running, u32::try_from(state.queue.len()).unwrap());
@@ -223,21 +261,28 @@
     fn respond(&mut self, now: u64, node: usize, server: usize, ticket: u64, load: (u32, u32), full: bool) {
         let key = self.keys[node][server];
         let (running, waiting) = load;
-        self.nodes[node].record_load(Timestamp(now), key, ServerLoad { running, waiting });
+        let turn = self.workload.turns.get(&ticket).copied();
+        let percent = turn.filter(|_| !full).and_then(|turn| turn.percent);
+        self.nodes[node].record_load(Timestamp(now), key, ServerLoad { running, waiting, percent });
         let (arrived, sent) = self.times[&ticket];
         let outcome = if full {
             RequestOutcome::Full
         } else {
             RequestOutcome::Completed(Duration::from_micros(now - sent))
         };
-        let mut decisions = self.nodes[node].finish(Timestamp(now), key, outcome);
+        let progress = turn.map_or_else(RunProgress::default, |turn| RunProgress {
+            first_byte: Some(Duration::from_micros((turn.read_at + NETWORK_LATENCY_US).saturating_sub(sent))),
+            generated_tokens: turn.generated,
+        });
+        let mut decisions = self.nodes[node].finish_request(Timestamp(now), key, ticket, outcome, progress);
         if full {
-            let deadline = Timestamp(arrived + self.scenario.time_limit);
-            let retry = Request { started: true, deadline, finish_by: deadline, ..request(ticket, 0) };
+            let retry = self.request(ticket, arrived);
             decisions.extend(self.nodes[node].submit(Timestamp(now), retry));
         } else {
             self.times.remove(&ticket);
             self.stats.completed += 1;
+            let late = self.workload.turns.remove(&ticket).is_some_and(|turn| turn.is_late(now - arrived));
+            self.stats.late += usize::from(late);
             self.stats.latencies.push(now - arrived);
         }
         self.apply(now, node, decisions);
--- a/agatetrestle/src/dispatch/tests/stale_load.rs
+++ b/agatetrestle/src/dispatch/tests/stale_load.rs
@@ -23,6 +23,7 @@
         service_time: 12_000,
         slowdown: 1,
         time_limit: 1_000_000,
+        engines: None,
     }
 }
 
--- a/agatetrestle/src/gateway/attempt.rs
+++ b/agatetrestle/src/gateway/attempt.rs
@@ -115,6 +115,7 @@
         SendOutcome::Started(Ok(response)) => response,
     };
     slot.response_due = None;
+    slot.progress.first_byte = Some(gateway.clock.now().since(sent_at));
     gateway.dispatch.borrow_mut().record_response_start(gateway.clock.now(), &ctx.service, sent_at);
     check_head(gateway, ctx, StartedResponse { slot, connection, response, sent_at })
 }
--- a/agatetrestle/src/gateway/mod.rs
+++ b/agatetrestle/src/gateway/mod.rs
@@ -42,6 +42,7 @@
 use crate::dispatch::Decision;
 use crate::dispatch::Dispatch;
 use crate::dispatch::RequestOutcome;
+use crate::dispatch::RunProgress;
 use crate::dispatch::ServerKey;
 use crate::gateway::slot::Assignment;
 use crate::gateway::slot::DispatchRejection;
@@ -220,7 +221,7 @@
             None => true,
         };
         if undelivered && let Ok(server) = assignment {
-            self.release(server);
+            self.release(server, ticket);
         }
     }
 
@@ -234,9 +235,16 @@
     }
 
     /// Releases a slot that was not used.
-    fn release(&self, server: ServerKey) {
+    fn release(&self, server: ServerKey, ticket: u64) {
         let now = self.clock.now();
-        let decisions = self.dispatch.borrow_mut().finish(now, server, RequestOutcome::Cancelled);
+        let progress = RunProgress::default();
+        let decisions = self.dispatch.borrow_mut().finish_request(
+            now,
+            server,
+            ticket,
+            RequestOutcome::Cancelled,
+            progress,
+        );
         self.apply(decisions);
     }
 
@@ -255,6 +263,7 @@
                 self.limits.max_head_bytes.set(table.limits.max_header_bytes);
                 self.limits.head_timeout.set(table.limits.header_timeout);
                 self.limits.idle_timeout.set(table.limits.idle_timeout);
+                self.dispatch.borrow_mut().set_memory(table.memory_tokens());
                 self.table.replace(Some(Rc::new(table)));
             }
             // The control group accepted the table, so this node runs another build. It keeps its previous table.
--- a/agatetrestle/src/gateway/relay.rs
+++ b/agatetrestle/src/gateway/relay.rs
@@ -244,6 +244,9 @@
                 if let Some(turn) = &mut self.turn {
                     turn.add_tokens(self.tokens_per_event);
                 }
+                if let Some(slot) = &mut self.response.slot {
+                    slot.progress.generated_tokens += self.tokens_per_event;
+                }
                 if let (Some(transcript), Some(data)) = (&mut self.transcript, event.data()) {
                     transcript.text.extend_from_slice(&data);
                     transcript.text.push(b'\n');
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -14,9 +14,11 @@
 use http::header::RETRY_AFTER;
 use http::request::Parts;
 use hyper::body::Incoming;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Timestamp;
 use crate::dispatch;
+use crate::dispatch::RequestProfile;
 use crate::dispatch::ServerKey;
 use crate::gateway::Gateway;
 use crate::gateway::access_log::AccessLogEntry;
@@ -265,5 +267,11 @@
         finish_by: ctx.arrived_at + finish_in,
         affinity: ctx.metadata.affinity.filter(|_| ctx.route.sticky),
         excluded: tried.to_vec(),
+        profile: RequestProfile {
+            route: xxh3_64(ctx.route.name.as_bytes()),
+            prompt_tokens: ctx.metadata.prompt_tokens,
+            max_tokens: ctx.metadata.max_tokens,
+            shared_prefix: ctx.metadata.shared_prefix,
+        },
     }
 }
--- a/agatetrestle/src/gateway/reserve.rs
+++ b/agatetrestle/src/gateway/reserve.rs
@@ -53,6 +53,11 @@
     gateway: &Rc<Gateway>,
     ctx: &mut RequestContext,
 ) -> Result<OpenTurn, ErrorResponse> {
+    let capacity = {
+        let dispatch = gateway.dispatch.borrow();
+        let modelled = dispatch.is_modelled(gateway.clock.now(), &ctx.service);
+        modelled.then(|| dispatch.capacity(&ctx.service))
+    };
     let opening = AdmissionParams {
         service: ctx.service.clone(),
         route: ctx.route.name.clone(),
@@ -61,7 +66,7 @@
         patience: millis(ctx.deadline.since(gateway.clock.now())),
         finish_in: ctx.metadata.finish_in.map(millis),
         begins: !ctx.program_started,
-        capacity: None,
+        capacity,
         candidates: Vec::new(),
     };
     let begin = Begin {
--- a/agatetrestle/src/gateway/slot.rs
+++ b/agatetrestle/src/gateway/slot.rs
@@ -9,6 +9,7 @@
 use crate::dispatch::RejectReason;
 use crate::dispatch::Request;
 use crate::dispatch::RequestOutcome;
+use crate::dispatch::RunProgress;
 use crate::dispatch::ServerKey;
 use crate::gateway::Gateway;
 
@@ -17,6 +18,9 @@
 pub(super) struct ServerSlot {
     gateway: Rc<Gateway>,
     pub(super) server: ServerKey,
+    ticket: u64,
+    /// What was observed of the run so far.
+    pub(super) progress: RunProgress,
     released: bool,
     /// When the response head is due, until it arrives.
     pub(super) response_due: Option<Timestamp>,
@@ -43,7 +47,7 @@
     fn drop(&mut self) {
         self.gateway.waiters.borrow_mut().remove(&self.ticket);
         match self.assignment.try_recv() {
-            Ok(Some(Ok(server))) => self.gateway.release(server),
+            Ok(Some(Ok(server))) => self.gateway.release(server, self.ticket),
             Ok(Some(Err(_))) => {}
             _ => self.gateway.dispatch.borrow_mut().cancel(self.ticket),
         }
@@ -67,7 +71,14 @@
         match (&mut queued.assignment).await {
             Ok(assignment) => {
                 let server = assignment?;
-                Ok(Self { gateway: gateway.clone(), server, released: false, response_due: None })
+                Ok(Self {
+                    gateway: gateway.clone(),
+                    server,
+                    ticket,
+                    progress: RunProgress::default(),
+                    released: false,
+                    response_due: None,
+                })
             }
             Err(oneshot::Canceled) => Err(DispatchRejection {
                 retry_after: Duration::from_millis(100),
@@ -86,7 +97,13 @@
             return;
         }
         let now = self.gateway.clock.now();
-        let decisions = self.gateway.dispatch.borrow_mut().finish(now, self.server, outcome);
+        let decisions = self.gateway.dispatch.borrow_mut().finish_request(
+            now,
+            self.server,
+            self.ticket,
+            outcome,
+            self.progress,
+        );
         self.gateway.apply(decisions);
     }
 }
--- a/agatetrestle/src/routing/mod.rs
+++ b/agatetrestle/src/routing/mod.rs
@@ -81,6 +81,8 @@
     pub max_connections: u32,
     /// Tokens per event, if its backend servers are model engines.
     pub tokens_per_event: Option<u64>,
+    /// Tokens that the memory of one of its backend servers holds, if they are model engines that declare it.
+    pub memory_tokens: Option<u64>,
 }
 
 /// Limits on the requests and connections of callers.
@@ -181,6 +183,12 @@
         self.services.get(name)
     }
 
+    /// The services that declare the memory of their backend servers, with its size in tokens.
+    pub fn memory_tokens(&self) -> impl Iterator<Item = (Arc<str>, u64)> {
+        let declared = |service: &Service| Some((service.name.clone(), service.memory_tokens?));
+        self.services.values().filter_map(declared)
+    }
+
     /// All routes in declared order.
     #[must_use]
     pub fn routes(&self) -> &[Arc<Route>] {
--- a/agatetrestle/src/turns/tests/burst.rs
+++ b/agatetrestle/src/turns/tests/burst.rs
@@ -18,6 +18,7 @@
 use crate::dispatch::Instance;
 use crate::dispatch::Request;
 use crate::dispatch::RequestOutcome;
+use crate::dispatch::RequestProfile;
 use crate::dispatch::ServerKey;
 use crate::dispatch::ServerLoad;
 use crate::scheduler::random::Random;
@@ -307,6 +308,7 @@
             finish_by: Timestamp(program.deadline),
             affinity: Some(turn.program as u64),
             excluded: turn.excluded.clone(),
+            profile: RequestProfile::default(),
         };
         let decisions = self.entries[entry].submit(Timestamp(now), request);
         self.apply(now, entry, decisions);
@@ -384,7 +386,7 @@
         let entry = turn.entry;
         let key = self.server_keys[entry][engine];
         turn.excluded.push(key);
-        let load = ServerLoad { running: load.0, waiting: load.1 };
+        let load = ServerLoad { running: load.0, waiting: load.1, percent: None };
         self.entries[entry].record_load(Timestamp(now), key, load);
         let outcome = if full {
             RequestOutcome::Full
--- a/agatetrestle_config/src/deployment.rs
+++ b/agatetrestle_config/src/deployment.rs
@@ -75,6 +75,9 @@
     RoundRobin,
     /// Like [`Decisions::Own`], but each request goes to the least loaded server, regardless of its prefix cache.
     LeastLoad,
+    /// Like [`Decisions::Own`], but servers are compared by their numbers of requests alone, never by their speed,
+    /// contention or memory.
+    RequestCounts,
     /// Like [`Decisions::Own`], but a server never gets more requests than it has slots.
     Places,
     /// Like [`Decisions::Own`], but an unresponsive server is waited for until the caller's deadline.
