--- a/agatetrestle/src/gateway/reserve.rs
+++ b/agatetrestle/src/gateway/reserve.rs
@@ -72,6 +72,11 @@
         Placement::Entry => Vec::new(),
         Placement::Leader => candidates(gateway, slot.server, request),
     };
+    let capacity = {
+        let dispatch = gateway.dispatch.borrow();
+        let modelled = dispatch.is_modelled(gateway.clock.now(), &ctx.service);
+        modelled.then(|| dispatch.capacity(&ctx.service))
+    };
     let opening = AdmissionParams {
         service: ctx.service.clone(),
         route: ctx.route.name.clone(),
@@ -80,7 +85,7 @@
         patience: millis(ctx.deadline.since(gateway.clock.now())),
         finish_in: ctx.metadata.finish_in.map(millis),
         begins: !ctx.program_started,
-        capacity: None,
+        capacity,
         candidates: named(gateway, &candidates),
         entry: (!candidates.is_empty()).then_some(gateway.node),
         priority: ctx.priority(),
--- a/agatetrestle/src/gateway/tests/early.rs
+++ b/agatetrestle/src/gateway/tests/early.rs
@@ -106,7 +106,12 @@
             sticky: false,
             public: false,
         };
-        let service = Service { name: "engines".into(), max_connections: 8, tokens_per_event: Some(1) };
+        let service = Service {
+            name: "engines".into(),
+            max_connections: 8,
+            tokens_per_event: Some(1),
+            memory_tokens: None,
+        };
         let limits = CallerLimits {
             max_header_bytes: 16 << 10,
             max_body_bytes: 16 << 10,
--- a/agatetrestle/src/turns/tests/burst.rs
+++ b/agatetrestle/src/turns/tests/burst.rs
@@ -19,6 +19,7 @@
 use crate::dispatch::Instance;
 use crate::dispatch::Request;
 use crate::dispatch::RequestOutcome;
+use crate::dispatch::RequestProfile;
 use crate::dispatch::ServerKey;
 use crate::dispatch::ServerLoad;
 use crate::ids::NodeId;
@@ -409,6 +410,7 @@
             finish_by: Timestamp(program.deadline),
             affinity: Some(turn.program as u64),
             excluded: turn.excluded.clone(),
+            profile: RequestProfile::default(),
         }
     }
 
@@ -596,7 +598,7 @@
         let (entry, sent_at) = (turn.entry, turn.sent_at);
         let key = self.server_keys[entry][engine];
         turn.excluded.push(key);
-        let load = ServerLoad { running: load.0, waiting: load.1 };
+        let load = ServerLoad { running: load.0, waiting: load.1, percent: None };
         self.entries[entry].record_load(Timestamp(now), key, load);
         let outcome = if full {
             RequestOutcome::Full
