Fail instead of hanging where refused connections end a request

Cause: with a fault put in for a check, the test of refused connections waited for a request that never came.

Change: the test fails with the caller's status.

--- a/agatetrestle/src/gateway/tests/early.rs
+++ b/agatetrestle/src/gateway/tests/early.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddrV4;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,7 +12,9 @@
 use futures::AsyncWriteExt;
 use futures::FutureExt;
 use futures::channel::oneshot;
+use futures::future::Either;
 use futures::future::LocalBoxFuture;
+use futures::future::select;
 use http::HeaderMap;
 use http::Method;
 use http::Uri;
@@ -407,7 +410,13 @@
         let gateway = Harness::start_with(&executor, Some(begun(&[])), 6).await;
         gateway.commits.send(Ok(begun(&[]))).await.unwrap();
         let mut caller = gateway.send().await;
-        let mut server = gateway.receive(b"hey").await;
+        let mut server = {
+            let (received, refused) = (pin!(gateway.receive(b"hey")), pin!(read_status(&mut caller)));
+            match select(received, refused).await {
+                Either::Left((server, _)) => server,
+                Either::Right((status, _)) => panic!("refused with {status}"),
+            }
+        };
         server.write_all(RESPONSE).await.unwrap();
         assert_eq!(read_status(&mut caller).await, 200);
     });
