--- a/agatetrestle/src/dispatch/tests.rs
+++ b/agatetrestle/src/dispatch/tests.rs
@@ -4,6 +4,7 @@
 
 use super::*;
 
+mod candidates;
 mod large_fleet;
 mod simulation;
 mod stale_load;
--- a/agatetrestle/src/turns/placement.rs
+++ b/agatetrestle/src/turns/placement.rs
@@ -219,7 +219,7 @@
         if let Some(mean) = self.route_time(now, &open.route)
             && let Some(server) = self.servers.get_mut(id)
         {
-            server.evidence.record_speed(now, open.entry, seconds / mean);
+            server.evidence.record_speed(open.begun, open.entry, seconds / mean);
         }
         if self.routes.len() < MAX_ROUTES || self.routes.contains_key(&open.route) {
             self.routes.entry(open.route.clone()).or_default().record(now, seconds);
--- a/agatetrestle/src/turns/placement/evidence.rs
+++ b/agatetrestle/src/turns/placement/evidence.rs
@@ -9,8 +9,9 @@
 use crate::clock::Timestamp;
 use crate::ids::NodeId;
 
-/// Time constant with which a sample of the speed loses weight. Servers become several times slower for some seconds.
-const SPEED_MEMORY: Duration = Duration::from_secs(2);
+/// Time constant with which a sample of the speed loses weight after the begin of its turn. With 2 s, servers that are slowed
+/// down for 600 ms at a time are avoided mostly after they have recovered, which is worse than to ignore speeds.
+const SPEED_MEMORY: Duration = Duration::from_millis(700);
 /// Samples of the speed that are kept; at the usual rate they cover about a second.
 const MAX_SAMPLES: usize = 12;
 /// Weight of the usual speed of the server, in samples.
@@ -77,22 +78,22 @@
 }
 
 impl Evidence {
-    /// Records the time that a turn took, relative to a server of average speed.
-    pub(super) fn record_speed(&mut self, now: Timestamp, entry: NodeId, ratio: f64) {
+    /// Records the time that a turn took, relative to a server of average speed. It tells the speed as of the turn's begin.
+    pub(super) fn record_speed(&mut self, begun: Timestamp, entry: NodeId, ratio: f64) {
         if !ratio.is_finite() {
             return;
         }
         let (low, high) = USUAL_RANGE;
         let gain = (1.0 / (USUAL_PRIOR + self.usual_samples)).max(MIN_USUAL_GAIN) * self.share(entry);
-        let usual = self.usual(now);
+        let usual = self.usual(begun);
         self.usual = usual + gain * (ratio.clamp(low, high) - usual);
         self.usual_samples += 1.0;
-        self.usual_at = now;
+        self.usual_at = self.usual_at.max(begun);
         if self.samples.len() >= MAX_SAMPLES {
             self.samples.pop_front();
         }
         let (low, high) = RATIO_RANGE;
-        self.samples.push_back(Sample { entry, ratio: ratio.clamp(low, high), at: now });
+        self.samples.push_back(Sample { entry, ratio: ratio.clamp(low, high), at: begun });
     }
 
     /// Records that the server did not complete a turn.
--- a/agatetrestle/src/turns/tests/burst.rs
+++ b/agatetrestle/src/turns/tests/burst.rs
@@ -65,6 +65,8 @@
 const UNEVEN_SPEED_PERCENT: (u64, u64) = (60, 144);
 /// Each fifth engine is five times slower in these seconds of a scenario with slow engines.
 const SLOW_SECONDS: std::ops::Range<u64> = 3..7;
+/// Time for which an engine is slowed down by other workloads on its machine.
+const CONTENTION_US: u64 = 600 * MILLISECOND;
 /// Time without placement after the leaders are lost.
 const ELECTION_US: u64 = SECOND;
 
@@ -114,6 +116,8 @@
     Uneven,
     /// Turns differ in size, and a fifth of the engines is five times slower in [`SLOW_SECONDS`].
     FifthSlow,
+    /// Turns differ in size, and 15 in 100 engines are 2.5 times slower for [`CONTENTION_US`] at a time, others each time.
+    Contended,
 }
 
 /// Parameters of a simulation.
@@ -568,6 +572,10 @@
                 let is_slow = engine.is_multiple_of(5) && SLOW_SECONDS.contains(&(now / SECOND));
                 if is_slow { 500 } else { 100 }
             }
+            Speeds::Contended => {
+                let period = (now + engine as u64 * 97 * MILLISECOND) / CONTENTION_US;
+                if Random::new(period << 8 | engine as u64).below(100) < 15 { 250 } else { 100 }
+            }
         };
         let size_percent = 50 + Random::new(ticket).below(101);
         let time = SERVICE_TIME_US * size_percent / 100 * percent / 100;
