--- a/agatetrestle/src/dispatch/tests.rs
+++ b/agatetrestle/src/dispatch/tests.rs
@@ -6,6 +6,7 @@
 
 mod engines;
 mod expected_time;
+mod candidates;
 mod large_fleet;
 mod simulation;
 mod stale_load;
