--- a/agatetrestle/src/turns/recent.rs
+++ b/agatetrestle/src/turns/recent.rs
@@ -14,9 +14,9 @@
 /// Time without a turn after which a program is dropped, in milliseconds. Longer than the time over which admission learns
 /// what programs need.
 const EXPIRY_MS: u64 = 10_000;
-/// Programs that are recorded, some 60 MB; a state group of the design size has fewer. Further ones run but are unknown to
-/// the next leader.
-const MAX_PROGRAMS: usize = 131_072;
+/// Programs that are recorded, so that they fit a store of 120 MB beside its turns. Further ones run but are unknown to the
+/// next leader.
+const MAX_PROGRAMS: usize = 32_768;
 
 /// A turn that has not ended. Times are those of the state, in milliseconds.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
