Select entries for callers by size and load, and spill over between failure domains

Cause: an address lookup returned the first 64 entries of the caller's failure domain by id, whatever their size and load, so further entries got no callers.

Change: each caller gets a sample of its own, at most 64, by sequential Poisson sampling weighted by cores (process.cores, new and optional), else memory, and a coarse load level that entries report with Member (optional field). With equal entries at one load level and fewer than 64 of them the set is the same as before; its order now differs between callers, so the test of the set sorts it, and the order has a test of its own. The server passes the caller's IP address to the handler.

The load level was not measured on a fleet.

--- a/agatetrestle/src/cluster/message.rs
+++ b/agatetrestle/src/cluster/message.rs
@@ -33,6 +33,23 @@
     pub ready: bool,
     /// The state group of which a store holds a replica; none for a spare store, which may join any group.
     pub group: Option<GroupId>,
+    /// Size and load of an entry; none from other roles and older builds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub entry: Option<EntryCapacity>,
+}
+
+/// Size and load of an entry, by which callers are spread. It changes seldom, since each change is sent to all control
+/// replicas.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EntryCapacity {
+    /// Thousandths of a core that the VM has; none if its settings do not tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub millicores: Option<u32>,
+    /// Memory of the VM in MB.
+    pub memory_mb: u32,
+    /// Load level from 0 to 3, by the part of its limits that it uses.
+    #[serde(default)]
+    pub load: u8,
 }
 
 impl Member {
--- a/agatetrestle/src/cluster/subscriber/tests.rs
+++ b/agatetrestle/src/cluster/subscriber/tests.rs
@@ -38,6 +38,7 @@
         callers: None,
         ready: true,
         group: None,
+        entry: None,
     }
 }
 
--- a/agatetrestle/src/cluster/tests.rs
+++ b/agatetrestle/src/cluster/tests.rs
@@ -149,7 +149,17 @@
 fn member(node: u64, role: Role) -> Member {
     let address = SocketAddrV4::new([10, 0, 0, 1].into(), 7_240);
     let (vm, zone) = (node.to_string().into(), "a".into());
-    Member { node: NodeId(node), role, vm, zone, peer: address, callers: None, ready: true, group: None }
+    Member {
+        node: NodeId(node),
+        role,
+        vm,
+        zone,
+        peer: address,
+        callers: None,
+        ready: true,
+        group: None,
+        entry: None,
+    }
 }
 
 #[test]
--- a/agatetrestle/src/deployment/control.rs
+++ b/agatetrestle/src/deployment/control.rs
@@ -1,5 +1,6 @@
 //! A control replica holds the configuration, the cluster membership and the platform's list of backend servers.
 
+use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -28,6 +29,7 @@
 use crate::deployment::REQUEST_TIMEOUTS;
 use crate::deployment::backend_list;
 use crate::deployment::directory;
+use crate::deployment::directory::Directory;
 use crate::deployment::operators;
 use crate::deployment::replica_process::ReplicaProcess;
 use crate::deployment::serve_http;
@@ -42,6 +44,7 @@
 use crate::node::router::Router;
 use crate::node::service::GroupService;
 use crate::ports::Recorder;
+use crate::scheduler::random::Random;
 use crate::transport::server::ServerLimits;
 
 /// How often a control replica checks which members have stopped reporting.
@@ -96,7 +99,14 @@
     let limits = ServerLimits::new(MAX_CONTROL_CONNECTIONS);
     let handler = operators::handler(context.wire.clone(), router);
     serve_http(context, context.settings.listen.operators, handler, limits.clone());
-    let handler = directory::handler(context.wire.clone(), registry, context.settings.bounds.address_max_age);
+    let handler = directory::handler(Directory {
+        wire: context.wire.clone(),
+        registry,
+        max_age: context.settings.bounds.address_max_age,
+        clock: context.clock,
+        random: RefCell::new(Random::new(context.node.0)),
+        spill: RefCell::default(),
+    });
     serve_http(context, context.settings.listen.directory, handler, limits);
     Ok(ReplicaProcess { group, subscriber })
 }
--- a/agatetrestle/src/deployment/entry.rs
+++ b/agatetrestle/src/deployment/entry.rs
@@ -1,5 +1,6 @@
 //! An entry serves callers. All its state is soft, so an entry can be lost at any time.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use smol::Timer;
 
 use crate::clock::Clock;
+use crate::cluster::message::EntryCapacity;
 use crate::cluster::message::Member;
 use crate::cluster::subscriber::Subscriber;
 use crate::cluster::versioned::BackendChange;
@@ -23,6 +25,7 @@
 use crate::deployment::REQUEST_TIMEOUTS;
 use crate::deployment::RunningRole;
 use crate::deployment::directory::ADDRESS_MAX_AGE;
+use crate::deployment::selection::load_level;
 use crate::deployment::serve_http;
 use crate::deployment::turns::RoutedTurnClient;
 use crate::deployment::turns::TurnRouter;
@@ -43,6 +46,9 @@
 const RESERVED_DESCRIPTORS: u64 = 1_200;
 /// Bound on the connections of readiness probes, and the lowest bound on those of callers.
 const MIN_CONNECTIONS: usize = 64;
+/// Memory that a request in flight is assumed to take with its connections and buffers, of half of the memory. It only decides
+/// from when an entry counts as loaded.
+const REQUEST_MEMORY_BYTES: usize = 128 << 10;
 /// Callers may cache an address for this many times its max age.
 const STALE_ADDRESS_FACTOR: u32 = 3;
 /// The process exits this long before the end of the grace period, at which it would be killed.
@@ -112,7 +118,15 @@
     context.view.watch(Rc::new(EntryWatcher { gateway: gateway.clone(), turns, view: context.view.clone() }));
     context.serve_peers(PeerServer::default());
     let (ready_source, member) = (gateway.clone(), context.member());
-    let status_source = Rc::new(move || Member { ready: ready_source.is_ready(), ..member.clone() }.into());
+    let capacity = RefCell::new(capacity(context));
+    let (used_limits, max_requests) = (limits.clone(), context.memory_bytes() / 2 / REQUEST_MEMORY_BYTES);
+    let status_source = Rc::new(move || {
+        let requests = percent(ready_source.in_flight(), max_requests);
+        let connections = percent(used_limits.open_connections.get(), used_limits.max_connections.get());
+        let mut capacity = capacity.borrow_mut();
+        capacity.load = load_level(capacity.load, requests.max(connections));
+        Member { ready: ready_source.is_ready(), entry: Some(*capacity), ..member.clone() }.into()
+    });
     let subscriber = context.subscriber(status_source, None);
     serve_callers(context, &gateway, &limits);
     serve_readiness(context, &gateway);
@@ -120,6 +134,18 @@
     Entry { gateway, subscriber, limits, clock: context.clock, grace }
 }
 
+fn capacity(context: &ProcessContext) -> EntryCapacity {
+    // Validated to be from 0.001 to 1000.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let millicores = context.settings.process.cores.map(|cores| (cores * 1_000.0).round() as u32);
+    let memory_mb = u32::try_from(context.settings.limits.memory_mb).unwrap_or(u32::MAX);
+    EntryCapacity { millicores, memory_mb, load: 0 }
+}
+
+fn percent(used: usize, limit: usize) -> u32 {
+    u32::try_from(used.saturating_mul(100) / limit.max(1)).unwrap_or(u32::MAX)
+}
+
 fn serve_callers(context: &ProcessContext, gateway: &Rc<Gateway>, limits: &Rc<ServerLimits>) {
     let gateway = gateway.clone();
     let handler: Handler = Rc::new(move |request| {
--- a/agatetrestle/src/deployment/mod.rs
+++ b/agatetrestle/src/deployment/mod.rs
@@ -9,6 +9,7 @@
 mod operators;
 mod overview;
 mod replica_process;
+mod selection;
 mod store;
 #[cfg(test)]
 mod tests;
@@ -202,6 +203,7 @@
             callers: self.settings.listen.callers,
             ready: false,
             group: None,
+            entry: None,
         }
     }
 
--- a/agatetrestle/src/deployment/tests.rs
+++ b/agatetrestle/src/deployment/tests.rs
@@ -10,7 +10,8 @@
 use crate::cluster::voters::Candidate;
 use crate::deployment::control::StoreCount;
 use crate::deployment::control::initial_voters;
-use crate::deployment::directory::addresses;
+use crate::deployment::selection::Spill;
+use crate::deployment::selection::select;
 use crate::deployment::turns::group_index;
 use crate::deployment::turns::group_share;
 use crate::ids::NodeId;
@@ -25,11 +26,16 @@
         callers: Some(SocketAddrV4::new([10, 0, 0, number].into(), 80)),
         ready,
         group: None,
+        entry: None,
     }
 }
 
 fn last_octets(members: &[Member], zone: &str) -> Vec<u8> {
-    addresses(members, zone).iter().map(|address| address.ip().octets()[3]).collect()
+    let caller = 7;
+    let addresses = select(members, &Spill::default(), zone, caller);
+    let mut octets: Vec<u8> = addresses.iter().map(|address| address.ip().octets()[3]).collect();
+    octets.sort_unstable();
+    octets
 }
 
 #[test]
--- a/agatetrestle/src/transport/server.rs
+++ b/agatetrestle/src/transport/server.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,6 +41,10 @@
 /// Handles one request; the future is dropped if the client disconnects.
 pub type Handler = Rc<dyn Fn(Request<Incoming>) -> LocalBoxFuture<'static, Response<ResponseBody>>>;
 
+/// The IP address that a request came from, as an extension of the request.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerAddress(pub IpAddr);
+
 /// Limits on connections and requests, changeable while the server runs.
 #[derive(Debug)]
 pub struct ServerLimits {
@@ -51,6 +56,8 @@
     pub idle_timeout: Cell<Duration>,
     /// Largest number of open connections.
     pub max_connections: Cell<usize>,
+    /// Number of open connections.
+    pub open_connections: Cell<usize>,
     /// Set to close each connection after its current response.
     pub shutting_down: Cell<bool>,
 }
@@ -64,6 +71,7 @@
             head_timeout: Cell::new(Duration::from_secs(3)),
             idle_timeout: Cell::new(Duration::from_secs(15)),
             max_connections: Cell::new(connections),
+            open_connections: Cell::new(0),
             shutting_down: Cell::new(false),
         })
     }
@@ -100,7 +108,9 @@
         };
         let (handler, limits) = (handler.clone(), limits.clone());
         let serving = async move {
-            serve_connection(stream, handler, limits).await;
+            limits.open_connections.update(|open| open + 1);
+            serve_connection(stream, handler, limits.clone()).await;
+            limits.open_connections.update(|open| open - 1);
             drop(permit);
         };
         executor.spawn(serving).detach();
@@ -114,7 +124,11 @@
     }
     let state = ConnectionState::new();
     let service_state = state.clone();
-    let service = service_fn(move |request| {
+    let peer = stream.peer_addr().ok().map(|address| PeerAddress(address.ip()));
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        if let Some(peer) = peer {
+            request.extensions_mut().insert(peer);
+        }
         let (response, guard) = (handler(request), service_state.begin_response());
         async move {
             let response = response.await;
--- a/agatetrestle_config/src/deployment.rs
+++ b/agatetrestle_config/src/deployment.rs
@@ -99,6 +99,9 @@
     pub failure_domain: Arc<str>,
     /// Region of the VM.
     pub region: Arc<str>,
+    /// Cores of the VM, which may be a fraction; callers are spread over entries by it.
+    #[serde(default)]
+    pub cores: Option<f64>,
 }
 
 /// Listening addresses; a process binds those of its role.
@@ -207,6 +210,12 @@
         checker.valid_name(&self.process.vm, "process.vm")?;
         checker.valid_name(&self.process.failure_domain, "process.failure_domain")?;
         checker.positive(self.process.peer_port.into(), "process.peer_port")?;
+        let cores = self.process.cores.unwrap_or(1.0);
+        checker.require(
+            (0.001..=1_000.0).contains(&cores),
+            "process.cores",
+            "a number from 0.001 to 1000",
+        )?;
         checker.require(!self.seeds.is_empty(), "seeds", "at least one address")?;
         let is_stateful = self.process.role != Role::Entry;
         checker.require(
--- a/agatetrestle_config/src/deployment/tests.rs
+++ b/agatetrestle_config/src/deployment/tests.rs
@@ -60,6 +60,19 @@
     assert!(parse_error(&missing_unit).contains("line 21"), "{}", parse_error(&missing_unit));
 }
 
+#[test]
+fn cores_are_optional_and_above_zero() {
+    let with_cores =
+        |cores: &str| ENTRY.replace("  region: lju", &format!("  region: lju\n  cores: {cores}"));
+    assert_eq!(Deployment::parse("process.yaml", ENTRY).unwrap().process.cores, None);
+    let parsed = Deployment::parse("process.yaml", &with_cores("0.12")).unwrap();
+    assert_eq!(parsed.process.cores, Some(0.12));
+    for invalid in ["0", "-1", "1001", ".nan", ".inf"] {
+        let error = parse_error(&with_cores(invalid));
+        assert!(error.contains("process.cores: expected a number from 0.001 to 1000"), "{invalid}: {error}");
+    }
+}
+
 #[test]
 fn allowance_bounds_default_to_no_excess() {
     let with_allowance = |fields: &str| {
--- a/agatetrestle_replay/src/control_traffic.rs
+++ b/agatetrestle_replay/src/control_traffic.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
+use agatetrestle::cluster::message::EntryCapacity;
 use agatetrestle::cluster::message::ListVersion;
 use agatetrestle::cluster::message::Member;
 use agatetrestle::cluster::relays;
@@ -90,6 +91,11 @@
             callers: None,
             ready: true,
             group: None,
+            entry: (role == Role::Entry).then_some(EntryCapacity {
+                millicores: Some(120),
+                memory_mb: 88,
+                load: 0,
+            }),
         };
         let entries = (replicas + stores..vms).map(|number| member(number, Role::Entry)).collect();
         // The first replica leads.
