Remove the dependency cycle between versioned lists and dispatch

Cause: cluster/versioned used dispatch::Instance, and dispatch used BackendChange of cluster/versioned. Also, each finished request counted all servers of its service to bound ejections, although hardly any request gives a reason to eject.

Change: Instance and BackendChange are in the module backends; dispatch still exports Instance. Servers are counted only when the evidence suffices for an ejection.

--- a/agatetrestle/src/cluster/message.rs
+++ b/agatetrestle/src/cluster/message.rs
@@ -160,7 +160,7 @@
     pub revision: u64,
     /// The encoded [`crate::control::command::Document`] of routes, if its revision is newer than the reported one.
     pub routes: Option<(u64, Compressed)>,
-    /// An encoded [`crate::cluster::versioned::BackendChange`], if the process holds an earlier version of the list.
+    /// An encoded [`crate::backends::BackendChange`], if the process holds an earlier version of the list.
     pub backends: Option<(ListVersion, Compressed)>,
     /// The encoded list of each [`Member`] visible to a process of an older build, if it holds another version.
     pub members: Option<(ListVersion, Compressed)>,
--- a/agatetrestle/src/cluster/overview.rs
+++ b/agatetrestle/src/cluster/overview.rs
@@ -9,9 +9,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::backends::Instance;
 use crate::cluster::message::Member;
 use crate::cluster::message::StoreUsage;
-use crate::dispatch::Instance;
 use crate::ids::GroupId;
 use crate::ids::NodeId;
 
--- a/agatetrestle/src/cluster/registry.rs
+++ b/agatetrestle/src/cluster/registry.rs
@@ -22,6 +22,7 @@
 use smol::channel::Sender;
 use smol::lock::Semaphore;
 
+use crate::backends::Instance;
 use crate::clock::Clock;
 use crate::cluster::identity::founder_ip;
 use crate::cluster::liveness::Liveness;
@@ -37,7 +38,6 @@
 use crate::cluster::view::ClusterView;
 use crate::cluster::voters::Candidate;
 use crate::control::state::ControlState;
-use crate::dispatch::Instance;
 use crate::ids::GroupId;
 use crate::ids::NodeId;
 use crate::node::group::Group;
--- a/agatetrestle/src/cluster/tests.rs
+++ b/agatetrestle/src/cluster/tests.rs
@@ -13,6 +13,8 @@
 
 use crate::agreement::ReplicaChange;
 use crate::agreement::Replicas;
+use crate::backends::BackendChange;
+use crate::backends::Instance;
 use crate::clock::Timestamp;
 use crate::cluster::contacts;
 use crate::cluster::encoded::EncodedCache;
@@ -27,7 +29,6 @@
 use crate::cluster::overview::Overview;
 use crate::cluster::report_log::ReportLog;
 use crate::cluster::report_log::ReportOutcome;
-use crate::cluster::versioned::BackendChange;
 use crate::cluster::view::ClusterView;
 use crate::cluster::voters::Candidate;
 use crate::cluster::voters::VoterCounts;
@@ -36,7 +37,6 @@
 use crate::codec::Compressed;
 use crate::codec::decode;
 use crate::codec::encode;
-use crate::dispatch::Instance;
 use crate::ids::FIRST_STATE_GROUP;
 use crate::ids::NodeId;
 
--- a/agatetrestle/src/cluster/tests/versioned.rs
+++ b/agatetrestle/src/cluster/tests/versioned.rs
@@ -5,13 +5,13 @@
 
 use super::backend;
 use super::member;
+use crate::backends::BackendChange;
+use crate::backends::Instance;
 use crate::cluster::message::ListVersion;
 use crate::cluster::message::Member;
-use crate::cluster::versioned::BackendChange;
 use crate::cluster::versioned::ListChange;
 use crate::cluster::versioned::Scope;
 use crate::cluster::versioned::VersionedList;
-use crate::dispatch::Instance;
 
 type BackendList = VersionedList<Instance>;
 
--- a/agatetrestle/src/cluster/versioned.rs
+++ b/agatetrestle/src/cluster/versioned.rs
@@ -5,14 +5,12 @@
 //! docs/design/015-a-fleet-of-a-thousand-vms.md.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::cluster::message::ListVersion;
 use crate::cluster::message::Member;
-use crate::dispatch::Instance;
 use crate::ids::NodeId;
 
 /// Removed items are remembered up to this number, or up to the length of the list if that is larger, so that the memory
@@ -33,14 +31,6 @@
     }
 }
 
-impl Item for Instance {
-    type Key = Arc<str>;
-
-    fn key(&self) -> Arc<str> {
-        self.id.clone()
-    }
-}
-
 impl Item for Member {
     type Key = NodeId;
 
@@ -75,8 +65,6 @@
     }
 }
 
-/// A change of the list of backend servers.
-pub type BackendChange = ListChange<Arc<str>, Instance>;
 /// A change of the list of members.
 pub type MemberChange = ListChange<NodeId, Member>;
 
--- a/agatetrestle/src/cluster/view.rs
+++ b/agatetrestle/src/cluster/view.rs
@@ -13,13 +13,14 @@
 use log::warn;
 use serde::de::DeserializeOwned;
 
+use crate::backends::BackendChange;
+use crate::backends::Instance;
 use crate::clock::Timestamp;
 use crate::clock::micros;
 use crate::cluster::message::KnownVersions;
 use crate::cluster::message::ListVersion;
 use crate::cluster::message::Member;
 use crate::cluster::message::Update;
-use crate::cluster::versioned::BackendChange;
 use crate::cluster::versioned::Item;
 use crate::cluster::versioned::ListChange;
 use crate::cluster::versioned::MemberChange;
@@ -27,7 +28,6 @@
 use crate::cluster::versioned::VersionedList;
 use crate::codec::Compressed;
 use crate::control::command::Document;
-use crate::dispatch::Instance;
 use crate::ids::NodeId;
 
 /// Receives notifications of changes to the view.
--- a/agatetrestle/src/deployment/backend_list.rs
+++ b/agatetrestle/src/deployment/backend_list.rs
@@ -20,10 +20,10 @@
 use smol::Timer;
 use snafu::Snafu;
 
+use crate::backends::Instance;
 use crate::clock::Clock;
 use crate::cluster::registry::ClusterRegistry;
 use crate::control::state::ControlState;
-use crate::dispatch::Instance;
 use crate::gateway::wire::WireFormat;
 use crate::node::group::Group;
 use crate::node::peer_link::with_deadline;
--- a/agatetrestle/src/deployment/control.rs
+++ b/agatetrestle/src/deployment/control.rs
@@ -10,13 +10,13 @@
 use log::warn;
 use smol::Timer;
 
+use crate::backends::BackendChange;
 use crate::cluster::identity;
 use crate::cluster::message::ControlRequest;
 use crate::cluster::message::Member;
 use crate::cluster::registry::ClusterRegistry;
 use crate::cluster::repair;
 use crate::cluster::service::ControlService;
-use crate::cluster::versioned::BackendChange;
 use crate::cluster::view::Watcher;
 use crate::cluster::voters::Candidate;
 use crate::cluster::voters::VoterCounts;
--- a/agatetrestle/src/deployment/entry.rs
+++ b/agatetrestle/src/deployment/entry.rs
@@ -12,10 +12,10 @@
 use log::warn;
 use smol::Timer;
 
+use crate::backends::BackendChange;
 use crate::clock::Clock;
 use crate::cluster::message::Member;
 use crate::cluster::subscriber::Subscriber;
-use crate::cluster::versioned::BackendChange;
 use crate::cluster::view::ClusterView;
 use crate::cluster::view::Watcher;
 use crate::control::command::Document;
--- a/agatetrestle/src/dispatch/completion.rs
+++ b/agatetrestle/src/dispatch/completion.rs
@@ -140,7 +140,7 @@
 
     /// Ejects a server if the evidence suffices and not too many servers of its service are ejected already.
     fn eject_outlier(&mut self, now: Timestamp, key: ServerKey) -> Option<Timestamp> {
-        let service = self.servers.get(key)?.instance.service.clone();
+        let service = self.servers.get(key).filter(|server| server.should_eject())?.instance.service.clone();
         let listed = || self.servers_of(&service).filter(|(_, server)| server.listed);
         let ejected = listed().filter(|(_, server)| server.is_ejected(now)).count();
         if ejected >= max_ejected(listed().count()) {
--- a/agatetrestle/src/dispatch/instances.rs
+++ b/agatetrestle/src/dispatch/instances.rs
@@ -1,7 +1,7 @@
 //! Updates of the known backend servers from the list that control distributes.
 
+use crate::backends::BackendChange;
 use crate::clock::Timestamp;
-use crate::cluster::versioned::BackendChange;
 use crate::dispatch::Decision;
 use crate::dispatch::Dispatch;
 use crate::dispatch::Instance;
--- a/agatetrestle/src/dispatch/mod.rs
+++ b/agatetrestle/src/dispatch/mod.rs
@@ -24,10 +24,10 @@
 pub use self::decision::Request;
 pub use self::decision::RequestProfile;
 pub use self::decision::RunProgress;
-pub use self::server::Instance;
 pub use self::server::RequestOutcome;
 pub use self::server::ServerKey;
 pub use self::server::ServerLoad;
+pub use crate::backends::Instance;
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
--- a/agatetrestle/src/dispatch/outlier.rs
+++ b/agatetrestle/src/dispatch/outlier.rs
@@ -42,6 +42,11 @@
         self.test.is_healthy()
     }
 
+    /// Whether the evidence suffices for an ejection.
+    pub(super) fn should_eject(&self) -> bool {
+        self.test.should_eject()
+    }
+
     /// Ejects the server if the evidence suffices, and returns for how long. It returns on probation, with part of the
     /// evidence kept.
     pub(super) fn eject(&mut self) -> Option<Duration> {
--- a/agatetrestle/src/dispatch/server.rs
+++ b/agatetrestle/src/dispatch/server.rs
@@ -1,14 +1,11 @@
 //! The state of one backend server as seen by this node.
 
-use std::net::SocketAddrV4;
-use std::sync::Arc;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
 use slotmap::new_key_type;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::backends::Instance;
 use crate::clock::Timestamp;
 use crate::dispatch::RequestProfile;
 use crate::dispatch::model::ServiceModel;
@@ -37,34 +34,6 @@
     pub struct ServerKey;
 }
 
-/// One run of a backend server, as listed by the platform.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Instance {
-    /// Identifier, which changes with each restart unless `born` does.
-    pub id: Arc<str>,
-    /// Service that it runs.
-    pub service: Arc<str>,
-    /// Listening address, which may be reused by another instance later.
-    pub address: SocketAddrV4,
-    /// Failure domain that it is in.
-    pub zone: Arc<str>,
-    /// Number of requests that it runs concurrently.
-    pub slots: u32,
-    /// Whether it is about to shut down.
-    pub leaving: bool,
-    /// Start time in Unix milliseconds, if the platform reports it. Compared only between instances with the same id,
-    /// never with the local clock.
-    pub born: Option<u64>,
-}
-
-impl Instance {
-    /// Whether this instance started after another one with the same id.
-    #[must_use]
-    pub fn is_newer_than(&self, other: &Self) -> bool {
-        self.born > other.born
-    }
-}
-
 /// Load of a server, from all nodes together, as reported in its responses.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ServerLoad {
@@ -305,6 +274,11 @@
         self.outlier.is_healthy().then_some(failed)
     }
 
+    /// Whether the evidence suffices to eject the server.
+    pub(super) fn should_eject(&self) -> bool {
+        self.outlier.should_eject()
+    }
+
     /// Ejects the server if the evidence suffices, and returns until when. Requests that no other server accepts are
     /// still sent to it.
     pub(super) fn eject_outlier(&mut self, now: Timestamp) -> Option<Timestamp> {
--- a/agatetrestle/src/dispatch/tests/large_fleet.rs
+++ b/agatetrestle/src/dispatch/tests/large_fleet.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeSet;
 
 use super::*;
+use crate::backends::BackendChange;
 use crate::cluster::message::ListVersion;
-use crate::cluster::versioned::BackendChange;
 use crate::scheduler::random::Random;
 
 const ZONES: usize = 5;
--- a/agatetrestle/src/gateway/mod.rs
+++ b/agatetrestle/src/gateway/mod.rs
@@ -34,9 +34,9 @@
 use smol::LocalExecutor;
 use smol::Timer;
 
+use crate::backends::BackendChange;
 use crate::clock::Clock;
 use crate::clock::Timestamp;
-use crate::cluster::versioned::BackendChange;
 use crate::cluster::view::Watcher;
 use crate::control::command::Document;
 use crate::dispatch::Decision;
--- a/agatetrestle/src/gateway/wire.rs
+++ b/agatetrestle/src/gateway/wire.rs
@@ -11,8 +11,8 @@
 use http::Uri;
 use snafu::Snafu;
 
+use crate::backends::Instance;
 use crate::cluster::message::DrainStatus;
-use crate::dispatch::Instance;
 use crate::dispatch::ServerLoad;
 use crate::routing::ApiKey;
 use crate::routing::InvalidTable;
--- a/agatetrestle/src/lib.rs
+++ b/agatetrestle/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod agreement;
 pub mod allowance;
 pub mod attempts;
+pub mod backends;
 pub mod cli;
 pub mod clock;
 pub mod cluster;
--- a/agatetrestle_replay/src/control_traffic.rs
+++ b/agatetrestle_replay/src/control_traffic.rs
@@ -9,15 +9,15 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 
+use agatetrestle::backends::BackendChange;
+use agatetrestle::backends::Instance;
 use agatetrestle::cluster::message::ListVersion;
 use agatetrestle::cluster::message::Member;
 use agatetrestle::cluster::relays;
-use agatetrestle::cluster::versioned::BackendChange;
 use agatetrestle::cluster::versioned::ListChange;
 use agatetrestle::cluster::versioned::Scope;
 use agatetrestle::cluster::versioned::VersionedList;
 use agatetrestle::codec::Compressed;
-use agatetrestle::dispatch::Instance;
 use agatetrestle::ids::NodeId;
 use agatetrestle_config::deployment::Role;
 use serde::Serialize;
