Bound the servers of which a choice computes the expected time

Cause: at 10,000 servers a choice had up to some 400 candidates, and the expected time costs several exponentials for each.

Change: the expected time is computed for at most 66 servers: the prompt's home, the server of its last turn and others spread over the candidates. Services of up to 64 servers are compared as a whole as before.

--- a/agatetrestle/benches/decisions.rs
+++ b/agatetrestle/benches/decisions.rs
@@ -1,10 +1,19 @@
 //! Time of a scheduling decision, by the numbers of replicas and of live programs.
 
 use std::hint::black_box;
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
+use agatetrestle::backends::Instance;
 use agatetrestle::clock::Timestamp;
+use agatetrestle::dispatch::Decision;
+use agatetrestle::dispatch::Dispatch;
+use agatetrestle::dispatch::Request;
+use agatetrestle::dispatch::RequestOutcome;
+use agatetrestle::dispatch::RequestProfile;
+use agatetrestle::dispatch::RunProgress;
 use agatetrestle::ids::ProgramId;
 use agatetrestle::programs::command::Repeatable;
 use agatetrestle::scheduler::Policy;
@@ -19,6 +28,7 @@
 use agatetrestle::scheduler::event::Event;
 use agatetrestle::scheduler::event::Work;
 use agatetrestle_config::declarations::BackendKind;
+use agatetrestle_config::deployment::Decisions;
 use criterion::BenchmarkId;
 use criterion::Criterion;
 
@@ -91,6 +101,72 @@
     black_box(scheduler.step(now, Event::Finished { call: id, output_tokens: 100, cached_tokens: 0 }));
 }
 
+/// Servers of one service, and the numbers of requests by which an entry knows some of them.
+const SERVERS: usize = 10_000;
+const KNOWN_BY_REQUESTS: u64 = 500;
+/// Interval of an entry's requests in a fleet of 400 entries and 9,600 requests a second.
+const REQUEST_INTERVAL_US: u64 = 40_000;
+
+/// Time of a choice among 10,000 servers by a policy, without the completion of the request.
+fn choices(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("choice");
+    let instances: Vec<Instance> = (0..SERVERS)
+        .map(|number| Instance {
+            id: format!("i-{number:05}").into(),
+            service: "model".into(),
+            address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 80),
+            zone: format!("domain-{}", number % 5).into(),
+            slots: 6,
+            leaving: false,
+            born: None,
+        })
+        .collect();
+    for policy in [Decisions::RequestCounts, Decisions::Own] {
+        let mut dispatch = Dispatch::new("domain-1".into(), 1).with_policy(policy);
+        dispatch.replace_instances(Timestamp(0), &instances);
+        dispatch.set_memory([("model".into(), 49_000)]);
+        let mut ticket = 0;
+        let mut step = || -> Duration {
+            ticket += 1;
+            let now = Timestamp(ticket * REQUEST_INTERVAL_US);
+            let request = Request {
+                ticket,
+                service: "model".into(),
+                priority: 1,
+                started: true,
+                max_wait: Duration::from_secs(1),
+                deadline: now + Duration::from_secs(3),
+                finish_by: now + Duration::from_secs(3),
+                affinity: Some((ticket / 4).wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+                excluded: Vec::new(),
+                profile: RequestProfile {
+                    prompt_tokens: Some(2_000),
+                    max_tokens: Some(100),
+                    ..RequestProfile::default()
+                },
+            };
+            let start = std::time::Instant::now();
+            let decisions = black_box(dispatch.submit(now, request));
+            let elapsed = start.elapsed();
+            for decision in decisions {
+                if let Decision::Send { ticket, server } = decision {
+                    let outcome = RequestOutcome::Completed(Duration::from_millis(80));
+                    let progress = RunProgress { first_byte: None, generated_tokens: 90 };
+                    black_box(dispatch.finish_request(now, server, ticket, outcome, progress));
+                }
+            }
+            elapsed
+        };
+        for _ in 0..KNOWN_BY_REQUESTS {
+            step();
+        }
+        group.bench_function(BenchmarkId::from_parameter(format!("{policy:?}")), |bencher| {
+            bencher.iter_custom(|count| (0..count).map(|_| step()).sum());
+        });
+    }
+    group.finish();
+}
+
 fn decisions(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("decisions");
     group.sample_size(20);
@@ -139,5 +215,6 @@
 fn main() {
     let mut criterion = Criterion::default().configure_from_args();
     decisions(&mut criterion);
+    choices(&mut criterion);
     criterion.final_summary();
 }
--- a/agatetrestle/src/dispatch/expected.rs
+++ b/agatetrestle/src/dispatch/expected.rs
@@ -22,6 +22,8 @@
 
 /// Most servers that [`Dispatch::candidates`] returns.
 const MAX_CANDIDATES: usize = 8;
+/// Servers of which the expected time is computed for a choice. Services of this size or smaller are compared as a whole.
+const MAX_TIMED: usize = 64;
 /// Time of the network beyond that within the failure domain: failure domains are 0.9 to 1.4 ms apart one way.
 const REMOTE_US: f64 = 2_500.0;
 /// Time to open a connection, which takes one round trip.
@@ -99,6 +101,20 @@
     }
 }
 
+/// The preferred servers that are among some, and others of them at equal distances from a random start.
+pub(super) fn sample(keys: &[ServerKey], draw: u64, preferred: [Option<ServerKey>; 2]) -> Vec<ServerKey> {
+    let start = usize::try_from(draw % keys.len() as u64).unwrap_or_default();
+    let step = keys.len().div_ceil(MAX_TIMED);
+    let mut sampled: Vec<ServerKey> =
+        keys[start..].iter().chain(&keys[..start]).step_by(step).copied().collect();
+    for key in preferred.into_iter().flatten() {
+        if keys.contains(&key) && !sampled.contains(&key) {
+            sampled.push(key);
+        }
+    }
+    sampled
+}
+
 fn softplus(x: f64) -> f64 {
     if x > 30.0 { x } else { x.exp().ln_1p() }
 }
@@ -299,8 +315,11 @@
         let draws = [self.rng.below(u64::MAX), self.rng.below(u64::MAX)];
         let model = self.models.get(&request.service)?;
         let estimate = self.estimate(now, request, model, service_time);
-        let keys = self.usable(now, keys, request, estimate.load_ttl);
+        let mut keys = self.usable(now, keys, request, estimate.load_ttl);
         let cached = self.cached(&keys, candidates, &estimate);
+        if keys.len() > MAX_TIMED {
+            keys = sample(&keys, draws[0], [cached.home, cached.last.map(|(server, _)| server)]);
+        }
         let unknown_prompt = request.affinity.is_some() && request.profile.prompt_tokens.is_none();
         let time = |key: ServerKey| {
             let server = &self.servers[key];
--- a/agatetrestle/src/dispatch/tests/expected_time.rs
+++ b/agatetrestle/src/dispatch/tests/expected_time.rs
@@ -154,4 +154,13 @@
     };
     let [small, large] = [1_000, 10_000].map(candidates);
     assert!(small.max(large) < 400, "{small} and {large} servers");
+    let mut keys = slotmap::SlotMap::<ServerKey, ()>::with_key();
+    let all: Vec<ServerKey> = (0..400).map(|_| keys.insert(())).collect();
+    for draw in 0..500 {
+        let sampled = super::super::expected::sample(&all, draw, [Some(all[7]), None]);
+        assert!(
+            sampled.len() <= 65 && sampled.contains(&all[7]),
+            "the expected time is computed for few of them"
+        );
+    }
 }
