--- a/agatetrestle/src/dispatch/tests.rs
+++ b/agatetrestle/src/dispatch/tests.rs
@@ -4,9 +4,9 @@
 
 use super::*;
 
+mod candidates;
 mod engines;
 mod expected_time;
-mod candidates;
 mod large_fleet;
 mod simulation;
 mod stale_load;
--- a/agatetrestle/src/gateway/tests/early.rs
+++ b/agatetrestle/src/gateway/tests/early.rs
@@ -26,9 +26,9 @@
 use smol::net::TcpListener;
 use smol::net::TcpStream;
 
+use crate::backends::BackendChange;
 use crate::clock::Clock;
 use crate::cluster::message::DrainStatus;
-use crate::cluster::versioned::BackendChange;
 use crate::cluster::view::Watcher;
 use crate::codec::Blob;
 use crate::control::command::Document;
