Keep cached prompts at their servers, and lend capacity after a cold start

Cause: a turn that leaves the server with its prompt is read twice more, and engines read three times the tokens; demand extrapolated from the first second of a leader refused programs for ten seconds beside idle servers.

--- a/agatetrestle/src/dispatch/expected.rs
+++ b/agatetrestle/src/dispatch/expected.rs
@@ -129,9 +129,14 @@
     /// Whether requests of a service are sent where they are expected to complete first.
     #[must_use]
     pub fn is_modelled(&self, now: Timestamp, service: &Arc<str>) -> bool {
-        let baseline =
-            [Decisions::RequestCounts, Decisions::RoundRobin, Decisions::LeastLoad].contains(&self.policy);
-        !baseline && self.models.get(service).is_some_and(|model| model.is_active(now))
+        let Some(model) = self.models.get(service) else {
+            return false;
+        };
+        match self.policy {
+            Decisions::RequestCounts | Decisions::RoundRobin | Decisions::LeastLoad => false,
+            Decisions::ExpectedTime => model.is_active(now),
+            _ => model.reports_contention(now),
+        }
     }
 
     /// Sets the tokens that one server of each service holds in its memory, by the services that declare it.
@@ -291,16 +296,10 @@
             return CachedPrompt { shared, ..CachedPrompt::default() };
         };
         let last = self.prompts.get(affinity).filter(|_| profile.prompt_tokens.is_some());
-        // Rendezvous hashing weighted by speed, so that nodes with similar estimates agree on the server.
-        let score = |key: &ServerKey| {
-            let server = &self.servers[*key];
-            let hash = rendezvous_score(affinity, &server.instance.id);
-            ((to_f64(hash >> 12) + 1.0).ln() - HASH_RANGE_LN)
-                * estimate.model.significant_slowness(estimate.now, &server.speed)
-        };
+        // The estimates of the nodes differ, so a home that depended on them would not be the same on every node.
         let preferred = |in_window: &dyn Fn(&ServerKey) -> bool| {
-            let in_window = keys.iter().filter(|key| in_window(key)).map(|key| (*key, score(key)));
-            in_window.max_by(|a, b| a.1.total_cmp(&b.1)).map(|(key, _)| key)
+            let in_window = keys.iter().copied().filter(in_window);
+            in_window.max_by_key(|key| rendezvous_score(affinity, &self.servers[*key].instance.id))
         };
         let home = preferred(&|key| candidates.local.contains(key))
             .or_else(|| preferred(&|key| candidates.all.contains(key)));
--- a/agatetrestle/src/gateway/reserve.rs
+++ b/agatetrestle/src/gateway/reserve.rs
@@ -88,6 +88,7 @@
         capacity,
         candidates: named(gateway, &candidates),
         entry: (!candidates.is_empty()).then_some(gateway.node),
+        cached: !candidates.is_empty() && request.affinity.is_some(),
         priority: ctx.priority(),
     };
     let begin = Begin {
--- a/agatetrestle/src/turns/command.rs
+++ b/agatetrestle/src/turns/command.rs
@@ -75,6 +75,9 @@
     /// The entry that sends the command, if it names candidates; see [`crate::turns::placement`].
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub entry: Option<NodeId>,
+    /// Whether the entry chose its server because the prompt is likely to be cached there.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub cached: bool,
 }
 
 /// Servers that an entry names for a turn. More improve the choice little and lengthen each log entry.
@@ -142,7 +145,8 @@
             return None;
         };
         let opening = begin.opening.as_ref().filter(|opening| !opening.candidates.is_empty())?;
-        let opening = AdmissionParams { candidates: Vec::new(), entry: None, ..opening.clone() };
+        let opening =
+            AdmissionParams { candidates: Vec::new(), entry: None, cached: false, ..opening.clone() };
         Some(Self::Begin(Begin { opening: Some(opening), ..begin.clone() }))
     }
 
--- a/agatetrestle/src/turns/placement.rs
+++ b/agatetrestle/src/turns/placement.rs
@@ -30,11 +30,17 @@
 use crate::turns::placement::evidence::Overdue;
 use crate::turns::placement::evidence::decay;
 
-/// Part by which the expected time must be shorter than on the entry's own choice. The own choice has the prompt cached and
-/// a connection more often than the estimates tell.
+/// Part by which the expected time must be shorter than on the entry's own choice, which has a connection more often than
+/// the estimates tell.
 const MIN_GAIN_RATIO: f64 = 0.1;
 /// The same as an absolute time, which covers a connection to be made.
 const MIN_GAIN_SECONDS: f64 = 0.002;
+/// The same for a turn whose own choice has the prompt cached. If it leaves, its prompt is read in twice more, there and
+/// with the next turn at home, and takes memory from other prompts: with [`MIN_GAIN_RATIO`] engines read three times as many
+/// tokens as without placement.
+const MIN_GAIN_RATIO_CACHED: f64 = 0.5;
+/// The same as an absolute time, in which an engine reads one to two thousand tokens.
+const MIN_GAIN_SECONDS_CACHED: f64 = 0.02;
 /// Candidates whose expected times differ by less than this part are chosen at random.
 const TIE_RATIO: f64 = 0.01;
 /// Part by which each other running request slows a request down.
@@ -144,8 +150,12 @@
         let estimates = self.estimate(now, &params.service, route_time, candidates);
         let mut best = own;
         if let [own_estimate, others @ ..] = &estimates[..] {
-            let limit = (own_estimate.completion * (1.0 - MIN_GAIN_RATIO))
-                .min(own_estimate.completion - MIN_GAIN_SECONDS);
+            let (ratio, seconds) = if params.cached {
+                (MIN_GAIN_RATIO_CACHED, MIN_GAIN_SECONDS_CACHED)
+            } else {
+                (MIN_GAIN_RATIO, MIN_GAIN_SECONDS)
+            };
+            let limit = (own_estimate.completion * (1.0 - ratio)).min(own_estimate.completion - seconds);
             let shortest = others.iter().map(|other| other.completion).fold(f64::INFINITY, f64::min);
             let is_best = |estimate: &Estimate| estimate.completion <= shortest * (1.0 + TIE_RATIO);
             if shortest < limit {
--- a/agatetrestle/src/turns/program_admission/service.rs
+++ b/agatetrestle/src/turns/program_admission/service.rs
@@ -26,6 +26,8 @@
 /// The same for a program that is expected to end after its deadline. It earns a part of its value where nobody else needs the
 /// capacity, and a wrong estimate of durations must not refuse the programs of a route beside idle servers.
 const MAX_UTILIZATION_FOR_LATE: f64 = 0.8;
+/// Part of the capacity up to which a team may use more than its share. The rest absorbs what others ask for next.
+const MAX_UTILIZATION_FOR_LENT: f64 = 0.8;
 /// Part of the capacity by which that limit may be exceeded by a returning program with a reservation, since the expected
 /// time of its capacity is a mean, and by a program of a team that asks for less than its share.
 const OVERRUN: f64 = 0.15;
@@ -146,7 +148,9 @@
         let share = self.classes.team_share(now, class, team, limit - view.urgent, weights);
         let team_use = self.classes.team_use(class, team, &self.slots_per_program)
             + self.reservations.slots_of_team(class, team);
-        let within_share = team_use + slots <= share.slots.max(slots);
+        // Demand is known with a delay, so capacity that others leave free is lent whatever they asked for before.
+        let lent = ahead <= capacity * MAX_UTILIZATION_FOR_LENT;
+        let within_share = lent || team_use + slots <= share.slots.max(slots);
         if late {
             if within_share && ahead <= capacity * MAX_UTILIZATION_FOR_LATE {
                 return Ok(());
--- a/agatetrestle/src/turns/tests/placement.rs
+++ b/agatetrestle/src/turns/tests/placement.rs
@@ -175,6 +175,22 @@
     index.unwrap_or(0)
 }
 
+/// Guards against prompts that are read again and again, because turns leave the server that has them for small gains.
+#[test]
+fn keeps_server_with_cached_prompt_unless_it_takes_twice_as_long() {
+    let moved = |queued: u64, cached: bool| {
+        let mut placement = Placement::default();
+        for number in 0..queued {
+            placement.place(at(0), &begin_at(&format!("q-{number}"), 1, &["s-0"]));
+        }
+        let mut begin = begin_at("choice", 9, &["s-0", "s-1"]);
+        begin.opening.as_mut().unwrap().cached = cached;
+        placement.place(at(0), &begin).is_some()
+    };
+    assert_eq!([moved(8, false), moved(8, true)], [true, false], "a short queue");
+    assert_eq!([moved(24, false), moved(24, true)], [true, true], "a queue of several turns each");
+}
+
 /// Guards against a change of servers that are alike, which costs connections and cached prompts.
 #[test]
 fn keeps_own_choice_if_candidates_are_alike() {
--- a/agatetrestle_config/src/deployment.rs
+++ b/agatetrestle_config/src/deployment.rs
@@ -92,6 +92,9 @@
     /// Like [`Decisions::Own`], but servers are compared by their numbers of requests alone, never by their speed,
     /// contention or memory.
     RequestCounts,
+    /// Like [`Decisions::Own`], but servers are compared by the expected completion time also if the table declares their
+    /// memory or their observed speeds differ, not only if they report contention.
+    ExpectedTime,
     /// Like [`Decisions::Own`], but a server never gets more requests than it has slots.
     Places,
     /// Like [`Decisions::Own`], but an unresponsive server is waited for until the caller's deadline.
