--- a/agatetrestle/src/dispatch/expected.rs
+++ b/agatetrestle/src/dispatch/expected.rs
@@ -43,8 +43,6 @@
 const MEMORY_UNCERTAINTY_RATIO: f64 = 0.08;
 /// Weight of the server's own load reports against the mean of the service, after a report has become too old.
 const OWN_REPORTS_WEIGHT: f64 = 0.5;
-/// Logarithm of the number of values of a hash that is cut to 52 bits.
-const HASH_RANGE_LN: f64 = 52.0 * std::f64::consts::LN_2;
 /// Interval at which [`Dispatch::capacity`] is computed.
 const CAPACITY_INTERVAL: Duration = Duration::from_millis(250);
 /// Most that a server counts beyond its slots if it is faster than usual ones.
--- a/agatetrestle/src/dispatch/model.rs
+++ b/agatetrestle/src/dispatch/model.rs
@@ -158,13 +158,6 @@
         self.lasting_slowness(now, server) * expected.max(recent)
     }
 
-    /// Slowness by which prompts are distributed over the servers: 1 unless it differs significantly, so that nodes with
-    /// different samples agree.
-    pub(super) fn significant_slowness(&self, now: Timestamp, server: &SpeedEstimate) -> f64 {
-        let slowness = self.lasting_slowness(now, server) * self.recent(now, server);
-        if slowness.ln().abs() < self.significant_deviation(now, server) { 1.0 } else { slowness }
-    }
-
     /// Factor by which a server is slower than usual ones for a longer time.
     fn lasting_slowness(&self, now: Timestamp, server: &SpeedEstimate) -> f64 {
         let slowness = server.lasting_part(now, self.sample_variance);
