--- a/agatetrestle/src/allowance/window.rs
+++ b/agatetrestle/src/allowance/window.rs
@@ -37,9 +37,6 @@
     granted: u32,
     /// Requests that count against the present limit: fewer than were granted after the limit was lowered.
     counted: f64,
-    /// Whether it stands for requests of another leader. They are as many as the highest limit allowed, whatever the limit was
-    /// when the term began.
-    is_assumed: bool,
 }
 
 /// The bounds of a team's requests at one limit.
@@ -89,9 +86,6 @@
         self.advance(now);
         let mut counted = 0.0;
         for slice in self.slices.iter_mut().rev() {
-            if slice.is_assumed {
-                slice.granted = slice.granted.max(whole(line.burst));
-            }
             let granted = f64::from(slice.granted);
             let room = line.at(now.since(slice.last)) - counted;
             slice.counted = if is_lower { granted.min(room.max(0.0)) } else { granted };
@@ -103,8 +97,10 @@
     pub(super) fn fill(&mut self, now: Timestamp) {
         self.slices.clear();
         let counted = self.line.burst;
-        let granted = whole(counted);
-        self.slices.push_back(Slice { first: now, last: now, granted, counted, is_assumed: true });
+        // `as` saturates; a limit of billions of requests is not reached.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let granted = counted.ceil() as u32;
+        self.slices.push_back(Slice { first: now, last: now, granted, counted });
     }
 
     /// Removes requests that have left the window.
@@ -135,18 +131,12 @@
     /// Records a granted request.
     pub(super) fn record(&mut self, now: Timestamp) {
         match self.slices.back_mut() {
-            Some(slice) if !slice.is_assumed && now.since(slice.first) <= self.span / SLICES_PER_WINDOW => {
+            Some(slice) if now.since(slice.first) <= self.span / SLICES_PER_WINDOW => {
                 slice.last = slice.last.max(now);
                 slice.granted = slice.granted.saturating_add(1);
                 slice.counted += 1.0;
             }
-            _ => self.slices.push_back(Slice {
-                first: now,
-                last: now,
-                granted: 1,
-                counted: 1.0,
-                is_assumed: false,
-            }),
+            _ => self.slices.push_back(Slice { first: now, last: now, granted: 1, counted: 1.0 }),
         }
     }
 
@@ -177,9 +167,3 @@
         self.span
     }
 }
-
-/// Rounds up to whole requests, saturating.
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn whole(requests: f64) -> u32 {
-    requests.ceil() as u32
-}
