--- a/agatetrestle/src/allowance/replay/token_bucket.rs
+++ b/agatetrestle/src/allowance/bucket.rs
@@ -1,4 +1,4 @@
-//! The token bucket that the sliding window replaced, as the baseline of the replay.
+//! The token bucket of one team.
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
--- a/agatetrestle/src/allowance/mod.rs
+++ b/agatetrestle/src/allowance/mod.rs
@@ -1,16 +1,12 @@
 //! Rate limits of teams over all entries together.
 //!
-//! The leader of the state group that a team's name is assigned to holds the team's sliding window. Each request is granted
-//! by it before it is sent, so an entry that is cut off sends nothing uncounted. Leader changes and alternatives are covered in
-//! docs/design/022-rate-limits-and-entry-selection.md. The module is free of I/O and takes the time as an argument.
+//! The leader of the state group that a team's name is assigned to holds the team's token bucket. Each request takes a token
+//! before it is sent, so an entry that is cut off sends nothing uncounted. Leader changes and alternatives are covered in
+//! docs/design/014-teams-and-whole-programs.md. The module is free of I/O and takes the time as an argument.
 
-mod account;
-mod demand;
-#[cfg(test)]
-mod replay;
+mod bucket;
 #[cfg(test)]
 mod tests;
-mod window;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -18,7 +14,7 @@
 
 use agatetrestle_config::deployment::AllowanceBounds;
 
-use crate::allowance::account::Account;
+use crate::allowance::bucket::TokenBucket;
 use crate::clock::Timestamp;
 use crate::routing::Team;
 
@@ -31,7 +27,7 @@
     Request,
 }
 
-/// A request that must be granted before it is sent.
+/// A request that needs a token before it is sent.
 #[derive(Clone, Copy, Debug)]
 pub struct OutgoingRequest<'a> {
     /// The team that sends it.
@@ -42,15 +38,6 @@
     pub kind: RequestKind,
 }
 
-/// What tells the size of a program; requests without it count as of a usual program of their team.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct ProgramSize<'a> {
-    /// The route that the request arrived on.
-    pub route: Option<&'a Arc<str>>,
-    /// Time until the program's deadline.
-    pub finish_in: Option<Duration>,
-}
-
 /// Why a request must not be sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Denial {
@@ -60,14 +47,14 @@
     UnknownTeam,
 }
 
-/// The rate limits of all teams of a state group.
+/// The token buckets of all teams of a state group.
 #[derive(Debug)]
 pub struct RateLimiter {
     bounds: AllowanceBounds,
-    /// The term that the accounts are valid for.
+    /// The term that the buckets are valid for.
     term: u64,
     /// `None` for a team without a limit.
-    teams: HashMap<Arc<str>, Option<Account>>,
+    teams: HashMap<Arc<str>, Option<TokenBucket>>,
 }
 
 impl RateLimiter {
@@ -77,62 +64,46 @@
         Self { bounds, term: 0, teams: HashMap::new() }
     }
 
-    /// Replaces the configured teams. A team that remains keeps its account.
+    /// Replaces the configured teams. A team that remains keeps its bucket; tokens beyond a lowered limit are dropped.
     pub fn set_teams(&mut self, now: Timestamp, teams: &[Arc<Team>]) {
         let bounds = self.bounds;
         let mut previous = std::mem::take(&mut self.teams);
-        let accounts = teams.iter().map(|team| {
-            let account = team.rate_limit.map(|limit| {
-                let Some(mut existing) = previous.remove(&team.name).flatten() else {
-                    return Account::new(now, limit, bounds);
-                };
-                existing.set_limit(now, limit, bounds);
-                existing
+        let buckets = teams.iter().map(|team| {
+            let bucket = team.rate_limit.map(|limit| {
+                let existing = previous.remove(&team.name).flatten();
+                let mut bucket = existing.unwrap_or_else(|| TokenBucket::new(now));
+                bucket.set_limit(now, limit, bounds);
+                bucket
             });
-            (team.name.clone(), account)
+            (team.name.clone(), bucket)
         });
-        self.teams = accounts.collect();
+        self.teams = buckets.collect();
     }
 
-    /// Grants a request of a program of usual size, as the leader of `term`.
+    /// Takes a token from a team's bucket, as the leader of `term`.
     ///
     /// # Errors
     ///
     /// The reason why the request must not be sent.
     pub fn take(&mut self, now: Timestamp, term: u64, request: OutgoingRequest<'_>) -> Result<(), Denial> {
-        self.take_sized(now, term, request, ProgramSize::default())
-    }
-
-    /// Grants a request of a program whose size is indicated, as the leader of `term`.
-    ///
-    /// # Errors
-    ///
-    /// The reason why the request must not be sent.
-    pub fn take_sized(
-        &mut self,
-        now: Timestamp,
-        term: u64,
-        request: OutgoingRequest<'_>,
-        size: ProgramSize<'_>,
-    ) -> Result<(), Denial> {
         self.start_term(now, term);
         let OutgoingRequest { team, program, kind } = request;
         match self.teams.get_mut(team) {
             None => Err(Denial::UnknownTeam),
             Some(None) => Ok(()),
-            Some(Some(account)) => account.take(now, program, kind, size).map_err(Denial::OverLimit),
+            Some(Some(bucket)) => bucket.take(now, program, kind).map_err(Denial::OverLimit),
         }
     }
 
-    /// Fills all windows when a term begins, as if the previous leader had granted all that the limits allow. Thus no window
-    /// exceeds the limit across a change of leader.
+    /// Empties all buckets when a term begins, as if the previous leader had granted every token. Thus no window exceeds the
+    /// limit across a change of leader.
     fn start_term(&mut self, now: Timestamp, term: u64) {
         if self.term == term {
             return;
         }
         self.term = term;
-        for account in self.teams.values_mut().flatten() {
-            account.start_term(now);
+        for bucket in self.teams.values_mut().flatten() {
+            bucket.clear(now);
         }
     }
 }
--- a/agatetrestle/src/deployment/tests/state_group.rs
+++ b/agatetrestle/src/deployment/tests/state_group.rs
@@ -320,7 +320,7 @@
 }
 
 fn take() -> Vec<u8> {
-    let take = Take { team: "unknown".into(), program: None, begins: false, route: None, finish_in: None };
+    let take = Take { team: "unknown".into(), program: None, begins: false };
     TurnCommand::Take(take).encode(Duration::ZERO)
 }
 
--- a/agatetrestle/src/deployment/turns.rs
+++ b/agatetrestle/src/deployment/turns.rs
@@ -159,8 +159,6 @@
         team: begin.team.clone(),
         program: Some(begin.program.clone()),
         begins: params.begins,
-        route: Some(params.route.clone()),
-        finish_in: params.finish_in,
     });
     let reply = request(&routers[account_group], take).await?;
     Ok(Some(reply).filter(|reply| *reply != TurnReply::Taken))
--- a/agatetrestle/src/gateway/reserve.rs
+++ b/agatetrestle/src/gateway/reserve.rs
@@ -46,8 +46,6 @@
         team: ctx.team_name(),
         program: ctx.metadata.program.clone(),
         begins: false,
-        route: Some(ctx.route.name.clone()),
-        finish_in: ctx.metadata.finish_in.map(millis),
     });
     let left = ctx.deadline.since(gateway.clock.now());
     let reply = with_deadline(left, gateway.turns.commit(command)).await;
--- a/agatetrestle/src/turns/admission.rs
+++ b/agatetrestle/src/turns/admission.rs
@@ -1,6 +1,6 @@
 //! Admission of turns by the leader of a state group: rate limits of teams, limits of active programs, and placement.
 //!
-//! This state is not replicated: a new leader starts with full windows ([`crate::allowance`]) and no knowledge of servers.
+//! This state is not replicated: a new leader starts with empty buckets ([`crate::allowance`]) and no knowledge of servers.
 //! Where teams are declared it rebuilds the active programs from the log; without teams it starts with none.
 
 use std::sync::Arc;
@@ -11,7 +11,6 @@
 
 use crate::allowance::Denial;
 use crate::allowance::OutgoingRequest;
-use crate::allowance::ProgramSize;
 use crate::allowance::RateLimiter;
 use crate::allowance::RequestKind;
 use crate::clock::Timestamp;
@@ -131,9 +130,7 @@
         if params.charge {
             let kind = if starts_program { RequestKind::Beginning } else { RequestKind::Request };
             let request = OutgoingRequest { team: &begin.team, program: Some(&begin.program), kind };
-            let finish_in = params.finish_in.map(Duration::from_millis);
-            let size = ProgramSize { route: Some(&params.route), finish_in };
-            let charged = self.charge(now, term, request, size);
+            let charged = self.charge(now, term, request);
             if charged.is_err()
                 && starts_program
                 && let Some(TermAdmission { admission, .. }) = &mut self.program_admission
@@ -274,19 +271,11 @@
     pub fn take(&mut self, now: Timestamp, term: u64, take: &Take) -> TurnReply {
         let kind = if take.begins { RequestKind::Beginning } else { RequestKind::Request };
         let request = OutgoingRequest { team: &take.team, program: take.program.as_ref(), kind };
-        let finish_in = take.finish_in.map(Duration::from_millis);
-        let size = ProgramSize { route: take.route.as_ref(), finish_in };
-        self.charge(now, term, request, size).err().unwrap_or(TurnReply::Taken)
+        self.charge(now, term, request).err().unwrap_or(TurnReply::Taken)
     }
 
-    fn charge(
-        &mut self,
-        now: Timestamp,
-        term: u64,
-        request: OutgoingRequest<'_>,
-        size: ProgramSize<'_>,
-    ) -> Result<(), TurnReply> {
-        self.rate_limiter.take_sized(now, term, request, size).map_err(|denial| match denial {
+    fn charge(&mut self, now: Timestamp, term: u64, request: OutgoingRequest<'_>) -> Result<(), TurnReply> {
+        self.rate_limiter.take(now, term, request).map_err(|denial| match denial {
             Denial::OverLimit(retry_after) => {
                 let OutgoingRequest { team, kind, .. } = request;
                 info!(
--- a/agatetrestle/src/turns/command.rs
+++ b/agatetrestle/src/turns/command.rs
@@ -38,12 +38,6 @@
     pub program: Option<Arc<str>>,
     /// Whether the request is the first of its program.
     pub begins: bool,
-    /// The route that the request arrived on; `None` from entries that do not send it.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub route: Option<Arc<str>>,
-    /// Milliseconds until the program's deadline; `None` if unknown.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub finish_in: Option<u64>,
 }
 
 /// Inputs for the leader's admission check of a turn that are not in the replicated state.
