--- a/agatetrestle/src/turns/program_admission/classes.rs
+++ b/agatetrestle/src/turns/program_admission/classes.rs
@@ -20,7 +20,7 @@
 const HEADROOM_DEVIATIONS: f64 = 3.0;
 /// Shortest time from which demand is extrapolated. All callers come back at once after the loss of all VMs; extrapolated
 /// from that second, demand was six times the capacity, and programs were refused for ten seconds beside idle servers.
-const MIN_KNOWN_TIME: Duration = Duration::from_secs(8);
+const MIN_KNOWN_TIME: Duration = Duration::from_secs(4);
 
 /// Counts of active programs by route.
 #[derive(Debug, Default)]
--- a/agatetrestle/src/turns/program_admission/mod.rs
+++ b/agatetrestle/src/turns/program_admission/mod.rs
@@ -30,9 +30,6 @@
 
 /// Time beyond its caller's timeout after which a turn counts as ended without a report, as when its entry was lost.
 const LOST_TURN_GRACE: Duration = Duration::from_millis(200);
-/// Time for which an open turn that was read from the log counts. If all VMs were lost, so were the turns, and their callers
-/// come back at once; if only the leader was, most turns end within this time.
-const MAX_REBUILT_TURN: Duration = Duration::from_secs(1);
 /// Services that programs are limited on. Programs of further services begin without a limit.
 const MAX_SERVICES: usize = 256;
 /// Programs that are remembered on one service. Further ones begin without being counted; it is beyond the 310,000 programs
@@ -259,7 +256,7 @@
                     service: program.service.clone(),
                     program: name.clone(),
                     begun: at(open.began),
-                    expires: now + Duration::from_millis(recent.left(open.until)).min(MAX_REBUILT_TURN),
+                    expires: now + Duration::from_millis(recent.left(open.until)) + LOST_TURN_GRACE,
                 };
                 self.insert_open(turn, open);
             }
--- a/agatetrestle/src/turns/program_admission/service.rs
+++ b/agatetrestle/src/turns/program_admission/service.rs
@@ -149,7 +149,7 @@
         let team_use = self.classes.team_use(class, team, &self.slots_per_program)
             + self.reservations.slots_of_team(class, team);
         // Demand is known with a delay, so capacity that others leave free is lent whatever they asked for before.
-        let lent = view.used + slots <= capacity * MAX_UTILIZATION_FOR_LENT;
+        let lent = ahead <= capacity * MAX_UTILIZATION_FOR_LENT;
         let within_share = lent || team_use + slots <= share.slots.max(slots);
         if late {
             if within_share && ahead <= capacity * MAX_UTILIZATION_FOR_LATE {
