--- a/agatetrestle/src/cluster/mod.rs
+++ b/agatetrestle/src/cluster/mod.rs
@@ -6,6 +6,7 @@
 pub mod contacts;
 pub mod encoded;
 pub mod identity;
+pub mod leader_load;
 pub mod liveness;
 pub mod message;
 pub mod overview;
--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -4,11 +4,17 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures::future::LocalBoxFuture;
+use log::info;
+use smol::Timer;
 use smol::future::yield_now;
 
+use crate::agreement::Rejection;
 use crate::clock::Clock;
+use crate::cluster::leader_load::LeaderLoad;
+use crate::cluster::leader_load::RequestEnd;
 use crate::cluster::message::ControlRequest;
 use crate::cluster::registry::ClusterRegistry;
 use crate::codec::DecodeError;
@@ -86,6 +92,8 @@
 
 /// How often a query for an early answer lets other tasks run until its begin is proposed.
 const MAX_QUERY_YIELDS: u32 = 3;
+/// How often the delay of the event loop is measured.
+const LOOP_DELAY_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The service of a state group's replica. As the leader it adds the elapsed time to commands and admits new turns.
 pub struct TurnService {
@@ -95,13 +103,36 @@
     admission: Rc<RefCell<TurnAdmission>>,
     /// Proposals of this leader that are not applied yet.
     pending: RefCell<PendingCommands>,
+    load: RefCell<LeaderLoad>,
 }
 
 impl TurnService {
     /// Creates the service of a replica.
     #[must_use]
     pub fn new(group: Rc<Group<TurnState>>, clock: Clock, admission: Rc<RefCell<TurnAdmission>>) -> Self {
-        Self { group, clock, leader_clock: Cell::default(), admission, pending: RefCell::default() }
+        let load = RefCell::new(LeaderLoad::new(clock.now()));
+        Self { group, clock, leader_clock: Cell::default(), admission, pending: RefCell::default(), load }
+    }
+
+    /// Logs the load while this replica leads, until the task is dropped.
+    pub async fn log_load_forever(self: Rc<Self>) {
+        loop {
+            let due = self.clock.now() + LOOP_DELAY_INTERVAL;
+            Timer::after(LOOP_DELAY_INTERVAL).await;
+            let now = self.clock.now();
+            let mut load = self.load.borrow_mut();
+            load.record_loop_delay(now.since(due));
+            if let Some(report) = load.take_report(now) {
+                let (open, programs) = self.admission.borrow().counts();
+                let usage = self.group.machine(TurnState::usage);
+                info!(
+                    "leader_load {report} open_turns={open} programs={programs} unapplied={} turns={} bytes={}",
+                    self.group.last_index() - self.group.applied_index(),
+                    usage.turns,
+                    usage.bytes
+                );
+            }
+        }
     }
 
     async fn serve(&self, mut request: Vec<u8>) -> Submission {
@@ -121,12 +152,14 @@
         };
         let now = self.clock.now();
         if let TurnCommand::Take(take) = command {
-            return self.take(&take).await;
+            return self.take(take).await;
         }
+        self.record_repeat(&command);
         let admitted = self
             .group
             .machine(|state| self.admission.borrow_mut().check(now, self.group.term(), &command, state));
         if let Err(reply) = admitted {
+            self.load.borrow_mut().record(&command, RequestEnd::Denied, Duration::ZERO);
             return Submission::Applied(encode(&reply));
         }
         let placed = self.admission.borrow_mut().place(now, &command);
@@ -138,7 +171,9 @@
             self.leader_clock.set(leader_clock);
             self.pending.borrow_mut().push(self.progress(), elapsed, command.clone());
         }
-        let submission = to_submission(outcome.await);
+        let outcome = outcome.await;
+        self.load.borrow_mut().record(&command, request_end(&outcome), self.clock.now().since(now));
+        let submission = to_submission(outcome);
         if matches!(submission, Submission::Applied(_)) {
             let now = self.clock.now();
             self.group.machine(|state| self.admission.borrow_mut().record_applied(now, &command, state));
@@ -148,6 +183,15 @@
         with_server(submission, placed)
     }
 
+    fn record_repeat(&self, command: &TurnCommand) {
+        let TurnCommand::Begin(begin) = command else {
+            return;
+        };
+        if self.group.machine(|state| state.is_open(&begin.team, &begin.program, &begin.turn)) {
+            self.load.borrow_mut().record_repeat();
+        }
+    }
+
     fn progress(&self) -> LogProgress {
         LogProgress {
             term: self.group.term(),
@@ -175,7 +219,9 @@
         }
         let progress = self.progress();
         let mut pending = self.pending.borrow_mut();
-        match self.group.machine(|state| pending.granted_chain(progress, state, &query)) {
+        let chain = self.group.machine(|state| pending.granted_chain(progress, state, &query));
+        self.load.borrow_mut().record_query(chain.is_some());
+        match chain {
             Some(chain) => {
                 let server = self.admission.borrow().placed(&query.turn);
                 Submission::Applied(encode(&TurnReply::Begun { chain, server }))
@@ -186,7 +232,7 @@
 
     /// Takes a request from a team's account, which requires a valid lease, or that a quorum confirms the leader after the
     /// request arrived. The account is no part of the state machine, so a read of that is not waited for.
-    async fn take(&self, take: &Take) -> Submission {
+    async fn take(&self, take: Take) -> Submission {
         if !self.group.confirms_leadership() {
             match self.group.read_barrier().await {
                 ProposalOutcome::Ready => {}
@@ -194,7 +240,18 @@
             }
         }
         let (now, term) = (self.clock.now(), self.group.term());
-        Submission::Applied(encode(&self.admission.borrow_mut().take(now, term, take)))
+        let reply = self.admission.borrow_mut().take(now, term, &take);
+        let end = if reply == TurnReply::Taken { RequestEnd::Done } else { RequestEnd::Denied };
+        self.load.borrow_mut().record(&TurnCommand::Take(take), end, Duration::ZERO);
+        Submission::Applied(encode(&reply))
+    }
+}
+
+fn request_end(outcome: &ProposalOutcome) -> RequestEnd {
+    match outcome {
+        ProposalOutcome::Rejected(Rejection::Busy) => RequestEnd::Busy,
+        ProposalOutcome::Rejected(_) | ProposalOutcome::Unknown => RequestEnd::Lost,
+        ProposalOutcome::Applied(_) | ProposalOutcome::Ready | ProposalOutcome::Changed => RequestEnd::Done,
     }
 }
 
--- a/agatetrestle/src/deployment/store.rs
+++ b/agatetrestle/src/deployment/store.rs
@@ -14,6 +14,7 @@
 use futures::future::LocalBoxFuture;
 use log::info;
 use log::warn;
+use smol::LocalExecutor;
 use smol::Timer;
 use smol::channel::Receiver;
 use smol::channel::Sender;
@@ -143,6 +144,7 @@
             id,
             replica: replica.clone(),
             clock: context.clock,
+            executor: context.executor.clone(),
             service: RefCell::default(),
         });
         server.services.insert(id.early_answers(), Rc::new(EarlyAnswerService(service.clone())));
@@ -156,6 +158,7 @@
     id: GroupId,
     replica: Rc<StoreReplica>,
     clock: Clock,
+    executor: Rc<LocalExecutor<'static>>,
     service: RefCell<Option<Rc<TurnService>>>,
 }
 
@@ -166,7 +169,10 @@
         Some(
             service
                 .get_or_insert_with(|| {
-                    Rc::new(TurnService::new(group, self.clock, self.replica.admission.clone()))
+                    let service =
+                        Rc::new(TurnService::new(group, self.clock, self.replica.admission.clone()));
+                    self.executor.spawn(service.clone().log_load_forever()).detach();
+                    service
                 })
                 .clone(),
         )
--- a/agatetrestle/src/turns/admission.rs
+++ b/agatetrestle/src/turns/admission.rs
@@ -206,6 +206,18 @@
         })
     }
 
+    /// Open turns and active programs.
+    #[must_use]
+    pub fn counts(&self) -> (usize, usize) {
+        match &self.program_admission {
+            Some(TermAdmission { admission, .. }) => {
+                let (open, programs, _) = admission.counts();
+                (open as usize, programs as usize)
+            }
+            None => self.program_limiter.counts(),
+        }
+    }
+
     /// Chooses among the candidates of a turn that [`Self::check`] let pass; see [`Placement::place`].
     pub fn place(&mut self, now: Timestamp, command: &TurnCommand) -> Option<u32> {
         let TurnCommand::Begin(begin) = command else {
