Send no command to settle a turn whose begin was not proposed

Cause: a begin that a busy leader refuses is certainly not in the log, but the entry settled it all the same. Each refusal cost the leader a finish, which the entry repeats every 20 to 80 ms for up to 1.8 s while the leader is busy. The overload fed itself.

Change: the turn is discarded if the begin was not proposed. It is settled as before if its outcome is unknown.

Test: only_a_begin_that_may_be_in_the_log_is_settled; before, 1 command was sent for the refused begin instead of 0.

--- a/agatetrestle/src/gateway/reserve.rs
+++ b/agatetrestle/src/gateway/reserve.rs
@@ -119,10 +119,13 @@
             turn.discard();
             Err(error_response(&reply))
         }
-        // The reservation may have taken effect, so dropping the turn settles it.
-        Err(error @ (GroupError::NotProposed { .. } | GroupError::Unknown { .. })) => {
+        // There is nothing to settle, and a command would add to the load of a busy leader.
+        Err(error @ GroupError::NotProposed { .. }) => {
+            turn.discard();
             Err(ErrorResponse::not_run(error, FAILOVER_RETRY_AFTER))
         }
+        // The reservation may have taken effect, so dropping the turn settles it.
+        Err(error @ GroupError::Unknown { .. }) => Err(ErrorResponse::not_run(error, FAILOVER_RETRY_AFTER)),
     }
 }
 
--- a/agatetrestle/src/gateway/tests/early.rs
+++ b/agatetrestle/src/gateway/tests/early.rs
@@ -429,3 +429,19 @@
         assert_eq!(read_status(&mut caller).await, 200);
     });
 }
+
+/// Guards against a command for each refused begin, which adds to the load for which it was refused.
+#[test]
+fn only_a_begin_that_may_be_in_the_log_is_settled() {
+    let reason: Arc<str> = "test".into();
+    let not_proposed = GroupError::NotProposed { reason: reason.clone() };
+    for (error, commands) in [(not_proposed, 0), (GroupError::Unknown { reason }, 1)] {
+        run(|executor| async move {
+            let gateway = Harness::start(&executor, None).await;
+            let mut caller = gateway.send().await;
+            gateway.commits.send(Err(error)).await.unwrap();
+            assert_eq!(read_status(&mut caller).await, 503);
+            assert_eq!(gateway.turns.finished.borrow().len(), commands);
+        });
+    }
+}
