Take back what admission counted for a refused begin

Cause: the leader counted a program as active and charged its team's rate limit before the log refused its first turn as busy. Only the placement was taken back.

Change: TurnAdmission::check returns what it counted, and withdraw takes that back for each command that was certainly not appended. A token is refunded only in its own term. If the outcome is unknown nothing is refunded: the next term starts with empty buckets and reads the programs from the log.

Test: busy_refusal_leaves_admission_untouched (50 refused programs on 4 slots; before, the leader answered Crowded), withdrawn_command_is_not_charged, nothing_is_refunded_in_another_term.

--- a/agatetrestle/src/allowance/bucket.rs
+++ b/agatetrestle/src/allowance/bucket.rs
@@ -106,6 +106,23 @@
         Ok(())
     }
 
+    /// Returns the token of a request that is not sent after all.
+    pub(super) fn refund(&mut self, program: Option<&Arc<str>>, kind: RequestKind) {
+        self.tokens = (self.tokens + 1.0).min(self.capacity);
+        self.recent_requests -= 1.0;
+        self.recent_programs -= f64::from(u8::from(kind == RequestKind::Beginning));
+        if let Some(name) = program
+            && let Some(program) = self.programs.get_mut(name)
+        {
+            program.requests -= 1.0;
+            if program.requests <= 0.0 {
+                let last_request = program.last_request;
+                self.programs.remove(name);
+                self.by_last_request.remove(&(last_request, name.clone()));
+            }
+        }
+    }
+
     /// Tokens missing for a program to begin: its own demand and the reserves of active programs must be covered.
     fn shortfall_to_begin(&self) -> f64 {
         let demand = self.requests_per_program();
--- a/agatetrestle/src/allowance/mod.rs
+++ b/agatetrestle/src/allowance/mod.rs
@@ -95,6 +95,16 @@
         }
     }
 
+    /// Returns the token of a request that is not sent after all. Tokens of an earlier term are lost.
+    pub fn refund(&mut self, term: u64, request: OutgoingRequest<'_>) {
+        let OutgoingRequest { team, program, kind } = request;
+        if self.term == term
+            && let Some(Some(bucket)) = self.teams.get_mut(team)
+        {
+            bucket.refund(program, kind);
+        }
+    }
+
     /// Empties all buckets when a term begins, as if the previous leader had granted every token. Thus no window exceeds the
     /// limit across a change of leader.
     fn start_term(&mut self, now: Timestamp, term: u64) {
--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -123,12 +123,13 @@
         if let TurnCommand::Take(take) = command {
             return self.take(&take).await;
         }
-        let admitted = self
-            .group
-            .machine(|state| self.admission.borrow_mut().check(now, self.group.term(), &command, state));
-        if let Err(reply) = admitted {
-            return Submission::Applied(encode(&reply));
-        }
+        let term = self.group.term();
+        let admitted =
+            self.group.machine(|state| self.admission.borrow_mut().check(now, term, &command, state));
+        let admitted = match admitted {
+            Ok(admitted) => admitted,
+            Err(reply) => return Submission::Applied(encode(&reply)),
+        };
         let placed = self.admission.borrow_mut().place(now, &command);
         let shortened = command.without_candidates().map(|logged| logged.encode(elapsed).into());
         let command = Rc::new(command);
@@ -138,14 +139,19 @@
             self.leader_clock.set(leader_clock);
             self.pending.borrow_mut().push(self.progress(), elapsed, command.clone());
         }
-        let submission = to_submission(outcome.await);
-        if matches!(submission, Submission::Applied(_)) {
-            let now = self.clock.now();
-            self.group.machine(|state| self.admission.borrow_mut().record_applied(now, &command, state));
-        } else {
-            self.admission.borrow_mut().abandon(&command);
+        let outcome = outcome.await;
+        let mut admission = self.admission.borrow_mut();
+        match &outcome {
+            ProposalOutcome::Applied(_) => {
+                let now = self.clock.now();
+                self.group.machine(|state| admission.record_applied(now, &command, state));
+            }
+            ProposalOutcome::Rejected(_) => admission.withdraw(term, &command, admitted),
+            // The next term's admission reads from the log whether the program began.
+            _ => admission.abandon(&command),
         }
-        with_server(submission, placed)
+        drop(admission);
+        with_server(to_submission(outcome), placed)
     }
 
     fn progress(&self) -> LogProgress {
--- a/agatetrestle/src/deployment/tests/state_group.rs
+++ b/agatetrestle/src/deployment/tests/state_group.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use agatetrestle_config::deployment::AllowanceBounds;
@@ -42,7 +43,9 @@
 use crate::node::service::GroupService;
 use crate::node::service::Submission;
 use crate::ports::GroupError;
+use crate::routing::Team;
 use crate::turns::admission::TurnAdmission;
+use crate::turns::command::AdmissionParams;
 use crate::turns::command::Begin;
 use crate::turns::command::Finish;
 use crate::turns::command::Take;
@@ -52,6 +55,7 @@
 
 const STORES: [NodeId; 3] = [NodeId(1), NodeId(2), NodeId(3)];
 const ENTRY: NodeId = NodeId(9);
+const TEAM: &str = "team";
 const TICK: Duration = Duration::from_millis(5);
 /// Longer than any test.
 const NO_TIMEOUT: Duration = Duration::from_hours(1);
@@ -87,12 +91,14 @@
     /// A leader is without a lease for this long before it steps down.
     clock_drift: Duration,
     leader_interval: Duration,
+    max_in_flight: usize,
 }
 
 const DEFAULT: Options = Options {
     early_answers: true,
     clock_drift: Duration::from_millis(5),
     leader_interval: Duration::from_millis(40),
+    max_in_flight: 64,
 };
 
 struct StateGroup {
@@ -128,7 +134,7 @@
             election_timeout: ELECTION_TIMEOUT,
             clock_drift: options.clock_drift,
             seed: 7,
-            max_in_flight: 64,
+            max_in_flight: options.max_in_flight,
             max_commit_wait: NO_TIMEOUT,
             max_batch_bytes: 1 << 16,
         };
@@ -159,7 +165,10 @@
     let receiver = group.clone();
     let handler: MessageHandler = Rc::new(move |message| receiver.receive(message));
     links.set_handlers([(FIRST_STATE_GROUP, handler.clone())].into());
-    let admission = Rc::new(RefCell::new(TurnAdmission::new(AllowanceBounds::default())));
+    let mut admission = TurnAdmission::new(AllowanceBounds::default());
+    let team = Team { name: TEAM.into(), keys: Vec::new(), priority: 1, rate_limit: None };
+    admission.set_teams(clock.now(), &[Arc::new(team)]);
+    let admission = Rc::new(RefCell::new(admission));
     let service = Rc::new(TurnService::new(group.clone(), clock, admission));
     let mut server = PeerServer::default();
     server.handlers.insert(FIRST_STATE_GROUP, handler);
@@ -417,3 +426,47 @@
         assert!(wake_ups <= commits * 36, "{wake_ups} wake-ups");
     });
 }
+
+/// The encoded first turn of a program on a service with a few slots.
+fn first_turn(program: &str) -> Vec<u8> {
+    let opening = AdmissionParams {
+        service: "engines".into(),
+        route: "chat".into(),
+        places: 4,
+        patience: 3_000,
+        begins: true,
+        ..AdmissionParams::default()
+    };
+    let begin = Begin {
+        program: program.into(),
+        team: TEAM.into(),
+        turn: format!("{program}-1").into(),
+        budget: None,
+        most: 1,
+        previous: None,
+        carried: Vec::new(),
+        opening: Some(opening),
+    };
+    TurnCommand::Begin(begin).encode(Duration::ZERO)
+}
+
+/// Guards against programs that count as active although the log was too busy for their first turn: the leader would refuse
+/// others beside idle servers.
+#[test]
+fn busy_refusal_leaves_admission_untouched() {
+    run(|executor| async move {
+        let group = StateGroup::start(&executor, Options { max_in_flight: 1, ..DEFAULT }).await;
+        let leader = group.leader().await;
+        leader.cut.set(true);
+        let mut first = leader.service.submit(first_turn("first"));
+        assert!((&mut first).now_or_never().is_none(), "it waits for its commit");
+        for number in 0..50 {
+            let refused = leader.service.submit(first_turn(&format!("refused-{number}"))).now_or_never();
+            assert!(matches!(refused, Some(Submission::Refused(_))), "{refused:?}");
+        }
+        leader.cut.set(false);
+        let begun = Submission::Applied(crate::codec::encode(&begun()));
+        assert_eq!(first.await, begun);
+        assert_eq!(leader.service.submit(first_turn("next")).await, begun, "only one program is active");
+    });
+}
--- a/agatetrestle/src/turns/admission.rs
+++ b/agatetrestle/src/turns/admission.rs
@@ -43,6 +43,15 @@
     placement: Placement,
 }
 
+/// What [`TurnAdmission::check`] counted for a command.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Admitted {
+    /// Whether the command begins a program that counts as active.
+    program: bool,
+    /// Whether it was charged to its team's rate limit.
+    charged: bool,
+}
+
 /// The admission of programs during one term.
 #[derive(Debug, Default)]
 struct TermAdmission {
@@ -101,7 +110,7 @@
         }
     }
 
-    /// Checks a command before the leader of `term` appends it to the log.
+    /// Checks a command before the leader of `term` appends it to the log, and returns what was counted for it.
     ///
     /// # Errors
     ///
@@ -112,34 +121,46 @@
         term: u64,
         command: &TurnCommand,
         state: &TurnState,
-    ) -> Result<(), TurnReply> {
+    ) -> Result<Admitted, TurnReply> {
         let TurnCommand::Begin(begin) = command else {
-            return Ok(());
+            return Ok(Admitted::default());
         };
         // A turn that is already open was checked when it first arrived.
         let Some(params) = begin.opening.as_ref().filter(|_| !is_open(state, begin)) else {
-            return Ok(());
+            return Ok(Admitted::default());
         };
         if let Some(term_admission) = &mut self.program_admission {
             term_admission.start_term(now, term, state);
         }
-        let starts_program = !state.has_begun(&begin.team, &begin.program) && begin.previous.is_none();
-        if starts_program {
+        let mut admitted = Admitted { program: starts_program(state, begin), charged: false };
+        if admitted.program {
             self.admit_program(now, begin, params)?;
         }
         if params.charge {
-            let kind = if starts_program { RequestKind::Beginning } else { RequestKind::Request };
-            let request = OutgoingRequest { team: &begin.team, program: Some(&begin.program), kind };
-            let charged = self.charge(now, term, request);
-            if charged.is_err()
-                && starts_program
-                && let Some(TermAdmission { admission, .. }) = &mut self.program_admission
-            {
-                admission.withdraw(&params.service, &account_key(&begin.team, &begin.program));
+            if let Err(reply) = self.charge(now, term, outgoing_request(begin, admitted)) {
+                self.withdraw(term, command, admitted);
+                return Err(reply);
             }
-            charged?;
+            admitted.charged = true;
+        }
+        Ok(admitted)
+    }
+
+    /// Takes back what [`Self::check`] counted for a command that certainly did not enter the log.
+    pub fn withdraw(&mut self, term: u64, command: &TurnCommand, admitted: Admitted) {
+        let TurnCommand::Begin(begin) = command else {
+            return;
+        };
+        self.placement.abandon(&begin.turn);
+        if admitted.charged {
+            self.rate_limiter.refund(term, outgoing_request(begin, admitted));
+        }
+        if admitted.program
+            && let Some(params) = &begin.opening
+            && let Some(TermAdmission { admission, .. }) = &mut self.program_admission
+        {
+            admission.withdraw(&params.service, &account_key(&begin.team, &begin.program));
         }
-        Ok(())
     }
 
     /// Decides whether a program may begin.
@@ -289,6 +310,17 @@
     }
 }
 
+/// Whether a begin is the first turn of its program, by the state of this replica.
+#[must_use]
+pub fn starts_program(state: &TurnState, begin: &Begin) -> bool {
+    begin.previous.is_none() && !state.has_begun(&begin.team, &begin.program)
+}
+
+fn outgoing_request(begin: &Begin, admitted: Admitted) -> OutgoingRequest<'_> {
+    let kind = if admitted.program { RequestKind::Beginning } else { RequestKind::Request };
+    OutgoingRequest { team: &begin.team, program: Some(&begin.program), kind }
+}
+
 fn is_open(state: &TurnState, begin: &Begin) -> bool {
     state.is_open(&begin.team, &begin.program, &begin.turn)
 }
--- a/agatetrestle/src/turns/tests.rs
+++ b/agatetrestle/src/turns/tests.rs
@@ -18,6 +18,7 @@
 use crate::turns::command::TurnReply;
 use crate::turns::state::TurnState;
 
+mod admission;
 mod burst;
 mod contention;
 mod limiter;
--- a/agatetrestle/src/turns/tests/contention/leader.rs
+++ b/agatetrestle/src/turns/tests/contention/leader.rs
@@ -101,7 +101,7 @@
     fn admit(&mut self, now: u64, program: &Program, turn: &Arc<str>, patience: u64) -> Result<(), u64> {
         let command = self.begin_command(now, program, turn, patience, false);
         match self.admission.check(at(now), self.term, &command, &self.state) {
-            Ok(()) => Ok(()),
+            Ok(_) => Ok(()),
             Err(TurnReply::Crowded(millis)) => Err(millis),
             Err(reply) => panic!("{reply:?}"),
         }
