Append a repeated command once, and record its outcome without a caller

Cause: an entry sends a command again when an attempt of 400 ms has no answer, and the leader appended, charged and executed each copy that arrived before the first was applied. And the outcome was recorded by the handler of the call: if the connection was lost meanwhile, the RPC library dropped the handler, and the turn was never counted as begun, or stayed open until it expired.

Change: proposals stand in a list in log order until their outcome is recorded, which any later call does. A copy of a begin or finish in that list waits for the same outcome. Reads (Chain) are not shared.

Test: repeated_command_in_flight_is_appended_once (before, 6 log entries for 2 commands), outcome_is_recorded_though_all_callers_left (before, 2 turns counted as open instead of 1).

--- a/agatetrestle/src/cluster/mod.rs
+++ b/agatetrestle/src/cluster/mod.rs
@@ -6,6 +6,7 @@
 pub mod contacts;
 pub mod encoded;
 pub mod identity;
+mod in_flight;
 pub mod liveness;
 pub mod message;
 pub mod overview;
--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -9,6 +9,8 @@
 use smol::future::yield_now;
 
 use crate::clock::Clock;
+use crate::cluster::in_flight::InFlight;
+use crate::cluster::in_flight::Proposal;
 use crate::cluster::message::ControlRequest;
 use crate::cluster::registry::ClusterRegistry;
 use crate::codec::DecodeError;
@@ -95,13 +97,22 @@
     admission: Rc<RefCell<TurnAdmission>>,
     /// Proposals of this leader that are not applied yet.
     pending: RefCell<PendingCommands>,
+    /// Proposals of this leader whose outcome is not recorded yet.
+    in_flight: RefCell<InFlight>,
 }
 
 impl TurnService {
     /// Creates the service of a replica.
     #[must_use]
     pub fn new(group: Rc<Group<TurnState>>, clock: Clock, admission: Rc<RefCell<TurnAdmission>>) -> Self {
-        Self { group, clock, leader_clock: Cell::default(), admission, pending: RefCell::default() }
+        Self {
+            group,
+            clock,
+            leader_clock: Cell::default(),
+            admission,
+            pending: RefCell::default(),
+            in_flight: RefCell::default(),
+        }
     }
 
     async fn serve(&self, mut request: Vec<u8>) -> Submission {
@@ -112,6 +123,11 @@
                 outcome => return to_submission(outcome),
             }
         }
+        self.record_outcomes();
+        let repeated = self.in_flight.borrow().find(&request);
+        if let Some(proposal) = repeated {
+            return self.reply(proposal).await;
+        }
         let mut leader_clock = self.leader_clock.get();
         let elapsed = leader_clock.advance(self.group.term(), self.clock.now());
         TimedCommand::set_elapsed(&mut request, elapsed);
@@ -119,39 +135,65 @@
         let Some(TimedCommand { elapsed, command }) = TimedCommand::decode(&payload) else {
             return commit(&self.group, payload).await;
         };
-        let now = self.clock.now();
         if let TurnCommand::Take(take) = command {
             return self.take(&take).await;
         }
-        let term = self.group.term();
+        let (now, term) = (self.clock.now(), self.group.term());
         let admitted =
             self.group.machine(|state| self.admission.borrow_mut().check(now, term, &command, state));
         let admitted = match admitted {
-            Ok(admitted) => admitted,
+            Ok(admitted) => (term, admitted),
             Err(reply) => return Submission::Applied(encode(&reply)),
         };
         let placed = self.admission.borrow_mut().place(now, &command);
         let shortened = command.without_candidates().map(|logged| logged.encode(elapsed).into());
         let command = Rc::new(command);
-        let (index, outcome) = self.group.propose(shortened.unwrap_or(payload));
+        let (index, outcome) = self.group.propose(shortened.unwrap_or_else(|| payload.clone()));
+        let proposal = Proposal::new(payload, command.clone(), admitted, placed, outcome);
         if index.is_some() {
             // Time reported with a command that is not appended would be lost.
             self.leader_clock.set(leader_clock);
-            self.pending.borrow_mut().push(self.progress(), elapsed, command.clone());
+            self.pending.borrow_mut().push(self.progress(), elapsed, command);
+            self.in_flight.borrow_mut().push(proposal.clone());
+            return self.reply(proposal).await;
+        }
+        let outcome = proposal.outcome.clone().await;
+        self.record(&proposal, &outcome);
+        to_submission(Rc::unwrap_or_clone(outcome))
+    }
+
+    /// Waits for the outcome of a proposal in flight.
+    async fn reply(&self, proposal: Rc<Proposal>) -> Submission {
+        let outcome = proposal.outcome.clone().await;
+        self.record_outcomes();
+        let placed = proposal.placed;
+        drop(proposal);
+        with_server(to_submission(Rc::unwrap_or_clone(outcome)), placed)
+    }
+
+    /// Records all outcomes that are known. Proposals complete in log order.
+    fn record_outcomes(&self) {
+        loop {
+            let complete = self.in_flight.borrow_mut().pop_complete();
+            let Some((proposal, outcome)) = complete else {
+                return;
+            };
+            self.record(&proposal, &outcome);
         }
-        let outcome = outcome.await;
+    }
+
+    fn record(&self, proposal: &Proposal, outcome: &ProposalOutcome) {
+        let Proposal { command, admitted: (term, admitted), .. } = proposal;
         let mut admission = self.admission.borrow_mut();
-        match &outcome {
+        match outcome {
             ProposalOutcome::Applied(_) => {
                 let now = self.clock.now();
-                self.group.machine(|state| admission.record_applied(now, &command, state));
+                self.group.machine(|state| admission.record_applied(now, command, state));
             }
-            ProposalOutcome::Rejected(_) => admission.withdraw(term, &command, admitted),
+            ProposalOutcome::Rejected(_) => admission.withdraw(*term, command, *admitted),
             // The next term's admission reads from the log whether the program began.
-            _ => admission.abandon(&command),
+            _ => admission.abandon(command),
         }
-        drop(admission);
-        with_server(to_submission(outcome), placed)
     }
 
     fn progress(&self) -> LogProgress {
--- a/agatetrestle/src/deployment/tests/state_group.rs
+++ b/agatetrestle/src/deployment/tests/state_group.rs
@@ -65,6 +65,7 @@
 struct Store {
     group: Rc<Group<TurnState>>,
     service: Rc<TurnService>,
+    admission: Rc<RefCell<TurnAdmission>>,
     /// Whether the store's messages to other stores are lost.
     cut: Rc<Cell<bool>>,
     /// Messages to other stores, lost ones included.
@@ -169,7 +170,7 @@
     let team = Team { name: TEAM.into(), keys: Vec::new(), priority: 1, rate_limit: None };
     admission.set_teams(clock.now(), &[Arc::new(team)]);
     let admission = Rc::new(RefCell::new(admission));
-    let service = Rc::new(TurnService::new(group.clone(), clock, admission));
+    let service = Rc::new(TurnService::new(group.clone(), clock, admission.clone()));
     let mut server = PeerServer::default();
     server.handlers.insert(FIRST_STATE_GROUP, handler);
     server.services.insert(FIRST_STATE_GROUP, service.clone());
@@ -179,7 +180,7 @@
     }
     executor.spawn(peer_server::serve(Rc::new(server), listener, Rc::downgrade(executor))).detach();
     executor.spawn(group.clone().run(storage, jobs, TICK)).detach();
-    Store { group, service, cut, sent, disk }
+    Store { group, service, admission, cut, sent, disk }
 }
 
 impl StateGroup {
@@ -470,3 +471,47 @@
         assert_eq!(leader.service.submit(first_turn("next")).await, begun, "only one program is active");
     });
 }
+
+/// Guards against a leader that logs and executes each copy of a command that its entry sent again.
+#[test]
+fn repeated_command_in_flight_is_appended_once() {
+    run(|executor| async move {
+        let group = StateGroup::start(&executor, DEFAULT).await;
+        let leader = group.leader().await;
+        leader.cut.set(true);
+        let finish = TurnCommand::Finish(Finish { turn: "a".into(), ..Finish::default() });
+        let last = leader.group.last_index();
+        for request in [first_turn("program"), finish.encode(Duration::ZERO)] {
+            let mut copies: Vec<_> = (0..3).map(|_| leader.service.submit(request.clone())).collect();
+            for copy in &mut copies {
+                assert!(copy.now_or_never().is_none(), "it waits for its commit");
+            }
+        }
+        assert_eq!(leader.group.last_index(), last + 2);
+        let mut copy = leader.service.submit(first_turn("program"));
+        assert!((&mut copy).now_or_never().is_none());
+        leader.cut.set(false);
+        assert_eq!(copy.await, Submission::Applied(crate::codec::encode(&begun())));
+        assert_eq!(leader.group.last_index(), last + 2);
+    });
+}
+
+/// Guards against turns that are never counted, or count until they expire, because their caller's connection was lost.
+#[test]
+fn outcome_is_recorded_though_all_callers_left() {
+    run(|executor| async move {
+        let group = StateGroup::start(&executor, DEFAULT).await;
+        let leader = group.leader().await;
+        let begun = Submission::Applied(crate::codec::encode(&begun()));
+        assert_eq!(leader.service.submit(first_turn("lost")).await, begun);
+        leader.cut.set(true);
+        let finish =
+            Finish { program: "lost".into(), team: TEAM.into(), turn: "lost-1".into(), ..Finish::default() };
+        let mut finishing = leader.service.submit(TurnCommand::Finish(finish).encode(Duration::ZERO));
+        assert!((&mut finishing).now_or_never().is_none());
+        drop(finishing);
+        leader.cut.set(false);
+        assert_eq!(leader.service.submit(first_turn("next")).await, begun);
+        assert_eq!(leader.admission.borrow().open_turns(), 1);
+    });
+}
--- a/agatetrestle/src/turns/admission.rs
+++ b/agatetrestle/src/turns/admission.rs
@@ -288,6 +288,17 @@
         }
     }
 
+    /// Turns that count as open.
+    #[cfg(test)]
+    pub(crate) fn open_turns(&self) -> usize {
+        match &self.program_admission {
+            Some(TermAdmission { admission, .. }) => {
+                usize::try_from(admission.counts().0).unwrap_or(usize::MAX)
+            }
+            None => self.program_limiter.counts().0,
+        }
+    }
+
     /// Charges one request to a team's rate limit, as the leader of `term`.
     pub fn take(&mut self, now: Timestamp, term: u64, take: &Take) -> TurnReply {
         let kind = if take.begins { RequestKind::Beginning } else { RequestKind::Request };
--- a/agatetrestle/src/turns/command.rs
+++ b/agatetrestle/src/turns/command.rs
@@ -160,6 +160,12 @@
         }
     }
 
+    /// The part of an encoded command that is the same each time it is sent.
+    #[must_use]
+    pub fn without_elapsed(encoded: &[u8]) -> &[u8] {
+        encoded.split_first_chunk::<4>().map_or(&[], |(_, rest)| rest)
+    }
+
     /// Decodes the output of [`TurnCommand::encode`]; `None` if the bytes are malformed.
     #[must_use]
     pub fn decode(payload: &Arc<[u8]>) -> Option<Self> {
