Send no copy of a command that a slow leader still works on

Cause: a router gave an attempt up after 400 ms on a connection that answered others, forgot the leader, and sent the command again, so the late answer was lost. A finish that a busy leader refused came back every 20 to 80 ms, without jitter. And if the search for another leader ended first, the request counted as not proposed although the silent holder may have appended it.

Change: a call waits on while its connection answers others, up to the request's timeout. Delays have up to a half of jitter, drawn from the request, and double up to 320 ms while a leader is busy. An attempt abandoned for another leader leaves the outcome unknown. For 500 ms after a busy refusal an entry asks for no early answers.

Test: call_outlasts_its_deadline_while_the_connection_answers_others. The interface is new, so there is no failure before.

--- a/agatetrestle/src/node/peer_link.rs
+++ b/agatetrestle/src/node/peer_link.rs
@@ -12,6 +12,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::pin::pin;
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
@@ -94,9 +95,24 @@
     }
 }
 
+/// How long a call waits for its answer.
+#[derive(Clone, Copy, Debug)]
+pub struct CallDeadlines {
+    /// Time without any answer on the connection after which it counts as dead.
+    pub silence: Duration,
+    /// Time that the call waits while the connection answers others, in whole multiples of `silence`.
+    pub total: Duration,
+}
+
+impl From<Duration> for CallDeadlines {
+    fn from(deadline: Duration) -> Self {
+        Self { silence: deadline, total: deadline }
+    }
+}
+
 /// Awaits a future for at most `deadline`; returns `None` if it does not complete in time.
 pub async fn with_deadline<F: Future>(deadline: Duration, future: F) -> Option<F::Output> {
-    let future = std::pin::pin!(future);
+    let future = pin!(future);
     match select(future, Timer::after(deadline)).await {
         Either::Left((output, _)) => Some(output),
         Either::Right(_) => None,
@@ -143,22 +159,30 @@
         );
     }
 
-    /// Awaits the answer to a call until its deadline, and discards the connection if it failed or appears dead.
+    /// Awaits the answer to a call until its deadlines, and discards the connection if it failed or appears dead.
     async fn await_answer<T>(
         self: Rc<Self>,
         handle: ConnectionHandle,
-        deadline: Duration,
+        deadlines: CallDeadlines,
         call: impl Future<Output = Result<T, capnp::Error>>,
     ) -> Result<T, LinkError> {
-        let answers_before = handle.answers.get();
-        let error = match with_deadline(deadline, call).await {
-            Some(Ok(answer)) => {
-                handle.answers.set(handle.answers.get() + 1);
-                return Ok(answer);
+        let mut call = pin!(call);
+        let mut waited = Duration::ZERO;
+        let error = loop {
+            let answers_before = handle.answers.get();
+            match with_deadline(deadlines.silence, call.as_mut()).await {
+                Some(Ok(answer)) => {
+                    handle.answers.set(handle.answers.get() + 1);
+                    return Ok(answer);
+                }
+                Some(Err(source)) => break LinkError::Broken { source },
+                None if handle.answers.get() == answers_before => break LinkError::Timeout,
+                None => {}
+            }
+            waited += deadlines.silence;
+            if waited + deadlines.silence > deadlines.total {
+                return Err(LinkError::Timeout);
             }
-            Some(Err(source)) => LinkError::Broken { source },
-            None if handle.answers.get() > answers_before => return Err(LinkError::Timeout),
-            None => LinkError::Timeout,
         };
         self.discard(handle.generation, &error);
         Err(error)
@@ -273,14 +297,14 @@
         self.call_within(self.deadline, call).await
     }
 
-    /// Makes a call as [`PeerLink::call`] does, with its own deadline.
+    /// Makes a call as [`PeerLink::call`] does, with its own deadlines.
     ///
     /// # Errors
     ///
     /// As [`PeerLink::call`].
     pub async fn call_within<T, F>(
         &self,
-        deadline: Duration,
+        deadlines: impl Into<CallDeadlines>,
         call: impl FnOnce(&peer::Client) -> F,
     ) -> Result<T, LinkError>
     where
@@ -289,7 +313,7 @@
     {
         let handle = self.client().await?;
         let started = call(&handle.client);
-        let answer = self.slot.clone().await_answer(handle, deadline, started);
+        let answer = self.slot.clone().await_answer(handle, deadlines.into(), started);
         PendingCall { answer: Some(Box::pin(answer)), executor: self.executor.clone() }.await
     }
 
--- a/agatetrestle/src/node/peer_link/tests.rs
+++ b/agatetrestle/src/node/peer_link/tests.rs
@@ -145,3 +145,48 @@
 fn replaces_a_connection_without_answers() {
     assert_eq!(connections_after_a_timeout(false), 2);
 }
+
+/// Answers [`UNANSWERED`] only once it is released.
+struct LateService(Receiver<()>);
+
+impl GroupService for LateService {
+    fn submit(&self, request: Vec<u8>) -> LocalBoxFuture<'_, Submission> {
+        Box::pin(async move {
+            if request == UNANSWERED {
+                self.0.recv().await.unwrap();
+            }
+            Submission::Applied(request)
+        })
+    }
+
+    fn history(&self, _offset: u64) -> Vec<u8> {
+        Vec::new()
+    }
+}
+
+/// Guards against copies of a call that a slow peer still works on: each copy adds to what makes it slow.
+#[test]
+fn call_outlasts_its_deadline_while_the_connection_answers_others() {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (release, released) = smol::channel::bounded(1);
+        let mut server = PeerServer::default();
+        server.services.insert(GROUP, Rc::new(LateService(released)));
+        executor.spawn(peer_server::serve(Rc::new(server), listener, Rc::downgrade(&executor))).detach();
+        let link = Links::new(NodeId(1), NO_TIMEOUT, &executor).link_to(address);
+        assert!(submit_remotely(&link, NO_TIMEOUT, GROUP, b"first").await.is_ok());
+        let deadlines = CallDeadlines { silence: SHORT_TIMEOUT, total: NO_TIMEOUT };
+        let mut late = pin!(submit_remotely(&link, deadlines, GROUP, UNANSWERED));
+        for _ in 0..3 {
+            assert!(futures::poll!(late.as_mut()).is_pending());
+            assert!(submit_remotely(&link, NO_TIMEOUT, GROUP, b"other").await.is_ok());
+            // The deadline of the late call passes.
+            Timer::after(SHORT_TIMEOUT * 2).await;
+        }
+        release.send(()).await.unwrap();
+        assert!(late.await.is_ok(), "it was not given up");
+        assert_eq!(link.generation.get(), 1);
+    }));
+}
--- a/agatetrestle/src/node/router.rs
+++ b/agatetrestle/src/node/router.rs
@@ -15,6 +15,8 @@
 use futures::future::select;
 use log::info;
 use log::warn;
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Time;
 use crate::clock::Timestamp;
@@ -23,6 +25,7 @@
 use crate::node::breaker::Admission;
 use crate::node::breaker::CircuitBreaker;
 use crate::node::links::Links;
+use crate::node::peer_link::CallDeadlines;
 use crate::node::peer_link::LinkError;
 use crate::node::peer_link::PeerLink;
 use crate::node::service::GroupService;
@@ -35,6 +38,13 @@
 /// Limit of the exponential backoff from [`RETRY_DELAY`]. All nodes retry at the same time when a leader is lost, and
 /// without backoff they would overload the group.
 const MAX_RETRY_DOUBLINGS: u32 = 2;
+/// The same while a leader is busy, which retries make worse. A refused command waits up to 320 ms, a quarter of what a
+/// caller has for the end of its turn.
+const MAX_BUSY_RETRY_DOUBLINGS: u32 = 4;
+/// Part of a delay that is drawn at random.
+const MAX_JITTER_PERCENT: u32 = 50;
+/// Time after a busy leader's refusal for which no early answers are asked for.
+const EARLY_ANSWER_PAUSE: Duration = Duration::from_millis(500);
 /// Time without an answer after which the other holders are queried for the leader. Longer than a commit, and shorter than
 /// the timeout of an attempt.
 const SEARCH_DELAY: Duration = Duration::from_millis(100);
@@ -50,6 +60,8 @@
     links: Rc<Links>,
     holders: RefCell<Vec<NodeId>>,
     leader_hint: Cell<Option<NodeId>>,
+    /// Until when early answers are not asked for.
+    no_early_answers_until: Cell<Timestamp>,
     /// Whether a request is searching for the leader; others wait for its result.
     searching: Cell<bool>,
     breaker: RefCell<CircuitBreaker>,
@@ -85,11 +97,26 @@
     Fail,
 }
 
-/// Returns the delay before the next retry, with exponential backoff.
-fn next_delay(retries: &mut u32) -> Duration {
-    let delay = RETRY_DELAY * 2_u32.pow((*retries).min(MAX_RETRY_DOUBLINGS));
-    *retries += 1;
-    delay
+/// Delays between the retries of a request, with exponential backoff. The jitter is drawn from the request, so that requests
+/// that failed together do not return together.
+struct Backoff {
+    retries: u32,
+    seed: u64,
+}
+
+impl Backoff {
+    fn new(request: &[u8]) -> Self {
+        Self { retries: 0, seed: xxh3_64(request) }
+    }
+
+    /// The delay before the next retry, of which up to half is jitter.
+    fn next_delay(&mut self, max_doublings: u32) -> Duration {
+        let longest = RETRY_DELAY * 2_u32.pow(self.retries.min(max_doublings));
+        self.retries += 1;
+        let jitter =
+            xxh3_64_with_seed(&self.retries.to_le_bytes(), self.seed) % u64::from(MAX_JITTER_PERCENT);
+        longest * (100 - u32::try_from(jitter).unwrap_or(0)) / 100
+    }
 }
 
 /// The timeouts of a router.
@@ -120,6 +147,7 @@
             links,
             holders: RefCell::default(),
             leader_hint: Cell::new(None),
+            no_early_answers_until: Cell::default(),
             searching: Cell::new(false),
             breaker: RefCell::default(),
             time,
@@ -186,6 +214,9 @@
 
     /// Returns the early answer of the known leader; `None` if it gives none or runs a build without early answers.
     async fn ask_early(&self, query: &[u8]) -> Option<Vec<u8>> {
+        if self.time.now() < self.no_early_answers_until.get() {
+            return None;
+        }
         let link = self.links.get(self.leader_hint.get()?)?;
         let group = self.group.early_answers();
         match submit_remotely(&link, self.timeouts.attempt, group, query).await {
@@ -208,7 +239,7 @@
         let mut suspect = None;
         let mut reason: Arc<str> = "the group has no replica".into();
         let mut cursor = 0;
-        let mut retries = 0;
+        let mut backoff = Backoff::new(&request);
         while self.time.now().since(start) < self.timeouts.request {
             if policy == BusyPolicy::Fail && probe.is_none() && self.breaker.borrow().is_open() {
                 reason = UNREACHABLE.into();
@@ -220,7 +251,11 @@
                 continue;
             }
             let target = self.leader_hint.get().unwrap_or_else(|| self.next_holder(&mut cursor, suspect));
-            match self.try_or_search(target, &request).await {
+            let mut max_doublings = MAX_RETRY_DOUBLINGS;
+            let left = self.timeouts.request.saturating_sub(self.time.now().since(start));
+            let (submission, abandoned) = self.try_or_search(target, &request, left).await;
+            ambiguous |= abandoned;
+            match submission {
                 Submission::Applied(reply) => return Ok(reply),
                 Submission::NotLeader(leader) => {
                     let hint = leader.filter(|leader| *leader != target && Some(*leader) != suspect);
@@ -230,11 +265,15 @@
                         continue;
                     }
                 }
-                Submission::Refused(text) if policy == BusyPolicy::Fail && !ambiguous => {
-                    return Err(GroupError::NotProposed { reason: text });
+                Submission::Refused(text) => {
+                    self.no_early_answers_until.set(self.time.now() + EARLY_ANSWER_PAUSE);
+                    if policy == BusyPolicy::Fail && !ambiguous {
+                        return Err(GroupError::NotProposed { reason: text });
+                    }
+                    // Usually the leader's queue is full.
+                    max_doublings = MAX_BUSY_RETRY_DOUBLINGS;
+                    reason = text;
                 }
-                // Usually the leader's queue is full.
-                Submission::Refused(text) => reason = text,
                 Submission::Unreachable(text) => {
                     self.leader_hint.set(None);
                     reason = text;
@@ -247,7 +286,7 @@
                     reason = text;
                 }
             }
-            self.time.sleep(next_delay(&mut retries)).await;
+            self.time.sleep(backoff.next_delay(max_doublings)).await;
         }
         if ambiguous {
             return Err(GroupError::Unknown { reason });
@@ -267,16 +306,18 @@
         self.next_holder(cursor, suspect)
     }
 
-    /// Sends the request to one holder, and searches for another leader if there is no answer within [`SEARCH_DELAY`].
-    async fn try_or_search(&self, target: NodeId, request: &[u8]) -> Submission {
-        let attempt = pin!(self.send_once(target, request));
+    /// Sends the request to one holder, and searches for another leader if there is no answer within [`SEARCH_DELAY`]. Waits
+    /// for up to `left` while the holder answers other requests, since a copy would only add to what it has to do. Also
+    /// returns whether the search ended first, so that the holder may still execute the request.
+    async fn try_or_search(&self, target: NodeId, request: &[u8], left: Duration) -> (Submission, bool) {
+        let attempt = pin!(self.send_once(target, request, left));
         let attempt = match select(attempt, self.time.sleep(SEARCH_DELAY)).await {
-            Either::Left((submission, _)) => return self.record_leader(target, submission),
+            Either::Left((submission, _)) => return (self.record_leader(target, submission), false),
             Either::Right(((), attempt)) => attempt,
         };
         match select(attempt, pin!(self.find_other_leader(target, request))).await {
-            Either::Left((submission, _)) => self.record_leader(target, submission),
-            Either::Right((submission, _)) => submission,
+            Either::Left((submission, _)) => (self.record_leader(target, submission), false),
+            Either::Right((submission, _)) => (submission, true),
         }
     }
 
@@ -291,7 +332,7 @@
     /// returns otherwise. The request may be sent twice, which is safe. Only one request searches at a time, and the
     /// others use its result.
     async fn find_other_leader(&self, silent: NodeId, request: &[u8]) -> Submission {
-        let mut retries = 0;
+        let mut backoff = Backoff::new(request);
         loop {
             if let Some(leader) = self.leader_hint.get().filter(|leader| *leader != silent) {
                 return Submission::NotLeader(Some(leader));
@@ -301,7 +342,7 @@
                 let others: Vec<NodeId> =
                     self.holders.borrow().iter().copied().filter(|node| *node != silent).collect();
                 for other in others {
-                    match self.send_once(other, request).await {
+                    match self.send_once(other, request, self.timeouts.attempt).await {
                         Submission::Applied(reply) => {
                             return self.record_leader(other, Submission::Applied(reply));
                         }
@@ -314,11 +355,11 @@
                 }
                 drop(search);
             }
-            self.time.sleep(next_delay(&mut retries)).await;
+            self.time.sleep(backoff.next_delay(MAX_RETRY_DOUBLINGS)).await;
         }
     }
 
-    async fn send_once(&self, target: NodeId, request: &[u8]) -> Submission {
+    async fn send_once(&self, target: NodeId, request: &[u8], left: Duration) -> Submission {
         if target == self.node
             && let Some(local) = &self.local
         {
@@ -328,7 +369,8 @@
             return Submission::NotLeader(None);
         };
         let sent_at = self.time.now();
-        match submit_remotely(&link, self.timeouts.attempt, self.group, request).await {
+        let deadlines = CallDeadlines { silence: self.timeouts.attempt, total: left };
+        match submit_remotely(&link, deadlines, self.group, request).await {
             Ok(submission) => {
                 self.record_answer(&submission);
                 submission
@@ -364,11 +406,11 @@
 /// Sends a request to one replica, without retries.
 pub(crate) async fn submit_remotely(
     link: &PeerLink,
-    deadline: Duration,
+    deadlines: impl Into<CallDeadlines>,
     group: GroupId,
     command: &[u8],
 ) -> Result<Submission, LinkError> {
-    link.call_within(deadline, |client| {
+    link.call_within(deadlines, |client| {
         let mut request = client.submit_request();
         request.get().set_group(group.0);
         request.get().set_command(command);
