--- a/agatetrestle/src/cluster/leader_load.rs
+++ b/agatetrestle/src/cluster/leader_load.rs
@@ -108,7 +108,7 @@
         }
     }
 
-    /// Records that a begin arrived again after it was applied.
+    /// Records that a copy of a command arrived while the command was in flight.
     pub fn record_repeat(&mut self) {
         self.repeats += 1;
     }
--- a/agatetrestle/src/cluster/mod.rs
+++ b/agatetrestle/src/cluster/mod.rs
@@ -6,6 +6,7 @@
 pub mod contacts;
 pub mod encoded;
 pub mod identity;
+mod in_flight;
 pub mod leader_load;
 pub mod liveness;
 pub mod message;
--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -13,6 +13,8 @@
 
 use crate::agreement::Rejection;
 use crate::clock::Clock;
+use crate::cluster::in_flight::InFlight;
+use crate::cluster::in_flight::Proposal;
 use crate::cluster::leader_load::LeaderLoad;
 use crate::cluster::leader_load::RequestEnd;
 use crate::cluster::message::ControlRequest;
@@ -37,6 +39,8 @@
 use crate::turns::command::TimedCommand;
 use crate::turns::command::TurnCommand;
 use crate::turns::command::TurnReply;
+use crate::turns::shedding::EARLY_ANSWER_TOLERANCE;
+use crate::turns::shedding::tolerance;
 use crate::turns::state::LogProgress;
 use crate::turns::state::PendingCommands;
 use crate::turns::state::TurnState;
@@ -103,6 +107,8 @@
     admission: Rc<RefCell<TurnAdmission>>,
     /// Proposals of this leader that are not applied yet.
     pending: RefCell<PendingCommands>,
+    /// Proposals of this leader whose outcome is not recorded yet.
+    in_flight: RefCell<InFlight>,
     load: RefCell<LeaderLoad>,
 }
 
@@ -110,8 +116,15 @@
     /// Creates the service of a replica.
     #[must_use]
     pub fn new(group: Rc<Group<TurnState>>, clock: Clock, admission: Rc<RefCell<TurnAdmission>>) -> Self {
-        let load = RefCell::new(LeaderLoad::new(clock.now()));
-        Self { group, clock, leader_clock: Cell::default(), admission, pending: RefCell::default(), load }
+        Self {
+            group,
+            clock,
+            leader_clock: Cell::default(),
+            admission,
+            pending: RefCell::default(),
+            in_flight: RefCell::default(),
+            load: RefCell::new(LeaderLoad::new(clock.now())),
+        }
     }
 
     /// Logs the load while this replica leads, until the task is dropped.
@@ -143,6 +156,12 @@
                 outcome => return to_submission(outcome),
             }
         }
+        self.record_outcomes();
+        let repeated = self.in_flight.borrow().find(&request);
+        if let Some(proposal) = repeated {
+            self.load.borrow_mut().record_repeat();
+            return self.reply(proposal).await;
+        }
         let mut leader_clock = self.leader_clock.get();
         let elapsed = leader_clock.advance(self.group.term(), self.clock.now());
         TimedCommand::set_elapsed(&mut request, elapsed);
@@ -150,45 +169,84 @@
         let Some(TimedCommand { elapsed, command }) = TimedCommand::decode(&payload) else {
             return commit(&self.group, payload).await;
         };
-        let now = self.clock.now();
         if let TurnCommand::Take(take) = command {
             return self.take(take).await;
         }
-        self.record_repeat(&command);
-        let admitted = self
-            .group
-            .machine(|state| self.admission.borrow_mut().check(now, self.group.term(), &command, state));
-        if let Err(reply) = admitted {
-            self.load.borrow_mut().record(&command, RequestEnd::Denied, Duration::ZERO);
-            return Submission::Applied(encode(&reply));
+        if let Err(reason) = self.check_load(&command) {
+            self.load.borrow_mut().record(&command, RequestEnd::Busy, Duration::ZERO);
+            return to_submission(ProposalOutcome::Rejected(reason));
         }
+        let (now, term) = (self.clock.now(), self.group.term());
+        let admitted =
+            self.group.machine(|state| self.admission.borrow_mut().check(now, term, &command, state));
+        let admitted = match admitted {
+            Ok(admitted) => (term, admitted),
+            Err(reply) => {
+                self.load.borrow_mut().record(&command, RequestEnd::Denied, Duration::ZERO);
+                return Submission::Applied(encode(&reply));
+            }
+        };
         let placed = self.admission.borrow_mut().place(now, &command);
         let shortened = command.without_candidates().map(|logged| logged.encode(elapsed).into());
         let command = Rc::new(command);
-        let (index, outcome) = self.group.propose(shortened.unwrap_or(payload));
+        let (index, outcome) = self.group.propose(shortened.unwrap_or_else(|| payload.clone()));
+        let proposal = Proposal::new(now, payload, command.clone(), admitted, placed, outcome);
         if index.is_some() {
             // Time reported with a command that is not appended would be lost.
             self.leader_clock.set(leader_clock);
-            self.pending.borrow_mut().push(self.progress(), elapsed, command.clone());
+            self.pending.borrow_mut().push(self.progress(), elapsed, command);
+            self.in_flight.borrow_mut().push(proposal.clone());
+            return self.reply(proposal).await;
         }
-        let outcome = outcome.await;
-        self.load.borrow_mut().record(&command, request_end(&outcome), self.clock.now().since(now));
-        let submission = to_submission(outcome);
-        if matches!(submission, Submission::Applied(_)) {
-            let now = self.clock.now();
-            self.group.machine(|state| self.admission.borrow_mut().record_applied(now, &command, state));
-        } else {
-            self.admission.borrow_mut().abandon(&command);
+        let outcome = proposal.outcome.clone().await;
+        self.record(&proposal, &outcome);
+        to_submission(Rc::unwrap_or_clone(outcome))
+    }
+
+    /// Checks whether the log takes a command now. A refusal must cost less than what it avoids, so this comes before admission,
+    /// placement and encoding.
+    fn check_load(&self, command: &TurnCommand) -> Result<(), Rejection> {
+        let tolerance = self.group.machine(|state| tolerance(command, state));
+        self.group.check_accepts_proposals(tolerance).inspect_err(|reason| {
+            if *reason == Rejection::Busy {
+                self.group.record_refusal();
+            }
+        })
+    }
+
+    /// Waits for the outcome of a proposal in flight.
+    async fn reply(&self, proposal: Rc<Proposal>) -> Submission {
+        let outcome = proposal.outcome.clone().await;
+        self.record_outcomes();
+        let placed = proposal.placed;
+        drop(proposal);
+        with_server(to_submission(Rc::unwrap_or_clone(outcome)), placed)
+    }
+
+    /// Records all outcomes that are known. Proposals complete in log order.
+    fn record_outcomes(&self) {
+        loop {
+            let complete = self.in_flight.borrow_mut().pop_complete();
+            let Some((proposal, outcome)) = complete else {
+                return;
+            };
+            self.record(&proposal, &outcome);
         }
-        with_server(submission, placed)
     }
 
-    fn record_repeat(&self, command: &TurnCommand) {
-        let TurnCommand::Begin(begin) = command else {
-            return;
-        };
-        if self.group.machine(|state| state.is_open(&begin.team, &begin.program, &begin.turn)) {
-            self.load.borrow_mut().record_repeat();
+    fn record(&self, proposal: &Proposal, outcome: &ProposalOutcome) {
+        let Proposal { proposed_at, command, admitted: (term, admitted), .. } = proposal;
+        let took = self.clock.now().since(*proposed_at);
+        self.load.borrow_mut().record(command, request_end(outcome), took);
+        let mut admission = self.admission.borrow_mut();
+        match outcome {
+            ProposalOutcome::Applied(_) => {
+                let now = self.clock.now();
+                self.group.machine(|state| admission.record_applied(now, command, state));
+            }
+            ProposalOutcome::Rejected(_) => admission.withdraw(*term, command, *admitted),
+            // The next term's admission reads from the log whether the program began.
+            _ => admission.abandon(command),
         }
     }
 
@@ -203,6 +261,9 @@
     /// Answers an encoded [`BeginQuery`]: the reply that the begin will get when it commits if that is certain now, else a
     /// refusal, after which the entry waits for the commit.
     pub async fn answer_early(&self, query: &[u8]) -> Submission {
+        if let Err(reason) = self.group.check_accepts_proposals(EARLY_ANSWER_TOLERANCE) {
+            return to_submission(ProposalOutcome::Rejected(reason));
+        }
         let query = match decode::<BeginQuery>(query) {
             Ok(query) => query,
             Err(error) => return Submission::Refused(error.to_string().into()),
--- a/agatetrestle/src/deployment/tests/state_group.rs
+++ b/agatetrestle/src/deployment/tests/state_group.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use agatetrestle_config::deployment::AllowanceBounds;
@@ -42,7 +43,9 @@
 use crate::node::service::GroupService;
 use crate::node::service::Submission;
 use crate::ports::GroupError;
+use crate::routing::Team;
 use crate::turns::admission::TurnAdmission;
+use crate::turns::command::AdmissionParams;
 use crate::turns::command::Begin;
 use crate::turns::command::Finish;
 use crate::turns::command::Take;
@@ -52,6 +55,7 @@
 
 const STORES: [NodeId; 3] = [NodeId(1), NodeId(2), NodeId(3)];
 const ENTRY: NodeId = NodeId(9);
+const TEAM: &str = "team";
 const TICK: Duration = Duration::from_millis(5);
 /// Longer than any test.
 const NO_TIMEOUT: Duration = Duration::from_hours(1);
@@ -61,6 +65,7 @@
 struct Store {
     group: Rc<Group<TurnState>>,
     service: Rc<TurnService>,
+    admission: Rc<RefCell<TurnAdmission>>,
     /// Whether the store's messages to other stores are lost.
     cut: Rc<Cell<bool>>,
     /// Messages to other stores, lost ones included.
@@ -87,12 +92,14 @@
     /// A leader is without a lease for this long before it steps down.
     clock_drift: Duration,
     leader_interval: Duration,
+    max_in_flight: usize,
 }
 
 const DEFAULT: Options = Options {
     early_answers: true,
     clock_drift: Duration::from_millis(5),
     leader_interval: Duration::from_millis(40),
+    max_in_flight: 64,
 };
 
 struct StateGroup {
@@ -128,7 +135,7 @@
             election_timeout: ELECTION_TIMEOUT,
             clock_drift: options.clock_drift,
             seed: 7,
-            max_in_flight: 64,
+            max_in_flight: options.max_in_flight,
             max_commit_wait: NO_TIMEOUT,
             max_batch_bytes: 1 << 16,
         };
@@ -159,8 +166,11 @@
     let receiver = group.clone();
     let handler: MessageHandler = Rc::new(move |message| receiver.receive(message));
     links.set_handlers([(FIRST_STATE_GROUP, handler.clone())].into());
-    let admission = Rc::new(RefCell::new(TurnAdmission::new(AllowanceBounds::default())));
-    let service = Rc::new(TurnService::new(group.clone(), clock, admission));
+    let mut admission = TurnAdmission::new(AllowanceBounds::default());
+    let team = Team { name: TEAM.into(), keys: Vec::new(), priority: 1, rate_limit: None };
+    admission.set_teams(clock.now(), &[Arc::new(team)]);
+    let admission = Rc::new(RefCell::new(admission));
+    let service = Rc::new(TurnService::new(group.clone(), clock, admission.clone()));
     let mut server = PeerServer::default();
     server.handlers.insert(FIRST_STATE_GROUP, handler);
     server.services.insert(FIRST_STATE_GROUP, service.clone());
@@ -170,7 +180,7 @@
     }
     executor.spawn(peer_server::serve(Rc::new(server), listener, Rc::downgrade(executor))).detach();
     executor.spawn(group.clone().run(storage, jobs, TICK)).detach();
-    Store { group, service, cut, sent, disk }
+    Store { group, service, admission, cut, sent, disk }
 }
 
 impl StateGroup {
@@ -417,3 +427,128 @@
         assert!(wake_ups <= commits * 36, "{wake_ups} wake-ups");
     });
 }
+
+/// The encoded first turn of a program on a service with a few slots.
+fn first_turn(program: &str) -> Vec<u8> {
+    turn_of(program, 1)
+}
+
+fn turn_of(program: &str, number: u32) -> Vec<u8> {
+    let opening = AdmissionParams {
+        service: "engines".into(),
+        route: "chat".into(),
+        places: 4,
+        patience: 3_000,
+        begins: number == 1,
+        ..AdmissionParams::default()
+    };
+    let begin = Begin {
+        program: program.into(),
+        team: TEAM.into(),
+        turn: format!("{program}-{number}").into(),
+        budget: None,
+        most: 1,
+        previous: None,
+        carried: Vec::new(),
+        opening: Some(opening),
+    };
+    TurnCommand::Begin(begin).encode(Duration::ZERO)
+}
+
+/// Guards against programs that count as active although the log was too busy for their first turn: the leader would refuse
+/// others beside idle servers.
+#[test]
+fn busy_refusal_leaves_admission_untouched() {
+    run(|executor| async move {
+        let group = StateGroup::start(&executor, Options { max_in_flight: 2, ..DEFAULT }).await;
+        let leader = group.leader().await;
+        leader.cut.set(true);
+        let mut first = leader.service.submit(first_turn("first"));
+        assert!((&mut first).now_or_never().is_none(), "it waits for its commit");
+        for number in 0..50 {
+            let refused = leader.service.submit(first_turn(&format!("refused-{number}"))).now_or_never();
+            assert!(matches!(refused, Some(Submission::Refused(_))), "{refused:?}");
+        }
+        leader.cut.set(false);
+        let begun = Submission::Applied(crate::codec::encode(&begun()));
+        assert_eq!(first.await, begun);
+        assert_eq!(leader.service.submit(first_turn("next")).await, begun, "only one program is active");
+    });
+}
+
+/// Guards against a leader that logs and executes each copy of a command that its entry sent again.
+#[test]
+fn repeated_command_in_flight_is_appended_once() {
+    run(|executor| async move {
+        let group = StateGroup::start(&executor, DEFAULT).await;
+        let leader = group.leader().await;
+        leader.cut.set(true);
+        let finish = TurnCommand::Finish(Finish { turn: "a".into(), ..Finish::default() });
+        let last = leader.group.last_index();
+        for request in [first_turn("program"), finish.encode(Duration::ZERO)] {
+            let mut copies: Vec<_> = (0..3).map(|_| leader.service.submit(request.clone())).collect();
+            for copy in &mut copies {
+                assert!(copy.now_or_never().is_none(), "it waits for its commit");
+            }
+        }
+        assert_eq!(leader.group.last_index(), last + 2);
+        let mut copy = leader.service.submit(first_turn("program"));
+        assert!((&mut copy).now_or_never().is_none());
+        leader.cut.set(false);
+        assert_eq!(copy.await, Submission::Applied(crate::codec::encode(&begun())));
+        assert_eq!(leader.group.last_index(), last + 2);
+    });
+}
+
+/// Guards against turns that are never counted, or count until they expire, because their caller's connection was lost.
+#[test]
+fn outcome_is_recorded_though_all_callers_left() {
+    run(|executor| async move {
+        let group = StateGroup::start(&executor, DEFAULT).await;
+        let leader = group.leader().await;
+        let begun = Submission::Applied(crate::codec::encode(&begun()));
+        assert_eq!(leader.service.submit(first_turn("lost")).await, begun);
+        leader.cut.set(true);
+        let finish =
+            Finish { program: "lost".into(), team: TEAM.into(), turn: "lost-1".into(), ..Finish::default() };
+        let mut finishing = leader.service.submit(TurnCommand::Finish(finish).encode(Duration::ZERO));
+        assert!((&mut finishing).now_or_never().is_none());
+        drop(finishing);
+        leader.cut.set(false);
+        assert_eq!(leader.service.submit(first_turn("next")).await, begun);
+        assert_eq!(leader.admission.borrow().open_turns(), 1);
+    });
+}
+
+/// Guards against programs that begin while those under way are refused for lack of processor time, and against queries for
+/// early answers that a busy leader spends time on.
+#[test]
+fn busy_leader_refuses_new_programs_first() {
+    run(|executor| async move {
+        let group = StateGroup::start(&executor, Options { max_in_flight: 4, ..DEFAULT }).await;
+        let leader = group.leader().await;
+        let begun = Submission::Applied(crate::codec::encode(&begun()));
+        assert_eq!(leader.service.submit(first_turn("running")).await, begun);
+        leader.cut.set(true);
+        let mut held = [2, 3].map(|number| leader.service.submit(turn_of("running", number)));
+        assert!(held.iter_mut().all(|held| held.now_or_never().is_none()));
+        let refused = leader.service.submit(first_turn("new")).now_or_never();
+        assert!(matches!(refused, Some(Submission::Refused(_))), "{refused:?}");
+        let early = leader.service.answer_early(b"malformed").now_or_never();
+        let busy = Submission::Refused("too many commands are under way".into());
+        assert_eq!(early, Some(busy), "refused before it is decoded");
+        let finish = Finish { turn: "running-1".into(), ..Finish::default() };
+        let mut passed = [turn_of("running", 4), TurnCommand::Finish(finish).encode(Duration::ZERO)]
+            .map(|request| leader.service.submit(request));
+        assert!(
+            passed.iter_mut().all(|passed| passed.now_or_never().is_none()),
+            "they wait for their commit"
+        );
+        let refused = leader.service.submit(turn_of("running", 5)).now_or_never();
+        assert!(matches!(refused, Some(Submission::Refused(_))), "{refused:?}");
+        leader.cut.set(false);
+        let [begun_turn, settled] = passed;
+        assert_eq!(begun_turn.await, begun);
+        assert_eq!(settled.await, Submission::Applied(crate::codec::encode(&TurnReply::Settled)));
+    });
+}
