Count a drained store that does not report as still in use

A store of which Retire.Read says "completed" is taken away with its disk, and that counts as no loss. Cause: the call said so of any store that was not among the live members. A drained store that was killed, frozen or cut off for over 1.2 s, or any store asked about at a control leader without reports, was given away while it was a voter. With it, a group of five is one voter short beyond the two losses that it has to bear.

--- a/agatetrestle/src/cluster/registry.rs
+++ b/agatetrestle/src/cluster/registry.rs
@@ -37,6 +37,7 @@
 use crate::cluster::versioned::Scope;
 use crate::cluster::view::ClusterView;
 use crate::cluster::voters::Candidate;
+use crate::cluster::voters::is_drained;
 use crate::control::state::ControlState;
 use crate::ids::GroupId;
 use crate::ids::NodeId;
@@ -194,11 +195,11 @@
         let requested = leaving.contains_key(vm);
         let stores: Vec<Member> =
             self.members().into_iter().filter(|member| member.role == Role::Store).collect();
-        let Some(store) = stores.iter().find(|member| &*member.vm == vm) else {
-            return if requested { DrainStatus::Done } else { DrainStatus::Unknown };
-        };
         let groups = self.group.machine(|state| state.initial_voters().len());
         if !requested {
+            if !stores.iter().any(|store| &*store.vm == vm) {
+                return DrainStatus::Unknown;
+            }
             let remaining = stores.iter().filter(|other| !leaving.contains_key(&other.vm)).count();
             return if remaining <= min_voters * groups.max(1) {
                 DrainStatus::TooFew
@@ -206,10 +207,9 @@
                 DrainStatus::NotAsked
             };
         }
-        let voters = self.state_voters();
-        let independent =
-            |voters: &BTreeSet<NodeId>| !voters.contains(&store.node) && voters.len() >= min_voters;
-        if voters.len() == groups && voters.values().all(independent) {
+        let others = stores.iter().filter(|store| &*store.vm != vm).map(|store| store.node).collect();
+        let liveness = self.liveness.borrow();
+        if is_drained(liveness.statuses().filter_map(led_group), groups, &others, min_voters) {
             DrainStatus::Done
         } else {
             DrainStatus::Running
@@ -218,8 +218,9 @@
 
     /// The voters of each state group, as reported by its leader.
     fn state_voters(&self) -> BTreeMap<GroupId, BTreeSet<NodeId>> {
-        let voters = |status: &NodeStatus| Some((status.member.group?, status.voters.clone()?));
-        self.liveness.borrow().statuses().filter_map(voters).collect()
+        let liveness = self.liveness.borrow();
+        let led_groups = liveness.statuses().filter_map(led_group);
+        led_groups.map(|(group, voters)| (group, voters.clone())).collect()
     }
 
     /// Voters that all state groups together lack, if each needs `required`.
@@ -323,6 +324,11 @@
     }
 }
 
+/// The group that a store reported to lead, and its voters.
+fn led_group(status: &NodeStatus) -> Option<(GroupId, &BTreeSet<NodeId>)> {
+    Some((status.member.group?, status.voters.as_ref()?))
+}
+
 /// What the processes of a role see of the members.
 fn scope(role: Role) -> Scope {
     if role == Role::Control { Scope::All } else { Scope::Public }
--- a/agatetrestle/src/cluster/tests.rs
+++ b/agatetrestle/src/cluster/tests.rs
@@ -33,11 +33,13 @@
 use crate::cluster::voters::Candidate;
 use crate::cluster::voters::VoterCounts;
 use crate::cluster::voters::failed_voters;
+use crate::cluster::voters::is_drained;
 use crate::cluster::voters::next_change;
 use crate::codec::Compressed;
 use crate::codec::decode;
 use crate::codec::encode;
 use crate::ids::FIRST_STATE_GROUP;
+use crate::ids::GroupId;
 use crate::ids::NodeId;
 
 const THREE_VOTERS: VoterCounts = VoterCounts { target: 3, min: 3 };
@@ -103,6 +105,23 @@
     assert_eq!(remove, Some(ReplicaChange::Remove(NodeId(3))));
 }
 
+/// Guards against a drained store that is taken away while it is a voter: without reports from it, under the ID that it had
+/// before it lost its disk, or because a leader reported its removal and was replaced before that was committed.
+#[test]
+fn store_is_drained_once_all_voters_are_other_live_stores() {
+    let drained = |reported: &[(u32, &[u64])], live: &[u64]| {
+        let reported: Vec<_> =
+            reported.iter().map(|(group, voters)| (GroupId(*group), node_ids(voters))).collect();
+        is_drained(reported.iter().map(|(group, voters)| (*group, voters)), 1, &node_ids(live), 3)
+    };
+    assert!(drained(&[(1, &[1, 2, 4])], &[1, 2, 4, 5]));
+    assert!(!drained(&[(1, &[1, 2, 3])], &[1, 2, 4, 5]), "store 3 is drained or lost");
+    assert!(!drained(&[(1, &[1, 2, 3, 4])], &[1, 2, 4]), "its removal is not proposed yet");
+    assert!(!drained(&[(1, &[1, 2])], &[1, 2, 4]), "too few voters");
+    assert!(!drained(&[], &[1, 2, 4]), "a new control leader has no reports");
+    assert!(!drained(&[(1, &[1, 2, 3]), (1, &[1, 2, 4])], &[1, 2, 4]), "two leaders reported");
+}
+
 #[test]
 fn logs_report_outcomes_until_leader_confirms() {
     let at = |millis: u64| Timestamp(millis * 1_000);
--- a/agatetrestle/src/cluster/voters.rs
+++ b/agatetrestle/src/cluster/voters.rs
@@ -9,6 +9,7 @@
 
 use crate::agreement::ReplicaChange;
 use crate::agreement::Replicas;
+use crate::ids::GroupId;
 use crate::ids::NodeId;
 
 /// A node that can be a voter.
@@ -78,6 +79,27 @@
     None
 }
 
+/// Whether the state groups need none but `others`, the live stores that are not drained. `reported` are the voters of the
+/// groups as leaders reported them, former leaders included.
+///
+/// A drained store that does not report may still be a voter, so it is not enough that no live voter is drained.
+#[must_use]
+pub fn is_drained<'a>(
+    reported: impl Iterator<Item = (GroupId, &'a BTreeSet<NodeId>)>,
+    groups: usize,
+    others: &BTreeSet<NodeId>,
+    min_voters: usize,
+) -> bool {
+    let mut known = BTreeSet::new();
+    for (group, voters) in reported {
+        if voters.len() < min_voters || !voters.is_subset(others) {
+            return false;
+        }
+        known.insert(group);
+    }
+    known.len() == groups
+}
+
 /// The candidate whose failure domain holds the fewest healthy voters.
 fn best_candidate(
     replicas: &Replicas,
