Answer requests without a response before a stopping entry exits

Callers saw: the connection closes without an answer. An entry that was stopped exited 0.5 s before the end of its grace period with requests in flight: those whose server said nothing or lost its answer, or that waited in the queue, with a time limit beyond that moment. A limit of 6 s and a request 2 s after SIGTERM are enough. The runs are cancelled and the turns settled as when a caller leaves. The entry then waits 200 ms for the writes.

--- a/agatetrestle/src/deployment/entry.rs
+++ b/agatetrestle/src/deployment/entry.rs
@@ -51,8 +51,11 @@
 const REQUEST_MEMORY_BYTES: usize = 128 << 10;
 /// Callers may cache an address for this many times its max age.
 const STALE_ADDRESS_FACTOR: u32 = 3;
-/// The process exits this long before the end of the grace period, at which it would be killed.
+/// Requests without a response are answered with an error this long before the end of the grace period, at which the process
+/// would be killed.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
+/// Time for writing these answers and for settling the turns of the requests before the process exits.
+const EXIT_DELAY: Duration = Duration::from_millis(200);
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 pub(super) struct Entry {
@@ -195,9 +198,11 @@
                 }
                 if elapsed >= time_limit {
                     warn!(
-                        "The grace period ends with {} requests in flight; dropping them.",
+                        "The grace period ends with {} requests in flight; ending them.",
                         self.gateway.in_flight()
                     );
+                    self.gateway.end_requests();
+                    Timer::after(EXIT_DELAY).await;
                     return;
                 }
             }
--- a/agatetrestle/src/gateway/mod.rs
+++ b/agatetrestle/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::convert::Infallible;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -35,6 +36,8 @@
 use log::warn;
 use smol::LocalExecutor;
 use smol::Timer;
+use smol::channel::Receiver;
+use smol::channel::Sender;
 
 use crate::backends::BackendChange;
 use crate::clock::Clock;
@@ -112,6 +115,8 @@
     /// When each program last completed a turn here.
     last_turns: RefCell<HashMap<Arc<str>, Timestamp>>,
     draining: Cell<bool>,
+    /// Closed when requests without a response are ended.
+    cutoff: (Sender<Infallible>, Receiver<Infallible>),
     recorder: Rc<dyn Recorder>,
     executor: Rc<LocalExecutor<'static>>,
 }
@@ -149,6 +154,7 @@
             in_flight: Cell::new(0),
             last_turns: RefCell::default(),
             draining: Cell::new(false),
+            cutoff: smol::channel::bounded(1),
             recorder,
             executor,
         })
@@ -191,6 +197,18 @@
         self.draining.set(true);
     }
 
+    /// Answers all requests that have no response head yet with an error, and all later ones, since the process is about to
+    /// exit. Their runs are cancelled.
+    pub fn end_requests(&self) {
+        self.cutoff.0.close();
+    }
+
+    /// Returns once [`Gateway::end_requests`] was called.
+    async fn requests_ended(&self) {
+        // Nothing is ever sent, so this waits until the channel is closed.
+        let _ = self.cutoff.1.recv().await;
+    }
+
     /// Number of requests whose responses are not complete.
     #[must_use]
     pub fn in_flight(&self) -> usize {
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -1,10 +1,13 @@
 //! Handles a request from its arrival to the head of its response.
 
 use std::fmt;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::Either;
+use futures::future::select;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -58,7 +61,7 @@
     let arrived_at = gateway.clock.now();
     let mut guard =
         DisconnectGuard { gateway, arrived_at, log_entry: AccessLogEntry::default(), completed: false };
-    let result = serve(gateway, request, arrived_at, &mut guard.log_entry).await;
+    let result = serve_until_cutoff(gateway, request, arrived_at, &mut guard.log_entry).await;
     guard.completed = true;
     let mut response = match result {
         Ok(response) => response,
@@ -101,6 +104,27 @@
     response
 }
 
+/// Serves a request, or answers it with an error once the process is about to exit: with a 503 only if no attempt to send it
+/// was made.
+async fn serve_until_cutoff(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+    arrived_at: Timestamp,
+    log_entry: &mut AccessLogEntry,
+) -> Result<Response<ResponseBody>, ErrorResponse> {
+    {
+        let serving = pin!(serve(gateway, request, arrived_at, log_entry));
+        if let Either::Right((result, _)) = select(pin!(gateway.requests_ended()), serving).await {
+            return result;
+        }
+    }
+    let reason = "the process is stopping";
+    if log_entry.tries > 0 {
+        return Err(ErrorResponse::new(StatusCode::BAD_GATEWAY, reason));
+    }
+    Err(ErrorResponse::not_run(reason, FAILOVER_RETRY_AFTER))
+}
+
 async fn serve(
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
--- a/agatetrestle/src/gateway/tests/early.rs
+++ b/agatetrestle/src/gateway/tests/early.rs
@@ -186,12 +186,13 @@
 }
 
 /// A gateway with one server and a scripted state group.
-struct Harness {
+pub(super) struct Harness {
+    pub(super) gateway: Rc<Gateway>,
     wire: Rc<FixedWire>,
     turns: Rc<ScriptedTurns>,
-    commits: Sender<Reply>,
+    pub(super) commits: Sender<Reply>,
     /// Connections that the gateway made to the server, and the address that callers connect to.
-    servers: TcpListener,
+    pub(super) servers: TcpListener,
     callers: SocketAddrV4,
     /// Responses whose head the gateway gave to its caller's connection.
     responses: Rc<Cell<u32>>,
@@ -206,7 +207,7 @@
 }
 
 impl Harness {
-    async fn start(executor: &Rc<LocalExecutor<'static>>, early: Option<TurnReply>) -> Self {
+    pub(super) async fn start(executor: &Rc<LocalExecutor<'static>>, early: Option<TurnReply>) -> Self {
         Self::start_with(executor, early, 0).await
     }
 
@@ -255,9 +256,9 @@
         }
         gateway.backends(&BackendChange::Whole(instances));
         let responses = Rc::new(Cell::new(0));
-        let counted = responses.clone();
+        let (counted, served) = (responses.clone(), gateway.clone());
         let handler: Handler = Rc::new(move |request| {
-            let (gateway, counted) = (gateway.clone(), counted.clone());
+            let (gateway, counted) = (served.clone(), counted.clone());
             Box::pin(async move {
                 let response = gateway.handle(request).await;
                 counted.set(counted.get() + 1);
@@ -265,17 +266,17 @@
             })
         });
         executor.spawn(server::serve(listener, handler, limits, Rc::downgrade(executor))).detach();
-        Self { wire, turns, commits, servers, callers, responses }
+        Self { gateway, wire, turns, commits, servers, callers, responses }
     }
 
-    async fn send(&self) -> TcpStream {
+    pub(super) async fn send(&self) -> TcpStream {
         let mut caller = TcpStream::connect(self.callers).await.unwrap();
         caller.write_all(REQUEST).await.unwrap();
         caller
     }
 
     /// Accepts the gateway's connection and reads the request, which ends with `body`.
-    async fn receive(&self, body: &[u8]) -> TcpStream {
+    pub(super) async fn receive(&self, body: &[u8]) -> TcpStream {
         let (mut server, _) = self.servers.accept().await.unwrap();
         let mut received = Vec::new();
         while !received.ends_with(body) {
@@ -296,7 +297,7 @@
         }
     }
 
-    async fn await_finish(&self) -> Finish {
+    pub(super) async fn await_finish(&self) -> Finish {
         while self.turns.finished.borrow().is_empty() {
             yield_now().await;
         }
@@ -306,22 +307,22 @@
     }
 }
 
-fn run<F: Future<Output = ()>>(test: impl FnOnce(Rc<LocalExecutor<'static>>) -> F) {
+pub(super) fn run<F: Future<Output = ()>>(test: impl FnOnce(Rc<LocalExecutor<'static>>) -> F) {
     let executor = Rc::new(LocalExecutor::new());
     smol::block_on(executor.run(test(executor.clone())));
 }
 
-fn begun(chain: &[&[u8]]) -> TurnReply {
+pub(super) fn begun(chain: &[&[u8]]) -> TurnReply {
     TurnReply::Begun { chain: chain.iter().map(|text| Blob::from(*text)).collect(), server: None }
 }
 
-async fn read_status(caller: &mut TcpStream) -> u16 {
+pub(super) async fn read_status(caller: &mut TcpStream) -> u16 {
     let mut head = [0; 12];
     caller.read_exact(&mut head).await.unwrap();
     std::str::from_utf8(&head[9..]).unwrap().parse().unwrap()
 }
 
-async fn is_closed(mut stream: TcpStream) -> bool {
+pub(super) async fn is_closed(mut stream: TcpStream) -> bool {
     let mut rest = Vec::new();
     stream.read_to_end(&mut rest).await.is_err() || rest.is_empty()
 }
