Forward responses in HTTP/1.1 whatever version the server speaks

Callers saw, if a server answers in HTTP/1.0: a response in HTTP/1.0 without chunks that ends with the connection. So one that is cut off, as a turn whose end could not be committed is, looks complete. Cause: the version of the server's head was forwarded. Evidence, response_of_http_1_0_server_has_an_explicit_end before the fix: ends without its last chunk: HTTP/1.0 200 OK Change: the forwarded head has the version of this server, as RFC 9110 section 6.2 asks of intermediaries.

--- a/agatetrestle/src/gateway/relay.rs
+++ b/agatetrestle/src/gateway/relay.rs
@@ -8,6 +8,7 @@
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
+use http::Version;
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use hyper::body::Incoming;
@@ -127,6 +128,9 @@
 ) -> Result<Response<ResponseBody>, String> {
     let StartedResponse { slot, connection, response, sent_at, load } = started;
     let (mut head, body) = response.into_parts();
+    // The version is the sender's own. With that of a server of HTTP/1.0 the response would end with the connection, and
+    // an incomplete one would look complete.
+    head.version = Version::HTTP_11;
     let status = head.status;
     if let Some(turn) = turn.as_mut() {
         turn.record_head(load, status.is_server_error());
