Refuse a turn that continues another instead of answering 404 for its route

Callers saw, by reading the code for LOST: a turn of a route that was just added is completed through an entry that has the new table. The next one reaches an entry whose table is older, since it was frozen, cut off or its update is under way, and gets 404. Whatever it was meant for, that says that the previous turn is lost and ends the program, and no entry may say so that isn't sure. Evidence, turn_that_continues_another_is_not_lost_for_an_unknown_route before the change: assertion `left == right` failed left: 404 right: 503 Change: without a route, a request that names a previous turn gets 503 with a retry delay. A 404 to it comes from a state group only. All other requests get 404 as before.

--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -139,7 +139,7 @@
     let table = table
         .ok_or_else(|| ErrorResponse::not_run("no routes are in force here yet", STARTUP_RETRY_AFTER))?;
     log_entry.version = table.version;
-    let route = find_route(&table, &parts)?;
+    let route = find_route(&table, &parts, &metadata)?;
     log_entry.route = route.name.clone();
     let team = table.authorize(&route, metadata.key.as_ref());
     let team = team
@@ -186,11 +186,24 @@
     metadata.map_err(|error| ErrorResponse::new(StatusCode::BAD_REQUEST, error))
 }
 
-fn find_route(table: &RouteTable, parts: &Parts) -> Result<Arc<Route>, ErrorResponse> {
+/// The route of a request.
+///
+/// # Errors
+///
+/// 404 if there is none, but 503 for a turn that continues another: this table may be older than the one by which that turn
+/// was completed, and its caller would take a 404 to mean that it is lost.
+fn find_route(
+    table: &RouteTable,
+    parts: &Parts,
+    metadata: &RequestMetadata,
+) -> Result<Arc<Route>, ErrorResponse> {
     let host_header = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = parts.uri.host().or(host_header).unwrap_or_default();
     let route = table.find(host, parts.uri.path()).cloned();
-    route.ok_or_else(|| ErrorResponse::new(StatusCode::NOT_FOUND, "no route takes this host and path"))
+    route.ok_or_else(|| match metadata.previous_turn {
+        Some(_) => ErrorResponse::not_run("no route takes the turn here", FAILOVER_RETRY_AFTER),
+        None => ErrorResponse::new(StatusCode::NOT_FOUND, "no route takes this host and path"),
+    })
 }
 
 /// Outcomes of the attempts made so far.
--- a/agatetrestle/src/gateway/tests.rs
+++ b/agatetrestle/src/gateway/tests.rs
@@ -2,6 +2,7 @@
 
 mod early;
 mod relay;
+mod routes;
 mod stop;
 
 use std::sync::Arc;
--- a/agatetrestle/src/gateway/tests/early.rs
+++ b/agatetrestle/src/gateway/tests/early.rs
@@ -70,15 +70,17 @@
 
 type Reply = Result<TurnReply, GroupError>;
 
-/// A wire format without headers: every request is a turn of one program with a budget.
+/// A wire format in which every request is a turn of one program with a budget. The only header names the previous turn.
 struct FixedWire {
     heads_read: Cell<u32>,
 }
 
 impl WireFormat for FixedWire {
-    fn read_request(&self, _headers: &HeaderMap) -> Result<RequestMetadata, ParseError> {
+    fn read_request(&self, headers: &HeaderMap) -> Result<RequestMetadata, ParseError> {
+        let previous_turn = headers.get("previous-turn").map(|value| value.to_str().unwrap().into());
         Ok(RequestMetadata {
             attempt_id: Some("turn".into()),
+            previous_turn,
             program: Some("program".into()),
             token_budget: Some(100),
             max_tokens: Some(10),
@@ -270,8 +272,12 @@
     }
 
     pub(super) async fn send(&self) -> TcpStream {
+        self.send_bytes(REQUEST).await
+    }
+
+    pub(super) async fn send_bytes(&self, request: &[u8]) -> TcpStream {
         let mut caller = TcpStream::connect(self.callers).await.unwrap();
-        caller.write_all(REQUEST).await.unwrap();
+        caller.write_all(request).await.unwrap();
         caller
     }
 
