Give a replica under a new node ID its vote as soon as it is promoted

Callers saw, found by reading for LOST: a state group without a quorum for good, although only two stores lost their disks. Cause: a replica that joins has no vote until a leader addresses it as a voter, since it may be one that lost its files under the ID that it voted with. It keeps that on its disk. If it is promoted with four votes of six while a failed voter is still listed, and all machines lose power before it hears of it, then two lost disks leave four of six voters with their files: the three others and the new one, which refuses every vote. Nobody is left who could address it. The window is a round trip after a promotion, longer if the new store is slow or frozen. A process that drew its ID at this start opens the replica with its vote, as spare nodes of the simulation always did: nobody can have voted under that ID. IDs that were loaded from the disk, those of founders, and nodes with declared numbers join as before.

--- a/agatetrestle/src/agreement/tests/schedule.rs
+++ b/agatetrestle/src/agreement/tests/schedule.rs
@@ -472,3 +472,29 @@
     let schedule = Schedule { voters: 3, seed: 3_757_201_964_839_304_188, steps };
     assert_eq!(run(&schedule, None).err(), None);
 }
+
+/// A voter that was promoted and not reached since must not cost the group its quorum when two others lose their files.
+#[test]
+fn two_lost_voters_leave_a_quorum_after_a_promotion() {
+    let mut sim = Simulation::new(5, 7, None);
+    sim.run(ELECTION_TICKS, HOPS_PER_TICK).unwrap();
+    let leader = sim.select(NodeSelector::Leader);
+    let followers: Vec<usize> = (0..5).filter(|slot| *slot != leader).collect();
+    // A node that is no member yet, with an empty disk and an ID of its own.
+    let successor = 5;
+    sim.crash(followers[0], 0).unwrap();
+    change(&mut sim, successor, ReplicaChange::AddLearner).unwrap();
+    sim.run(COMMIT_TICKS, HOPS_PER_TICK).unwrap();
+    sim.isolate(successor);
+    change(&mut sim, successor, ReplicaChange::Promote).unwrap();
+    sim.run(COMMIT_TICKS, HOPS_PER_TICK).unwrap();
+    let promoted = sim.nodes[leader].replicas.voters.len();
+    assert_eq!(promoted, 6, "the promotion is committed");
+    (0..sim.nodes.len()).for_each(|slot| sim.crash(slot, 0).unwrap());
+    sim.lose_files(followers[1]);
+    sim.lose_files(followers[2]);
+    sim.heal();
+    (0..sim.nodes.len()).for_each(|slot| sim.restart(slot));
+    let leader = sim.run_until(|_, _| true).unwrap();
+    assert!(sim.nodes[leader].is_leader(), "four of six voters have their files, and none leads");
+}
--- a/agatetrestle/src/cluster/identity.rs
+++ b/agatetrestle/src/cluster/identity.rs
@@ -38,22 +38,32 @@
     Ok(NodeId((u64::from_le_bytes(bytes) >> 2) | RANDOM_ID_FLAG))
 }
 
+/// The ID of a node.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Identity {
+    /// The ID.
+    pub node: NodeId,
+    /// Whether it was not stored before.
+    pub is_new: bool,
+}
+
 /// Loads the ID stored in a folder; if there is none yet, stores and returns `new_id`.
 ///
 /// # Errors
 ///
 /// Fails if the folder can't be read or written, or if the stored ID is malformed.
-pub fn load_or_create(folder: &Path, new_id: NodeId) -> io::Result<NodeId> {
+pub fn load_or_create(folder: &Path, new_id: NodeId) -> io::Result<Identity> {
     fs::create_dir_all(folder)?;
     let file = folder.join(NODE_ID_FILE);
     match fs::read_to_string(&file) {
         Ok(text) => {
             let id = text.trim().parse();
-            id.map(NodeId).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
+            let stored = |id| Identity { node: NodeId(id), is_new: false };
+            id.map(stored).map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
         }
         Err(error) if error.kind() == io::ErrorKind::NotFound => {
             write_atomically(folder, NODE_ID_FILE, format!("{}\n", new_id.0).as_bytes())?;
-            Ok(new_id)
+            Ok(Identity { node: new_id, is_new: true })
         }
         Err(error) => Err(error),
     }
--- a/agatetrestle/src/cluster/tests.rs
+++ b/agatetrestle/src/cluster/tests.rs
@@ -19,6 +19,7 @@
 use crate::cluster::contacts;
 use crate::cluster::encoded::EncodedCache;
 use crate::cluster::identity;
+use crate::cluster::identity::Identity;
 use crate::cluster::message::KnownVersions;
 use crate::cluster::message::ListVersion;
 use crate::cluster::message::Member;
@@ -246,8 +247,9 @@
     let folder = std::env::temp_dir().join(format!("agatetrestle-number-{}", std::process::id()));
     let first = identity::random_id().unwrap();
     assert_eq!(identity::founder_ip(first), None, "a random ID has no founder address");
-    assert_eq!(identity::load_or_create(&folder, first).unwrap(), first);
-    assert_eq!(identity::load_or_create(&folder, identity::random_id().unwrap()).unwrap(), first);
+    let is = |node, is_new| Identity { node, is_new };
+    assert_eq!(identity::load_or_create(&folder, first).unwrap(), is(first, true));
+    assert_eq!(identity::load_or_create(&folder, identity::random_id().unwrap()).unwrap(), is(first, false));
     std::fs::remove_dir_all(&folder).unwrap();
 }
 
--- a/agatetrestle/src/deployment/control.rs
+++ b/agatetrestle/src/deployment/control.rs
@@ -278,7 +278,7 @@
         context.links.add_address(identity::founder_id(*seed.ip()), address);
     }
     let is_founder = context.settings.founding && founders.contains(&context.node);
-    let missing = if is_founder { MissingFiles::Bootstrap } else { MissingFiles::Join };
+    let missing = if is_founder { MissingFiles::Bootstrap } else { context.missing_files };
     let replica = opener.open(CONTROL_GROUP, ControlState::default(), &founders, missing).await?;
     replica.driver.detach();
     Ok(replica.group)
--- a/agatetrestle/src/deployment/mod.rs
+++ b/agatetrestle/src/deployment/mod.rs
@@ -59,6 +59,7 @@
 use crate::node::links::Links;
 use crate::node::peer_server;
 use crate::node::peer_server::PeerServer;
+use crate::node::replicas::MissingFiles;
 use crate::node::replicas::ReplicaOpener;
 use crate::node::router::RequestTimeouts;
 use crate::scheduler::random::Random;
@@ -118,6 +119,8 @@
     executor: Rc<LocalExecutor<'static>>,
     clock: Clock,
     node: NodeId,
+    /// What to do if the files of a replica are missing and this node is none of its first voters.
+    missing_files: MissingFiles,
     links: Rc<Links>,
     view: Rc<ClusterView>,
     metrics: Rc<Metrics>,
@@ -135,7 +138,7 @@
     executor: Rc<LocalExecutor<'static>>,
 ) -> Result<(), StartError> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).context(SignalsSnafu)?;
-    let node = node_id(&settings)?;
+    let (node, missing_files) = node_id(&settings)?;
     let links = Links::new(node, PEER_CALL_TIMEOUT, &executor);
     let process = &settings.process;
     info!("Starting {:?} {} as node {}, founding={}.", process.role, process.vm, node.0, settings.founding);
@@ -145,6 +148,7 @@
         executor,
         clock: Clock::start(),
         node,
+        missing_files,
         links,
         view: Rc::default(),
         metrics: Rc::new(Metrics::new().context(MetricsSnafu)?),
@@ -180,17 +184,22 @@
     fn stop(&self) -> LocalBoxFuture<'_, ()>;
 }
 
-/// Returns the ID stored in the data folder. An empty folder gets a new ID, and so does each start without a folder.
-fn node_id(settings: &Deployment) -> Result<NodeId, StartError> {
+/// Returns the ID stored in the data folder, and how a replica joins under it. An empty folder gets a new ID, and so does each
+/// start without a folder.
+fn node_id(settings: &Deployment) -> Result<(NodeId, MissingFiles), StartError> {
     let process = &settings.process;
     let random_id = || identity::random_id().context(NodeIdSnafu { folder: "/dev/urandom" });
     let Some(folder) = &settings.data_folder else {
-        return random_id();
+        return Ok((random_id()?, MissingFiles::JoinUnderNewId));
     };
     let seed = settings.seeds.iter().any(|seed| *seed.ip() == process.ip);
     let is_founder = settings.founding && seed && process.role == Role::Control;
     let new_id = if is_founder { identity::founder_id(process.ip) } else { random_id()? };
-    identity::load_or_create(folder, new_id).context(NodeIdSnafu { folder })
+    let identity = identity::load_or_create(folder, new_id).context(NodeIdSnafu { folder })?;
+    // The ID of a founder is derived from its address, so it may have been used before.
+    let is_unused = identity.is_new && !is_founder;
+    let missing_files = if is_unused { MissingFiles::JoinUnderNewId } else { MissingFiles::Join };
+    Ok((identity.node, missing_files))
 }
 
 impl ProcessContext {
--- a/agatetrestle/src/deployment/store.rs
+++ b/agatetrestle/src/deployment/store.rs
@@ -324,7 +324,7 @@
     replica.id.set(Some(id));
     // The node ID is stored before the replica's first file, and an empty disk gets a new ID. So an initial voter with its
     // ID but without files has acknowledged nothing.
-    let missing = if initial_voters.is_some() { MissingFiles::Bootstrap } else { MissingFiles::Join };
+    let missing = if initial_voters.is_some() { MissingFiles::Bootstrap } else { context.missing_files };
     let initial_voters: Vec<NodeId> = initial_voters.into_iter().flatten().collect();
     info!(
         "Opening replica of state group {} (if files are missing: {missing:?}); initial voters: {initial_voters:?}.",
--- a/agatetrestle/src/node/replicas.rs
+++ b/agatetrestle/src/node/replicas.rs
@@ -69,6 +69,9 @@
     Bootstrap,
     /// Join an existing group; the replica takes no part until the leader adds it as a learner.
     Join,
+    /// Join an existing group under a node ID that no process has used before. Nothing was lost then, so the replica has its
+    /// vote as soon as it is promoted.
+    JoinUnderNewId,
 }
 
 /// Opens replicas, with the parameters shared by all replicas of a node.
@@ -172,7 +175,7 @@
     where
         M: StateMachine + 'static,
     {
-        let joining = stored.is_empty() && missing == MissingFiles::Join;
+        let joining = matches!(missing, MissingFiles::Join | MissingFiles::JoinUnderNewId);
         if stored.is_empty() && !joining {
             let StoredReplica { group, folder, .. } = &stored;
             ensure!(missing == MissingFiles::Bootstrap, MissingSnafu { group: *group, folder });
@@ -180,7 +183,7 @@
             stored.storage = save_snapshot(stored.storage, snapshot.clone(), &stored.folder).await?;
             stored.restored.snapshot = Some(snapshot);
         }
-        self.assemble(stored, machine, holders)
+        self.assemble(stored, machine, holders, missing)
     }
 
     fn assemble<M>(
@@ -188,6 +191,7 @@
         stored: StoredReplica,
         mut machine: M,
         holders: &[NodeId],
+        missing: MissingFiles,
     ) -> Result<OpenReplica<M>, NodeError>
     where
         M: StateMachine + 'static,
@@ -206,7 +210,7 @@
             truncated.context(OpenHistorySnafu { folder: &folder })?;
             initial_state = machine.snapshot();
         }
-        let make_replica = make_replica(self.replica_config(id));
+        let make_replica = make_replica(self.replica_config(id), missing);
         let replica = make_replica(restored, self.clock.now());
         let (group, jobs) = Group::new(GroupParts {
             id,
@@ -273,10 +277,10 @@
     }
 }
 
-/// A replica with empty storage waits to join, since bootstrapping a group saves a snapshot.
-fn make_replica(cfg: ReplicaConfig) -> MakeReplica {
+/// A replica with empty storage waits to join, since bootstrapping a group saves a snapshot, unless it can't have voted.
+fn make_replica(cfg: ReplicaConfig, missing: MissingFiles) -> MakeReplica {
     Rc::new(move |restored, now| {
-        if is_empty(&restored) {
+        if is_empty(&restored) && missing != MissingFiles::JoinUnderNewId {
             return Replica::joining(cfg.clone(), now);
         }
         Replica::new(cfg.clone(), Replicas::default(), restored, now)
@@ -340,3 +344,6 @@
     })
     .await
 }
+
+#[cfg(test)]
+mod tests;
