--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -1,10 +1,13 @@
 //! Handles a request from its arrival to the head of its response.
 
 use std::fmt;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::Either;
+use futures::future::select;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -58,7 +61,7 @@
     let arrived_at = gateway.clock.now();
     let mut guard =
         DisconnectGuard { gateway, arrived_at, log_entry: AccessLogEntry::default(), completed: false };
-    let result = serve(gateway, request, arrived_at, &mut guard.log_entry).await;
+    let result = serve_until_cutoff(gateway, request, arrived_at, &mut guard.log_entry).await;
     guard.completed = true;
     let mut response = match result {
         Ok(response) => response,
@@ -101,6 +104,27 @@
     response
 }
 
+/// Serves a request, or answers it with an error once the process is about to exit: with a 503 only if no attempt to send it
+/// was made.
+async fn serve_until_cutoff(
+    gateway: &Rc<Gateway>,
+    request: Request<Incoming>,
+    arrived_at: Timestamp,
+    log_entry: &mut AccessLogEntry,
+) -> Result<Response<ResponseBody>, ErrorResponse> {
+    {
+        let serving = pin!(serve(gateway, request, arrived_at, log_entry));
+        if let Either::Right((result, _)) = select(pin!(gateway.requests_ended()), serving).await {
+            return result;
+        }
+    }
+    let reason = "the process is stopping";
+    if log_entry.tries > 0 {
+        return Err(ErrorResponse::new(StatusCode::BAD_GATEWAY, reason));
+    }
+    Err(ErrorResponse::not_run(reason, FAILOVER_RETRY_AFTER))
+}
+
 async fn serve(
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
@@ -115,7 +139,7 @@
     let table = table
         .ok_or_else(|| ErrorResponse::not_run("no routes are in force here yet", STARTUP_RETRY_AFTER))?;
     log_entry.version = table.version;
-    let route = find_route(&table, &parts)?;
+    let route = find_route(&table, &parts, &metadata)?;
     log_entry.route = route.name.clone();
     let team = table.authorize(&route, metadata.key.as_ref());
     let team = team
@@ -162,11 +186,24 @@
     metadata.map_err(|error| ErrorResponse::new(StatusCode::BAD_REQUEST, error))
 }
 
-fn find_route(table: &RouteTable, parts: &Parts) -> Result<Arc<Route>, ErrorResponse> {
+/// The route of a request.
+///
+/// # Errors
+///
+/// 404 if there is none, but 503 for a turn that continues another: this table may be older than the one by which that turn
+/// was completed, and its caller would take a 404 to mean that it is lost.
+fn find_route(
+    table: &RouteTable,
+    parts: &Parts,
+    metadata: &RequestMetadata,
+) -> Result<Arc<Route>, ErrorResponse> {
     let host_header = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = parts.uri.host().or(host_header).unwrap_or_default();
     let route = table.find(host, parts.uri.path()).cloned();
-    route.ok_or_else(|| ErrorResponse::new(StatusCode::NOT_FOUND, "no route takes this host and path"))
+    route.ok_or_else(|| match metadata.previous_turn {
+        Some(_) => ErrorResponse::not_run("no route takes the turn here", FAILOVER_RETRY_AFTER),
+        None => ErrorResponse::new(StatusCode::NOT_FOUND, "no route takes this host and path"),
+    })
 }
 
 /// Outcomes of the attempts made so far.
