--- a/agatetrestle/src/agreement/replica/leader.rs
+++ b/agatetrestle/src/agreement/replica/leader.rs
@@ -29,7 +29,7 @@
     },
     /// Sending a snapshot, since the entries that the peer needs are compacted.
     Snapshot {
-        /// `None` until the driver has encoded the snapshot.
+        /// `None` until the driver has encoded the snapshot, and while the peer is silent.
         outgoing: Option<OutgoingSnapshot>,
         /// Bytes received by the peer.
         offset: usize,
@@ -114,6 +114,13 @@
         self.progress.get(&peer).is_some_and(|progress| round >= progress.first_round)
     }
 
+    /// Whether a peer has not acknowledged any recent round.
+    pub(super) fn is_silent(&self, peer: NodeId) -> bool {
+        let oldest = self.rounds.front().map_or(self.elected_at, |(_, sent)| *sent);
+        let acked_at = self.progress.get(&peer).and_then(|progress| progress.acked_at);
+        acked_at.is_none_or(|acked_at| acked_at < oldest)
+    }
+
     /// When a recent round was sent.
     pub(super) fn sent_at(&self, round: u64) -> Option<Timestamp> {
         self.rounds.iter().find(|(number, _)| *number == round).map(|(_, at)| *at)
--- a/agatetrestle/src/agreement/replica/replication.rs
+++ b/agatetrestle/src/agreement/replica/replication.rs
@@ -108,7 +108,7 @@
             ProgressState::Probe { waiting } => *waiting = false,
             ProgressState::Replicate { in_flight } => *in_flight = 0,
             ProgressState::Snapshot { .. } => {
-                self.send_chunk(peer);
+                self.send_snapshot_heartbeat(peer);
                 return;
             }
         }
@@ -183,7 +183,7 @@
         };
         if accepted {
             progress.record_match(matched.min(last));
-        } else if !matches!(progress.state, ProgressState::Snapshot { .. }) {
+        } else if !matches!(progress.state, ProgressState::Snapshot { outgoing: Some(_), .. }) {
             progress.next = matched.min(last + 1).max(progress.matched + 1);
             progress.state = ProgressState::Probe { waiting: false };
         }
@@ -326,8 +326,9 @@
                 *in_flight = in_flight.saturating_sub(1);
                 false
             }
+            // Without a snapshot to send, the next append shows whether the peer still needs one.
             ProgressState::Snapshot { outgoing, .. } => {
-                outgoing.as_ref().is_some_and(|outgoing| self.matched >= outgoing.position().index)
+                outgoing.as_ref().is_none_or(|outgoing| self.matched >= outgoing.position().index)
             }
         };
         if caught_up {
--- a/agatetrestle/src/agreement/replica/snapshot.rs
+++ b/agatetrestle/src/agreement/replica/snapshot.rs
@@ -63,12 +63,28 @@
         self.log.compact(position.index.saturating_sub(RETAINED_ENTRIES));
     }
 
-    /// Starts to send a snapshot to a peer: the one already being sent to others, or a new one from the driver.
+    /// Whether this leader holds an encoded snapshot for peers.
+    #[must_use]
+    pub fn holds_snapshot(&self) -> bool {
+        let Role::Leader(leader) = &self.role else {
+            return false;
+        };
+        let holds =
+            |state: &ProgressState| matches!(state, ProgressState::Snapshot { outgoing: Some(_), .. });
+        leader.progress.values().any(|progress| holds(&progress.state))
+    }
+
+    /// Starts to send a snapshot to a peer: the one already being sent to others, or a new one from the driver. A silent
+    /// peer gets none, since the leader would hold it for as long as the peer is lost.
     pub(super) fn start_snapshot(&mut self, peer: NodeId) {
         let base = self.log.base().index;
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
+        if leader.is_silent(peer) {
+            self.await_contact(peer);
+            return;
+        }
         let shared = leader.progress.values().find_map(|progress| match &progress.state {
             ProgressState::Snapshot { outgoing: Some(outgoing), .. } => Some(outgoing.clone()),
             _ => None,
@@ -86,6 +102,48 @@
         }
     }
 
+    /// Drops the snapshot for a silent peer and sends it a heartbeat. Its reply starts the snapshot again.
+    fn await_contact(&mut self, peer: NodeId) {
+        if let Role::Leader(leader) = &mut self.role
+            && let Some(progress) = leader.progress.get_mut(&peer)
+        {
+            progress.state = ProgressState::Snapshot { outgoing: None, offset: 0 };
+        }
+        self.send_empty_append(peer);
+    }
+
+    /// Sends a heartbeat without entries to a peer whose entries are compacted.
+    fn send_empty_append(&mut self, peer: NodeId) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let body = Body::Append {
+            previous: self.log.last(),
+            commit: self.commit,
+            round: leader.round,
+            entries: Vec::new(),
+            learner: self.is_learner(peer),
+        };
+        self.send(peer, body);
+    }
+
+    /// Sends a heartbeat to a peer that needs a snapshot: the next chunk, if there is a snapshot and the peer responds.
+    pub(super) fn send_snapshot_heartbeat(&mut self, peer: NodeId) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let state = leader.progress.get(&peer).map(|progress| &progress.state);
+        let encoded = matches!(state, Some(ProgressState::Snapshot { outgoing: Some(_), .. }));
+        if leader.is_silent(peer) {
+            self.await_contact(peer);
+            return;
+        }
+        if !encoded {
+            self.send_empty_append(peer);
+        }
+        self.send_chunk(peer);
+    }
+
     /// Sends the snapshot encoded by the driver to all peers that wait for one.
     pub(super) fn send_encoded_snapshot(&mut self, position: Position, data: Bytes) {
         let usable = position.index <= self.applied && position.index >= self.log.base().index;
@@ -94,8 +152,10 @@
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
+        let silent: Vec<NodeId> =
+            leader.progress.keys().filter(|peer| leader.is_silent(**peer)).copied().collect();
         let mut waiting = Vec::new();
-        for (peer, progress) in &mut leader.progress {
+        for (peer, progress) in leader.progress.iter_mut().filter(|(peer, _)| !silent.contains(peer)) {
             if let ProgressState::Snapshot { outgoing: outgoing @ None, .. } = &mut progress.state
                 && usable
             {
--- a/agatetrestle/src/agreement/tests/basics.rs
+++ b/agatetrestle/src/agreement/tests/basics.rs
@@ -11,6 +11,8 @@
 use crate::agreement::ReplicaChange;
 use crate::agreement::Replicas;
 use crate::agreement::Ticket;
+use crate::agreement::message::Body;
+use crate::agreement::message::Message;
 use crate::agreement::message::Position;
 use crate::agreement::replica::PersistentState;
 use crate::agreement::replica::Replica;
@@ -29,6 +31,8 @@
     replicas: BTreeMap<NodeId, Replica>,
     outputs: Vec<(NodeId, Output)>,
     next_ticket: u64,
+    /// Loses all messages to this node once it has received a chunk of a snapshot.
+    lost_after_chunk: Option<NodeId>,
 }
 
 impl Network {
@@ -52,7 +56,7 @@
             )
         };
         let replicas = (1..=voters + spares).map(start).collect();
-        Self { now: Timestamp(0), replicas, outputs: Vec::new(), next_ticket: 0 }
+        Self { now: Timestamp(0), replicas, outputs: Vec::new(), next_ticket: 0, lost_after_chunk: None }
     }
 
     fn input(&mut self, node: NodeId, input: Input) {
@@ -60,7 +64,7 @@
         while let Some((node, input)) = inputs.pop_front() {
             for output in self.replicas.get_mut(&node).unwrap().step(self.now, input) {
                 match &output {
-                    Output::Send(message) if self.replicas.contains_key(&message.to) => {
+                    Output::Send(message) if self.is_reachable(message.to) => {
                         inputs.push_back((message.to, Input::Receive(message.clone())));
                     }
                     Output::Write(write) => inputs.push_back((node, Input::Written(write.sequence))),
@@ -76,6 +80,28 @@
         }
     }
 
+    fn is_reachable(&self, node: NodeId) -> bool {
+        let is_chunk = |output: &Output| matches!(output, Output::Send(Message { to, body: Body::Snapshot { .. }, .. }) if *to == node);
+        let lost =
+            self.lost_after_chunk == Some(node) && self.outputs.iter().any(|(_, output)| is_chunk(output));
+        self.replicas.contains_key(&node) && !lost
+    }
+
+    fn encodings(&self) -> usize {
+        self.outputs.iter().filter(|(_, output)| matches!(output, Output::EncodeSnapshot)).count()
+    }
+
+    /// Adds a learner to the group whose leader has compacted its log.
+    fn add_learner_after_compaction(&mut self, learner: NodeId) {
+        let leader = self.leader();
+        (0..2_000).for_each(|_| {
+            self.propose(leader);
+        });
+        let position = self.replicas[&leader].last_position();
+        self.input(leader, Input::SnapshotTaken { position });
+        self.change_replicas(ReplicaChange::AddLearner(learner));
+    }
+
     fn last_applied(&self, node: NodeId) -> Position {
         let applied = self.outputs.iter().rev().find_map(|(at, output)| match output {
             Output::Apply { position, .. } if *at == node => Some(*position),
@@ -252,6 +278,41 @@
     assert!(network.replicas[&NodeId(4)].replicas().voters.contains(&NodeId(4)));
 }
 
+#[test]
+fn leader_encodes_no_snapshot_for_lost_peer() {
+    let mut network = Network::new(3, 0);
+    network.run(ELECTION_TIMEOUT * 3);
+    network.add_learner_after_compaction(NodeId(4));
+    network.run(ELECTION_TIMEOUT * 4);
+    // The log moves on, so that entries which the peer has not confirmed are compacted too.
+    let leader = network.leader();
+    (0..2_000).for_each(|_| {
+        network.propose(leader);
+    });
+    let position = network.replicas[&leader].last_position();
+    network.input(leader, Input::SnapshotTaken { position });
+    network.run(ELECTION_TIMEOUT * 4);
+    assert_eq!(network.encodings(), 0, "a lost peer can't receive a snapshot");
+}
+
+#[test]
+fn leader_drops_snapshot_of_peer_that_is_lost_while_receiving() {
+    let mut network = Network::new(3, 1);
+    network.run(ELECTION_TIMEOUT * 3);
+    network.lost_after_chunk = Some(NodeId(4));
+    network.add_learner_after_compaction(NodeId(4));
+    network.run(ELECTION_TIMEOUT);
+    assert_eq!(network.encodings(), 1);
+    network.run(ELECTION_TIMEOUT * 4);
+    let leader = network.leader();
+    assert!(!network.replicas[&leader].holds_snapshot(), "the snapshot takes memory without use");
+    network.lost_after_chunk = None;
+    network.run(ELECTION_TIMEOUT * 2);
+    network.change_replicas(ReplicaChange::Promote(NodeId(4)));
+    network.run(ELECTION_TIMEOUT);
+    assert!(network.replicas[&NodeId(4)].replicas().voters.contains(&NodeId(4)), "it catches up later");
+}
+
 #[test]
 fn transfer_moves_leadership_at_once() {
     let mut network = Network::new(3, 0);
