--- a/agatetrestle/src/cluster/message.rs
+++ b/agatetrestle/src/cluster/message.rs
@@ -88,7 +88,7 @@
     pub turns: usize,
     /// Bytes that the turns use.
     pub bytes: usize,
-    /// Capacity for turns, in bytes.
+    /// Capacity for turns, in bytes, besides what their programs use.
     pub room: usize,
     /// Programs with a budget.
     pub programs: usize,
--- a/agatetrestle/src/codec.rs
+++ b/agatetrestle/src/codec.rs
@@ -33,21 +33,39 @@
 /// Never for the types of this crate: encoding them into memory can't fail.
 #[must_use]
 pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
-    encode_with_capacity(value, 0)
+    let mut buf = Vec::new();
+    ciborium::into_writer(value, &mut buf).expect("writing to memory does not fail");
+    buf
 }
 
-/// Encodes a value into a buffer with this initial capacity, so that the buffer of a large value need not grow.
+/// Encodes a large value into a buffer of exactly its size. A buffer that grows would take up to three times the memory.
 ///
 /// # Panics
 ///
 /// As [`encode`].
 #[must_use]
-pub fn encode_with_capacity<T: Serialize>(value: &T, capacity: usize) -> Vec<u8> {
-    let mut buf = Vec::with_capacity(capacity);
+pub fn encode_large<T: Serialize>(value: &T) -> Vec<u8> {
+    let mut length = ByteCounter(0);
+    ciborium::into_writer(value, &mut length).expect("counting does not fail");
+    let mut buf = Vec::with_capacity(length.0);
     ciborium::into_writer(value, &mut buf).expect("writing to memory does not fail");
     buf
 }
 
+/// Counts the bytes written to it.
+struct ByteCounter(usize);
+
+impl std::io::Write for ByteCounter {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        self.0 += buf.len();
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Decodes a value.
 ///
 /// # Errors
--- a/agatetrestle/src/turns/recent.rs
+++ b/agatetrestle/src/turns/recent.rs
@@ -10,6 +10,7 @@
 use crate::turns::command::AdmissionParams;
 use crate::turns::command::Finish;
 use crate::turns::command::TurnId;
+use crate::turns::state::free_if_empty;
 
 /// Time without a turn after which a program is dropped, in milliseconds. Longer than the time over which admission learns
 /// what programs need.
@@ -119,6 +120,7 @@
         if let Some(program) = self.programs.get_mut(key)
             && program.open.remove(&finish.turn).is_some()
         {
+            free_if_empty(&mut program.open);
             program.ran = program.ran.saturating_add(finish.ran.unwrap_or(0));
             self.touch(key);
         }
--- a/agatetrestle/src/turns/state.rs
+++ b/agatetrestle/src/turns/state.rs
@@ -24,7 +24,7 @@
 use crate::codec::Blob;
 use crate::codec::decode;
 use crate::codec::encode;
-use crate::codec::encode_with_capacity;
+use crate::codec::encode_large;
 use crate::turns::command::Begin;
 use crate::turns::command::Finish;
 use crate::turns::command::RetainedTurn;
@@ -41,8 +41,13 @@
 /// Time without a turn after which a program's token usage is dropped. It exceeds the usual retention, within which a
 /// program may continue.
 const ACCOUNT_EXPIRY_MS: u64 = 300_000;
-/// Memory of a retained turn besides its text: identifiers, map entries and allocations.
-const TURN_OVERHEAD_BYTES: usize = 400;
+/// Memory of a retained turn besides its text: identifiers, map entries, allocations, and the rest of the command that
+/// holds the text.
+const TURN_BYTES: usize = 500;
+/// Memory of the account of a program that retained a turn. [`RecentPrograms`] are not counted, since they last for seconds.
+const PROGRAM_BYTES: usize = 250;
+/// Most that the end of a turn can add to the memory of the state besides its text.
+const TURN_OVERHEAD_BYTES: usize = TURN_BYTES + PROGRAM_BYTES;
 
 /// Token usage of one program.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -51,6 +56,9 @@
     /// Turns that have not ended, with their reserved tokens.
     open: BTreeMap<TurnId, u64>,
     last_used: u64,
+    /// Whether `kept_bytes` includes this program, from the first turn that it retains.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    counted: bool,
 }
 
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -80,8 +88,12 @@
     turns: HashMap<TurnId, Turn>,
     turns_by_end: BTreeSet<(u64, TurnId)>,
     accounts_by_use: BTreeSet<(u64, Arc<str>)>,
+    /// Memory of retained turns and their programs.
     kept_bytes: usize,
-    /// Bytes of retained turns beyond which no turn begins; 0 for no limit.
+    /// The part of `kept_bytes` that programs use.
+    #[serde(default)]
+    program_bytes: usize,
+    /// Bytes of retained turns and their programs beyond which no turn begins; 0 for no limit.
     room: usize,
     /// Programs of teams that ran recently, for the admission of the next leader. Empty in snapshots of older builds.
     #[serde(default, skip_serializing_if = "RecentPrograms::is_empty")]
@@ -137,8 +149,8 @@
     pub fn usage(&self) -> StoreUsage {
         StoreUsage {
             turns: self.turns.len(),
-            bytes: self.kept_bytes,
-            room: self.room,
+            bytes: self.kept_bytes - self.program_bytes,
+            room: self.room.saturating_sub(self.program_bytes),
             programs: self.accounts.len(),
         }
     }
@@ -177,10 +189,12 @@
             && account.open.remove(&finish.turn).is_some()
         {
             account.spent = account.spent.saturating_add(finish.spent);
+            free_if_empty(&mut account.open);
         }
         self.recent.finish(&key, &finish);
         self.touch(&key);
         if let Some(kept) = finish.kept {
+            self.count_program(&key);
             self.retain(&finish.team, finish.turn, kept);
         }
         TurnReply::Settled
@@ -189,10 +203,10 @@
     /// Retains a turn and extends the retention of its ancestors to match.
     fn retain(&mut self, team: &Arc<str>, name: TurnId, kept: RetainedTurn) {
         let until = self.now.saturating_add(kept.retention).saturating_add(RETENTION_MARGIN_MS);
-        if let std::collections::hash_map::Entry::Vacant(vacant) = self.turns.entry(name.clone()) {
-            self.kept_bytes += kept.text.len() + TURN_OVERHEAD_BYTES;
-            let team = team.clone();
-            vacant.insert(Turn { previous: kept.previous, text: kept.text, until: 0, team });
+        if !self.turns.contains_key(&name) {
+            self.kept_bytes += kept.text.len() + TURN_BYTES;
+            let (previous, team) = self.share(kept.previous, team);
+            self.turns.insert(name.clone(), Turn { previous, text: kept.text, until: 0, team });
         }
         let mut next = Some(name);
         while let Some(name) = next.take() {
@@ -209,6 +223,16 @@
         }
     }
 
+    /// Replaces identifiers of a turn by those that the turn it continues holds already, since each decoded command has
+    /// copies of its own.
+    fn share(&self, previous: Option<TurnId>, team: &Arc<str>) -> (Option<TurnId>, Arc<str>) {
+        let Some((name, turn)) = previous.as_ref().and_then(|name| self.turns.get_key_value(name)) else {
+            return (previous, team.clone());
+        };
+        let team = if turn.team == *team { &turn.team } else { team };
+        (Some(name.clone()), team.clone())
+    }
+
     /// Texts of a turn and its ancestors, oldest first; `None` if one is missing or belongs to another team.
     fn chain(&self, team: &str, last: Option<&TurnId>) -> Option<Vec<Blob>> {
         let mut texts = Vec::new();
@@ -270,16 +294,42 @@
             && let Some((_, name)) = self.turns_by_end.pop_first()
         {
             if let Some(turn) = self.turns.remove(&name) {
-                self.kept_bytes -= turn.text.len() + TURN_OVERHEAD_BYTES;
+                self.kept_bytes -= turn.text.len() + TURN_BYTES;
             }
         }
         while let Some((used, _)) = self.accounts_by_use.first()
             && used.saturating_add(ACCOUNT_EXPIRY_MS) < self.now
             && let Some((_, key)) = self.accounts_by_use.pop_first()
         {
-            self.accounts.remove(&key);
+            if self.accounts.remove(&key).is_some_and(|account| account.counted) {
+                self.kept_bytes -= PROGRAM_BYTES;
+                self.program_bytes -= PROGRAM_BYTES;
+            }
+        }
+    }
+
+    fn count_program(&mut self, key: &Arc<str>) {
+        if let Some(account) = self.accounts.get_mut(key).filter(|account| !account.counted) {
+            account.counted = true;
+            self.kept_bytes += PROGRAM_BYTES;
+            self.program_bytes += PROGRAM_BYTES;
         }
     }
+
+    /// Counts the memory again, for snapshots of builds that counted it differently.
+    fn count_kept_bytes(&mut self) {
+        let turns: usize = self.turns.values().map(|turn| turn.text.len() + TURN_BYTES).sum();
+        let programs = self.accounts.values().filter(|account| account.counted).count();
+        self.program_bytes = programs * PROGRAM_BYTES;
+        self.kept_bytes = turns + self.program_bytes;
+    }
+}
+
+/// Frees the node that a map keeps when its last entry is removed.
+pub(super) fn free_if_empty<K, V>(map: &mut BTreeMap<K, V>) {
+    if map.is_empty() {
+        *map = BTreeMap::new();
+    }
 }
 
 /// Key of a program's account; programs of different teams may share a name.
@@ -305,12 +355,12 @@
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        // A size hint that avoids reallocation while encoding.
-        encode_with_capacity(self, self.kept_bytes + self.accounts.len() * TURN_OVERHEAD_BYTES)
+        encode_large(self)
     }
 
     fn restore(&mut self, data: &[u8]) -> Result<(), RestoreError> {
         *self = decode(data).context(UndecodableSnafu)?;
+        self.count_kept_bytes();
         Ok(())
     }
 }
