--- a/agatetrestle/src/agreement/mod.rs
+++ b/agatetrestle/src/agreement/mod.rs
@@ -225,7 +225,7 @@
         Box::new(move || data)
     }
 
-    /// Replaces the state by an encoded one.
+    /// Replaces the state by an encoded one. After a failure the state is either the previous one or empty.
     ///
     /// # Errors
     ///
--- a/agatetrestle/src/agreement/replica/snapshot.rs
+++ b/agatetrestle/src/agreement/replica/snapshot.rs
@@ -240,6 +240,8 @@
         }
         let bytes = self.incoming_bytes(position);
         if offset == bytes.len() as u64 {
+            // A buffer that doubles could take twice the snapshot.
+            bytes.reserve_exact(chunk.len());
             bytes.extend_from_slice(chunk);
             if last {
                 self.finish_snapshot(from, position, round);
--- a/agatetrestle/src/turns/state.rs
+++ b/agatetrestle/src/turns/state.rs
@@ -359,6 +359,8 @@
     }
 
     fn restore(&mut self, data: &[u8]) -> Result<(), RestoreError> {
+        // Freed first, since both states and the snapshot together may exceed the memory of a store.
+        *self = Self::default();
         *self = decode(data).context(UndecodableSnafu)?;
         self.count_kept_bytes();
         Ok(())
