--- a/agatetrestle/src/agreement/replica/snapshot.rs
+++ b/agatetrestle/src/agreement/replica/snapshot.rs
@@ -74,6 +74,18 @@
         leader.progress.values().any(|progress| holds(&progress.state))
     }
 
+    /// Drops the encoded snapshot for peers, which get the next one from its start.
+    pub fn drop_outgoing_snapshot(&mut self) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        for progress in leader.progress.values_mut() {
+            if let ProgressState::Snapshot { outgoing, offset } = &mut progress.state {
+                (*outgoing, *offset) = (None, 0);
+            }
+        }
+    }
+
     /// Starts to send a snapshot to a peer: the one already being sent to others, or a new one from the driver. A silent
     /// peer gets none, since the leader would hold it for as long as the peer is lost.
     pub(super) fn start_snapshot(&mut self, peer: NodeId) {
--- a/agatetrestle/src/node/group/encoding.rs
+++ b/agatetrestle/src/node/group/encoding.rs
@@ -36,13 +36,20 @@
     generation: u64,
 }
 
-/// Queue of snapshots to encode, at most one for each purpose.
+/// Multiple of `snapshot_after` that the log may reach while peers receive a snapshot.
+const MAX_LOG_GROWTH: u64 = 2;
+
+/// Queue of snapshots to encode. Only one is encoded or held in memory at a time, since each may take as much memory as the
+/// state.
 pub(super) struct EncodeQueue {
     queue: (Sender<EncodeTask>, Receiver<EncodeTask>),
     /// Incremented when the whole state is replaced, so that snapshots queued before are discarded.
     generation: Cell<u64>,
+    /// Set until the snapshot for the disk is saved.
     disk_pending: Cell<bool>,
     peers_pending: Cell<bool>,
+    /// Whether peers wait for the snapshot that is encoded for the disk.
+    peers_waiting: Cell<bool>,
 }
 
 impl Default for EncodeQueue {
@@ -52,6 +59,7 @@
             generation: Cell::new(0),
             disk_pending: Cell::new(false),
             peers_pending: Cell::new(false),
+            peers_waiting: Cell::new(false),
         }
     }
 }
@@ -62,11 +70,17 @@
         self.generation.set(self.generation.get() + 1);
         self.disk_pending.set(false);
         self.peers_pending.set(false);
+        self.peers_waiting.set(false);
     }
 
-    /// Allows the next snapshot for the disk, after one was saved or failed.
+    /// Allows the next snapshot, after the one for the disk was saved or failed. Peers that still wait request it again.
     pub(super) fn clear_disk_pending(&self) {
         self.disk_pending.set(false);
+        self.peers_waiting.set(false);
+    }
+
+    fn is_busy(&self) -> bool {
+        self.disk_pending.get() || self.peers_pending.get()
     }
 }
 
@@ -74,9 +88,10 @@
     /// Queues a snapshot for the disk once the log has grown by `snapshot_after` bytes.
     pub(super) fn snapshot_if_due(&self) {
         let due = self.bytes_since_snapshot.get() >= self.snapshot_after;
-        if !due || self.encode_queue.disk_pending.get() || self.deferred.borrow().is_some() {
+        if !due || self.encode_queue.is_busy() || self.deferred.borrow().is_some() || self.awaits_peers() {
             return;
         }
+        self.replica.borrow_mut().drop_outgoing_snapshot();
         self.bytes_since_snapshot.set(0);
         let history_files = match self.flush_history() {
             Ok(files) => files,
@@ -90,10 +105,20 @@
         self.queue_snapshot(Purpose::Disk { replicas, history_files });
     }
 
-    /// Queues a snapshot for lagging peers. Does nothing while a received snapshot is not installed yet; the replica
+    /// Whether a snapshot for the disk waits until peers have received theirs.
+    fn awaits_peers(&self) -> bool {
+        let limit = self.snapshot_after.saturating_mul(MAX_LOG_GROWTH);
+        self.replica.borrow().holds_snapshot() && self.bytes_since_snapshot.get() < limit
+    }
+
+    /// Queues a snapshot for lagging peers, or shares the one that is being encoded for the disk. Does nothing while a received snapshot is not installed yet; the replica
     /// requests it again.
     pub(super) fn encode_peer_snapshot(&self) {
-        if self.deferred.borrow().is_some() || self.encode_queue.peers_pending.get() {
+        if self.deferred.borrow().is_some() {
+            return;
+        }
+        if self.encode_queue.is_busy() {
+            self.encode_queue.peers_waiting.set(self.encode_queue.disk_pending.get());
             return;
         }
         if let Err(error) = self.flush_history() {
@@ -126,6 +151,9 @@
             }
             match purpose {
                 Purpose::Disk { replicas, history_files } => {
+                    if self.encode_queue.peers_waiting.take() {
+                        self.process(Input::SnapshotEncoded { position, data: data.clone() });
+                    }
                     let snapshot = Snapshot { position, replicas, data };
                     self.enqueue(StorageJob::Snapshot { snapshot, history_files });
                 }
--- a/agatetrestle/src/node/group/tests.rs
+++ b/agatetrestle/src/node/group/tests.rs
@@ -244,6 +244,22 @@
     release: mpsc::Sender<()>,
     permits: Arc<Mutex<mpsc::Receiver<()>>>,
     encodings: Arc<AtomicU32>,
+    /// Shared with each copy of the state that waits to be encoded.
+    copies: Arc<()>,
+}
+
+impl SlowEncoding {
+    fn new() -> (Self, mpsc::Sender<()>) {
+        let (release, permits) = mpsc::channel();
+        let machine = Self {
+            state: ControlState::default(),
+            release: release.clone(),
+            permits: Arc::new(Mutex::new(permits)),
+            encodings: Arc::default(),
+            copies: Arc::default(),
+        };
+        (machine, release)
+    }
 }
 
 impl StateMachine for SlowEncoding {
@@ -257,9 +273,11 @@
 
     fn snapshot_encoder(&self) -> SnapshotEncoder {
         let (data, permits, encodings) = (self.snapshot(), self.permits.clone(), self.encodings.clone());
+        let copy = self.copies.clone();
         Box::new(move || {
             permits.lock().unwrap().recv().unwrap();
             encodings.fetch_add(1, Ordering::Relaxed);
+            drop(copy);
             data
         })
     }
@@ -273,14 +291,8 @@
 fn commits_while_a_snapshot_is_encoded() {
     let folder = std::env::temp_dir().join(format!("agatetrestle-coding-{}", std::process::id()));
     let executor = LocalExecutor::new();
-    let (release, permits) = mpsc::channel();
-    let encodings = Arc::new(AtomicU32::new(0));
-    let machine = SlowEncoding {
-        state: ControlState::default(),
-        release: release.clone(),
-        permits: Arc::new(Mutex::new(permits)),
-        encodings: encodings.clone(),
-    };
+    let (machine, release) = SlowEncoding::new();
+    let encodings = machine.encodings.clone();
     smol::block_on(executor.run(async {
         let group = start_machine(&executor, reopen(folder.clone(), Arc::default()), machine, 1).await;
         for version in 0..20 {
@@ -302,6 +314,27 @@
     let _ = std::fs::remove_dir_all(folder);
 }
 
+#[test]
+fn copies_the_state_once_for_the_disk_and_a_peer() {
+    let folder = std::env::temp_dir().join(format!("agatetrestle-copies-{}", std::process::id()));
+    let executor = LocalExecutor::new();
+    let (machine, release) = SlowEncoding::new();
+    let copies = machine.copies.clone();
+    smol::block_on(executor.run(async {
+        let group = start_machine(&executor, reopen(folder.clone(), Arc::default()), machine, 1).await;
+        commit(&group, 0).await;
+        // The machine and this test hold one reference each.
+        assert_eq!(Arc::strong_count(&copies), 3, "a snapshot for the disk is due");
+        group.encode_peer_snapshot();
+        commit(&group, 1).await;
+        assert_eq!(Arc::strong_count(&copies), 3, "the peer shares the snapshot for the disk");
+        // Unblocks the threads of this and the next snapshot.
+        (0..2).for_each(|_| release.send(()).unwrap());
+    }));
+    // Failure to clean up must not fail the test.
+    let _ = std::fs::remove_dir_all(folder);
+}
+
 #[test]
 fn logs_refusals_of_a_second_together() {
     let refusals = Refusals::default();
