Bound the messages to a slow peer by bytes

Cause: the queue to a peer was bounded by 1,024 messages and its deliveries by 64 calls of 64 messages, of up to 1 MiB each, of which the RPC library and the connection have a copy each. Change: the queue takes no further message beyond 1 MiB of payload, a batch none beyond 1 MiB, and the next delivery waits while 1 MiB is unanswered. One message of any size always goes through. Measured: unresponsive_peer_holds_a_few_megabytes_of_messages, with the limits on bytes lifted: every message of 1 MiB was held, the first beyond the limit failed the test (then 4, now 3 messages). After: passes.

--- a/agatetrestle/src/agreement/message.rs
+++ b/agatetrestle/src/agreement/message.rs
@@ -57,6 +57,16 @@
     pub fn addresses_learner(&self) -> bool {
         matches!(self.body, Body::Append { learner: true, .. } | Body::Snapshot { learner: true, .. })
     }
+
+    /// Bytes of the entries or of the part of a snapshot that it holds.
+    #[must_use]
+    pub fn payload_bytes(&self) -> usize {
+        match &self.body {
+            Body::Append { entries, .. } => entries.iter().map(|entry| entry.payload.len()).sum(),
+            Body::Snapshot { chunk, .. } => chunk.len(),
+            _ => 0,
+        }
+    }
 }
 
 /// Content of a message.
--- a/agatetrestle/src/node/peer_link.rs
+++ b/agatetrestle/src/node/peer_link.rs
@@ -46,8 +46,14 @@
 
 /// Messages queued for a slow peer. Further ones are dropped, since the protocol tolerates the loss of messages.
 const MAX_QUEUED_MESSAGES: usize = 1_024;
+/// Payload bytes after which no further message is queued. A single message holds up to 1 MiB.
+const MAX_QUEUED_BYTES: usize = 1 << 20;
 const MAX_BATCH_MESSAGES: usize = 64;
+/// Payload bytes after which no further message is added to a batch.
+const MAX_BATCH_BYTES: usize = 1 << 20;
 const MAX_PENDING_DELIVERIES: usize = 64;
+/// Payload bytes of unanswered deliveries after which the next one waits. The RPC library and the connection each hold a copy.
+const MAX_PENDING_BYTES: usize = 1 << 20;
 /// Shorter than the operating system's retransmission timeout of the first packet, so that a new attempt replaces a lost
 /// packet sooner.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -206,6 +212,10 @@
     /// Number of failed connection attempts, and the kind of the last failure.
     connect_failures: Cell<(u64, io::ErrorKind)>,
     outbox: Sender<Message>,
+    /// Payload bytes of the messages in the queue.
+    queued_bytes: Cell<usize>,
+    /// Payload bytes of unanswered deliveries.
+    pending_bytes: Cell<usize>,
     /// Handles the immediate replies of the peer.
     handler: MessageHandler,
     delivery: RefCell<Option<Task<()>>>,
@@ -236,6 +246,8 @@
             connecting: Mutex::new(()),
             connect_failures: Cell::new((0, io::ErrorKind::NotConnected)),
             outbox,
+            queued_bytes: Cell::new(0),
+            pending_bytes: Cell::new(0),
             handler,
             delivery: RefCell::new(None),
         });
@@ -254,9 +266,33 @@
 
     /// Queues a message. It is dropped if the peer is too slow or unreachable.
     pub fn deliver(&self, message: Message) {
-        if self.outbox.try_send(message).is_err() {
+        let queued = self.queued_bytes.get();
+        let bytes = message.payload_bytes();
+        if queued >= MAX_QUEUED_BYTES || self.outbox.try_send(message).is_err() {
             debug!("Dropped a message to {} because its queue is full.", self.slot.address);
+            return;
         }
+        self.queued_bytes.set(queued + bytes);
+    }
+
+    /// Takes the next queued messages that fit a batch with `first`, and returns their payload bytes.
+    fn fill_batch(&self, first: Message, inbox: &Receiver<Message>) -> (Vec<Message>, usize) {
+        let mut bytes = first.payload_bytes();
+        let mut batch = vec![first];
+        while batch.len() < MAX_BATCH_MESSAGES
+            && bytes < MAX_BATCH_BYTES
+            && let Ok(next) = inbox.try_recv()
+        {
+            bytes += next.payload_bytes();
+            batch.push(next);
+        }
+        self.queued_bytes.set(self.queued_bytes.get() - bytes);
+        (batch, bytes)
+    }
+
+    fn drop_queued(&self, inbox: &Receiver<Message>) {
+        while inbox.try_recv().is_ok() {}
+        self.queued_bytes.set(0);
     }
 
     /// Makes a call within the deadline of the link. `call` starts the call on the given client. If the returned future is
@@ -381,22 +417,22 @@
         if let Err(error) = link.client().await {
             debug!("Failed to connect to peer {}: {error}.", link.slot.address);
             // Queued messages would be outdated by the time the peer is reachable.
-            while inbox.try_recv().is_ok() {}
+            link.drop_queued(&inbox);
             Timer::after(RECONNECT_DELAY).await;
             continue;
         }
-        let mut batch = vec![message];
-        while batch.len() < MAX_BATCH_MESSAGES
-            && let Ok(next) = inbox.try_recv()
-        {
-            batch.push(next);
-        }
+        let (batch, bytes) = link.fill_batch(message, &inbox);
+        link.pending_bytes.set(link.pending_bytes.get() + bytes);
         let sender = link.clone();
-        deliveries.push_back(link.executor.spawn(async move { sender.deliver_batch(&batch).await }));
-        if deliveries.len() < MAX_PENDING_DELIVERIES {
-            continue;
-        }
-        if let Some(oldest) = deliveries.pop_front() {
+        deliveries.push_back(link.executor.spawn(async move {
+            let outcome = sender.deliver_batch(&batch).await;
+            sender.pending_bytes.set(sender.pending_bytes.get() - bytes);
+            outcome
+        }));
+        while deliveries.len() >= MAX_PENDING_DELIVERIES || link.pending_bytes.get() >= MAX_PENDING_BYTES {
+            let Some(oldest) = deliveries.pop_front() else {
+                break;
+            };
             // The call has discarded a failed connection already, and the protocol resends messages.
             let _ = oldest.await;
         }
--- a/agatetrestle/src/node/peer_link/tests.rs
+++ b/agatetrestle/src/node/peer_link/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of when a connection is replaced.
 
 use std::cell::Cell;
+use std::sync::Arc;
 
 use agatetrestle_fakes::forwarder::Forwarder;
 use futures::StreamExt;
@@ -8,6 +9,8 @@
 use smol::net::TcpListener;
 
 use super::*;
+use crate::agreement::message::Body;
+use crate::agreement::message::Position;
 use crate::ids::GroupId;
 use crate::ids::NodeId;
 use crate::node::links::Links;
@@ -23,6 +26,8 @@
 const NO_TIMEOUT: Duration = Duration::from_hours(1);
 /// Many more callers than time out within the deadline of one call.
 const CALLERS: u32 = 40;
+/// The queues to four followers of the smallest store, of 120 MB, may hold a tenth of its memory together.
+const MAX_HELD_MESSAGES: usize = 3;
 const UNANSWERED: &[u8] = b"never";
 
 /// Answers every request except [`UNANSWERED`].
@@ -145,3 +150,62 @@
 fn replaces_a_connection_without_answers() {
     assert_eq!(connections_after_a_timeout(false), 2);
 }
+
+/// A message with a part of a snapshot of 1 MiB.
+fn large_message(chunk: &Arc<[u8]>) -> Message {
+    let position = Position { term: 1, index: 1 };
+    let body =
+        Body::Snapshot { position, offset: 0, chunk: chunk.clone(), last: false, learner: false, round: 1 };
+    Message { group: GROUP, from: NodeId(1), to: NodeId(2), term: 1, body }
+}
+
+#[test]
+fn unresponsive_peer_holds_a_few_megabytes_of_messages() {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let forwarder = Forwarder::start(&executor, listener.local_addr().unwrap()).await.unwrap();
+        let mut server = PeerServer::default();
+        server.services.insert(GROUP, Rc::new(SelectiveService(Cell::new(0))));
+        executor.spawn(peer_server::serve(Rc::new(server), listener, Rc::downgrade(&executor))).detach();
+        let link = Links::new(NodeId(1), NO_TIMEOUT, &executor).link_to(forwarder.address);
+        assert!(submit_remotely(&link, NO_TIMEOUT, GROUP, b"first").await.is_ok());
+        forwarder.blackhole_existing();
+        let chunk: Arc<[u8]> = vec![0; 1 << 20].into();
+        for _ in 0..CALLERS {
+            link.deliver(large_message(&chunk));
+            // Lets the link send what it would send.
+            for _ in 0..16 {
+                smol::future::yield_now().await;
+            }
+            let held = Arc::strong_count(&chunk) - 1;
+            assert!(held <= MAX_HELD_MESSAGES, "the link holds {held} messages of 1 MiB");
+        }
+    }));
+}
+
+#[test]
+fn sends_messages_again_after_a_full_queue() {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (tx, rx) = smol::channel::unbounded();
+        let mut server = PeerServer::default();
+        let receive = move |message: Message| {
+            tx.try_send(message.payload_bytes()).unwrap();
+            Vec::new()
+        };
+        server.handlers.insert(GROUP, Rc::new(receive));
+        executor.spawn(peer_server::serve(Rc::new(server), listener, Rc::downgrade(&executor))).detach();
+        let link = Links::new(NodeId(1), NO_TIMEOUT, &executor).link_to(address);
+        let chunk: Arc<[u8]> = vec![0; 1 << 20].into();
+        (0..CALLERS).for_each(|_| link.deliver(large_message(&chunk)));
+        while link.queued_bytes.get() + link.pending_bytes.get() > 0 {
+            assert_eq!(rx.recv().await, Ok(1 << 20));
+            smol::future::yield_now().await;
+        }
+        (0..3).for_each(|_| link.deliver(large_message(&[7].into())));
+        while rx.recv().await != Ok(1) {}
+    }));
+}
