--- a/agatetrestle/src/turns/tests.rs
+++ b/agatetrestle/src/turns/tests.rs
@@ -21,6 +21,7 @@
 mod burst;
 mod contention;
 mod limiter;
+mod memory;
 mod pending;
 mod placement;
 mod recent;
