--- a/agatetrestle/src/turns/state.rs
+++ b/agatetrestle/src/turns/state.rs
@@ -4,6 +4,8 @@
 
 pub use self::pending::LogProgress;
 pub use self::pending::PendingCommands;
+#[cfg(test)]
+pub(crate) use self::pending::examined_commands;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
--- a/agatetrestle/src/turns/state/pending.rs
+++ b/agatetrestle/src/turns/state/pending.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::collections::hash_map::Entry;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,45 +32,92 @@
     pub applied: u64,
 }
 
+/// What a leader's proposals of a term add up to.
+#[derive(Clone, Copy, Debug, Default)]
+struct Totals {
+    elapsed: Duration,
+    /// Memory that the commands may add to the retained turns.
+    retained_bytes: usize,
+}
+
+impl Totals {
+    fn plus(self, elapsed: Duration, command: &TurnCommand) -> Self {
+        let retained_bytes = self.retained_bytes + retained_bytes(command);
+        Self { elapsed: self.elapsed + elapsed, retained_bytes }
+    }
+
+    fn since(self, earlier: Self) -> Self {
+        let retained_bytes = self.retained_bytes - earlier.retained_bytes;
+        Self { elapsed: self.elapsed.saturating_sub(earlier.elapsed), retained_bytes }
+    }
+}
+
 #[derive(Debug)]
 struct PendingCommand {
     index: u64,
-    elapsed: Duration,
+    /// Key of the account that it changes, if any.
+    account: Option<Arc<str>>,
+    /// Sums up to this command.
+    totals: Totals,
     command: Rc<TurnCommand>,
 }
 
 /// Proposals of one term that the state machine has not applied, in log order.
+///
+/// A query looks at the commands of its own program only: thousands of commands may be pending when the leader is
+/// overloaded, and each turn is queried; see docs/incidents/008-a-leader-that-its-callers-keep-overloaded.md.
 #[derive(Debug, Default)]
 pub struct PendingCommands {
     term: u64,
     commands: VecDeque<PendingCommand>,
+    /// Commands of this term that were dropped, which is the number of the first pending one.
+    dropped: u64,
+    /// Sums up to the last command that was dropped.
+    dropped_totals: Totals,
+    /// Numbers of the pending commands that change an account, ascending.
+    by_account: HashMap<Arc<str>, VecDeque<u64>>,
 }
 
 impl PendingCommands {
     /// Drops the commands that are applied, or all if the term has changed.
     pub fn advance(&mut self, progress: LogProgress) {
         if self.term != progress.term {
-            self.commands.clear();
-            self.term = progress.term;
+            *self = Self { term: progress.term, ..Self::default() };
         }
-        while self.commands.front().is_some_and(|pending| pending.index <= progress.applied) {
-            self.commands.pop_front();
+        while let Some(pending) = self.commands.pop_front_if(|pending| pending.index <= progress.applied) {
+            self.dropped += 1;
+            self.dropped_totals = pending.totals;
+            if let Some(account) = pending.account
+                && let Entry::Occupied(mut numbers) = self.by_account.entry(account)
+            {
+                numbers.get_mut().pop_front();
+                if numbers.get().is_empty() {
+                    numbers.remove();
+                }
+            }
         }
     }
 
     /// Records a command that was appended at the end of the log.
     pub fn push(&mut self, progress: LogProgress, elapsed: Duration, command: Rc<TurnCommand>) {
         self.advance(progress);
-        if progress.last > progress.applied {
-            self.commands.push_back(PendingCommand { index: progress.last, elapsed, command });
+        if progress.last <= progress.applied {
+            return;
+        }
+        let account = changed_account(&command);
+        if let Some(account) = &account {
+            let number = self.dropped + self.commands.len() as u64;
+            self.by_account.entry(account.clone()).or_default().push_back(number);
         }
+        let before = self.commands.back().map_or(self.dropped_totals, |pending| pending.totals);
+        let totals = before.plus(elapsed, &command);
+        self.commands.push_back(PendingCommand { index: progress.last, account, totals, command });
     }
 
     /// Whether a begin is recorded and may not be applied.
     #[must_use]
     pub fn contains(&self, query: &BeginQuery) -> bool {
-        let named = |pending: &PendingCommand| matches!(&*pending.command, TurnCommand::Begin(begin) if query.names(begin));
-        self.commands.iter().rev().any(named)
+        self.of_account(query).any(|pending| query.is_about(&pending.command))
     }
 
     /// The texts of the turns that a proposed begin continues, if it will certainly be granted when it commits. The caller
@@ -89,18 +137,25 @@
         if usize::try_from(unapplied).ok()? != self.commands.len() {
             return None;
         }
-        let is_queried = |pending: &PendingCommand| match &*pending.command {
-            TurnCommand::Begin(begin) => query.names(begin),
-            _ => false,
-        };
-        let position = self.commands.iter().position(is_queried)?;
-        if self.commands.iter().skip(position + 1).any(is_queried) {
+        let mut about_turn = self.of_account(query).filter(|pending| query.is_about(&pending.command));
+        let queried = about_turn.next()?;
+        if about_turn.next().is_some() {
             return None;
         }
-        let TurnCommand::Begin(begin) = &*self.commands[position].command else {
+        let TurnCommand::Begin(begin) = &*queried.command else {
             return None;
         };
-        state.certain_chain(begin, self.commands.range(..=position))
+        let of_account = self.of_account(query).take_while(|pending| pending.index <= queried.index);
+        let added = queried.totals.since(self.dropped_totals);
+        state.certain_chain(begin, added, of_account.map(|pending| &*pending.command))
+    }
+
+    /// Pending commands that change the account of a queried turn, in log order.
+    fn of_account(&self, query: &BeginQuery) -> impl Iterator<Item = &PendingCommand> {
+        let numbers = self.by_account.get(&account_key(&query.team, &query.program));
+        let position = |number: &u64| usize::try_from(number - self.dropped).ok();
+        let positions = numbers.into_iter().flatten().filter_map(position);
+        positions.filter_map(|position| self.commands.get(position)).inspect(|_| count_examined())
     }
 }
 
@@ -113,23 +168,23 @@
 }
 
 impl TurnState {
-    /// The chain of a begin that is the last of `commands`, if all of them together leave no doubt that it is granted.
+    /// The chain of a begin that is the last of the pending commands, if all of them together leave no doubt that it is
+    /// granted. `added` sums up all of them, and `of_account` are those that change the account of the begin.
     fn certain_chain<'a>(
         &self,
         begin: &Begin,
-        commands: impl Iterator<Item = &'a PendingCommand> + Clone,
+        added: Totals,
+        of_account: impl Iterator<Item = &'a TurnCommand>,
     ) -> Option<Vec<Blob>> {
         if !begin.carried.is_empty() {
             return None;
         }
-        let elapsed: Duration = commands.clone().map(|pending| pending.elapsed).sum();
-        let now = self.now.saturating_add(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX));
+        let now = self.now.saturating_add(u64::try_from(added.elapsed.as_millis()).unwrap_or(u64::MAX));
         let chain = self.chain_until(begin, now)?;
-        let added: usize = commands.clone().map(|pending| retained_bytes(&pending.command)).sum();
-        if self.room > 0 && self.kept_bytes.saturating_add(added) > self.room {
+        if self.room > 0 && self.kept_bytes.saturating_add(added.retained_bytes) > self.room {
             return None;
         }
-        self.fits_budget(begin, now, commands).then_some(chain)
+        self.fits_budget(begin, now, of_account).then_some(chain)
     }
 
     /// The chain of a begin if it is complete and none of its turns expires before `now`.
@@ -147,7 +202,7 @@
         &self,
         begin: &Begin,
         now: u64,
-        commands: impl Iterator<Item = &'a PendingCommand>,
+        of_account: impl Iterator<Item = &'a TurnCommand>,
     ) -> bool {
         let key = account_key(&begin.team, &begin.program);
         let mut spent = 0_u64;
@@ -162,9 +217,9 @@
                 |(turn, most): (&TurnId, &u64)| (turn.clone(), Reservation { most: *most, applied: true });
             open.extend(account.open.iter().map(applied));
         }
-        for pending in commands {
-            match &*pending.command {
-                TurnCommand::Begin(other) if account_key(&other.team, &other.program) == key => {
+        for command in of_account {
+            match command {
+                TurnCommand::Begin(other) => {
                     if other.turn == begin.turn {
                         continue;
                     }
@@ -174,7 +229,7 @@
                         reservation.most = reservation.most.max(other.most);
                     }
                 }
-                TurnCommand::Finish(finish) if account_key(&finish.team, &finish.program) == key => {
+                TurnCommand::Finish(finish) => {
                     if finish.turn == begin.turn {
                         return false;
                     }
@@ -182,7 +237,7 @@
                         spent = spent.saturating_add(finish.spent);
                     }
                 }
-                _ => {}
+                TurnCommand::Chain(_) | TurnCommand::Take(_) => {}
             }
         }
         let reserved = open.values().fold(0, |sum: u64, reservation| sum.saturating_add(reservation.most));
@@ -191,6 +246,15 @@
     }
 }
 
+/// Key of the account that a command changes, if any.
+fn changed_account(command: &TurnCommand) -> Option<Arc<str>> {
+    match command {
+        TurnCommand::Begin(begin) => Some(account_key(&begin.team, &begin.program)),
+        TurnCommand::Finish(finish) => Some(account_key(&finish.team, &finish.program)),
+        TurnCommand::Chain(_) | TurnCommand::Take(_) => None,
+    }
+}
+
 /// Memory that a command may add to the retained turns.
 fn retained_bytes(command: &TurnCommand) -> usize {
     match command {
@@ -203,9 +267,33 @@
 }
 
 impl BeginQuery {
-    /// Whether the query is about this begin.
-    fn names(&self, begin: &Begin) -> bool {
-        let same = |left: &Arc<str>, right: &Arc<str>| left == right;
-        same(&self.turn, &begin.turn) && same(&self.program, &begin.program) && same(&self.team, &begin.team)
+    /// Whether a command is the begin that the query names.
+    fn is_about(&self, command: &TurnCommand) -> bool {
+        match command {
+            TurnCommand::Begin(begin) => {
+                self.turn == begin.turn && self.program == begin.program && self.team == begin.team
+            }
+            _ => false,
+        }
     }
 }
+
+#[cfg(test)]
+thread_local! {
+    static EXAMINED: std::cell::Cell<usize> = const { std::cell::Cell::new(0) };
+}
+
+/// Pending commands that queries on this thread have looked at so far.
+#[cfg(test)]
+pub(crate) fn examined_commands() -> usize {
+    EXAMINED.get()
+}
+
+#[cfg(test)]
+fn count_examined() {
+    EXAMINED.set(EXAMINED.get() + 1);
+}
+
+/// Counts only in tests.
+#[cfg(not(test))]
+fn count_examined() {}
--- a/agatetrestle/src/turns/tests/pending.rs
+++ b/agatetrestle/src/turns/tests/pending.rs
@@ -17,6 +17,7 @@
 use crate::turns::state::LogProgress;
 use crate::turns::state::PendingCommands;
 use crate::turns::state::TurnState;
+use crate::turns::state::examined_commands;
 
 /// A leader's log, of which the state machine has applied a prefix.
 struct Leader {
@@ -177,6 +178,26 @@
     }
 }
 
+/// Guards against queries that look at all proposals, of which an overloaded leader has thousands, so that the work grows
+/// with the square of the load; see docs/incidents/008-a-leader-that-its-callers-keep-overloaded.md.
+#[test]
+fn work_of_a_query_does_not_grow_with_the_pending_commands_of_other_programs() {
+    let examined = [10, 1_000].map(|others| {
+        let mut leader = Leader::new(TurnState::default());
+        for number in 0..others {
+            let other = begin(&format!("p-{number}"), "a", 90, 1, None);
+            leader.propose(TimedCommand { elapsed: Duration::ZERO, command: other });
+        }
+        let before = examined_commands();
+        assert!(leader.propose_and_ask(&begin("p", "a", 90, 1, None)).is_some());
+        let (granted, before) = (examined_commands() - before, examined_commands());
+        let missing = BeginQuery { team: "".into(), program: "p".into(), turn: "b".into() };
+        assert!(!leader.pending.contains(&missing));
+        (granted, examined_commands() - before)
+    });
+    assert_eq!(examined[0], examined[1], "commands examined for a granted query and for one without a begin");
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Propose(TimedCommand),
