Add the leader's server to a reply without decoding its texts

Cause: the leader decoded the reply of the state machine and encoded it again to add the index of the server, with all texts of the chain, for each begin that it moved.

Change: the field is appended to the encoded map, and its header counts one more. The bytes are the same. The codec counts bytes in tests.

The test failed before, with four turns of 1,200 bytes:

assertion `left == right` failed left: 4827 right: 0

--- a/agatetrestle/examples/leader_cost.rs
+++ b/agatetrestle/examples/leader_cost.rs
@@ -233,7 +233,11 @@
     let encoded = encode(&reply);
     print_repeated("reply with texts: encode", || encode(&reply));
     print_repeated("reply with texts: decode", || decode::<TurnReply>(&encoded));
-    print_repeated("reply with texts: copy", || encoded.clone());
+    print_repeated("reply with texts: encode and add server", || {
+        let mut encoded = encode(&reply);
+        TurnReply::add_server(&mut encoded, 3);
+        encoded
+    });
 }
 
 fn print_admission(leader: &mut Leader) {
--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -199,16 +199,11 @@
 }
 
 /// Adds the leader's choice of a server to the reply of the state machine, which is the same on every replica.
-fn with_server(submission: Submission, placed: Option<u32>) -> Submission {
-    let (Submission::Applied(reply), Some(_)) = (&submission, placed) else {
-        return submission;
-    };
-    match decode::<TurnReply>(reply) {
-        Ok(TurnReply::Begun { chain, .. }) => {
-            Submission::Applied(encode(&TurnReply::Begun { chain, server: placed }))
-        }
-        Ok(_) | Err(_) => submission,
+pub(crate) fn with_server(mut submission: Submission, placed: Option<u32>) -> Submission {
+    if let (Submission::Applied(reply), Some(server)) = (&mut submission, placed) {
+        TurnReply::add_server(reply, server);
     }
+    submission
 }
 
 impl GroupService for TurnService {
--- a/agatetrestle/src/codec.rs
+++ b/agatetrestle/src/codec.rs
@@ -32,7 +32,7 @@
 ///
 /// Never for the types of this crate: encoding them into memory can't fail.
 #[must_use]
-pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+pub fn encode<T: Serialize + ?Sized>(value: &T) -> Vec<u8> {
     encode_with_capacity(value, 0)
 }
 
@@ -42,18 +42,30 @@
 ///
 /// As [`encode`].
 #[must_use]
-pub fn encode_with_capacity<T: Serialize>(value: &T, capacity: usize) -> Vec<u8> {
+pub fn encode_with_capacity<T: Serialize + ?Sized>(value: &T, capacity: usize) -> Vec<u8> {
     let mut buf = Vec::with_capacity(capacity);
-    ciborium::into_writer(value, &mut buf).expect("writing to memory does not fail");
+    append(&mut buf, value);
     buf
 }
 
+/// Appends an encoded value to a buffer.
+///
+/// # Panics
+///
+/// As [`encode`].
+pub fn append<T: Serialize + ?Sized>(buf: &mut Vec<u8>, value: &T) {
+    let before = buf.len();
+    ciborium::into_writer(value, &mut *buf).expect("writing to memory does not fail");
+    count(|counts| counts.encoded_bytes += buf.len() - before);
+}
+
 /// Decodes a value.
 ///
 /// # Errors
 ///
 /// Fails if the bytes are truncated or encode another type.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, DecodeError> {
+    count(|counts| counts.decoded_bytes += bytes.len());
     ciborium::from_reader(bytes).map_err(|source| DecodeError { source })
 }
 
@@ -188,3 +200,34 @@
         Ok(Blob::from(&bytes[..]))
     }
 }
+
+/// Bytes that passed the codec on one thread, counted only in tests.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct CodecCounts {
+    /// Bytes that were encoded.
+    pub(crate) encoded_bytes: usize,
+    /// Bytes that were decoded.
+    pub(crate) decoded_bytes: usize,
+}
+
+#[cfg(test)]
+thread_local! {
+    static COUNTS: std::cell::Cell<CodecCounts> = std::cell::Cell::default();
+}
+
+/// The counts of this thread so far.
+#[cfg(test)]
+pub(crate) fn codec_counts() -> CodecCounts {
+    COUNTS.get()
+}
+
+#[cfg(test)]
+fn count(update: impl FnOnce(&mut CodecCounts)) {
+    let mut counts = COUNTS.get();
+    update(&mut counts);
+    COUNTS.set(counts);
+}
+
+/// Counts only in tests.
+#[cfg(not(test))]
+fn count(_update: impl FnOnce(&mut CodecCounts)) {}
--- a/agatetrestle/src/turns/command.rs
+++ b/agatetrestle/src/turns/command.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::codec::Blob;
+use crate::codec::append;
 use crate::codec::decode;
 use crate::codec::encode;
 use crate::ids::NodeId;
@@ -316,3 +317,22 @@
     /// The command could not be decoded or does not belong in the log.
     Refused,
 }
+
+/// Start of an encoded [`TurnReply::Begun`] of which the chain is the only field.
+const BEGUN_WITH_CHAIN: &[u8] = b"\xa1\x65Begun\xa1\x65chain";
+/// Position of the header of its map of fields.
+const BEGUN_FIELDS: usize = 1 + 1 + "Begun".len();
+/// CBOR header of a map with two entries.
+const MAP_OF_TWO: u8 = 0xa2;
+
+impl TurnReply {
+    /// Adds the index of a server to an encoded [`TurnReply::Begun`] that has none. Other replies are left unchanged. The
+    /// texts, which may be long, are neither decoded nor copied.
+    pub fn add_server(encoded: &mut Vec<u8>, server: u32) {
+        if encoded.starts_with(BEGUN_WITH_CHAIN) {
+            encoded[BEGUN_FIELDS] = MAP_OF_TWO;
+            append(encoded, "server");
+            append(encoded, &server);
+        }
+    }
+}
--- a/agatetrestle/src/turns/tests.rs
+++ b/agatetrestle/src/turns/tests.rs
@@ -20,6 +20,7 @@
 
 mod burst;
 mod contention;
+mod cost;
 mod limiter;
 mod pending;
 mod placement;
