Apply the command that the leader has decoded already

Change: the state machine keeps the decoded proposals by their position in the log until they are applied. A term has one leader, so the command at a term and index is the one that was proposed there; any other position, and all entries of followers and of replayed logs, are decoded as before.

--- a/agatetrestle/examples/leader_cost.rs
+++ b/agatetrestle/examples/leader_cost.rs
@@ -328,30 +328,42 @@
 }
 
 fn print_apply(leader: &mut Leader) {
-    let begins = leader.next_begins(BATCHES * BATCH_CALLS);
-    let finishes: Vec<TurnCommand> = begins.iter().map(finish_of).map(TurnCommand::Finish).collect();
-    let begins: Vec<TurnCommand> = begins.into_iter().map(TurnCommand::Begin).collect();
-    let now = leader.now;
-    let Leader { state, admission, .. } = leader;
-    for (kind, commands) in [("begin", &begins), ("finish", &finishes)] {
-        let mut encoded = commands
-            .iter()
-            .map(|command| payload(&command.without_candidates().unwrap_or_else(|| command.clone())));
-        print_time(
-            &format!("{kind}: apply"),
-            |_| encoded.by_ref().take(BATCH_CALLS).collect(),
-            |payload| state.apply(Position::default(), &payload),
-        );
-        if kind == "begin" {
-            for command in commands {
-                admission.place(now, command);
-            }
+    for proposed in [true, false] {
+        let begins = leader.next_begins(BATCHES * BATCH_CALLS);
+        let finishes = begins.iter().map(finish_of).map(TurnCommand::Finish).collect();
+        let begins = begins.into_iter().map(TurnCommand::Begin).collect();
+        print_apply_of("begin", leader, begins, proposed);
+        print_apply_of("finish", leader, finishes, proposed);
+    }
+}
+
+/// Applies commands as the leader that proposed them, or as a follower.
+fn print_apply_of(kind: &str, leader: &mut Leader, commands: Vec<TurnCommand>, proposed: bool) {
+    let Leader { state, admission, now, .. } = leader;
+    let mut entries = Vec::new();
+    for (index, command) in (1..).zip(&commands) {
+        admission.place(*now, command);
+        let logged = command.without_candidates().unwrap_or_else(|| command.clone());
+        let position = Position { term: 1, index };
+        entries.push((position, payload(&logged)));
+        if proposed {
+            state.expect_proposal(position, timed(logged, ELAPSED));
         }
+    }
+    let mut entries = entries.into_iter();
+    let role = if proposed { "leader" } else { "follower" };
+    print_time(
+        &format!("{kind}: apply, {role}"),
+        |_| entries.by_ref().take(BATCH_CALLS).collect(),
+        |(position, payload): (Position, Arc<[u8]>)| state.apply(position, &payload),
+    );
+    if proposed {
         let mut applied = commands.iter();
-        let inputs = |_| applied.by_ref().take(BATCH_CALLS).collect();
-        print_time(&format!("{kind}: record applied"), inputs, |command: &TurnCommand| {
-            admission.record_applied(now, command, state);
-        });
+        print_time(
+            &format!("{kind}: record applied"),
+            |_| applied.by_ref().take(BATCH_CALLS).collect(),
+            |command: &TurnCommand| admission.record_applied(*now, command, state),
+        );
     }
 }
 
--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -8,6 +8,7 @@
 use futures::future::LocalBoxFuture;
 use smol::future::yield_now;
 
+use crate::agreement::message::Position;
 use crate::clock::Clock;
 use crate::cluster::message::ControlRequest;
 use crate::cluster::registry::ClusterRegistry;
@@ -130,13 +131,18 @@
             return Submission::Applied(encode(&reply));
         }
         let placed = self.admission.borrow_mut().place(now, &command);
-        let shortened = command.without_candidates().map(|logged| logged.encode(elapsed).into());
+        let shortened = command.without_candidates();
+        let payload = shortened.as_ref().map_or(payload, |logged| logged.encode(elapsed).into());
         let command = Rc::new(command);
-        let (index, outcome) = self.group.propose(shortened.unwrap_or(payload));
-        if index.is_some() {
+        let (index, outcome) = self.group.propose(payload);
+        if let Some(index) = index {
             // Time reported with a command that is not appended would be lost.
             self.leader_clock.set(leader_clock);
             self.pending.borrow_mut().push(self.progress(), elapsed, command.clone());
+            let logged = shortened.unwrap_or_else(|| TurnCommand::clone(&command));
+            let position = Position { term: self.group.term(), index };
+            let timed = TimedCommand { elapsed, command: logged };
+            self.group.machine(|state| state.expect_proposal(position, timed));
         }
         let submission = to_submission(outcome.await);
         if matches!(submission, Submission::Applied(_)) {
--- a/agatetrestle/src/deployment/tests/state_group.rs
+++ b/agatetrestle/src/deployment/tests/state_group.rs
@@ -27,6 +27,8 @@
 use crate::clock::Clock;
 use crate::clock::Timestamp;
 use crate::cluster::service::TurnService;
+use crate::codec::codec_counts;
+use crate::codec::encode;
 use crate::deployment::turns::TurnRouter;
 use crate::deployment::turns::TurnRouterParts;
 use crate::ids::FIRST_STATE_GROUP;
@@ -417,3 +419,23 @@
         assert!(wake_ups <= commits * 36, "{wake_ups} wake-ups");
     });
 }
+
+/// Guards against a leader that decodes each command when it proposes it and again when it applies it.
+#[test]
+fn leader_decodes_a_command_once() {
+    run(|executor| async move {
+        let group = StateGroup::start(&executor, DEFAULT).await;
+        group.leader().await;
+        let commits = 200;
+        let command = TurnCommand::Finish(Finish { spent: 5, ..Finish::default() });
+        let command_bytes = encode(&command).len();
+        let before = codec_counts().decoded_bytes;
+        for _ in 0..commits {
+            assert_eq!(group.router.commit(command.clone()).await.unwrap(), TurnReply::Settled);
+        }
+        let decoded = codec_counts().decoded_bytes - before;
+        // The followers decode it too, and the entry the reply.
+        let expected = commits * (STORES.len() * command_bytes + encode(&TurnReply::Settled).len());
+        assert!(decoded <= expected, "{decoded} bytes were decoded, {expected} are needed");
+    });
+}
--- a/agatetrestle/src/turns/state.rs
+++ b/agatetrestle/src/turns/state.rs
@@ -1,5 +1,6 @@
 //! The replicated state machine of a state group.
 
+mod decoded;
 mod pending;
 
 pub use self::pending::LogProgress;
@@ -36,6 +37,7 @@
 use crate::turns::command::TurnId;
 use crate::turns::command::TurnReply;
 use crate::turns::recent::RecentPrograms;
+use crate::turns::state::decoded::DecodedProposals;
 
 /// Added to a turn's retention, since the caller counts it from when it received the last bytes of the answer. Clock skew
 /// needs no margin: only intervals measured by a leader count.
@@ -88,6 +90,8 @@
     /// Programs of teams that ran recently, for the admission of the next leader. Empty in snapshots of older builds.
     #[serde(default, skip_serializing_if = "RecentPrograms::is_empty")]
     recent: RecentPrograms,
+    #[serde(skip)]
+    decoded: DecodedProposals,
 }
 
 impl TurnState {
@@ -109,6 +113,12 @@
         }
     }
 
+    /// Keeps a command that was proposed at a position of the log, so that applying it does not decode it again. It must be
+    /// the one that its payload in the log decodes to.
+    pub fn expect_proposal(&self, position: Position, timed: TimedCommand) {
+        self.decoded.insert(position, timed);
+    }
+
     /// Whether a turn has begun and not ended.
     #[must_use]
     pub fn is_open(&self, team: &str, program: &Arc<str>, turn: &TurnId) -> bool {
@@ -145,6 +155,10 @@
         }
     }
 
+    fn decode(&self, position: Position, payload: &Arc<[u8]>) -> Option<TimedCommand> {
+        self.decoded.take(position).or_else(|| TimedCommand::decode(payload))
+    }
+
     fn begin(&mut self, begin: Begin) -> TurnReply {
         self.import(begin.carried);
         let Some(chain) = self.chain(&begin.team, begin.previous.as_ref()) else {
@@ -290,13 +304,13 @@
 }
 
 impl StateMachine for TurnState {
-    fn apply(&mut self, _position: Position, payload: &Arc<[u8]>) -> Vec<u8> {
-        let reply = TimedCommand::decode(payload).map_or(TurnReply::Refused, |timed| self.execute(timed));
+    fn apply(&mut self, position: Position, payload: &Arc<[u8]>) -> Vec<u8> {
+        let reply = self.decode(position, payload).map_or(TurnReply::Refused, |timed| self.execute(timed));
         encode(&reply)
     }
 
-    fn apply_without_reply(&mut self, _position: Position, payload: &Arc<[u8]>) {
-        if let Some(timed) = TimedCommand::decode(payload) {
+    fn apply_without_reply(&mut self, position: Position, payload: &Arc<[u8]>) {
+        if let Some(timed) = self.decode(position, payload) {
             self.execute(timed);
         }
     }
