Encode commands and replies into buffers that are large enough

Cause: each encoding began with an empty buffer that doubled a dozen times up to the texts of a chain, and a command was encoded into a buffer of its own and copied. In a trial with five stores and the network layer, a third of the processor time of the leader's thread was spent in malloc and free (perf, leaf functions of 27,137 samples).

Change: the buffer has room for the texts from the start, and a command is encoded behind its header. The bytes are the same.

The test failed with capacities of zero:

assertion `left == right` failed: buffers grew left: 13 right: 0

--- a/agatetrestle/examples/leader_cost.rs
+++ b/agatetrestle/examples/leader_cost.rs
@@ -231,10 +231,10 @@
     let texts = vec![Blob::from(&[b't'; TEXT_BYTES][..]); CHAIN_TURNS];
     let reply = TurnReply::Begun { chain: texts, server: None };
     let encoded = encode(&reply);
-    print_repeated("reply with texts: encode", || encode(&reply));
+    print_repeated("reply with texts: encode", || reply.encode());
     print_repeated("reply with texts: decode", || decode::<TurnReply>(&encoded));
     print_repeated("reply with texts: encode and add server", || {
-        let mut encoded = encode(&reply);
+        let mut encoded = reply.encode();
         TurnReply::add_server(&mut encoded, 3);
         encoded
     });
--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -128,7 +128,7 @@
             .group
             .machine(|state| self.admission.borrow_mut().check(now, self.group.term(), &command, state));
         if let Err(reply) = admitted {
-            return Submission::Applied(encode(&reply));
+            return Submission::Applied(reply.encode());
         }
         let placed = self.admission.borrow_mut().place(now, &command);
         let shortened = command.without_candidates();
@@ -184,7 +184,7 @@
         match self.group.machine(|state| pending.granted_chain(progress, state, &query)) {
             Some(chain) => {
                 let server = self.admission.borrow().placed(&query.turn);
-                Submission::Applied(encode(&TurnReply::Begun { chain, server }))
+                Submission::Applied(TurnReply::Begun { chain, server }.encode())
             }
             None => Submission::Refused("the outcome is not certain before the commit".into()),
         }
@@ -200,7 +200,7 @@
             }
         }
         let (now, term) = (self.clock.now(), self.group.term());
-        Submission::Applied(encode(&self.admission.borrow_mut().take(now, term, take)))
+        Submission::Applied(self.admission.borrow_mut().take(now, term, take).encode())
     }
 }
 
--- a/agatetrestle/src/codec.rs
+++ b/agatetrestle/src/codec.rs
@@ -54,9 +54,12 @@
 ///
 /// As [`encode`].
 pub fn append<T: Serialize + ?Sized>(buf: &mut Vec<u8>, value: &T) {
-    let before = buf.len();
+    let (length, capacity) = (buf.len(), buf.capacity());
     ciborium::into_writer(value, &mut *buf).expect("writing to memory does not fail");
-    count(|counts| counts.encoded_bytes += buf.len() - before);
+    count(|counts| {
+        counts.encoded_bytes += buf.len() - length;
+        counts.grown_buffers += usize::from(buf.capacity() > capacity);
+    });
 }
 
 /// Decodes a value.
@@ -206,6 +209,8 @@
 pub(crate) struct CodecCounts {
     /// Bytes that were encoded.
     pub(crate) encoded_bytes: usize,
+    /// Buffers that were too small for what was encoded into them.
+    pub(crate) grown_buffers: usize,
     /// Bytes that were decoded.
     pub(crate) decoded_bytes: usize,
 }
--- a/agatetrestle/src/turns/command.rs
+++ b/agatetrestle/src/turns/command.rs
@@ -9,7 +9,7 @@
 use crate::codec::Blob;
 use crate::codec::append;
 use crate::codec::decode;
-use crate::codec::encode;
+use crate::codec::encode_with_capacity;
 use crate::ids::NodeId;
 
 /// Identifier of a turn: the caller's attempt that it answers.
@@ -98,6 +98,13 @@
 /// precedes the text.
 const COMMAND_HEADER_BYTES: usize = 4 + 4;
 
+/// Enough for most encoded commands without texts, so that the buffer need not grow.
+const COMMAND_BYTES: usize = 1_024;
+/// The same for replies.
+const REPLY_BYTES: usize = 64;
+/// The same for a turn within a reply or a command, besides its text and its names.
+const TURN_BYTES: usize = 64;
+
 /// A command with the time that elapsed before it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TimedCommand {
@@ -112,12 +119,15 @@
     /// docs/incidents/003-stores-over-their-memory.md.
     #[must_use]
     pub fn encode(&self, elapsed: Duration) -> Vec<u8> {
-        let encoded = encode(self);
         let text = self.text();
-        let mut buf = Vec::with_capacity(COMMAND_HEADER_BYTES + encoded.len() + text.len());
+        let capacity = COMMAND_HEADER_BYTES + COMMAND_BYTES + self.carried_bytes() + text.len();
+        let mut buf = Vec::with_capacity(capacity);
         buf.extend_from_slice(&millis(elapsed).to_le_bytes());
-        buf.extend_from_slice(&u32::try_from(encoded.len()).unwrap_or(u32::MAX).to_le_bytes());
-        buf.extend_from_slice(&encoded);
+        let length_field = buf.len()..COMMAND_HEADER_BYTES;
+        buf.resize(COMMAND_HEADER_BYTES, 0);
+        append(&mut buf, self);
+        let length = u32::try_from(buf.len() - COMMAND_HEADER_BYTES).unwrap_or(u32::MAX);
+        buf[length_field].copy_from_slice(&length.to_le_bytes());
         buf.extend_from_slice(text);
         buf
     }
@@ -145,6 +155,14 @@
         Some(Self::Begin(Begin { opening: Some(opening), ..begin.clone() }))
     }
 
+    /// Encoded size of the turns of another group.
+    fn carried_bytes(&self) -> usize {
+        match self {
+            Self::Begin(begin) => begin.carried.iter().map(TransferredTurn::encoded_bytes).sum(),
+            _ => 0,
+        }
+    }
+
     fn text(&self) -> &[u8] {
         match self {
             Self::Finish(Finish { kept: Some(kept), .. }) => &kept.text,
@@ -238,6 +256,11 @@
 }
 
 impl TransferredTurn {
+    /// An upper bound of the size of its encoding.
+    fn encoded_bytes(&self) -> usize {
+        TURN_BYTES + self.name.len() + self.text.len() + self.team.len()
+    }
+
     /// Whether a team may continue it. A turn without a team was sent without authentication and is open to all.
     #[must_use]
     pub fn is_open_to(&self, team: &str) -> bool {
@@ -326,6 +349,17 @@
 const MAP_OF_TWO: u8 = 0xa2;
 
 impl TurnReply {
+    /// Encodes a reply, with room for [`Self::add_server`].
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        let texts = match self {
+            Self::Begun { chain, .. } => chain.iter().map(|text| TURN_BYTES + text.len()).sum(),
+            Self::Chain(turns) => turns.iter().map(TransferredTurn::encoded_bytes).sum(),
+            _ => 0,
+        };
+        encode_with_capacity(self, REPLY_BYTES + texts)
+    }
+
     /// Adds the index of a server to an encoded [`TurnReply::Begun`] that has none. Other replies are left unchanged. The
     /// texts, which may be long, are neither decoded nor copied.
     pub fn add_server(encoded: &mut Vec<u8>, server: u32) {
--- a/agatetrestle/src/turns/state.rs
+++ b/agatetrestle/src/turns/state.rs
@@ -26,7 +26,6 @@
 use crate::cluster::message::StoreUsage;
 use crate::codec::Blob;
 use crate::codec::decode;
-use crate::codec::encode;
 use crate::codec::encode_with_capacity;
 use crate::turns::command::Begin;
 use crate::turns::command::Finish;
@@ -306,7 +305,7 @@
 impl StateMachine for TurnState {
     fn apply(&mut self, position: Position, payload: &Arc<[u8]>) -> Vec<u8> {
         let reply = self.decode(position, payload).map_or(TurnReply::Refused, |timed| self.execute(timed));
-        encode(&reply)
+        reply.encode()
     }
 
     fn apply_without_reply(&mut self, position: Position, payload: &Arc<[u8]>) {
--- a/agatetrestle/src/turns/tests/cost.rs
+++ b/agatetrestle/src/turns/tests/cost.rs
@@ -16,6 +16,9 @@
 use crate::turns::command::AdmissionParams;
 use crate::turns::command::Begin;
 use crate::turns::command::Candidate;
+use crate::turns::command::Finish;
+use crate::turns::command::RetainedTurn;
+use crate::turns::command::Take;
 use crate::turns::command::TimedCommand;
 use crate::turns::command::TransferredTurn;
 use crate::turns::command::TurnCommand;
@@ -119,3 +122,32 @@
     assert_eq!(replica, other, "it is no part of the state");
     assert_eq!(decode::<TurnState>(&replica.snapshot()).unwrap(), other, "nor of a snapshot");
 }
+
+/// Guards against buffers that grow while a command or a reply is encoded, which copies what they hold and fragments the heap.
+#[test]
+fn buffers_of_commands_and_replies_do_not_grow() {
+    let text = Blob::from(&[b't'; TEXT_BYTES][..]);
+    let turn = TransferredTurn { name: "a".into(), text: text.clone(), retention: 60_000, team: "t".into() };
+    let kept = Some(RetainedTurn { previous: None, text: text.clone(), retention: 60_000 });
+    let commands = [
+        begin("a"),
+        begin("a").without_candidates().unwrap(),
+        TurnCommand::Finish(Finish { kept, ..Finish::default() }),
+        TurnCommand::Take(Take::default()),
+    ];
+    let mut replies = vec![TurnReply::Settled, TurnReply::Taken, TurnReply::Chain(vec![turn; 40])];
+    for turns in [0, 1, 4, 300] {
+        replies.push(TurnReply::Begun { chain: vec![text.clone(); turns], server: None });
+    }
+    let before = codec_counts().grown_buffers;
+    for command in commands {
+        let payload = command.encode(Duration::ZERO).into();
+        assert_eq!(TimedCommand::decode(&payload).unwrap().command, command);
+    }
+    for reply in replies {
+        let mut encoded = reply.encode();
+        assert_eq!(decode::<TurnReply>(&encoded).unwrap(), reply);
+        TurnReply::add_server(&mut encoded, u32::MAX);
+    }
+    assert_eq!(codec_counts().grown_buffers - before, 0, "buffers grew");
+}
