Join the key of an account without a formatter, and once for a query

Change: the parts are joined into a string of the right size, and a query passes its key on. The key is the same.

--- a/agatetrestle/src/turns/state.rs
+++ b/agatetrestle/src/turns/state.rs
@@ -299,7 +299,7 @@
 
 /// Key of a program's account; programs of different teams may share a name.
 pub(super) fn account_key(team: &str, program: &Arc<str>) -> Arc<str> {
-    if team.is_empty() { program.clone() } else { format!("{team}\0{program}").into() }
+    if team.is_empty() { program.clone() } else { [team, "\0", program].concat().into() }
 }
 
 impl StateMachine for TurnState {
--- a/agatetrestle/src/turns/state/pending.rs
+++ b/agatetrestle/src/turns/state/pending.rs
@@ -117,7 +117,7 @@
     /// Whether a begin is recorded and may not be applied.
     #[must_use]
     pub fn contains(&self, query: &BeginQuery) -> bool {
-        self.of_account(query).any(|pending| query.is_about(&pending.command))
+        self.of_account(&query.account_key()).any(|pending| query.is_about(&pending.command))
     }
 
     /// The texts of the turns that a proposed begin continues, if it will certainly be granted when it commits. The caller
@@ -137,7 +137,8 @@
         if usize::try_from(unapplied).ok()? != self.commands.len() {
             return None;
         }
-        let mut about_turn = self.of_account(query).filter(|pending| query.is_about(&pending.command));
+        let key = query.account_key();
+        let mut about_turn = self.of_account(&key).filter(|pending| query.is_about(&pending.command));
         let queried = about_turn.next()?;
         if about_turn.next().is_some() {
             return None;
@@ -145,14 +146,14 @@
         let TurnCommand::Begin(begin) = &*queried.command else {
             return None;
         };
-        let of_account = self.of_account(query).take_while(|pending| pending.index <= queried.index);
+        let of_account = self.of_account(&key).take_while(|pending| pending.index <= queried.index);
         let added = queried.totals.since(self.dropped_totals);
-        state.certain_chain(begin, added, of_account.map(|pending| &*pending.command))
+        state.certain_chain(begin, &key, added, of_account.map(|pending| &*pending.command))
     }
 
-    /// Pending commands that change the account of a queried turn, in log order.
-    fn of_account(&self, query: &BeginQuery) -> impl Iterator<Item = &PendingCommand> {
-        let numbers = self.by_account.get(&account_key(&query.team, &query.program));
+    /// Pending commands that change an account, in log order.
+    fn of_account(&self, key: &Arc<str>) -> impl Iterator<Item = &PendingCommand> {
+        let numbers = self.by_account.get(key);
         let position = |number: &u64| usize::try_from(number - self.dropped).ok();
         let positions = numbers.into_iter().flatten().filter_map(position);
         positions.filter_map(|position| self.commands.get(position)).inspect(|_| count_examined())
@@ -169,10 +170,11 @@
 
 impl TurnState {
     /// The chain of a begin that is the last of the pending commands, if all of them together leave no doubt that it is
-    /// granted. `added` sums up all of them, and `of_account` are those that change the account of the begin.
+    /// granted. `added` sums up all of them, and `of_account` are those that change the account of the begin, whose key is `key`.
     fn certain_chain<'a>(
         &self,
         begin: &Begin,
+        key: &Arc<str>,
         added: Totals,
         of_account: impl Iterator<Item = &'a TurnCommand>,
     ) -> Option<Vec<Blob>> {
@@ -184,7 +186,7 @@
         if self.room > 0 && self.kept_bytes.saturating_add(added.retained_bytes) > self.room {
             return None;
         }
-        self.fits_budget(begin, now, of_account).then_some(chain)
+        self.fits_budget(begin, key, now, of_account).then_some(chain)
     }
 
     /// The chain of a begin if it is complete and none of its turns expires before `now`.
@@ -201,13 +203,13 @@
     fn fits_budget<'a>(
         &self,
         begin: &Begin,
+        key: &Arc<str>,
         now: u64,
         of_account: impl Iterator<Item = &'a TurnCommand>,
     ) -> bool {
-        let key = account_key(&begin.team, &begin.program);
         let mut spent = 0_u64;
         let mut open: HashMap<TurnId, Reservation> = HashMap::new();
-        if let Some(account) = self.accounts.get(&key) {
+        if let Some(account) = self.accounts.get(key) {
             // An expired account forgets its open turns, so a repeated begin would be a new one.
             if account.last_used.saturating_add(ACCOUNT_EXPIRY_MS) < now {
                 return false;
@@ -267,6 +269,10 @@
 }
 
 impl BeginQuery {
+    fn account_key(&self) -> Arc<str> {
+        account_key(&self.team, &self.program)
+    }
+
     /// Whether a command is the begin that the query names.
     fn is_about(&self, command: &TurnCommand) -> bool {
         match command {
