--- a/agatetrestle/examples/leader_cost.rs
+++ b/agatetrestle/examples/leader_cost.rs
@@ -109,53 +109,21 @@
     fn warm_up(&mut self) {
         for turn in 0..CHAIN_TURNS {
             for program in 0..PROGRAMS {
-                let begin = self.begin_of(program, turn);
+                let begin = begin_of(program, turn);
                 let finish = finish_of(&begin);
-                self.run(TurnCommand::Begin(begin));
-                self.run(TurnCommand::Finish(finish));
+                self.run(&TurnCommand::Begin(begin));
+                self.run(&TurnCommand::Finish(finish));
             }
         }
     }
 
-    fn run(&mut self, command: TurnCommand) {
+    fn run(&mut self, command: &TurnCommand) {
         self.now = self.now + Duration::from_micros(200);
-        let admitted = self.admission.check(self.now, 1, &command, &self.state);
+        let admitted = self.admission.check(self.now, 1, command, &self.state);
         assert_eq!(admitted, Ok(()), "the capacity holds all programs");
-        self.admission.place(self.now, &command);
+        self.admission.place(self.now, command);
         self.state.execute(timed(command.clone(), Duration::ZERO));
-        self.admission.record_applied(self.now, &command, &self.state);
-    }
-
-    fn begin_of(&self, program: usize, turn: usize) -> Begin {
-        let previous = turn.checked_sub(1).map(|previous| turn_name(program, previous));
-        let candidates = (0..CANDIDATES).map(|number| Candidate {
-            server: format!("engine-{:09}", (program + turn + number * 7) % SERVERS).into(),
-            expected_us: 180_000,
-            slots: 6,
-        });
-        Begin {
-            program: format!("program-{program:08}").into(),
-            team: team_name(program % TEAMS),
-            turn: turn_name(program, turn),
-            budget: Some(1_000_000),
-            most: 500,
-            previous,
-            carried: Vec::new(),
-            opening: Some(AdmissionParams {
-                service: "service-00000001".into(),
-                route: "route-0000000001".into(),
-                places: 100_000,
-                charge: true,
-                patience: 30_000,
-                finish_in: Some(60_000),
-                begins: turn == 0,
-                capacity: Some(10_000_000),
-                candidates: candidates.collect(),
-                priority: 1,
-                entry: Some(NodeId(17)),
-                cached: true,
-            }),
-        }
+        self.admission.record_applied(self.now, command, &self.state);
     }
 
     /// Begins of different programs, none of them begun before.
@@ -164,13 +132,45 @@
         self.next += count;
         (first..first + count)
             .map(|number| {
-                let begin = self.begin_of(number % PROGRAMS, CHAIN_TURNS);
+                let begin = begin_of(number % PROGRAMS, CHAIN_TURNS);
                 Begin { turn: format!("turn-{number:011}").into(), ..begin }
             })
             .collect()
     }
 }
 
+fn begin_of(program: usize, turn: usize) -> Begin {
+    let previous = turn.checked_sub(1).map(|previous| turn_name(program, previous));
+    let candidates = (0..CANDIDATES).map(|number| Candidate {
+        server: format!("engine-{:09}", (program + turn + number * 7) % SERVERS).into(),
+        expected_us: 180_000,
+        slots: 6,
+    });
+    Begin {
+        program: format!("program-{program:08}").into(),
+        team: team_name(program % TEAMS),
+        turn: turn_name(program, turn),
+        budget: Some(1_000_000),
+        most: 500,
+        previous,
+        carried: Vec::new(),
+        opening: Some(AdmissionParams {
+            service: "service-00000001".into(),
+            route: "route-0000000001".into(),
+            places: 100_000,
+            charge: true,
+            patience: 30_000,
+            finish_in: Some(60_000),
+            begins: turn == 0,
+            capacity: Some(10_000_000),
+            candidates: candidates.collect(),
+            priority: 1,
+            entry: Some(NodeId(17)),
+            cached: true,
+        }),
+    }
+}
+
 fn team_name(number: usize) -> Arc<str> {
     format!("team-{number:011}").into()
 }
@@ -286,10 +286,10 @@
 }
 
 /// Begins and finishes in turns, of which none is applied.
-fn pending_commands(leader: &Leader, count: usize) -> Vec<TurnCommand> {
+fn pending_commands(count: usize) -> Vec<TurnCommand> {
     let command = |number: usize| {
         let program = number / 2 % PROGRAMS;
-        let begin = leader.begin_of(program, CHAIN_TURNS);
+        let begin = begin_of(program, CHAIN_TURNS);
         let begin = Begin { turn: format!("turn-{:011}", number / 2).into(), ..begin };
         if number % 2 == 1 { TurnCommand::Begin(begin) } else { TurnCommand::Finish(finish_of(&begin)) }
     };
@@ -300,8 +300,8 @@
     for count in PENDING_COUNTS {
         let mut pending = PendingCommands::default();
         let mut progress = LogProgress { term: 1, last: 0, applied: 0 };
-        let mut commands = pending_commands(leader, count - 1);
-        let last = leader.begin_of(PROGRAMS - 1, CHAIN_TURNS);
+        let mut commands = pending_commands(count - 1);
+        let last = begin_of(PROGRAMS - 1, CHAIN_TURNS);
         let query = BeginQuery::from(&last);
         commands.push(TurnCommand::Begin(last));
         for command in commands {
@@ -317,7 +317,7 @@
             pending.granted_chain(progress, &leader.state, &query)
         });
     }
-    let command = Rc::new(TurnCommand::Begin(leader.begin_of(0, CHAIN_TURNS)));
+    let command = Rc::new(TurnCommand::Begin(begin_of(0, CHAIN_TURNS)));
     let mut pending = PendingCommands::default();
     let mut progress = LogProgress { term: 1, last: 100, applied: 0 };
     print_repeated("begin: push and advance with 100 unapplied", || {
@@ -330,18 +330,18 @@
 fn print_apply(leader: &mut Leader) {
     for proposed in [true, false] {
         let begins = leader.next_begins(BATCHES * BATCH_CALLS);
-        let finishes = begins.iter().map(finish_of).map(TurnCommand::Finish).collect();
-        let begins = begins.into_iter().map(TurnCommand::Begin).collect();
-        print_apply_of("begin", leader, begins, proposed);
-        print_apply_of("finish", leader, finishes, proposed);
+        let finishes: Vec<TurnCommand> = begins.iter().map(finish_of).map(TurnCommand::Finish).collect();
+        let begins: Vec<TurnCommand> = begins.into_iter().map(TurnCommand::Begin).collect();
+        print_apply_of("begin", leader, &begins, proposed);
+        print_apply_of("finish", leader, &finishes, proposed);
     }
 }
 
 /// Applies commands as the leader that proposed them, or as a follower.
-fn print_apply_of(kind: &str, leader: &mut Leader, commands: Vec<TurnCommand>, proposed: bool) {
+fn print_apply_of(kind: &str, leader: &mut Leader, commands: &[TurnCommand], proposed: bool) {
     let Leader { state, admission, now, .. } = leader;
     let mut entries = Vec::new();
-    for (index, command) in (1..).zip(&commands) {
+    for (index, command) in (1..).zip(commands) {
         admission.place(*now, command);
         let logged = command.without_candidates().unwrap_or_else(|| command.clone());
         let position = Position { term: 1, index };
