--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -12,6 +12,7 @@
 use smol::future::yield_now;
 
 use crate::agreement::Rejection;
+use crate::agreement::message::Position;
 use crate::clock::Clock;
 use crate::cluster::in_flight::InFlight;
 use crate::cluster::in_flight::Proposal;
@@ -183,18 +184,24 @@
             Ok(admitted) => (term, admitted),
             Err(reply) => {
                 self.load.borrow_mut().record(&command, RequestEnd::Denied, Duration::ZERO);
-                return Submission::Applied(encode(&reply));
+                return Submission::Applied(reply.encode());
             }
         };
         let placed = self.admission.borrow_mut().place(now, &command);
-        let shortened = command.without_candidates().map(|logged| logged.encode(elapsed).into());
+        let shortened = command.without_candidates();
+        let logged_payload =
+            shortened.as_ref().map_or_else(|| payload.clone(), |logged| logged.encode(elapsed).into());
         let command = Rc::new(command);
-        let (index, outcome) = self.group.propose(shortened.unwrap_or_else(|| payload.clone()));
+        let (index, outcome) = self.group.propose(logged_payload);
         let proposal = Proposal::new(now, payload, command.clone(), admitted, placed, outcome);
-        if index.is_some() {
+        if let Some(index) = index {
             // Time reported with a command that is not appended would be lost.
             self.leader_clock.set(leader_clock);
-            self.pending.borrow_mut().push(self.progress(), elapsed, command);
+            self.pending.borrow_mut().push(self.progress(), elapsed, command.clone());
+            let logged = shortened.unwrap_or_else(|| TurnCommand::clone(&command));
+            let position = Position { term: self.group.term(), index };
+            let timed = TimedCommand { elapsed, command: logged };
+            self.group.machine(|state| state.expect_proposal(position, timed));
             self.in_flight.borrow_mut().push(proposal.clone());
             return self.reply(proposal).await;
         }
@@ -285,7 +292,7 @@
         match chain {
             Some(chain) => {
                 let server = self.admission.borrow().placed(&query.turn);
-                Submission::Applied(encode(&TurnReply::Begun { chain, server }))
+                Submission::Applied(TurnReply::Begun { chain, server }.encode())
             }
             None => Submission::Refused("the outcome is not certain before the commit".into()),
         }
@@ -304,7 +311,7 @@
         let reply = self.admission.borrow_mut().take(now, term, &take);
         let end = if reply == TurnReply::Taken { RequestEnd::Done } else { RequestEnd::Denied };
         self.load.borrow_mut().record(&TurnCommand::Take(take), end, Duration::ZERO);
-        Submission::Applied(encode(&reply))
+        Submission::Applied(reply.encode())
     }
 }
 
@@ -317,16 +324,11 @@
 }
 
 /// Adds the leader's choice of a server to the reply of the state machine, which is the same on every replica.
-fn with_server(submission: Submission, placed: Option<u32>) -> Submission {
-    let (Submission::Applied(reply), Some(_)) = (&submission, placed) else {
-        return submission;
-    };
-    match decode::<TurnReply>(reply) {
-        Ok(TurnReply::Begun { chain, .. }) => {
-            Submission::Applied(encode(&TurnReply::Begun { chain, server: placed }))
-        }
-        Ok(_) | Err(_) => submission,
+pub(crate) fn with_server(mut submission: Submission, placed: Option<u32>) -> Submission {
+    if let (Submission::Applied(reply), Some(server)) = (&mut submission, placed) {
+        TurnReply::add_server(reply, server);
     }
+    submission
 }
 
 impl GroupService for TurnService {
--- a/agatetrestle/src/codec.rs
+++ b/agatetrestle/src/codec.rs
@@ -32,10 +32,8 @@
 ///
 /// Never for the types of this crate: encoding them into memory can't fail.
 #[must_use]
-pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
-    let mut buf = Vec::new();
-    ciborium::into_writer(value, &mut buf).expect("writing to memory does not fail");
-    buf
+pub fn encode<T: Serialize + ?Sized>(value: &T) -> Vec<u8> {
+    encode_with_capacity(value, 0)
 }
 
 /// Encodes a large value into a buffer of exactly its size. A buffer that grows would take up to three times the memory.
@@ -66,12 +64,39 @@
     }
 }
 
+/// Encodes a value into a buffer with this initial capacity, so that the buffer need not grow.
+///
+/// # Panics
+///
+/// As [`encode`].
+#[must_use]
+pub fn encode_with_capacity<T: Serialize + ?Sized>(value: &T, capacity: usize) -> Vec<u8> {
+    let mut buf = Vec::with_capacity(capacity);
+    append(&mut buf, value);
+    buf
+}
+
+/// Appends an encoded value to a buffer.
+///
+/// # Panics
+///
+/// As [`encode`].
+pub fn append<T: Serialize + ?Sized>(buf: &mut Vec<u8>, value: &T) {
+    let (length, capacity) = (buf.len(), buf.capacity());
+    ciborium::into_writer(value, &mut *buf).expect("writing to memory does not fail");
+    count(|counts| {
+        counts.encoded_bytes += buf.len() - length;
+        counts.grown_buffers += usize::from(buf.capacity() > capacity);
+    });
+}
+
 /// Decodes a value.
 ///
 /// # Errors
 ///
 /// Fails if the bytes are truncated or encode another type.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, DecodeError> {
+    count(|counts| counts.decoded_bytes += bytes.len());
     ciborium::from_reader(bytes).map_err(|source| DecodeError { source })
 }
 
@@ -206,3 +231,36 @@
         Ok(Blob::from(&bytes[..]))
     }
 }
+
+/// Bytes that passed the codec on one thread, counted only in tests.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct CodecCounts {
+    /// Bytes that were encoded.
+    pub(crate) encoded_bytes: usize,
+    /// Buffers that were too small for what was encoded into them.
+    pub(crate) grown_buffers: usize,
+    /// Bytes that were decoded.
+    pub(crate) decoded_bytes: usize,
+}
+
+#[cfg(test)]
+thread_local! {
+    static COUNTS: std::cell::Cell<CodecCounts> = std::cell::Cell::default();
+}
+
+/// The counts of this thread so far.
+#[cfg(test)]
+pub(crate) fn codec_counts() -> CodecCounts {
+    COUNTS.get()
+}
+
+#[cfg(test)]
+fn count(update: impl FnOnce(&mut CodecCounts)) {
+    let mut counts = COUNTS.get();
+    update(&mut counts);
+    COUNTS.set(counts);
+}
+
+/// Counts only in tests.
+#[cfg(not(test))]
+fn count(_update: impl FnOnce(&mut CodecCounts)) {}
--- a/agatetrestle/src/turns/tests.rs
+++ b/agatetrestle/src/turns/tests.rs
@@ -21,6 +21,7 @@
 mod admission;
 mod burst;
 mod contention;
+mod cost;
 mod limiter;
 mod memory;
 mod pending;
