--- a/agatetrestle/examples/leader_cost.rs
+++ b/agatetrestle/examples/leader_cost.rs
@@ -120,7 +120,7 @@
     fn run(&mut self, command: &TurnCommand) {
         self.now = self.now + Duration::from_micros(200);
         let admitted = self.admission.check(self.now, 1, command, &self.state);
-        assert_eq!(admitted, Ok(()), "the capacity holds all programs");
+        assert!(admitted.is_ok(), "the capacity holds all programs");
         self.admission.place(self.now, command);
         self.state.execute(timed(command.clone(), Duration::ZERO));
         self.admission.record_applied(self.now, command, &self.state);
