Tell callers of a busy leader to return later the more it refuses

Cause: a refusal for load carried the delay that covers an election, 300 ms, for every caller and at any load, so that callers came back together and before the load was gone.

Change: a router counts what leaders take and refuse of its new work, decaying over a second. The delay is 300 ms plus 600 ms times the refused part, spread by half to either side by a hash of the request. GroupError::NotProposed carries it to the response.

Test: busy_leader_tells_callers_to_return_later_and_apart. The interface is new, so there is no failure before.

--- a/agatetrestle/src/deployment/turns.rs
+++ b/agatetrestle/src/deployment/turns.rs
@@ -131,7 +131,10 @@
                 return Ok(routers);
             }
             if self.parts.clock.now().since(start) >= self.parts.timeouts.request {
-                return Err(GroupError::NotProposed { reason: "no state group is known".into() });
+                return Err(GroupError::NotProposed {
+                    reason: "no state group is known".into(),
+                    retry_after: None,
+                });
             }
             Timer::after(GROUPS_POLL_INTERVAL).await;
         }
--- a/agatetrestle/src/gateway/reserve.rs
+++ b/agatetrestle/src/gateway/reserve.rs
@@ -49,10 +49,12 @@
     });
     let left = ctx.deadline.since(gateway.clock.now());
     let reply = with_deadline(left, gateway.turns.commit(command)).await;
-    match reply.unwrap_or_else(|| Err(GroupError::NotProposed { reason: "no account answers".into() })) {
+    match reply.unwrap_or_else(|| {
+        Err(GroupError::NotProposed { reason: "no account answers".into(), retry_after: None })
+    }) {
         Ok(TurnReply::Taken) => Ok(()),
         Ok(reply) => Err(error_response(&reply)),
-        Err(error) => Err(ErrorResponse::not_run(error, FAILOVER_RETRY_AFTER)),
+        Err(error) => Err(no_reply(error)),
     }
 }
 
@@ -122,10 +124,10 @@
         // There is nothing to settle, and a command would add to the load of a busy leader.
         Err(error @ GroupError::NotProposed { .. }) => {
             turn.discard();
-            Err(ErrorResponse::not_run(error, FAILOVER_RETRY_AFTER))
+            Err(no_reply(error))
         }
         // The reservation may have taken effect, so dropping the turn settles it.
-        Err(error @ GroupError::Unknown { .. }) => Err(ErrorResponse::not_run(error, FAILOVER_RETRY_AFTER)),
+        Err(error @ GroupError::Unknown { .. }) => Err(no_reply(error)),
     }
 }
 
@@ -162,6 +164,15 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// The response if a state group gave no reply, and the request was sent to no server.
+fn no_reply(error: GroupError) -> ErrorResponse {
+    let retry_after = match &error {
+        GroupError::NotProposed { retry_after, .. } => *retry_after,
+        GroupError::Unknown { .. } => None,
+    };
+    ErrorResponse::not_run(error, retry_after.unwrap_or(FAILOVER_RETRY_AFTER))
+}
+
 /// Maps a state group's refusal to the response for the caller.
 fn error_response(reply: &TurnReply) -> ErrorResponse {
     match reply {
--- a/agatetrestle/src/gateway/tests/early.rs
+++ b/agatetrestle/src/gateway/tests/early.rs
@@ -355,7 +355,10 @@
         TurnReply::UnknownTeam,
         TurnReply::Refused,
     ];
-    let errors = [GroupError::NotProposed { reason: reason.clone() }, GroupError::Unknown { reason }];
+    let errors = [
+        GroupError::NotProposed { reason: reason.clone(), retry_after: None },
+        GroupError::Unknown { reason },
+    ];
     refusals.into_iter().map(Ok).chain(errors.into_iter().map(Err)).collect()
 }
 
@@ -434,7 +437,7 @@
 #[test]
 fn only_a_begin_that_may_be_in_the_log_is_settled() {
     let reason: Arc<str> = "test".into();
-    let not_proposed = GroupError::NotProposed { reason: reason.clone() };
+    let not_proposed = GroupError::NotProposed { reason: reason.clone(), retry_after: None };
     for (error, commands) in [(not_proposed, 0), (GroupError::Unknown { reason }, 1)] {
         run(|executor| async move {
             let gateway = Harness::start(&executor, None).await;
--- a/agatetrestle/src/metrics/tests.rs
+++ b/agatetrestle/src/metrics/tests.rs
@@ -120,7 +120,9 @@
 
 impl Control for FakeControl {
     fn commit(&self, _: ControlCommand) -> LocalBoxFuture<'_, Result<ControlReply, GroupError>> {
-        Box::pin(async { Err(GroupError::NotProposed { reason: "not supported by the fake".into() }) })
+        Box::pin(async {
+            Err(GroupError::NotProposed { reason: "not supported by the fake".into(), retry_after: None })
+        })
     }
 
     fn configuration(&self) -> Arc<Configuration> {
--- a/agatetrestle/src/node/mod.rs
+++ b/agatetrestle/src/node/mod.rs
@@ -13,6 +13,7 @@
 mod order_loop;
 pub mod peer_link;
 pub mod peer_server;
+pub mod refusal_rate;
 pub mod registry;
 pub mod replicas;
 pub mod router;
--- a/agatetrestle/src/node/router.rs
+++ b/agatetrestle/src/node/router.rs
@@ -28,6 +28,7 @@
 use crate::node::peer_link::CallDeadlines;
 use crate::node::peer_link::LinkError;
 use crate::node::peer_link::PeerLink;
+use crate::node::refusal_rate::RefusalRate;
 use crate::node::service::GroupService;
 use crate::node::service::Submission;
 use crate::node::wire::read_submission;
@@ -62,6 +63,7 @@
     leader_hint: Cell<Option<NodeId>>,
     /// Until when early answers are not asked for.
     no_early_answers_until: Cell<Timestamp>,
+    refusal_rate: RefCell<RefusalRate>,
     /// Whether a request is searching for the leader; others wait for its result.
     searching: Cell<bool>,
     breaker: RefCell<CircuitBreaker>,
@@ -148,6 +150,7 @@
             holders: RefCell::default(),
             leader_hint: Cell::new(None),
             no_early_answers_until: Cell::default(),
+            refusal_rate: RefCell::default(),
             searching: Cell::new(false),
             breaker: RefCell::default(),
             time,
@@ -231,7 +234,7 @@
             BusyPolicy::Fail => self.breaker.borrow_mut().admit(),
         };
         if admission == Admission::Refuse {
-            return Err(GroupError::NotProposed { reason: UNREACHABLE.into() });
+            return Err(GroupError::NotProposed { reason: UNREACHABLE.into(), retry_after: None });
         }
         let probe = (admission == Admission::Probe).then(|| ProbeGuard(&self.breaker));
         let start = self.time.now();
@@ -256,7 +259,12 @@
             let (submission, abandoned) = self.try_or_search(target, &request, left).await;
             ambiguous |= abandoned;
             match submission {
-                Submission::Applied(reply) => return Ok(reply),
+                Submission::Applied(reply) => {
+                    if policy == BusyPolicy::Fail {
+                        self.refusal_rate.borrow_mut().record(self.time.now(), false);
+                    }
+                    return Ok(reply);
+                }
                 Submission::NotLeader(leader) => {
                     let hint = leader.filter(|leader| *leader != target && Some(*leader) != suspect);
                     self.leader_hint.set(hint);
@@ -268,7 +276,10 @@
                 Submission::Refused(text) => {
                     self.no_early_answers_until.set(self.time.now() + EARLY_ANSWER_PAUSE);
                     if policy == BusyPolicy::Fail && !ambiguous {
-                        return Err(GroupError::NotProposed { reason: text });
+                        let mut rate = self.refusal_rate.borrow_mut();
+                        rate.record(self.time.now(), true);
+                        let retry_after = Some(rate.retry_after(xxh3_64(&request)));
+                        return Err(GroupError::NotProposed { reason: text, retry_after });
                     }
                     // Usually the leader's queue is full.
                     max_doublings = MAX_BUSY_RETRY_DOUBLINGS;
@@ -291,7 +302,7 @@
         if ambiguous {
             return Err(GroupError::Unknown { reason });
         }
-        Err(GroupError::NotProposed { reason })
+        Err(GroupError::NotProposed { reason, retry_after: None })
     }
 
     /// Returns the next holder in turn, skipping `suspect` if there are others.
--- a/agatetrestle/src/node/router/tests.rs
+++ b/agatetrestle/src/node/router/tests.rs
@@ -161,3 +161,23 @@
         assert!(replies.into_iter().all(|reply| reply.unwrap() == [9]));
     }));
 }
+
+/// Guards against callers of a busy leader that all return together, or as soon while all are refused as while few are.
+#[test]
+fn busy_leader_tells_callers_to_return_later_and_apart() {
+    let now = Timestamp(1_000_000);
+    let spread = |rate: &RefusalRate| [0, 1_023].map(|random| rate.retry_after(random));
+    let (mut calm, mut overloaded) = (RefusalRate::default(), RefusalRate::default());
+    for number in 0..100 {
+        calm.record(now, number % 100 == 99);
+        overloaded.record(now, number % 10 < 9);
+    }
+    let [calm_min, calm_max] = spread(&calm);
+    let [overloaded_min, overloaded_max] = spread(&overloaded);
+    assert!(calm_max >= calm_min * 2 && overloaded_max >= overloaded_min * 2);
+    assert!(overloaded_min * 2 >= calm_min * 5, "{overloaded_min:?} {calm_min:?}");
+    let later = now + Duration::from_secs(10);
+    overloaded.record(later, false);
+    overloaded.record(later, true);
+    assert!(overloaded.retry_after(0) < calm_min * 3, "the overload of ten seconds ago is forgotten");
+}
--- a/agatetrestle/src/ports.rs
+++ b/agatetrestle/src/ports.rs
@@ -27,6 +27,8 @@
     NotProposed {
         /// Cause, for logs.
         reason: Arc<str>,
+        /// When to retry, if a leader was too busy.
+        retry_after: Option<Duration>,
     },
     /// The outcome is unknown: the command may still be applied.
     #[snafu(display("the command may yet be applied: {reason}"))]
--- a/agatetrestle/tests/support/mod.rs
+++ b/agatetrestle/tests/support/mod.rs
@@ -114,7 +114,7 @@
             }
             let fault = self.faults.borrow_mut().pop().unwrap_or_default();
             if fault == LedgerFault::NotProposed {
-                return Err(GroupError::NotProposed { reason: "no quorum".into() });
+                return Err(GroupError::NotProposed { reason: "no quorum".into(), retry_after: None });
             }
             let name = format!("{command:?}").split([' ', '{']).next().unwrap_or_default().to_owned();
             self.commands.borrow_mut().push(name);
@@ -129,7 +129,7 @@
     fn query(&self, query: ProgramQuery) -> LocalBoxFuture<'_, Result<QueryReply, GroupError>> {
         Box::pin(async move {
             if self.fail_queries.get() {
-                return Err(GroupError::NotProposed { reason: "no quorum".into() });
+                return Err(GroupError::NotProposed { reason: "no quorum".into(), retry_after: None });
             }
             Ok(self.ledger.borrow().query(&query))
         })
--- a/agatetrestle_cli/tests/support/mod.rs
+++ b/agatetrestle_cli/tests/support/mod.rs
@@ -73,7 +73,9 @@
         async move {
             match &self.behavior {
                 ControlBehavior::Healthy => Ok(self.shared.0.borrow_mut().execute(command)),
-                ControlBehavior::NoQuorum => Err(GroupError::NotProposed { reason: "no leader".into() }),
+                ControlBehavior::NoQuorum => {
+                    Err(GroupError::NotProposed { reason: "no leader".into(), retry_after: None })
+                }
                 ControlBehavior::OutcomeUnknown => {
                     Err(GroupError::Unknown { reason: "the leader is gone".into() })
                 }
