Replay a burst against a leader of bounded processor speed

The real check for load, order of refusals, admission, state and rate of refusals run in virtual time, with entries and callers by their policies. Costs are assumed.

Tests: leader_recovers_from_a_burst_of_programs, each_measure_against_overload_is_needed.

--- a/agatetrestle/src/turns/tests.rs
+++ b/agatetrestle/src/turns/tests.rs
@@ -21,6 +21,7 @@
 mod admission;
 mod burst;
 mod contention;
+mod leader_overload;
 mod limiter;
 mod pending;
 mod placement;
