--- a/agatetrestle/src/turns/tests.rs
+++ b/agatetrestle/src/turns/tests.rs
@@ -22,6 +22,7 @@
 mod burst;
 mod contention;
 mod cost;
+mod leader_overload;
 mod limiter;
 mod memory;
 mod pending;
