--- a/agatetrestle/src/node/assembly.rs
+++ b/agatetrestle/src/node/assembly.rs
@@ -83,7 +83,8 @@
         let router = |group, local| {
             let holders = replicas::holders(settings, group);
             let attempt = timing.election_timeout * ATTEMPT_ELECTION_TIMEOUTS;
-            let timeouts = RequestTimeouts { attempt, request: timing.peer_call * REQUEST_CALL_DEADLINES };
+            let request = timing.peer_call * REQUEST_CALL_DEADLINES;
+            let timeouts = RequestTimeouts { attempt, request, recorded: request };
             Rc::new(Router::new(group, node, local, links.clone(), &holders, Rc::new(clock), timeouts))
         };
         let control_router = router(CONTROL_GROUP, replicas.control_service());
--- a/agatetrestle/src/node/router.rs
+++ b/agatetrestle/src/node/router.rs
@@ -128,6 +128,8 @@
     pub attempt: Duration,
     /// Timeout of a request with all its attempts.
     pub request: Duration,
+    /// The same for a request that must be recorded. Its caller may stop waiting before.
+    pub recorded: Duration,
 }
 
 impl Router {
@@ -238,12 +240,16 @@
         }
         let probe = (admission == Admission::Probe).then(|| ProbeGuard(&self.breaker));
         let start = self.time.now();
+        let timeout = match policy {
+            BusyPolicy::Retry => self.timeouts.recorded,
+            BusyPolicy::Fail => self.timeouts.request,
+        };
         let mut ambiguous = false;
         let mut suspect = None;
         let mut reason: Arc<str> = "the group has no replica".into();
         let mut cursor = 0;
         let mut backoff = Backoff::new(&request);
-        while self.time.now().since(start) < self.timeouts.request {
+        while self.time.now().since(start) < timeout {
             if policy == BusyPolicy::Fail && probe.is_none() && self.breaker.borrow().is_open() {
                 reason = UNREACHABLE.into();
                 break;
@@ -255,7 +261,7 @@
             }
             let target = self.leader_hint.get().unwrap_or_else(|| self.next_holder(&mut cursor, suspect));
             let mut max_doublings = MAX_RETRY_DOUBLINGS;
-            let left = self.timeouts.request.saturating_sub(self.time.now().since(start));
+            let left = timeout.saturating_sub(self.time.now().since(start));
             let (submission, abandoned) = self.try_or_search(target, &request, left).await;
             ambiguous |= abandoned;
             match submission {
