Share the search for a leader and its delay between the requests of an entry

An entry sent its followers a copy of each waiting command, texts included, while a slow group needed them to acknowledge its log. Change: the search is held during the delay after it.

--- a/agatetrestle/src/deployment/entry.rs
+++ b/agatetrestle/src/deployment/entry.rs
@@ -22,8 +22,8 @@
 use crate::cluster::view::Watcher;
 use crate::control::command::Document;
 use crate::deployment::ProcessContext;
-use crate::deployment::REQUEST_TIMEOUTS;
 use crate::deployment::RunningRole;
+use crate::deployment::TURN_TIMEOUTS;
 use crate::deployment::directory::ADDRESS_MAX_AGE;
 use crate::deployment::selection::load_level;
 use crate::deployment::serve_http;
@@ -100,7 +100,7 @@
         node: context.node,
         links,
         clock: context.clock,
-        timeouts: REQUEST_TIMEOUTS,
+        timeouts: TURN_TIMEOUTS,
     });
     let max_connections = context.settings.limits.descriptors.saturating_sub(RESERVED_DESCRIPTORS);
     let limits =
--- a/agatetrestle/src/deployment/mod.rs
+++ b/agatetrestle/src/deployment/mod.rs
@@ -72,13 +72,16 @@
 /// ms apart and a commit takes some 10 ms, so a process that needs longer is lost, paused or partitioned.
 const PEER_CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Timeouts of one attempt to reach a group's leader and of all attempts together, which outlast an election. A new leader
-/// is there about a second after one was lost. The end of a turn is recorded for as long as its caller waits, which the
-/// timeout of its route bounds; this limit is for turns whose caller has left.
-pub(crate) const REQUEST_TIMEOUTS: RequestTimeouts = RequestTimeouts {
+/// is there about a second after one was lost.
+const REQUEST_TIMEOUTS: RequestTimeouts = RequestTimeouts {
     attempt: Duration::from_millis(400),
     request: Duration::from_millis(1_800),
-    recorded: Duration::from_secs(10),
+    recorded: Duration::from_millis(1_800),
 };
+/// The same for turns. The end of a turn is recorded for as long as its caller waits, which the timeout of its route bounds;
+/// the longer limit is for turns whose caller has left.
+pub(crate) const TURN_TIMEOUTS: RequestTimeouts =
+    RequestTimeouts { recorded: Duration::from_secs(10), ..REQUEST_TIMEOUTS };
 /// Size of a log segment; a snapshot frees whole segments.
 const LOG_SEGMENT_BYTES: u64 = 4 << 20;
 /// Time without a confirmed update after which the settings are reloaded, since the seeds may have changed.
--- a/agatetrestle/src/node/router.rs
+++ b/agatetrestle/src/node/router.rs
@@ -354,26 +354,35 @@
             if let Some(leader) = self.leader_hint.get().filter(|leader| *leader != silent) {
                 return Submission::NotLeader(Some(leader));
             }
-            if !self.searching.replace(true) {
-                let search = SearchGuard(&self.searching);
-                let others: Vec<NodeId> =
-                    self.holders.borrow().iter().copied().filter(|node| *node != silent).collect();
-                for other in others {
-                    match self.send_once(other, request, self.timeouts.attempt).await {
-                        Submission::Applied(reply) => {
-                            return self.record_leader(other, Submission::Applied(reply));
-                        }
-                        Submission::NotLeader(Some(leader)) if leader != silent => {
-                            self.leader_hint.set(Some(leader));
-                            return Submission::NotLeader(Some(leader));
-                        }
-                        _ => {}
-                    }
-                }
-                drop(search);
+            // Held during the delay too, so that the requests that wait do not search in turn.
+            let search = (!self.searching.replace(true)).then(|| SearchGuard(&self.searching));
+            if search.is_some()
+                && let Some(submission) = self.ask_others(silent, request).await
+            {
+                return submission;
             }
             self.time.sleep(backoff.next_delay(MAX_RETRY_DOUBLINGS)).await;
+            drop(search);
+        }
+    }
+
+    /// Sends the request to each other holder once; `None` if none of them is the leader or names another than `silent`.
+    async fn ask_others(&self, silent: NodeId, request: &[u8]) -> Option<Submission> {
+        let others: Vec<NodeId> =
+            self.holders.borrow().iter().copied().filter(|node| *node != silent).collect();
+        for other in others {
+            match self.send_once(other, request, self.timeouts.attempt).await {
+                Submission::Applied(reply) => {
+                    return Some(self.record_leader(other, Submission::Applied(reply)));
+                }
+                Submission::NotLeader(Some(leader)) if leader != silent => {
+                    self.leader_hint.set(Some(leader));
+                    return Some(Submission::NotLeader(Some(leader)));
+                }
+                _ => {}
+            }
         }
+        None
     }
 
     async fn send_once(&self, target: NodeId, request: &[u8], left: Duration) -> Submission {
--- a/agatetrestle/src/node/router/tests.rs
+++ b/agatetrestle/src/node/router/tests.rs
@@ -1,16 +1,19 @@
 //! Tests of routing when the leader is lost during a request.
 
 use std::net::SocketAddr;
+use std::task::Poll;
 
 use futures::FutureExt;
 use futures::future::LocalBoxFuture;
+use futures::future::join_all;
+use futures::future::poll_fn;
 use smol::LocalExecutor;
 use smol::net::TcpListener;
 
 use super::*;
 use crate::clock::Clock;
 use crate::clock::Timestamp;
-use crate::deployment::REQUEST_TIMEOUTS;
+use crate::deployment::TURN_TIMEOUTS;
 use crate::node::peer_server;
 use crate::node::peer_server::PeerServer;
 
@@ -92,6 +95,52 @@
     assert_eq!((answers.len(), requests_received), (20, 20), "each request is submitted once");
 }
 
+/// Time that the test sets.
+#[derive(Default)]
+struct ManualTime(Rc<Cell<Timestamp>>);
+
+impl Time for ManualTime {
+    fn now(&self) -> Timestamp {
+        self.0.get()
+    }
+
+    fn sleep(&self, delay: Duration) -> LocalBoxFuture<'static, ()> {
+        let (now, due) = (self.0.clone(), self.0.get() + delay);
+        Box::pin(poll_fn(move |_| if now.get() >= due { Poll::Ready(()) } else { Poll::Pending }))
+    }
+}
+
+/// Returns how often the other holder was asked within a second in which nobody leads and the last known leader is silent.
+fn searches_within_a_second(requests: usize) -> u32 {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(async {
+        let (_listener, address) = silent_peer().await;
+        let links = Links::new(OWN, NO_TIMEOUT, &executor);
+        links.add_address(SILENT, address);
+        let replica =
+            Rc::new(Replica { answer: Submission::NotLeader(None), requests_received: Cell::new(0) });
+        let time = Rc::new(ManualTime::default());
+        let local: Rc<dyn GroupService> = replica.clone();
+        let holders = [OWN, SILENT];
+        let router = Router::new(GroupId(1), OWN, Some(local), links, &holders, time.clone(), TURN_TIMEOUTS);
+        router.leader_hint.set(Some(SILENT));
+        let numbers: Vec<u8> = (0..).take(requests).collect();
+        let mut all = pin!(join_all(numbers.iter().map(|number| router.submit(vec![*number]))));
+        for _ in 0..1_000 {
+            assert!(futures::poll!(all.as_mut()).is_pending());
+            time.0.set(time.now() + Duration::from_millis(1));
+        }
+        replica.requests_received.get()
+    }))
+}
+
+/// Guards against requests that search for the leader in turn, each with a copy of itself, while followers are busy.
+#[test]
+fn waiting_requests_share_one_search_and_its_delay() {
+    let (one, many) = (searches_within_a_second(1), searches_within_a_second(200));
+    assert!(many <= 2 * one, "{many} copies instead of {one}");
+}
+
 #[test]
 fn request_waits_until_holders_are_set() {
     let executor = Rc::new(LocalExecutor::new());
@@ -156,7 +205,7 @@
         let busy_until = Timestamp(2_500_000);
         let leader: Rc<dyn GroupService> = Rc::new(BusyReplica { time: time.clone(), busy_until });
         let links = Links::new(OWN, NO_TIMEOUT, &executor);
-        let router = Router::new(GroupId(1), OWN, Some(leader), links, &[OWN], time, REQUEST_TIMEOUTS);
+        let router = Router::new(GroupId(1), OWN, Some(leader), links, &[OWN], time, TURN_TIMEOUTS);
         assert_eq!(router.submit(vec![7]).await.unwrap(), [7]);
     }));
 }
