--- a/agatetrestle/src/node/group/encoding.rs
+++ b/agatetrestle/src/node/group/encoding.rs
@@ -111,8 +111,8 @@
         self.replica.borrow().holds_snapshot() && self.bytes_since_snapshot.get() < limit
     }
 
-    /// Queues a snapshot for lagging peers, or shares the one that is being encoded for the disk. Does nothing while a received snapshot is not installed yet; the replica
-    /// requests it again.
+    /// Queues a snapshot for lagging peers, or shares the one that is being encoded for the disk. Does nothing while a received
+    /// snapshot is not installed yet; the replica requests it again.
     pub(super) fn encode_peer_snapshot(&self) {
         if self.deferred.borrow().is_some() {
             return;
