--- a/agatetrestle/benches/decisions.rs
+++ b/agatetrestle/benches/decisions.rs
@@ -114,6 +114,7 @@
         .map(|number| Instance {
             id: format!("i-{number:05}").into(),
             service: "model".into(),
+            version: "v1".into(),
             address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 80),
             zone: format!("domain-{}", number % 5).into(),
             slots: 6,
--- a/agatetrestle/src/backends.rs
+++ b/agatetrestle/src/backends.rs
@@ -16,6 +16,9 @@
     pub id: Arc<str>,
     /// Service that it runs.
     pub service: Arc<str>,
+    /// Version of its software; empty if the platform reports none. Versions have no order.
+    #[serde(default, skip_serializing_if = "str::is_empty")]
+    pub version: Arc<str>,
     /// Listening address, which may be reused by another instance later.
     pub address: SocketAddrV4,
     /// Failure domain that it is in.
--- a/agatetrestle/src/cluster/tests.rs
+++ b/agatetrestle/src/cluster/tests.rs
@@ -257,6 +257,7 @@
     Instance {
         id: id.into(),
         service: "engines".into(),
+        version: "v1".into(),
         address: SocketAddrV4::new([10, 0, 0, 9].into(), 80),
         zone: "a".into(),
         slots: 16,
--- a/agatetrestle/src/dispatch/tests.rs
+++ b/agatetrestle/src/dispatch/tests.rs
@@ -19,6 +19,7 @@
     Instance {
         id: id.into(),
         service: SERVICE.into(),
+        version: "v1".into(),
         address: "10.0.0.1:80".parse().unwrap(),
         zone: zone.into(),
         slots,
--- a/agatetrestle/src/gateway/access_log.rs
+++ b/agatetrestle/src/gateway/access_log.rs
@@ -27,6 +27,10 @@
     /// Name of the caller's team; empty if no team is declared or the key is unknown.
     pub(super) team: Arc<str>,
     pub(super) server: Arc<str>,
+    /// Version of the server's software.
+    pub(super) software: Arc<str>,
+    /// The attempt that brought the first event of the resumed stream; empty for other requests.
+    pub(super) resumes: Arc<str>,
     /// Attempts to send the request to a backend server.
     pub(super) tries: u32,
     /// Time to reserve the turn, after which the request is sent.
@@ -50,11 +54,11 @@
         outcome: impl fmt::Display,
         total_time: Duration,
     ) {
-        let Self { attempt_id, version, route, service, team, server, tries, .. } = self;
+        let Self { attempt_id, version, route, service, team, server, software, resumes, tries, .. } = self;
         self.record_metrics(gateway, status);
         info!(
             "request={attempt_id} version={version} route={route} service={service} team={team} \
-             server={server} tries={tries} status={status} outcome=\"{outcome}\" \
+             server={server} software={software} resumes={resumes} tries={tries} status={status} outcome=\"{outcome}\" \
              wait_us={} begin_us={} commit_us={} head_us={} finish_us={} total_us={}",
             self.queue_time.as_micros(),
             self.reserve_time.as_micros(),
--- a/agatetrestle/src/gateway/mod.rs
+++ b/agatetrestle/src/gateway/mod.rs
@@ -276,6 +276,12 @@
         self.apply(decisions);
     }
 
+    /// Id and software version of an instance, if it is known.
+    fn identity(&self, server: ServerKey) -> Option<(Arc<str>, Arc<str>)> {
+        let dispatch = self.dispatch.borrow();
+        dispatch.instance(server).map(|instance| (instance.id.clone(), instance.version.clone()))
+    }
+
     /// Id and address of an instance, if it is known.
     fn address(&self, server: ServerKey) -> Option<(Arc<str>, SocketAddrV4)> {
         let dispatch = self.dispatch.borrow();
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -135,6 +135,7 @@
     let metadata = read_metadata(gateway, &parts)?;
     let attempt_id = metadata.attempt_id.clone().unwrap_or_default();
     log_entry.attempt_id = attempt_id.clone();
+    log_entry.resumes = metadata.resumes.clone().unwrap_or_default();
     let table = gateway.table.borrow().clone();
     let table = table
         .ok_or_else(|| ErrorResponse::not_run("no routes are in force here yet", STARTUP_RETRY_AFTER))?;
@@ -291,7 +292,7 @@
         }
         log_entry.tries += 1;
         retries.tried.push(slot.server);
-        log_entry.server = gateway.address(slot.server).map(|(id, _)| id).unwrap_or_default();
+        (log_entry.server, log_entry.software) = gateway.identity(slot.server).unwrap_or_default();
         if let Some(turn) = &mut turn {
             turn.record_server(&log_entry.server);
         }
--- a/agatetrestle/src/gateway/tests/early.rs
+++ b/agatetrestle/src/gateway/tests/early.rs
@@ -245,6 +245,7 @@
         let instance = |id: String, address: SocketAddrV4, zone: &str| Instance {
             id: id.into(),
             service: "engines".into(),
+            version: "v1".into(),
             address,
             zone: zone.into(),
             slots: 2,
--- a/agatetrestle/src/gateway/wire.rs
+++ b/agatetrestle/src/gateway/wire.rs
@@ -39,6 +39,8 @@
     pub max_tokens: Option<u64>,
     /// The turn that this one continues.
     pub previous_turn: Option<Arc<str>>,
+    /// The attempt that brought the first event of the stream that this one resumes.
+    pub resumes: Option<Arc<str>>,
     /// Key of the caller's team.
     pub key: Option<ApiKey>,
     /// Hash of the program or prompt prefix that the request shares with others.
--- a/agatetrestle/src/turns/tests/burst.rs
+++ b/agatetrestle/src/turns/tests/burst.rs
@@ -228,6 +228,7 @@
     let instance = |number: usize| Instance {
         id: format!("e-{number}").into(),
         service: SERVICE.into(),
+        version: "v1".into(),
         address: "10.0.0.1:80".parse().unwrap(),
         zone: format!("z-{}", number % 3).into(),
         slots: SLOTS_PER_ENGINE,
--- a/agatetrestle_replay/src/control_traffic.rs
+++ b/agatetrestle_replay/src/control_traffic.rs
@@ -124,6 +124,7 @@
     Instance {
         id: format!("i-{:010x}", random.next_u64() >> 24).into(),
         service: if number.is_multiple_of(2) { "engines".into() } else { "tools".into() },
+        version: "v1".into(),
         address: SocketAddrV4::new(address(number), 8_080),
         zone: format!("zone-{}", number % ZONES).into(),
         slots: 6,
