Continue a resumed stream only at the software version that began it

What callers saw: a stream that was taken up again after a broken connection went on at a server of another software version, and its response was complete although the two parts do not fit together.

Cause: nobody knew the version. The list's field was not read, Resumes and Last-Event-Id reached whichever server dispatch picked by load. The caller's next try may arrive at any entry, also after the one that began the stream is gone.

Change: the begin of a turn, which is committed before the caller gets the first event, records service and version. A resumed stream reads them through the log of its group and is dispatched to servers of that version only, or refused as not run. Streams without a program or budget record the same with a command of their own. If a server did not run an attempt and the next has another version, that is recorded with a higher revision before anything is forwarded.

--- a/agatetrestle/benches/decisions.rs
+++ b/agatetrestle/benches/decisions.rs
@@ -131,6 +131,7 @@
             ticket += 1;
             let now = Timestamp(ticket * REQUEST_INTERVAL_US);
             let request = Request {
+                version: None,
                 ticket,
                 service: "model".into(),
                 priority: 1,
--- a/agatetrestle/examples/leader_cost.rs
+++ b/agatetrestle/examples/leader_cost.rs
@@ -24,6 +24,7 @@
 use agatetrestle::turns::command::BeginQuery;
 use agatetrestle::turns::command::Candidate;
 use agatetrestle::turns::command::Finish;
+use agatetrestle::turns::command::RecordStream;
 use agatetrestle::turns::command::RetainedTurn;
 use agatetrestle::turns::command::Take;
 use agatetrestle::turns::command::TimedCommand;
@@ -32,6 +33,8 @@
 use agatetrestle::turns::state::LogProgress;
 use agatetrestle::turns::state::PendingCommands;
 use agatetrestle::turns::state::TurnState;
+use agatetrestle::turns::streams::StreamOrigin;
+use agatetrestle::turns::streams::StreamStart;
 use agatetrestle_config::deployment::AllowanceBounds;
 
 const PROGRAMS: usize = 2_000;
@@ -147,6 +150,7 @@
         slots: 6,
     });
     Begin {
+        stream: Some(start()),
         program: format!("program-{program:08}").into(),
         team: team_name(program % TEAMS),
         turn: turn_name(program, turn),
@@ -171,6 +175,12 @@
     }
 }
 
+/// The start of a stream that callers may resume.
+fn start() -> StreamStart {
+    let origin = StreamOrigin { service: "service-00000001".into(), version: "v1.12".into() };
+    StreamStart { origin, resumable_ms: 4_000, revision: 0 }
+}
+
 fn team_name(number: usize) -> Arc<str> {
     format!("team-{number:011}").into()
 }
@@ -212,13 +222,19 @@
     let take = Take { team: begin.team.clone(), program: Some(begin.program.clone()), begins: false };
     let begin = TurnCommand::Begin(begin);
     let logged = begin.without_candidates().unwrap_or_else(|| begin.clone());
-    let encoded = [&begin, &logged, &finish, &TurnCommand::Take(take)].map(payload);
+    let record = TurnCommand::RecordStream(RecordStream {
+        program: begin.program().into(),
+        turn: turn_name(0, 0),
+        start: start(),
+    });
+    let encoded = [&begin, &logged, &finish, &TurnCommand::Take(take), &record].map(payload);
     println!(
-        "bytes: begin {}, logged begin {}, finish {}, take {}",
+        "bytes: begin {}, logged begin {}, finish {}, take {}, record of a stream {}",
         encoded[0].len(),
         encoded[1].len(),
         encoded[2].len(),
-        encoded[3].len()
+        encoded[3].len(),
+        encoded[4].len()
     );
     print_repeated("begin: decode", || TimedCommand::decode(&encoded[0]));
     print_repeated("begin: remove candidates and encode", || {
@@ -227,6 +243,8 @@
     print_repeated("begin: decode of the logged command", || TimedCommand::decode(&encoded[1]));
     print_repeated("finish: decode", || TimedCommand::decode(&encoded[2]));
     print_repeated("take: decode", || TimedCommand::decode(&encoded[3]));
+    print_repeated("record of a stream: encode", || record.encode(ELAPSED));
+    print_repeated("record of a stream: decode", || TimedCommand::decode(&encoded[4]));
     print_repeated("query: decode", || decode::<BeginQuery>(&query));
     let texts = vec![Blob::from(&[b't'; TEXT_BYTES][..]); CHAIN_TURNS];
     let reply = TurnReply::Begun { chain: texts, server: None };
@@ -334,6 +352,11 @@
         let begins: Vec<TurnCommand> = begins.into_iter().map(TurnCommand::Begin).collect();
         print_apply_of("begin", leader, &begins, proposed);
         print_apply_of("finish", leader, &finishes, proposed);
+        let records = (0..BATCHES * BATCH_CALLS).map(|number| {
+            let (program, turn) = (Arc::from("program"), turn_name(number, 0));
+            TurnCommand::RecordStream(RecordStream { program, turn, start: start() })
+        });
+        print_apply_of("record of a stream", leader, &records.collect::<Vec<_>>(), proposed);
     }
 }
 
--- a/agatetrestle/src/deployment/tests/state_group.rs
+++ b/agatetrestle/src/deployment/tests/state_group.rs
@@ -231,6 +231,7 @@
 
 fn begin(turn: &str, most: u64, budget: u64) -> Begin {
     Begin {
+        stream: None,
         program: "program".into(),
         team: "".into(),
         turn: turn.into(),
@@ -445,6 +446,7 @@
         ..AdmissionParams::default()
     };
     let begin = Begin {
+        stream: None,
         program: program.into(),
         team: TEAM.into(),
         turn: format!("{program}-{number}").into(),
--- a/agatetrestle/src/deployment/turns.rs
+++ b/agatetrestle/src/deployment/turns.rs
@@ -183,10 +183,8 @@
 async fn request(router: &Router, command: TurnCommand) -> Result<TurnReply, GroupError> {
     let encoded = command.encode(Duration::ZERO);
     let reply = match command {
-        TurnCommand::Begin(_) | TurnCommand::Chain(_) | TurnCommand::Take(_) => {
-            router.try_submit(encoded).await?
-        }
         TurnCommand::Finish(_) => router.submit(encoded).await?,
+        _ => router.try_submit(encoded).await?,
     };
     decode(&reply).map_err(|error| GroupError::Unknown { reason: error.to_string().into() })
 }
--- a/agatetrestle/src/dispatch/choice.rs
+++ b/agatetrestle/src/dispatch/choice.rs
@@ -58,7 +58,9 @@
         let candidates = pool.candidates(position);
         let mut keys = candidates.keys();
         let is_partial = keys.len() < pool.len();
-        if is_partial && !keys.iter().any(|key| self.has_free_slot(now, *key, request, load_ttl)) {
+        if request.version.is_some() {
+            keys = self.servers_of_version(now, request);
+        } else if is_partial && !keys.iter().any(|key| self.has_free_slot(now, *key, request, load_ttl)) {
             keys = self.pools[&request.service].all().collect();
         }
         if self.is_modelled(now, &request.service) {
@@ -79,7 +81,7 @@
     /// Whether a server accepts the request and, by what is known of it, runs it at once.
     fn has_free_slot(&self, now: Timestamp, key: ServerKey, request: &Request, load_ttl: Duration) -> bool {
         let server = &self.servers[key];
-        let usable = server.is_available(now) && !server.is_ejected(now) && !request.excluded.contains(&key);
+        let usable = self.accepts(now, key, request) && !server.is_ejected(now);
         usable && !server.is_full(now, load_ttl, false)
     }
 
@@ -93,8 +95,7 @@
         tie_seed: u64,
     ) -> Vec<Scored> {
         let mean_other_load = self.mean_other_load(now, &request.service, load_ttl);
-        let eligible =
-            |key: &ServerKey| self.servers[*key].is_available(now) && !request.excluded.contains(key);
+        let eligible = |key: &ServerKey| self.accepts(now, *key, request);
         let any_healthy = keys.iter().any(|key| eligible(key) && !self.servers[*key].is_ejected(now));
         let allowed = |key: &&ServerKey| {
             let server = &self.servers[**key];
--- a/agatetrestle/src/dispatch/decision.rs
+++ b/agatetrestle/src/dispatch/decision.rs
@@ -26,12 +26,22 @@
     pub finish_by: Timestamp,
     /// Hash of the prompt prefix that it shares with other requests, if cached prompts matter to its service.
     pub affinity: Option<u64>,
+    /// Software version that its server must have, if it resumes a stream.
+    pub version: Option<Arc<str>>,
     /// Servers that have already received it and must not receive it again.
     pub excluded: Vec<ServerKey>,
     /// What indicates how long it takes.
     pub profile: RequestProfile,
 }
 
+impl Request {
+    /// Whether every server of its service may have it.
+    #[must_use]
+    pub fn accepts_any_server(&self) -> bool {
+        self.excluded.is_empty() && self.version.is_none()
+    }
+}
+
 /// What indicates how long a request takes, as far as its caller declares it.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct RequestProfile {
--- a/agatetrestle/src/dispatch/expected.rs
+++ b/agatetrestle/src/dispatch/expected.rs
@@ -274,8 +274,7 @@
         request: &Request,
         load_ttl: Duration,
     ) -> Vec<ServerKey> {
-        let eligible =
-            |key: &ServerKey| self.servers[*key].is_available(now) && !request.excluded.contains(key);
+        let eligible = |key: &ServerKey| self.accepts(now, *key, request);
         let any_healthy = keys.iter().any(|key| eligible(key) && !self.servers[*key].is_ejected(now));
         let usable = keys.iter().copied().filter(|key| {
             let server = &self.servers[*key];
--- a/agatetrestle/src/dispatch/instances.rs
+++ b/agatetrestle/src/dispatch/instances.rs
@@ -17,7 +17,7 @@
             self.unlist(key);
         }
         for instance in instances {
-            self.update_instance(instance);
+            self.update_instance(now, instance);
         }
         self.finish_update(now)
     }
@@ -33,7 +33,7 @@
                     }
                 }
                 for instance in put {
-                    self.update_instance(instance);
+                    self.update_instance(now, instance);
                 }
                 self.finish_update(now)
             }
@@ -67,10 +67,10 @@
 
     /// Adds or updates a listed server. A newer instance under a known id is added as another server, which takes over
     /// nothing from the earlier one.
-    fn update_instance(&mut self, instance: &Instance) {
+    fn update_instance(&mut self, now: Timestamp, instance: &Instance) {
         let known = self.by_id.get(&instance.id).copied();
         if let Some(key) = known.filter(|key| !instance.is_newer_than(&self.servers[*key].instance)) {
-            self.update_server(key, |server| server.update(instance));
+            self.update_server(key, |server| server.update(now, instance));
             self.unlisted.remove(&key);
             return;
         }
--- a/agatetrestle/src/dispatch/mod.rs
+++ b/agatetrestle/src/dispatch/mod.rs
@@ -18,6 +18,7 @@
 mod speed;
 #[cfg(test)]
 mod tests;
+mod versions;
 
 pub use self::decision::Decision;
 pub use self::decision::RejectReason;
@@ -142,7 +143,7 @@
     pub fn submit(&mut self, now: Timestamp, request: Request) -> Vec<Decision> {
         let service = request.service.clone();
         self.update_capacity(now, &service);
-        let served = self.time_until_available(now, &service, &request.excluded).is_some();
+        let served = self.time_until_accepted(now, &request).is_some();
         let queue = self.queues.entry(service.clone()).or_default();
         let ticket = request.ticket;
         let retry_after = queue.service_time.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1);
@@ -178,16 +179,15 @@
         self.dispatch_all(now)
     }
 
-    /// Time until a server of the service that is not excluded accepts requests; `None` if there is no such server.
-    fn time_until_available(
-        &self,
-        now: Timestamp,
-        service: &Arc<str>,
-        excluded: &[ServerKey],
-    ) -> Option<Duration> {
+    /// Time until a server accepts a request; `None` if none does.
+    fn time_until_accepted(&self, now: Timestamp, request: &Request) -> Option<Duration> {
+        if request.version.is_some() {
+            let keys = self.servers_of_version(now, request);
+            return keys.iter().filter_map(|key| self.accepts_in(now, *key, request)).min();
+        }
         let mut shortest = None;
-        for (_, server) in self.servers_of(service).filter(|(key, _)| !excluded.contains(key)) {
-            match server.backoff_left(now) {
+        for (key, _) in self.servers_of(&request.service) {
+            match self.accepts_in(now, key, request) {
                 Some(Duration::ZERO) => return Some(Duration::ZERO),
                 left => shortest = left.into_iter().chain(shortest).min(),
             }
--- a/agatetrestle/src/dispatch/queue.rs
+++ b/agatetrestle/src/dispatch/queue.rs
@@ -75,7 +75,7 @@
                     self.assign(now, server, &request);
                     decisions.push(Decision::Send { ticket: request.ticket, server });
                 }
-                None if request.excluded.is_empty() => {
+                None if request.accepts_any_server() => {
                     remaining.insert(rank, request);
                     remaining.append(&mut queue.waiting);
                 }
@@ -116,15 +116,14 @@
             return Vec::new();
         }
         let concurrency = self.in_flight(service).max(1);
-        let available_in = self.time_until_available(now, service, &[]);
+        let mut available_to_any = None;
         let mut decisions = Vec::new();
         let mut ahead = 0_u32;
         queue.waiting.retain(|_, request| {
-            let retried = !request.excluded.is_empty();
-            let available_in = if retried {
-                self.time_until_available(now, service, &request.excluded)
+            let available_in = if request.accepts_any_server() {
+                *available_to_any.get_or_insert_with(|| self.time_until_accepted(now, request))
             } else {
-                available_in
+                self.time_until_accepted(now, request)
             };
             let Some(backoff) = available_in else {
                 decisions.push(reject(request, queue.service_time, RejectReason::NoServer));
--- a/agatetrestle/src/dispatch/server.rs
+++ b/agatetrestle/src/dispatch/server.rs
@@ -31,6 +31,10 @@
 /// in 8,000.
 const TOLERATED_FAILURES: u32 = 2;
 
+/// Time for which streams may still be resumed at a server that is leaving, if none of their version stays. Platforms let a
+/// leaving server serve for some seconds, of which the list takes up to one to arrive.
+const LEAVING_RESUME_TIME: Duration = Duration::from_secs(1);
+
 new_key_type! {
     /// Key of a known backend server.
     pub struct ServerKey;
@@ -82,6 +86,8 @@
 pub(super) struct Server {
     pub(super) instance: Instance,
     pub(super) listed: bool,
+    /// When the list first showed that it is leaving, if this node knew it before.
+    leaving_since: Option<Timestamp>,
     /// Whether its removal from the list has been reported.
     pub(super) removal_reported: bool,
     /// This node's requests in flight.
@@ -108,6 +114,7 @@
         Self {
             instance: instance.clone(),
             listed: true,
+            leaving_since: None,
             removal_reported: false,
             in_flight: 0,
             other_load: 0.0,
@@ -123,13 +130,16 @@
         }
     }
 
-    pub(super) fn update(&mut self, instance: &Instance) {
+    pub(super) fn update(&mut self, now: Timestamp, instance: &Instance) {
         self.listed = true;
         self.removal_reported = false;
         if self.instance.is_newer_than(instance) && instance.born.is_some() {
             // The list is stale and names an earlier instance.
             return;
         }
+        if instance.leaving && !self.instance.leaving {
+            self.leaving_since = Some(now);
+        }
         let leaving = self.instance.leaving || instance.leaving;
         let born = self.instance.born.max(instance.born);
         self.instance = Instance { leaving, born, ..instance.clone() };
@@ -145,6 +155,12 @@
         self.backoff_left(now) == Some(Duration::ZERO)
     }
 
+    /// Like [`Self::backoff_left`], for streams of its version that no other server can go on with.
+    pub(super) fn backoff_left_while_leaving(&self, now: Timestamp) -> Option<Duration> {
+        let is_serving = self.leaving_since.is_some_and(|since| now.since(since) < LEAVING_RESUME_TIME);
+        (self.listed && is_serving).then(|| self.backoff_until.since(now))
+    }
+
     /// Estimated requests there. Over the TTL, the reported load of other nodes is replaced gradually by the mean of the
     /// service.
     pub(super) fn load(&self, now: Timestamp, mean_other_load: f64, load_ttl: Duration) -> f64 {
--- a/agatetrestle/src/dispatch/tests.rs
+++ b/agatetrestle/src/dispatch/tests.rs
@@ -12,6 +12,7 @@
 mod stale_load;
 mod uneven_servers;
 mod unresponsive;
+mod versions;
 
 const SERVICE: &str = "engines";
 
@@ -40,6 +41,7 @@
 
 fn request(ticket: u64, deadline: u64) -> Request {
     Request {
+        version: None,
         ticket,
         service: SERVICE.into(),
         priority: 1,
--- a/agatetrestle/src/dispatch/tests/simulation.rs
+++ b/agatetrestle/src/dispatch/tests/simulation.rs
@@ -1,6 +1,7 @@
 //! Simulation, in virtual time, of nodes that dispatch to the servers of a service.
 
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -35,6 +36,17 @@
     pub(super) time_limit: u64,
     /// Model engines that run programs, in place of plain servers with requests of random length.
     pub(super) engines: Option<EngineBehavior>,
+    /// Requests that resume streams of the first servers, in place of requests that any server takes.
+    pub(super) resumed: Option<ResumedStreams>,
+}
+
+/// Streams of an older software version that callers resume.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ResumedStreams {
+    /// Servers that still have the version.
+    pub(super) servers: usize,
+    /// Percentage of the requests that resume a stream.
+    pub(super) percent: u64,
 }
 
 /// Results of a simulation.
@@ -54,6 +66,8 @@
     pub(super) preempted: usize,
     /// Turns run by each engine.
     pub(super) runs: Vec<usize>,
+    /// Requests that arrived and those that completed: new ones, then resumed ones.
+    pub(super) by_kind: [(usize, usize); 2],
 }
 
 impl Stats {
@@ -89,13 +103,19 @@
     servers: Vec<SimulatedServer>,
     /// Times of arrival and of sending, by ticket.
     times: HashMap<u64, (u64, u64)>,
+    /// Tickets of the requests that resume a stream.
+    resumed: BTreeSet<u64>,
     workload: Workload,
     stats: Stats,
 }
 
 pub(super) fn simulate(scenario: Scenario, policy: Decisions, seed: u64) -> Stats {
-    let instances: Vec<Instance> =
-        (0..scenario.servers).map(|number| instance(&format!("s-{number}"), scenario.slots, "a")).collect();
+    let old = scenario.resumed.map_or(0, |resumed| resumed.servers);
+    let server = |number: usize| Instance {
+        version: if number < old { "v1" } else { "v2" }.into(),
+        ..instance(&format!("s-{number}"), scenario.slots, "a")
+    };
+    let instances: Vec<Instance> = (0..scenario.servers).map(server).collect();
     let mut simulation = Simulation {
         rng: Random::new(seed),
         events: BinaryHeap::new(),
@@ -104,6 +124,7 @@
         keys: Vec::new(),
         servers: (0..scenario.servers).map(|_| SimulatedServer::default()).collect(),
         times: HashMap::new(),
+        resumed: BTreeSet::new(),
         workload: Workload::new(scenario.engines.as_ref().map_or(1, |engines| engines.max_turns)),
         stats: Stats { runs: vec![0; scenario.servers], ..Stats::default() },
         scenario,
@@ -165,6 +186,12 @@
         let ticket = self.sequence;
         self.sequence += 1;
         self.times.insert(ticket, (now, now));
+        if let Some(streams) = self.scenario.resumed
+            && self.rng.below(100) < streams.percent
+        {
+            self.resumed.insert(ticket);
+        }
+        self.stats.by_kind[usize::from(self.resumed.contains(&ticket))].0 += 1;
         if self.scenario.engines.is_some() {
             self.workload.add_turn(&mut self.rng, ticket);
         }
@@ -176,7 +203,8 @@
 
     fn request(&self, ticket: u64, arrived: u64) -> Request {
         let deadline = Timestamp(arrived + self.scenario.time_limit);
-        let request = Request { started: true, deadline, finish_by: deadline, ..request(ticket, 0) };
+        let version = self.resumed.contains(&ticket).then(|| "v1".into());
+        let request = Request { started: true, deadline, finish_by: deadline, version, ..request(ticket, 0) };
         match self.workload.turns.get(&ticket) {
             Some(turn) => Request { affinity: Some(turn.program), profile: turn.profile(), ..request },
             None => request,
@@ -281,6 +309,7 @@
         } else {
             self.times.remove(&ticket);
             self.stats.completed += 1;
+            self.stats.by_kind[usize::from(self.resumed.contains(&ticket))].1 += 1;
             let late = self.workload.turns.remove(&ticket).is_some_and(|turn| turn.is_late(now - arrived));
             self.stats.late += usize::from(late);
             self.stats.latencies.push(now - arrived);
--- a/agatetrestle/src/dispatch/tests/stale_load.rs
+++ b/agatetrestle/src/dispatch/tests/stale_load.rs
@@ -24,6 +24,7 @@
         slowdown: 1,
         time_limit: 1_000_000,
         engines: None,
+        resumed: None,
     }
 }
 
--- a/agatetrestle/src/dispatch/tests/uneven_servers.rs
+++ b/agatetrestle/src/dispatch/tests/uneven_servers.rs
@@ -25,6 +25,7 @@
         slowdown: 1,
         time_limit: 3_000_000,
         engines: Some(engines),
+        resumed: None,
     }
 }
 
--- a/agatetrestle/src/gateway/context.rs
+++ b/agatetrestle/src/gateway/context.rs
@@ -9,6 +9,7 @@
 use http::request::Parts;
 
 use crate::clock::Timestamp;
+use crate::gateway::resumption::StreamBinding;
 use crate::gateway::turn::Transcript;
 use crate::gateway::wire::RequestMetadata;
 use crate::routing::Route;
@@ -60,6 +61,10 @@
     pub(super) body: Bytes,
     /// Length of the earlier turns at the start of `body`.
     pub(super) chain_bytes: usize,
+    /// How long the caller said that it waits.
+    pub(super) timeout: Duration,
+    /// The software version that the stream is bound to, if its caller may resume it.
+    pub(super) stream: StreamBinding,
     /// Whether this node knows that the program has run a turn before.
     pub(super) program_started: bool,
 }
--- a/agatetrestle/src/gateway/mod.rs
+++ b/agatetrestle/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod relay;
 mod request;
 mod reserve;
+mod resumption;
 mod slot;
 #[cfg(test)]
 mod tests;
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -36,6 +36,9 @@
 use crate::gateway::context::RequestContext;
 use crate::gateway::relay;
 use crate::gateway::reserve;
+use crate::gateway::resumption;
+use crate::gateway::resumption::StreamBinding;
+use crate::gateway::resumption::StreamContext;
 use crate::gateway::slot::ServerSlot;
 use crate::gateway::turn::OpenTurn;
 use crate::gateway::wire::RequestMetadata;
@@ -43,6 +46,7 @@
 use crate::routing::RouteTable;
 use crate::routing::Unauthorized;
 use crate::transport::body::ResponseBody;
+use crate::turns::streams::StreamStart;
 
 /// Servers that may decline to run a request before it is rejected.
 const MAX_NOT_RUN_ATTEMPTS: u32 = 4;
@@ -150,16 +154,19 @@
     if attempt_id.is_empty() {
         return Err(ErrorResponse::new(StatusCode::BAD_REQUEST, "the request has no id"));
     }
-    let timeout = metadata.timeout.unwrap_or(route.timeout).min(route.timeout);
-    let deadline = arrived_at + timeout;
+    let timeout = metadata.timeout.unwrap_or(route.timeout);
+    let deadline = arrived_at + timeout.min(route.timeout);
     let limit = table.limits.max_body_bytes;
     let (_permit, body) = read_body(gateway, body, limit, deadline).await?;
+    let origin = resumption::find_origin(gateway, &route, &metadata, deadline).await?;
     let draw = gateway.random.borrow_mut().below(u64::MAX);
-    let service = route.pick_service(draw).clone();
+    let service = origin.as_ref().map_or_else(|| route.pick_service(draw), |origin| &origin.service).clone();
     log_entry.service = service.clone();
     // Requests on non-streaming routes are tool calls, which follow the first turn of a program.
-    let program_started =
-        !route.is_streaming() || metadata.previous_turn.is_some() || gateway.has_recent_turn(&metadata);
+    let program_started = !route.is_streaming()
+        || metadata.previous_turn.is_some()
+        || origin.is_some()
+        || gateway.has_recent_turn(&metadata);
     let declared = table.service(&service).and_then(|service| service.tokens_per_event);
     let tokens_per_event = declared.unwrap_or(1);
     let ctx = RequestContext {
@@ -174,6 +181,8 @@
         deadline,
         body,
         chain_bytes: 0,
+        timeout,
+        stream: StreamBinding::new(origin.map(|origin| origin.version)),
         program_started,
     };
     run(gateway, ctx, log_entry).await
@@ -280,15 +289,19 @@
             .map_err(|rejection| retries.give_up(format!("{:?}", rejection.reason), rejection.retry_after))?;
         let assigned_at = gateway.clock.now();
         log_entry.queue_time += assigned_at.since(queued_at);
+        let start = stream_start(gateway, &mut ctx, slot.server);
         if !reserved {
-            let request = dispatch_request(&ctx, assigned_at, &retries.tried);
+            let request = reservation_request(&ctx, assigned_at, &retries.tried, start.as_ref());
             let (reserved_turn, pending) =
-                reserve::reserve_turn(gateway, &mut ctx, &mut slot, &request).await?;
+                reserve::reserve_turn(gateway, &mut ctx, &mut slot, &request, start).await?;
             turn = Some(reserved_turn);
             commit = pending;
             log_entry.reserve_time = gateway.clock.now().since(assigned_at);
             log_entry.commit_time = log_entry.reserve_time;
             reserved = true;
+        } else if let Some(start) = start {
+            commit.finish(ctx.deadline.since(assigned_at)).await?;
+            commit = resumption::record_start(gateway, &ctx, start);
         }
         log_entry.tries += 1;
         retries.tried.push(slot.server);
@@ -321,6 +334,27 @@
     }
 }
 
+/// The start to record before the attempt is sent to a server, if its caller may resume the stream.
+fn stream_start(gateway: &Gateway, ctx: &mut RequestContext, server: ServerKey) -> Option<StreamStart> {
+    if !resumption::is_resumable(&ctx.route) {
+        return None;
+    }
+    let (_, version) = gateway.identity(server)?;
+    let context = StreamContext { service: &ctx.service, timeout: ctx.timeout };
+    ctx.stream.start(context, &version)
+}
+
+/// The request whose candidates the leader chooses among. All of them have the version that is recorded.
+fn reservation_request(
+    ctx: &RequestContext,
+    now: Timestamp,
+    tried: &[ServerKey],
+    start: Option<&StreamStart>,
+) -> dispatch::Request {
+    let version = start.map(|start| start.origin.version.clone());
+    dispatch::Request { version, ..dispatch_request(ctx, now, tried) }
+}
+
 /// Whether another server may be tried after this many may have run the request.
 fn may_retry(ctx: &RequestContext, may_have_run: u32) -> bool {
     !ctx.route.is_at_most_once() && !ctx.route.is_streaming() && may_have_run < ctx.route.max_attempts
@@ -337,6 +371,7 @@
         deadline: ctx.deadline,
         finish_by: ctx.arrived_at + finish_in,
         affinity: ctx.metadata.affinity.filter(|_| ctx.route.sticky),
+        version: ctx.stream.required.clone(),
         excluded: tried.to_vec(),
         profile: RequestProfile {
             route: xxh3_64(ctx.route.name.as_bytes()),
--- a/agatetrestle/src/gateway/reserve.rs
+++ b/agatetrestle/src/gateway/reserve.rs
@@ -26,6 +26,7 @@
 use crate::turns::command::Take;
 use crate::turns::command::TurnCommand;
 use crate::turns::command::TurnReply;
+use crate::turns::streams::StreamStart;
 
 /// Whether a request has to reserve a turn, because it has a token budget or its route retains turns.
 pub(super) fn needs_turn(ctx: &RequestContext) -> bool {
@@ -66,6 +67,7 @@
     ctx: &mut RequestContext,
     slot: &mut ServerSlot,
     request: &dispatch::Request,
+    stream: Option<StreamStart>,
 ) -> Result<(OpenTurn, PendingCommit), ErrorResponse> {
     let started_at = gateway.clock.now();
     let candidates = match gateway.placement {
@@ -99,6 +101,7 @@
         most: ctx.metadata.max_tokens.unwrap_or(0),
         previous: ctx.metadata.previous_turn.clone().filter(|_| ctx.route.retention.is_some()),
         carried: Vec::new(),
+        stream,
         opening: Some(opening),
     };
     let (turn, reservation) = OpenTurn::reserve(gateway, begin).await;
@@ -160,12 +163,12 @@
     candidates.iter().map(candidate).collect()
 }
 
-fn millis(duration: Duration) -> u64 {
+pub(super) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
 /// The response if a state group gave no reply, and the request was sent to no server.
-fn no_reply(error: GroupError) -> ErrorResponse {
+pub(super) fn no_reply(error: GroupError) -> ErrorResponse {
     let retry_after = match &error {
         GroupError::NotProposed { retry_after, .. } => *retry_after,
         GroupError::Unknown { .. } => None,
@@ -174,7 +177,7 @@
 }
 
 /// Maps a state group's refusal to the response for the caller.
-fn error_response(reply: &TurnReply) -> ErrorResponse {
+pub(super) fn error_response(reply: &TurnReply) -> ErrorResponse {
     match reply {
         TurnReply::Spent => {
             ErrorResponse::new(StatusCode::PAYMENT_REQUIRED, "the budget of the program is spent")
--- /dev/null
+++ b/agatetrestle/src/gateway/resumption.rs
@@ -0,0 +1,140 @@
+//! Streams that callers resume after a broken connection.
+//!
+//! Servers of several software versions serve side by side, and their output does not fit together. A stream therefore goes
+//! on only at the version that began it, which its state group knows, or not at all; see
+//! docs/design/025-software-versions-of-streams.md.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::Timestamp;
+use crate::gateway::Gateway;
+use crate::gateway::commit::PendingCommit;
+use crate::gateway::context::ErrorResponse;
+use crate::gateway::context::FAILOVER_RETRY_AFTER;
+use crate::gateway::context::RequestContext;
+use crate::gateway::reserve::error_response;
+use crate::gateway::reserve::millis;
+use crate::gateway::reserve::no_reply;
+use crate::gateway::wire::RequestMetadata;
+use crate::node::peer_link::with_deadline;
+use crate::ports::GroupError;
+use crate::routing::Route;
+use crate::routing::RouteKind;
+use crate::turns::command::ReadStream;
+use crate::turns::command::RecordStream;
+use crate::turns::command::TurnCommand;
+use crate::turns::command::TurnReply;
+use crate::turns::streams::StreamOrigin;
+use crate::turns::streams::StreamStart;
+
+/// What an attempt of a resumable stream is bound to.
+#[derive(Clone, Debug, Default)]
+pub(super) struct StreamBinding {
+    /// The version at which the stream has to go on, if the attempt resumes it.
+    pub(super) required: Option<Arc<str>>,
+    /// The version that is recorded for the attempt, and how many were before.
+    recorded: Option<(Arc<str>, u32)>,
+}
+
+impl StreamBinding {
+    /// A binding to the version at which the stream has to go on, if any.
+    pub(super) fn new(required: Option<Arc<str>>) -> Self {
+        Self { required, recorded: None }
+    }
+
+    /// The start to record before a server of this version is sent the attempt; `None` if it is recorded already.
+    pub(super) fn start(&mut self, ctx: StreamContext<'_>, version: &Arc<str>) -> Option<StreamStart> {
+        let revision = match &self.recorded {
+            Some((recorded, _)) if recorded == version => return None,
+            Some((_, revision)) => revision + 1,
+            None => 0,
+        };
+        self.recorded = Some((version.clone(), revision));
+        let origin = StreamOrigin { service: ctx.service.clone(), version: version.clone() };
+        Some(StreamStart { origin, resumable_ms: millis(ctx.timeout), revision })
+    }
+}
+
+/// What the start of a stream depends on besides the version.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StreamContext<'a> {
+    pub(super) service: &'a Arc<str>,
+    /// How long the caller waits, which bounds the time in which it may resume.
+    pub(super) timeout: Duration,
+}
+
+/// Whether callers may resume the streams of a route.
+pub(super) fn is_resumable(route: &Route) -> bool {
+    matches!(route.kind, RouteKind::Streaming { resumable: true })
+}
+
+/// Returns where the stream began that a request resumes; `None` if it resumes none.
+///
+/// # Errors
+///
+/// 503 if that is not known, or if the route does not lead to that service any more.
+pub(super) async fn find_origin(
+    gateway: &Gateway,
+    route: &Route,
+    metadata: &RequestMetadata,
+    deadline: Timestamp,
+) -> Result<Option<StreamOrigin>, ErrorResponse> {
+    let resumes = metadata.resumes.as_ref();
+    if !is_resumable(route) || (resumes.is_none() && !metadata.has_last_event) {
+        return Ok(None);
+    }
+    let origin = match resumes {
+        Some(first) => read_origin(gateway, metadata, first, deadline).await?,
+        None => only_origin(gateway, route),
+    };
+    let Some(origin) = origin else {
+        return Err(refusal("the software version that began the stream is not known"));
+    };
+    if !route.targets.iter().any(|target| target.service == origin.service) {
+        return Err(refusal("the route does not lead to the service that began the stream any more"));
+    }
+    Ok(Some(origin))
+}
+
+fn refusal(reason: &str) -> ErrorResponse {
+    ErrorResponse::not_run(reason, FAILOVER_RETRY_AFTER)
+}
+
+/// Reads where an attempt began from its state group.
+async fn read_origin(
+    gateway: &Gateway,
+    metadata: &RequestMetadata,
+    first: &Arc<str>,
+    deadline: Timestamp,
+) -> Result<Option<StreamOrigin>, ErrorResponse> {
+    let program = metadata.program.as_ref().unwrap_or(first).clone();
+    let command = TurnCommand::ReadStream(ReadStream { program, turn: first.clone() });
+    let left = deadline.since(gateway.clock.now());
+    match with_deadline(left, gateway.turns.commit(command)).await {
+        Some(Ok(TurnReply::Stream(origin))) => Ok(origin),
+        Some(Ok(reply)) => Err(error_response(&reply)),
+        Some(Err(error)) => Err(no_reply(error)),
+        None => Err(no_reply(GroupError::NotProposed {
+            reason: "no state group answers".into(),
+            retry_after: None,
+        })),
+    }
+}
+
+/// Where a stream began whose caller does not name its first attempt: only one version serves.
+fn only_origin(gateway: &Gateway, route: &Route) -> Option<StreamOrigin> {
+    let [target] = &route.targets[..] else {
+        return None;
+    };
+    let version = gateway.dispatch.borrow().only_version(&target.service)?;
+    Some(StreamOrigin { service: target.service.clone(), version })
+}
+
+/// Records where an attempt begins. The returned commit must be awaited before the caller gets anything.
+pub(super) fn record_start(gateway: &Rc<Gateway>, ctx: &RequestContext, start: StreamStart) -> PendingCommit {
+    let program = ctx.metadata.program.as_ref().unwrap_or(&ctx.attempt_id).clone();
+    let command = TurnCommand::RecordStream(RecordStream { program, turn: ctx.attempt_id.clone(), start });
+    PendingCommit::new(gateway, gateway.clock.now(), Some(gateway.turns.commit(command)))
+}
--- a/agatetrestle/src/gateway/tests.rs
+++ b/agatetrestle/src/gateway/tests.rs
@@ -14,6 +14,7 @@
 use crate::clock::Timestamp;
 use crate::gateway::context::RequestContext;
 use crate::gateway::event_splitter::EventSplitter;
+use crate::gateway::resumption::StreamBinding;
 use crate::gateway::wire::RequestMetadata;
 use crate::routing::Route;
 use crate::routing::RouteKind;
@@ -87,6 +88,8 @@
     let team = team_priority
         .map(|priority| Arc::new(Team { name: "t".into(), keys: Vec::new(), priority, rate_limit: None }));
     RequestContext {
+        stream: StreamBinding::default(),
+        timeout: Duration::from_secs(3),
         parts: http::Request::new(()).into_parts().0,
         metadata: RequestMetadata {
             finish_in: left_ms.map(Duration::from_millis),
--- a/agatetrestle/src/gateway/wire.rs
+++ b/agatetrestle/src/gateway/wire.rs
@@ -41,6 +41,8 @@
     pub previous_turn: Option<Arc<str>>,
     /// The attempt that brought the first event of the stream that this one resumes.
     pub resumes: Option<Arc<str>>,
+    /// Whether the caller has received events of the stream already.
+    pub has_last_event: bool,
     /// Key of the caller's team.
     pub key: Option<ApiKey>,
     /// Hash of the program or prompt prefix that the request shares with others.
--- a/agatetrestle/src/turns/command.rs
+++ b/agatetrestle/src/turns/command.rs
@@ -11,6 +11,8 @@
 use crate::codec::decode;
 use crate::codec::encode_with_capacity;
 use crate::ids::NodeId;
+use crate::turns::streams::StreamOrigin;
+use crate::turns::streams::StreamStart;
 
 /// Identifier of a turn: the caller's attempt that it answers.
 pub type TurnId = Arc<str>;
@@ -27,6 +29,30 @@
     Chain(TurnId),
     /// Takes one request from a team's rate limit. The leader answers it without appending it to the log.
     Take(Take),
+    /// Records where a stream begins that reserves no turn, or whose first server did not run it. Idempotent.
+    RecordStream(RecordStream),
+    /// Reads where a stream began. It goes through the log so that the reply reflects every acknowledged write.
+    ReadStream(ReadStream),
+}
+
+/// Payload of [`TurnCommand::RecordStream`].
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RecordStream {
+    /// The program that the stream belongs to; see [`ReadStream::program`].
+    pub program: Arc<str>,
+    /// The attempt that begins it.
+    pub turn: TurnId,
+    /// Where it begins.
+    pub start: StreamStart,
+}
+
+/// Payload of [`TurnCommand::ReadStream`].
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ReadStream {
+    /// The program that the stream belongs to, or the attempt that began it if it belongs to none. It selects the group.
+    pub program: Arc<str>,
+    /// The attempt that brought its first event.
+    pub turn: TurnId,
 }
 
 /// Payload of [`TurnCommand::Take`].
@@ -132,12 +158,14 @@
         buf
     }
 
-    /// The program of a turn that begins or ends; empty for other commands.
+    /// The program of a turn or stream; empty for other commands.
     #[must_use]
     pub fn program(&self) -> &str {
         match self {
             Self::Begin(begin) => &begin.program,
             Self::Finish(finish) => &finish.program,
+            Self::RecordStream(record) => &record.program,
+            Self::ReadStream(read) => &read.program,
             Self::Chain(_) | Self::Take(_) => "",
         }
     }
@@ -224,6 +252,9 @@
     /// The previous turn and its ancestors, oldest first, if another group holds them. This group then retains copies.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub carried: Vec<TransferredTurn>,
+    /// Where its stream begins, if its caller may resume it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stream: Option<StreamStart>,
     /// Inputs for the leader's admission check; `None` from entries that do not send them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub opening: Option<AdmissionParams>,
@@ -343,6 +374,10 @@
     UnknownTeam,
     /// Too many programs are active for another to begin. The caller may retry after this many milliseconds.
     Crowded(u64),
+    /// The start of the stream is recorded.
+    Recorded,
+    /// Where a stream began; `None` if it is not known.
+    Stream(Option<StreamOrigin>),
     /// The command could not be decoded or does not belong in the log.
     Refused,
 }
--- a/agatetrestle/src/turns/mod.rs
+++ b/agatetrestle/src/turns/mod.rs
@@ -12,5 +12,6 @@
 pub mod recent;
 pub mod shedding;
 pub mod state;
+pub mod streams;
 #[cfg(test)]
 mod tests;
--- a/agatetrestle/src/turns/state.rs
+++ b/agatetrestle/src/turns/state.rs
@@ -37,6 +37,7 @@
 use crate::turns::command::TurnReply;
 use crate::turns::recent::RecentPrograms;
 use crate::turns::state::decoded::DecodedProposals;
+use crate::turns::streams::Streams;
 
 /// Added to a turn's retention, since the caller counts it from when it received the last bytes of the answer. Clock skew
 /// needs no margin: only intervals measured by a leader count.
@@ -101,6 +102,9 @@
     /// Programs of teams that ran recently, for the admission of the next leader. Empty in snapshots of older builds.
     #[serde(default, skip_serializing_if = "RecentPrograms::is_empty")]
     recent: RecentPrograms,
+    /// Where resumable streams began. Empty in snapshots of older builds.
+    #[serde(default, skip_serializing_if = "Streams::is_empty")]
+    streams: Streams,
     #[serde(skip)]
     decoded: DecodedProposals,
 }
@@ -120,6 +124,11 @@
             TurnCommand::Begin(begin) => self.begin(begin),
             TurnCommand::Finish(finish) => self.finish(finish),
             TurnCommand::Chain(last) => TurnReply::Chain(self.export(&last)),
+            TurnCommand::RecordStream(record) => {
+                self.streams.record(self.now, &record.turn, record.start);
+                TurnReply::Recorded
+            }
+            TurnCommand::ReadStream(read) => TurnReply::Stream(self.streams.origin(&read.turn).cloned()),
             TurnCommand::Take(_) => TurnReply::Refused,
         }
     }
@@ -149,6 +158,12 @@
         &self.recent
     }
 
+    /// Streams that callers may resume.
+    #[must_use]
+    pub fn streams(&self) -> &Streams {
+        &self.streams
+    }
+
     /// Milliseconds that leaders measured between commands so far.
     #[must_use]
     pub fn now(&self) -> u64 {
@@ -191,6 +206,9 @@
             {
                 self.recent.begin(&key, &begin.team, &begin.turn, params);
             }
+            if let Some(start) = begin.stream {
+                self.streams.record(self.now, &begin.turn, start);
+            }
             account.open.entry(begin.turn).or_insert(begin.most);
             TurnReply::Begun { chain, server: None }
         };
@@ -304,6 +322,7 @@
         let elapsed = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
         self.now = self.now.saturating_add(elapsed);
         self.recent.advance(self.now);
+        self.streams.advance(self.now);
         while let Some((until, _)) = self.turns_by_end.first()
             && *until < self.now
             && let Some((_, name)) = self.turns_by_end.pop_first()
--- a/agatetrestle/src/turns/state/pending.rs
+++ b/agatetrestle/src/turns/state/pending.rs
@@ -239,7 +239,10 @@
                         spent = spent.saturating_add(finish.spent);
                     }
                 }
-                TurnCommand::Chain(_) | TurnCommand::Take(_) => {}
+                TurnCommand::Chain(_)
+                | TurnCommand::Take(_)
+                | TurnCommand::RecordStream(_)
+                | TurnCommand::ReadStream(_) => {}
             }
         }
         let reserved = open.values().fold(0, |sum: u64, reservation| sum.saturating_add(reservation.most));
@@ -253,7 +256,10 @@
     match command {
         TurnCommand::Begin(begin) => Some(account_key(&begin.team, &begin.program)),
         TurnCommand::Finish(finish) => Some(account_key(&finish.team, &finish.program)),
-        TurnCommand::Chain(_) | TurnCommand::Take(_) => None,
+        TurnCommand::Chain(_)
+        | TurnCommand::Take(_)
+        | TurnCommand::RecordStream(_)
+        | TurnCommand::ReadStream(_) => None,
     }
 }
 
--- a/agatetrestle/src/turns/tests.rs
+++ b/agatetrestle/src/turns/tests.rs
@@ -28,6 +28,7 @@
 mod pending;
 mod placement;
 mod recent;
+mod streams;
 
 const RETENTION: u64 = 60_000;
 
@@ -52,6 +53,7 @@
 fn begin(turn: &str, budget: u64, most: u64, previous: Option<&str>) -> TurnCommand {
     let previous = previous.map(Into::into);
     TurnCommand::Begin(Begin {
+        stream: None,
         program: "p".into(),
         team: "".into(),
         turn: turn.into(),
--- a/agatetrestle/src/turns/tests/admission.rs
+++ b/agatetrestle/src/turns/tests/admission.rs
@@ -36,6 +36,7 @@
 
 fn first_turn(program: &str) -> TurnCommand {
     TurnCommand::Begin(Begin {
+        stream: None,
         program: program.into(),
         team: TEAM.into(),
         turn: format!("{program}-1").into(),
--- a/agatetrestle/src/turns/tests/burst.rs
+++ b/agatetrestle/src/turns/tests/burst.rs
@@ -406,6 +406,7 @@
     fn request(&self, ticket: u64, turn: &Turn) -> Request {
         let program = &self.programs[turn.program];
         Request {
+            version: None,
             ticket,
             service: SERVICE.into(),
             priority: 1,
@@ -453,6 +454,7 @@
             ..AdmissionParams::default()
         };
         let begin = Begin {
+            stream: None,
             program: name(turn.program as u64),
             team: "".into(),
             turn: name(ticket),
--- a/agatetrestle/src/turns/tests/contention/leader.rs
+++ b/agatetrestle/src/turns/tests/contention/leader.rs
@@ -75,6 +75,7 @@
             ..AdmissionParams::default()
         };
         TurnCommand::Begin(Begin {
+            stream: None,
             program: program.name.clone(),
             team: if self.teams.is_empty() { "".into() } else { team_name(program.team) },
             turn: turn.clone(),
--- a/agatetrestle/src/turns/tests/cost.rs
+++ b/agatetrestle/src/turns/tests/cost.rs
@@ -65,6 +65,7 @@
         ..AdmissionParams::default()
     };
     TurnCommand::Begin(Begin {
+        stream: None,
         program: "p".into(),
         team: "t".into(),
         turn: turn.into(),
--- a/agatetrestle/src/turns/tests/leader_overload.rs
+++ b/agatetrestle/src/turns/tests/leader_overload.rs
@@ -334,6 +334,7 @@
     fn try_begin(&mut self, program: usize) {
         let Program { turn, tries, .. } = self.programs[program];
         let begin = Begin {
+            stream: None,
             program: program.to_string().into(),
             team: "team".into(),
             turn: format!("{program}-{turn}-{tries}").into(),
--- a/agatetrestle/src/turns/tests/pending.rs
+++ b/agatetrestle/src/turns/tests/pending.rs
@@ -75,6 +75,7 @@
 
 fn begin(program: &str, turn: &str, budget: u64, most: u64, previous: Option<&str>) -> TurnCommand {
     TurnCommand::Begin(Begin {
+        stream: None,
         program: program.into(),
         team: "".into(),
         turn: turn.into(),
--- a/agatetrestle/src/turns/tests/placement.rs
+++ b/agatetrestle/src/turns/tests/placement.rs
@@ -139,6 +139,7 @@
         ..AdmissionParams::default()
     };
     Begin {
+        stream: None,
         program: "p".into(),
         team: "".into(),
         turn: turn.into(),
--- a/agatetrestle/src/turns/tests/recent.rs
+++ b/agatetrestle/src/turns/tests/recent.rs
@@ -37,6 +37,7 @@
         ..AdmissionParams::default()
     };
     TurnCommand::Begin(Begin {
+        stream: None,
         program: "p".into(),
         team: team.into(),
         turn: "a".into(),
--- /dev/null
+++ b/agatetrestle/src/turns/tests/streams.rs
@@ -0,0 +1,107 @@
+//! Tests of the origins of resumable streams.
+
+use std::time::Duration;
+
+use crate::agreement::StateMachine;
+use crate::turns::command::Begin;
+use crate::turns::command::ReadStream;
+use crate::turns::command::RecordStream;
+use crate::turns::command::TimedCommand;
+use crate::turns::command::TurnCommand;
+use crate::turns::command::TurnReply;
+use crate::turns::state::TurnState;
+use crate::turns::streams::MAX_STREAMS;
+use crate::turns::streams::StreamOrigin;
+use crate::turns::streams::StreamStart;
+
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin { service: "engines".into(), version: version.into() }
+}
+
+fn start(version: &str, revision: u32) -> StreamStart {
+    StreamStart { origin: origin(version), resumable_ms: 4_000, revision }
+}
+
+fn execute(state: &mut TurnState, elapsed_ms: u64, command: TurnCommand) -> TurnReply {
+    state.execute(TimedCommand { elapsed: Duration::from_millis(elapsed_ms), command })
+}
+
+fn record(state: &mut TurnState, turn: &str, start: StreamStart) {
+    let record = RecordStream { program: "p".into(), turn: turn.into(), start };
+    assert_eq!(execute(state, 0, TurnCommand::RecordStream(record)), TurnReply::Recorded);
+}
+
+fn read(state: &mut TurnState, elapsed_ms: u64, turn: &str) -> Option<StreamOrigin> {
+    let read = ReadStream { program: "p".into(), turn: turn.into() };
+    match execute(state, elapsed_ms, TurnCommand::ReadStream(read)) {
+        TurnReply::Stream(origin) => origin,
+        reply => panic!("{reply:?}"),
+    }
+}
+
+fn begin(turn: &str, budget: Option<u64>) -> TurnCommand {
+    let stream = Some(start("v1", 0));
+    TurnCommand::Begin(Begin {
+        program: "p".into(),
+        team: "".into(),
+        turn: turn.into(),
+        budget,
+        most: 10,
+        previous: None,
+        carried: Vec::new(),
+        stream,
+        opening: None,
+    })
+}
+
+#[test]
+fn begin_records_the_version_unless_it_is_refused() {
+    let mut state = TurnState::default();
+    execute(&mut state, 0, begin("a", None));
+    assert_eq!(execute(&mut state, 0, begin("b", Some(5))), TurnReply::Spent);
+    assert_eq!(read(&mut state, 0, "a"), Some(origin("v1")));
+    assert_eq!(read(&mut state, 0, "b"), None);
+}
+
+/// Guards against a copy of the first record that arrives after the attempt went to a server of another version.
+#[test]
+fn late_copy_does_not_replace_newer_version() {
+    let mut state = TurnState::default();
+    execute(&mut state, 0, begin("a", None));
+    record(&mut state, "a", start("v2", 1));
+    execute(&mut state, 0, begin("a", None));
+    record(&mut state, "a", start("v1", 0));
+    assert_eq!(read(&mut state, 0, "a"), Some(origin("v2")));
+}
+
+#[test]
+fn stream_is_known_while_its_caller_may_resume_it() {
+    let mut state = TurnState::default();
+    record(&mut state, "a", start("v1", 0));
+    assert_eq!(read(&mut state, 4_500, "a"), Some(origin("v1")));
+    assert_eq!(read(&mut state, 600, "a"), None);
+    assert!(state.streams().is_empty());
+}
+
+#[test]
+fn snapshot_keeps_streams_and_reads_older_ones() {
+    let mut state = TurnState::default();
+    let empty = state.snapshot();
+    record(&mut state, "a", start("v1", 0));
+    let snapshot = state.snapshot();
+    state.restore(&empty).unwrap();
+    assert_eq!(read(&mut state, 0, "a"), None);
+    state.restore(&snapshot).unwrap();
+    assert_eq!(read(&mut state, 0, "a"), Some(origin("v1")));
+}
+
+#[test]
+fn streams_over_the_limit_are_forgotten_and_never_confused() {
+    let mut state = TurnState::default();
+    for number in 0..=MAX_STREAMS {
+        record(&mut state, &format!("a{number:05}"), start("v1", 0));
+    }
+    assert_eq!(state.streams().len(), MAX_STREAMS);
+    assert_eq!(read(&mut state, 0, "a00000"), None, "it has the least time left");
+    assert_eq!(read(&mut state, 0, "a00001"), Some(origin("v1")));
+}
--- a/agatetrestle/tests/store_memory.rs
+++ b/agatetrestle/tests/store_memory.rs
@@ -55,6 +55,7 @@
 fn begin(turn: &str) -> TurnCommand {
     let (program, turn) = (turn.into(), turn.into());
     TurnCommand::Begin(Begin {
+        stream: None,
         program,
         team: "".into(),
         turn,
--- a/agatetrestle/tests/store_support/mod.rs
+++ b/agatetrestle/tests/store_support/mod.rs
@@ -98,6 +98,7 @@
         ..AdmissionParams::default()
     };
     TurnCommand::Begin(Begin {
+        stream: None,
         program: ids.program.clone(),
         team: "cover-chat".into(),
         turn: ids.turn.clone(),
