--- a/agatetrestle/src/gateway/resumption.rs
+++ b/agatetrestle/src/gateway/resumption.rs
@@ -74,7 +74,7 @@
 ///
 /// # Errors
 ///
-/// 503 if that is not known, or if the route does not lead to that service any more.
+/// 503 if that is not known, or if the route in force does not allow it (any more).
 pub(super) async fn find_origin(
     gateway: &Gateway,
     route: &Route,
@@ -82,7 +82,11 @@
     deadline: Timestamp,
 ) -> Result<Option<StreamOrigin>, ErrorResponse> {
     let resumes = metadata.resumes.as_ref();
-    if !is_resumable(route) || (resumes.is_none() && !metadata.has_last_event) {
+    if !is_resumable(route) {
+        // The caller may know the route from another version of the table.
+        return resumes.map_or(Ok(None), |_| Err(refusal("streams of the route may not be resumed")));
+    }
+    if resumes.is_none() && !metadata.has_last_event {
         return Ok(None);
     }
     let origin = match resumes {
