Release the lock of a storage when it is dropped

Cause: the lock belongs to the open file, which a process that another thread starts holds too, until it runs its program. Closing the file in the first process leaves the lock.

Change: the lock is released explicitly when the disk is dropped.

--- a/agatetrestle/src/agreement/storage/disk.rs
+++ b/agatetrestle/src/agreement/storage/disk.rs
@@ -82,7 +82,7 @@
 pub struct FileDisk {
     folder: PathBuf,
     open: Option<(String, File)>,
-    _lock: File,
+    pub(super) lock: File,
 }
 
 impl FileDisk {
@@ -98,7 +98,7 @@
         }
         let lock = File::create(folder.join(LOCK_FILE))?;
         lock.try_lock()?;
-        Ok(Self { folder: folder.to_path_buf(), open: None, _lock: lock })
+        Ok(Self { folder: folder.to_path_buf(), open: None, lock })
     }
 
     fn path(&self, name: &str) -> PathBuf {
@@ -115,6 +115,14 @@
     }
 }
 
+impl Drop for FileDisk {
+    fn drop(&mut self) {
+        // Closing the file does not suffice: a process that is being started holds it too until it runs its program. If this
+        // fails, the lock ends with that process.
+        let _ = self.lock.unlock();
+    }
+}
+
 impl Disk for FileDisk {
     fn list(&self) -> io::Result<Vec<String>> {
         let mut names = Vec::new();
--- a/agatetrestle/src/agreement/storage/tests.rs
+++ b/agatetrestle/src/agreement/storage/tests.rs
@@ -17,6 +17,7 @@
 use crate::agreement::replica::PersistentState;
 use crate::agreement::storage::Storage;
 use crate::agreement::storage::StorageConfig;
+use crate::agreement::storage::disk::FileDisk;
 use crate::agreement::storage::error::StorageError;
 use crate::agreement::storage::tests::memory::MemoryDisk;
 use crate::ids::GroupId;
@@ -46,8 +47,9 @@
 struct TemporaryFolder(PathBuf);
 
 impl TemporaryFolder {
-    fn new() -> Self {
-        let folder = std::env::temp_dir().join(format!("agatetrestle-storage-{}", std::process::id()));
+    /// Creates a folder for the test with this name.
+    fn new(test: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("agatetrestle-storage-{test}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         Self(folder)
     }
@@ -61,7 +63,7 @@
 
 #[test]
 fn restores_state_from_real_files() {
-    let folder = TemporaryFolder::new();
+    let folder = TemporaryFolder::new("state");
     let state = HardState {
         term: 4,
         vote: Some(NodeId(2)),
@@ -80,6 +82,17 @@
     assert_eq!(restored.entries, (13..=22).map(|index| entry(4, index)).collect::<Vec<_>>());
 }
 
+/// Guards against a lock that outlives its storage, since a process that is just being started holds all open files.
+#[test]
+fn lock_ends_with_its_storage_though_a_new_process_holds_the_file() {
+    let folder = TemporaryFolder::new("lock");
+    let disk = FileDisk::open(&folder.0).unwrap();
+    let inherited = disk.lock.try_clone().unwrap();
+    drop(disk);
+    assert!(FileDisk::open(&folder.0).is_ok());
+    drop(inherited);
+}
+
 #[test]
 fn syncs_once_per_batch() {
     let disk = MemoryDisk::default();
