--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -38,7 +38,6 @@
 use crate::gateway::reserve;
 use crate::gateway::resumption;
 use crate::gateway::resumption::StreamBinding;
-use crate::gateway::resumption::StreamContext;
 use crate::gateway::slot::ServerSlot;
 use crate::gateway::turn::OpenTurn;
 use crate::gateway::wire::RequestMetadata;
@@ -340,8 +339,7 @@
         return None;
     }
     let (_, version) = gateway.identity(server)?;
-    let context = StreamContext { service: &ctx.service, timeout: ctx.timeout };
-    ctx.stream.start(context, &version)
+    ctx.stream.start(&ctx.service, version, ctx.timeout)
 }
 
 /// The request whose candidates the leader chooses among. All of them have the version that is recorded.
--- a/agatetrestle/src/gateway/resumption.rs
+++ b/agatetrestle/src/gateway/resumption.rs
@@ -44,27 +44,25 @@
         Self { required, recorded: None }
     }
 
-    /// The start to record before a server of this version is sent the attempt; `None` if it is recorded already.
-    pub(super) fn start(&mut self, ctx: StreamContext<'_>, version: &Arc<str>) -> Option<StreamStart> {
+    /// The start to record before a server of this version is sent the attempt; `None` if it is recorded already. `timeout` is
+    /// how long the caller waits, which bounds the time in which it may resume.
+    pub(super) fn start(
+        &mut self,
+        service: &Arc<str>,
+        version: Arc<str>,
+        timeout: Duration,
+    ) -> Option<StreamStart> {
         let revision = match &self.recorded {
-            Some((recorded, _)) if recorded == version => return None,
+            Some((recorded, _)) if *recorded == version => return None,
             Some((_, revision)) => revision + 1,
             None => 0,
         };
         self.recorded = Some((version.clone(), revision));
-        let origin = StreamOrigin { service: ctx.service.clone(), version: version.clone() };
-        Some(StreamStart { origin, resumable_ms: millis(ctx.timeout), revision })
+        let origin = StreamOrigin { service: service.clone(), version };
+        Some(StreamStart { origin, resumable_ms: millis(timeout), revision })
     }
 }
 
-/// What the start of a stream depends on besides the version.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct StreamContext<'a> {
-    pub(super) service: &'a Arc<str>,
-    /// How long the caller waits, which bounds the time in which it may resume.
-    pub(super) timeout: Duration,
-}
-
 /// Whether callers may resume the streams of a route.
 pub(super) fn is_resumable(route: &Route) -> bool {
     matches!(route.kind, RouteKind::Streaming { resumable: true })
