Record the start of a stream without a program before it is sent

Its group was asked while the server ran the request, so that a group that did not answer made a 502 of a run that was cancelled. Now it is a 503 that is true, before anything is sent, as for turns. Only streams that reserve no turn pay the latency of one commit.

streams_are_refused_and_not_run_without_their_state_group: with all stores killed, a resumed stream and one without a program are refused and run nowhere, and the first goes on at its version once the stores are back.

--- a/agatetrestle/src/gateway/commit.rs
+++ b/agatetrestle/src/gateway/commit.rs
@@ -1,4 +1,4 @@
-//! The commit of a turn whose request was sent on the early answer of the turn's leader, or of the start of a stream.
+//! The commit of a turn whose request was sent on the early answer of the turn's leader.
 //!
 //! The server may run the request meanwhile, but the caller gets nothing before the commit; see
 //! docs/design/020-commit-latency.md.
@@ -85,7 +85,7 @@
 
     fn check(&mut self, reply: Reply) -> Result<(), ErrorResponse> {
         match reply {
-            Ok(TurnReply::Begun { .. } | TurnReply::Recorded) => {
+            Ok(TurnReply::Begun { .. }) => {
                 self.took = self.started.map(|(clock, started_at)| clock.now().since(started_at));
                 Ok(())
             }
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -300,7 +300,7 @@
             reserved = true;
         } else if let Some(start) = start {
             commit.finish(ctx.deadline.since(assigned_at)).await?;
-            commit = resumption::record_start(gateway, &ctx, start);
+            resumption::record_start(gateway, &ctx, start).await?;
         }
         log_entry.tries += 1;
         retries.tried.push(slot.server);
--- a/agatetrestle/src/gateway/resumption.rs
+++ b/agatetrestle/src/gateway/resumption.rs
@@ -4,13 +4,11 @@
 //! on only at the version that began it, which its state group knows, or not at all; see
 //! docs/design/025-software-versions-of-streams.md.
 
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::clock::Timestamp;
 use crate::gateway::Gateway;
-use crate::gateway::commit::PendingCommit;
 use crate::gateway::context::ErrorResponse;
 use crate::gateway::context::FAILOVER_RETRY_AFTER;
 use crate::gateway::context::RequestContext;
@@ -113,15 +111,9 @@
 ) -> Result<Option<StreamOrigin>, ErrorResponse> {
     let program = metadata.program.as_ref().unwrap_or(first).clone();
     let command = TurnCommand::ReadStream(ReadStream { program, turn: first.clone() });
-    let left = deadline.since(gateway.clock.now());
-    match with_deadline(left, gateway.turns.commit(command)).await {
-        Some(Ok(TurnReply::Stream(origin))) => Ok(origin),
-        Some(Ok(reply)) => Err(error_response(&reply)),
-        Some(Err(error)) => Err(no_reply(error)),
-        None => Err(no_reply(GroupError::NotProposed {
-            reason: "no state group answers".into(),
-            retry_after: None,
-        })),
+    match commit(gateway, command, deadline).await? {
+        TurnReply::Stream(origin) => Ok(origin),
+        reply => Err(error_response(&reply)),
     }
 }
 
@@ -134,9 +126,35 @@
     Some(StreamOrigin { service: target.service.clone(), version })
 }
 
-/// Records where an attempt begins. The returned commit must be awaited before the caller gets anything.
-pub(super) fn record_start(gateway: &Rc<Gateway>, ctx: &RequestContext, start: StreamStart) -> PendingCommit {
+/// Records where an attempt begins, which must be complete before the attempt is sent.
+///
+/// # Errors
+///
+/// 503 if the state group does not confirm the record.
+pub(super) async fn record_start(
+    gateway: &Gateway,
+    ctx: &RequestContext,
+    start: StreamStart,
+) -> Result<(), ErrorResponse> {
     let program = ctx.metadata.program.as_ref().unwrap_or(&ctx.attempt_id).clone();
     let command = TurnCommand::RecordStream(RecordStream { program, turn: ctx.attempt_id.clone(), start });
-    PendingCommit::new(gateway, gateway.clock.now(), Some(gateway.turns.commit(command)))
+    match commit(gateway, command, ctx.deadline).await? {
+        TurnReply::Recorded => Ok(()),
+        reply => Err(error_response(&reply)),
+    }
+}
+
+/// Commits a command on behalf of a request that was sent to no server.
+async fn commit(
+    gateway: &Gateway,
+    command: TurnCommand,
+    deadline: Timestamp,
+) -> Result<TurnReply, ErrorResponse> {
+    let left = deadline.since(gateway.clock.now());
+    let reply = with_deadline(left, gateway.turns.commit(command)).await;
+    reply
+        .unwrap_or_else(|| {
+            Err(GroupError::NotProposed { reason: "no state group answers".into(), retry_after: None })
+        })
+        .map_err(no_reply)
 }
