--- a/agatetrestle/src/gateway/reserve.rs
+++ b/agatetrestle/src/gateway/reserve.rs
@@ -7,6 +7,7 @@
 use bytes::BytesMut;
 use http::StatusCode;
 
+use crate::clock::Timestamp;
 use crate::dispatch;
 use crate::dispatch::ServerKey;
 use crate::gateway::Gateway;
@@ -48,17 +49,31 @@
         program: ctx.metadata.program.clone(),
         begins: false,
     });
-    let left = ctx.deadline.since(gateway.clock.now());
-    let reply = with_deadline(left, gateway.turns.commit(command)).await;
-    match reply.unwrap_or_else(|| {
-        Err(GroupError::NotProposed { reason: "no account answers".into(), retry_after: None })
-    }) {
-        Ok(TurnReply::Taken) => Ok(()),
-        Ok(reply) => Err(error_response(&reply)),
-        Err(error) => Err(no_reply(error)),
+    match commit_before_sending(gateway, command, ctx.deadline).await? {
+        TurnReply::Taken => Ok(()),
+        reply => Err(error_response(&reply)),
     }
 }
 
+/// Commits a command on behalf of a request that was sent to no server.
+///
+/// # Errors
+///
+/// 503 if the state group does not reply.
+pub(super) async fn commit_before_sending(
+    gateway: &Gateway,
+    command: TurnCommand,
+    deadline: Timestamp,
+) -> Result<TurnReply, ErrorResponse> {
+    let left = deadline.since(gateway.clock.now());
+    let reply = with_deadline(left, gateway.turns.commit(command)).await;
+    reply
+        .unwrap_or_else(|| {
+            Err(GroupError::NotProposed { reason: "no state group answers".into(), retry_after: None })
+        })
+        .map_err(no_reply)
+}
+
 /// Reserves a turn and prepends the text of the turns that it continues to the request body. The returned commit must be
 /// awaited before the caller gets anything. If the settings let the leader of the state group place turns, the slot moves
 /// to the server that it chooses.
--- a/agatetrestle/src/gateway/resumption.rs
+++ b/agatetrestle/src/gateway/resumption.rs
@@ -12,12 +12,10 @@
 use crate::gateway::context::ErrorResponse;
 use crate::gateway::context::FAILOVER_RETRY_AFTER;
 use crate::gateway::context::RequestContext;
+use crate::gateway::reserve;
 use crate::gateway::reserve::error_response;
 use crate::gateway::reserve::millis;
-use crate::gateway::reserve::no_reply;
 use crate::gateway::wire::RequestMetadata;
-use crate::node::peer_link::with_deadline;
-use crate::ports::GroupError;
 use crate::routing::Route;
 use crate::routing::RouteKind;
 use crate::turns::command::ReadStream;
@@ -111,7 +109,7 @@
 ) -> Result<Option<StreamOrigin>, ErrorResponse> {
     let program = metadata.program.as_ref().unwrap_or(first).clone();
     let command = TurnCommand::ReadStream(ReadStream { program, turn: first.clone() });
-    match commit(gateway, command, deadline).await? {
+    match reserve::commit_before_sending(gateway, command, deadline).await? {
         TurnReply::Stream(origin) => Ok(origin),
         reply => Err(error_response(&reply)),
     }
@@ -138,23 +136,8 @@
 ) -> Result<(), ErrorResponse> {
     let program = ctx.metadata.program.as_ref().unwrap_or(&ctx.attempt_id).clone();
     let command = TurnCommand::RecordStream(RecordStream { program, turn: ctx.attempt_id.clone(), start });
-    match commit(gateway, command, ctx.deadline).await? {
+    match reserve::commit_before_sending(gateway, command, ctx.deadline).await? {
         TurnReply::Recorded => Ok(()),
         reply => Err(error_response(&reply)),
     }
 }
-
-/// Commits a command on behalf of a request that was sent to no server.
-async fn commit(
-    gateway: &Gateway,
-    command: TurnCommand,
-    deadline: Timestamp,
-) -> Result<TurnReply, ErrorResponse> {
-    let left = deadline.since(gateway.clock.now());
-    let reply = with_deadline(left, gateway.turns.commit(command)).await;
-    reply
-        .unwrap_or_else(|| {
-            Err(GroupError::NotProposed { reason: "no state group answers".into(), retry_after: None })
-        })
-        .map_err(no_reply)
-}
