Log how the body of a server's answer ended, and what was left of an event

Change: BodyReader reads the body of a response and returns a BodyEnd at its end. The line has `end` and `rest_bytes`; agatetrestle_broken_responses counts the broken ones by end. What callers get is unchanged.

--- a/agatetrestle/src/gateway/access_log.rs
+++ b/agatetrestle/src/gateway/access_log.rs
@@ -10,6 +10,7 @@
 use crate::gateway::Gateway;
 use crate::ports::Labels;
 use crate::ports::Measurement;
+use crate::transport::body_end::BodyEnd;
 
 /// Logged as the status if the caller received no response.
 pub(super) const NO_STATUS: u16 = 0;
@@ -33,6 +34,10 @@
     pub(super) resumes: Arc<str>,
     /// Attempts to send the request to a backend server.
     pub(super) tries: u32,
+    /// How the body of the server's response ended; `None` if there was none or the caller left before.
+    pub(super) body_end: Option<BodyEnd>,
+    /// Bytes of a stream after its last whole event.
+    pub(super) rest_bytes: usize,
     /// Time to reserve the turn, after which the request is sent.
     pub(super) reserve_time: Duration,
     /// Time to commit the reservation; longer than `reserve_time` after an early answer.
@@ -55,11 +60,13 @@
         total_time: Duration,
     ) {
         let Self { attempt_id, version, route, service, team, server, software, resumes, tries, .. } = self;
+        let end = self.body_end.map_or("", BodyEnd::name);
+        let rest_bytes = self.rest_bytes;
         self.record_metrics(gateway, status);
         info!(
             "request={attempt_id} version={version} route={route} service={service} team={team} \
-             server={server} software={software} resumes={resumes} tries={tries} status={status} outcome=\"{outcome}\" \
-             wait_us={} begin_us={} commit_us={} head_us={} finish_us={} total_us={}",
+             server={server} software={software} resumes={resumes} tries={tries} status={status} end={end} \
+             rest_bytes={rest_bytes} outcome=\"{outcome}\" wait_us={} begin_us={} commit_us={} head_us={} finish_us={} total_us={}",
             self.queue_time.as_micros(),
             self.reserve_time.as_micros(),
             self.commit_time.as_micros(),
@@ -69,10 +76,15 @@
         );
     }
 
-    /// Shares its series with the entry for calls: the service is recorded as the partner and the route as the class.
-    fn record_metrics(&self, gateway: &Gateway, status: u16) {
+    /// Records a measurement. Shares its series with the entry for calls: the service is recorded as the partner and the
+    /// route as the class.
+    pub(super) fn record(&self, gateway: &Gateway, measurement: &Measurement) {
         let labels = Labels { partner: self.service.clone(), class: self.route.clone() };
-        let record = |measure| gateway.recorder.record(&labels, &measure);
+        gateway.recorder.record(&labels, measurement);
+    }
+
+    fn record_metrics(&self, gateway: &Gateway, status: u16) {
+        let record = |measurement| self.record(gateway, &measurement);
         record(Measurement::QueueWait(self.queue_time));
         if !self.commit_time.is_zero() {
             record(Measurement::Commit(self.commit_time));
--- a/agatetrestle/src/gateway/relay.rs
+++ b/agatetrestle/src/gateway/relay.rs
@@ -9,9 +9,6 @@
 use http::Response;
 use http::StatusCode;
 use http::Version;
-use http_body_util::BodyExt;
-use hyper::body::Body;
-use hyper::body::Incoming;
 
 use crate::clock::Timestamp;
 use crate::dispatch::RequestOutcome;
@@ -28,9 +25,12 @@
 use crate::gateway::turn::OpenTurn;
 use crate::gateway::turn::Transcript;
 use crate::node::peer_link::with_deadline;
+use crate::ports::Measurement;
 use crate::transport::body::BodyStream;
 use crate::transport::body::ResponseBody;
 use crate::transport::body::TruncatedBody;
+use crate::transport::body_end::BodyEnd;
+use crate::transport::body_end::BodyReader;
 use crate::transport::client::PooledConnection;
 
 /// Responses up to this size are buffered, so that the request can be retried if one breaks off.
@@ -43,7 +43,7 @@
     gateway: Rc<Gateway>,
     slot: Option<ServerSlot>,
     connection: Option<PooledConnection>,
-    body: Incoming,
+    body: BodyReader,
     headers: HeaderMap,
     deadline: Timestamp,
     sent_at: Timestamp,
@@ -60,19 +60,19 @@
 impl ResponseStream {
     /// Returns the next data frame, or `None` at the end of a complete body.
     async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
-        loop {
-            let left = self.deadline.since(self.gateway.clock.now());
-            match with_deadline(left, self.body.frame()).await {
-                None => return Err("the time of the answer is up"),
-                Some(Some(Err(_))) => return Err("the server broke off"),
-                Some(Some(Ok(frame))) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Ok(Some(data));
-                    }
-                }
-                Some(None) => return Ok(None),
-            }
-        }
+        let left = self.deadline.since(self.gateway.clock.now());
+        let end = match with_deadline(left, self.body.next()).await.unwrap_or(Err(BodyEnd::Timeout)) {
+            Ok(data) => return Ok(Some(data)),
+            Err(end) => end,
+        };
+        self.log_entry.body_end = Some(end);
+        let reason = match end {
+            BodyEnd::Length | BodyEnd::LastChunk | BodyEnd::Close => return Ok(None),
+            BodyEnd::Cut | BodyEnd::Reset => "the server broke off",
+            BodyEnd::Timeout => "the time of the answer is up",
+        };
+        self.log_entry.record(&self.gateway, &Measurement::BrokenResponse(end.name()));
+        Err(reason)
     }
 
     /// Releases the slot and returns the connection to the pool after a complete response.
@@ -124,7 +124,7 @@
     ctx: &RequestContext,
     started: StartedResponse,
     turn: &mut Option<OpenTurn>,
-    log_entry: &AccessLogEntry,
+    log_entry: &mut AccessLogEntry,
 ) -> Result<Response<ResponseBody>, String> {
     let StartedResponse { slot, connection, response, sent_at, load } = started;
     let (mut head, body) = response.into_parts();
@@ -137,7 +137,8 @@
     }
     let headers = head.headers.clone();
     strip_hop_headers(&mut head.headers);
-    let length = body.size_hint().exact();
+    let body = BodyReader::new(body, &headers);
+    let length = body.length();
     let stream = ResponseStream {
         gateway: gateway.clone(),
         slot: Some(slot),
@@ -165,12 +166,16 @@
         let body = ResponseBody::Stream(events.into_pieces(), None);
         return Ok(Response::from_parts(head, body));
     }
-    let body = read_buffered(stream, length).await?;
+    let body = read_buffered(stream, length, log_entry).await?;
     Ok(Response::from_parts(head, body))
 }
 
 /// Buffers a short response; one that exceeds the limit is streamed instead.
-async fn read_buffered(mut stream: ResponseStream, length: Option<u64>) -> Result<ResponseBody, String> {
+async fn read_buffered(
+    mut stream: ResponseStream,
+    length: Option<u64>,
+    log_entry: &mut AccessLogEntry,
+) -> Result<ResponseBody, String> {
     let mut buffer = BytesMut::new();
     while buffer.len() <= MAX_BUFFERED_RESPONSE_BYTES {
         match stream.next().await {
@@ -184,6 +189,7 @@
                 stream.fail();
                 // The request may be retried, and is logged with its final response.
                 stream.logged = true;
+                log_entry.body_end = stream.log_entry.body_end;
                 return Err(reason.into());
             }
         }
@@ -266,7 +272,11 @@
             if self.splitter.buffered_len() > MAX_EVENT_BYTES {
                 return Err("an event is too long");
             }
-            let Some(data) = self.response.next().await? else {
+            let data = self.response.next().await;
+            if !matches!(data, Ok(Some(_))) {
+                self.response.log_entry.rest_bytes = self.splitter.buffered_len();
+            }
+            let Some(data) = data? else {
                 self.at_end = true;
                 let remainder = std::mem::take(&mut self.splitter).into_remainder();
                 return Ok((!remainder.is_empty()).then_some(remainder));
--- a/agatetrestle/src/metrics/instruments.rs
+++ b/agatetrestle/src/metrics/instruments.rs
@@ -38,6 +38,7 @@
     commit: Histogram<f64>,
     refused: Counter<u64>,
     retried: Counter<u64>,
+    broken_responses: Counter<u64>,
     unknown_outcomes: Counter<u64>,
     tokens: Counter<u64>,
     cache_held: Gauge<u64>,
@@ -91,6 +92,10 @@
             ),
             refused: counter("agatetrestle_refused", "Calls refused before they ran, by reason."),
             retried: counter("agatetrestle_retried", "Further attempts at a call, by what failed before."),
+            broken_responses: counter(
+                "agatetrestle_broken_responses",
+                "Responses that servers broke off, by how they ended.",
+            ),
             unknown_outcomes: counter(
                 "agatetrestle_unknown",
                 "Calls of which nobody can tell whether they ran.",
@@ -136,6 +141,9 @@
             Measurement::Commit(duration) => record_duration(&self.commit, series, *duration),
             Measurement::Refused(reason) => self.refused.add(1, series.with_reason(reason)),
             Measurement::Retried(reason) => self.retried.add(1, series.with_reason(reason)),
+            Measurement::BrokenResponse(reason) => {
+                self.broken_responses.add(1, series.with_reason(reason));
+            }
             Measurement::UnknownOutcome => self.unknown_outcomes.add(1, &series.attributes),
             Measurement::Tokens(count) => self.tokens.add(*count, &series.attributes),
         }
--- a/agatetrestle/src/metrics/tests.rs
+++ b/agatetrestle/src/metrics/tests.rs
@@ -58,6 +58,7 @@
         Measurement::Commit(time),
         Measurement::Refused("overload"),
         Measurement::Retried("timeout"),
+        Measurement::BrokenResponse("cut"),
         Measurement::UnknownOutcome,
         Measurement::Tokens(7),
     ] {
--- a/agatetrestle/src/ports.rs
+++ b/agatetrestle/src/ports.rs
@@ -219,6 +219,8 @@
     Refused(&'static str),
     /// A retry of a call, with the reason why the last attempt failed.
     Retried(&'static str),
+    /// A response that its server broke off, by the way it ended.
+    BrokenResponse(&'static str),
     /// A call that may or may not have run.
     UnknownOutcome,
     /// Generated tokens.
--- /dev/null
+++ b/agatetrestle/src/transport/body_end.rs
@@ -0,0 +1,145 @@
+//! How the body of a message ends, as its framing and its connection tell.
+
+use std::error::Error;
+use std::io;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::header::TRANSFER_ENCODING;
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use hyper::body::Incoming;
+
+/// How the sender of a body marks its end; see [RFC 9112, section 6.3](https://www.rfc-editor.org/rfc/rfc9112#section-6.3).
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyFraming {
+    /// The head announces the number of bytes.
+    Length(u64),
+    /// The last chunk has no bytes.
+    Chunked,
+    /// The sender closes the connection.
+    UntilClose,
+}
+
+/// How a body ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyEnd {
+    /// The announced length arrived.
+    Length,
+    /// The last chunk arrived.
+    LastChunk,
+    /// The sender closed the connection of a body that has no other end.
+    Close,
+    /// The connection was closed, or its bytes became malformed, before the end that the framing requires.
+    Cut,
+    /// The connection failed.
+    Reset,
+    /// The reader gave up at its deadline.
+    Timeout,
+}
+
+impl BodyFraming {
+    /// Returns the framing of a body whose exact length, if announced, is known to the HTTP library.
+    #[must_use]
+    pub fn new(length: Option<u64>, headers: &HeaderMap) -> Self {
+        let codings = headers.get_all(TRANSFER_ENCODING).iter().filter_map(|value| value.to_str().ok());
+        let last_coding = codings.flat_map(|value| value.split(',')).next_back();
+        match length {
+            Some(length) => Self::Length(length),
+            None if last_coding.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked")) => {
+                Self::Chunked
+            }
+            None => Self::UntilClose,
+        }
+    }
+
+    /// The end of a body that the HTTP library has read without an error.
+    const fn regular_end(self) -> BodyEnd {
+        match self {
+            Self::Length(_) => BodyEnd::Length,
+            Self::Chunked => BodyEnd::LastChunk,
+            Self::UntilClose => BodyEnd::Close,
+        }
+    }
+}
+
+impl BodyEnd {
+    /// The end of a body whose connection failed with this error.
+    #[must_use]
+    pub fn from_io_error(error: &io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::UnexpectedEof | io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput => {
+                Self::Cut
+            }
+            _ => Self::Reset,
+        }
+    }
+
+    fn from_http_error(error: &hyper::Error) -> Self {
+        let mut source = error.source();
+        while let Some(error) = source {
+            if let Some(error) = error.downcast_ref::<io::Error>() {
+                return Self::from_io_error(error);
+            }
+            source = error.source();
+        }
+        Self::Cut
+    }
+
+    /// The name in logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::LastChunk => "last_chunk",
+            Self::Close => "close",
+            Self::Cut => "cut",
+            Self::Reset => "reset",
+            Self::Timeout => "timeout",
+        }
+    }
+}
+
+/// Reads the body of a response.
+#[derive(Debug)]
+pub struct BodyReader {
+    body: Incoming,
+    framing: BodyFraming,
+}
+
+impl BodyReader {
+    /// Creates a reader; `headers` are those of the response.
+    #[must_use]
+    pub fn new(body: Incoming, headers: &HeaderMap) -> Self {
+        let framing = BodyFraming::new(body.size_hint().exact(), headers);
+        Self { body, framing }
+    }
+
+    /// Returns the announced length.
+    #[must_use]
+    pub const fn length(&self) -> Option<u64> {
+        match self.framing {
+            BodyFraming::Length(length) => Some(length),
+            BodyFraming::Chunked | BodyFraming::UntilClose => None,
+        }
+    }
+
+    /// Returns the next bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the body ended, whether or not it is complete.
+    pub async fn next(&mut self) -> Result<Bytes, BodyEnd> {
+        loop {
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(data);
+                    }
+                }
+                Some(Err(error)) => return Err(BodyEnd::from_http_error(&error)),
+                None => return Err(self.framing.regular_end()),
+            }
+        }
+    }
+}
--- a/agatetrestle/src/transport/mod.rs
+++ b/agatetrestle/src/transport/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod accept;
 pub mod body;
+pub mod body_end;
 pub mod client;
 mod connection_state;
 mod counted;
