Reproduce streams that end inside an event and look complete

Change: a test of the gateway that cuts a stream at each byte, for a length, chunks, neither, and HTTP/1.0. Two guards pass on this code: whole streams are complete and kept, and a stream that is reset between events is not.

Measured: the test fails at every byte inside an event for all four framings.

--- a/agatetrestle/src/gateway/tests/early.rs
+++ b/agatetrestle/src/gateway/tests/early.rs
@@ -73,6 +73,8 @@
 /// A wire format in which every request is a turn of one program with a budget. The only header names the previous turn.
 struct FixedWire {
     heads_read: Cell<u32>,
+    /// How long completed turns are retained.
+    retention: Option<Duration>,
 }
 
 impl WireFormat for FixedWire {
@@ -107,7 +109,7 @@
             priority: 0,
             targets: vec![RouteTarget { service: "engines".into(), weight: 1 }],
             max_attempts: 1,
-            retention: None,
+            retention: self.retention,
             sticky: false,
             public: false,
         };
@@ -210,7 +212,12 @@
 
 impl Harness {
     pub(super) async fn start(executor: &Rc<LocalExecutor<'static>>, early: Option<TurnReply>) -> Self {
-        Self::start_with(executor, early, 0).await
+        Self::start_with(executor, early, 0, None).await
+    }
+
+    /// Starts a gateway that gets no early answers and retains completed turns.
+    pub(super) async fn start_retaining(executor: &Rc<LocalExecutor<'static>>) -> Self {
+        Self::start_with(executor, None, 0, Some(Duration::from_mins(1))).await
     }
 
     /// Starts a gateway that also knows servers of its own failure domain, which refuse connections.
@@ -218,6 +225,7 @@
         executor: &Rc<LocalExecutor<'static>>,
         early: Option<TurnReply>,
         refusing_servers: u16,
+        retention: Option<Duration>,
     ) -> Self {
         let (servers, server_address) = bind().await;
         let (listener, callers) = bind().await;
@@ -227,7 +235,7 @@
             commits: receiver,
             finished: RefCell::default(),
         });
-        let wire = Rc::new(FixedWire { heads_read: Cell::new(0) });
+        let wire = Rc::new(FixedWire { heads_read: Cell::new(0), retention });
         let limits = ServerLimits::new(8);
         let gateway = Gateway::new(GatewayParts {
             wire: wire.clone(),
@@ -426,7 +434,7 @@
 #[test]
 fn refused_connections_are_no_attempts() {
     run(|executor| async move {
-        let gateway = Harness::start_with(&executor, Some(begun(&[])), 6).await;
+        let gateway = Harness::start_with(&executor, Some(begun(&[])), 6, None).await;
         gateway.commits.send(Ok(begun(&[]))).await.unwrap();
         let mut caller = gateway.send().await;
         let mut server = {
--- /dev/null
+++ b/agatetrestle/src/gateway/tests/endings.rs
@@ -0,0 +1,140 @@
+//! Tests of the ends of server responses, and of what callers and state groups are told of them.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use futures::AsyncReadExt;
+use futures::AsyncWriteExt;
+use smol::net::TcpStream;
+
+use crate::gateway::tests::early::Harness;
+use crate::gateway::tests::early::begun;
+use crate::gateway::tests::early::run;
+use crate::turns::command::Finish;
+
+const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+const LAST_CHUNK: &[u8] = b"\r\n0\r\n\r\n";
+
+/// How a server frames its response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Framing {
+    Length,
+    Chunked,
+    UntilClose,
+    Http10,
+}
+
+const FRAMINGS: [Framing; 4] = [Framing::UntilClose, Framing::Http10, Framing::Chunked, Framing::Length];
+
+/// A response that is complete by its framing.
+fn framed(framing: Framing, body: &str) -> String {
+    let length = body.len();
+    match framing {
+        Framing::Length => format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}"),
+        Framing::Chunked if body.is_empty() => {
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n".into()
+        }
+        Framing::Chunked => {
+            let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+            format!("{head}{length:x}\r\n{body}\r\n0\r\n\r\n")
+        }
+        Framing::UntilClose => format!("HTTP/1.1 200 OK\r\n\r\n{body}"),
+        Framing::Http10 => format!("HTTP/1.0 200 OK\r\n\r\n{body}"),
+    }
+}
+
+/// What the caller received, up to the end of the response or of the connection.
+struct Received {
+    text: String,
+    is_complete: bool,
+}
+
+async fn read_response(mut caller: TcpStream) -> Received {
+    let mut bytes = Vec::new();
+    let mut byte = [0];
+    while !bytes.ends_with(LAST_CHUNK) && caller.read(&mut byte).await.is_ok_and(|count| count == 1) {
+        bytes.push(byte[0]);
+    }
+    let is_complete = bytes.ends_with(LAST_CHUNK);
+    Received { text: String::from_utf8(bytes).unwrap(), is_complete }
+}
+
+/// Relays the response of a server that then closes its connection, or resets it.
+async fn relay(harness: &Harness, response: &str, resets: bool) -> (Received, Finish) {
+    harness.commits.send(Ok(begun(&[]))).await.unwrap();
+    let caller = harness.send().await;
+    // A connection that is closed with unread bytes is reset.
+    let mut server = harness.receive(if resets { b"he" } else { b"hey" }).await;
+    server.write_all(response.as_bytes()).await.unwrap();
+    drop(server);
+    let received = read_response(caller).await;
+    (received, harness.await_finish().await)
+}
+
+/// Guards against a stream whose connection is closed inside an event and that reaches its caller with a regular end, or is
+/// kept for other turns to go on from.
+#[test]
+fn stream_that_ends_inside_an_event_never_looks_complete() {
+    for framing in FRAMINGS {
+        let inside = (0..=EVENTS.len()).filter(|length| !is_boundary(*length));
+        let passed_as_complete: Vec<usize> =
+            inside.filter(|length| passes_as_complete(framing, *length)).collect();
+        assert!(passed_as_complete.is_empty(), "{framing:?}, cut after {passed_as_complete:?} bytes");
+    }
+}
+
+/// Whether the start of [`EVENTS`] reaches its caller with a regular end, or is kept. Panics if another number of events than its whole ones
+/// arrives.
+fn passes_as_complete(framing: Framing, length: usize) -> bool {
+    let passes = Rc::new(Cell::new(false));
+    let passes_here = passes.clone();
+    run(|executor| async move {
+        let harness = Harness::start_retaining(&executor).await;
+        let (received, finish) = relay(&harness, &framed(framing, &EVENTS[..length]), false).await;
+        passes_here.set(received.is_complete || finish.kept.is_some());
+        if !passes_here.get() {
+            let whole_events = length / (EVENTS.len() / 2);
+            assert_eq!(
+                received.text.matches("data: ").count(),
+                whole_events,
+                "{framing:?}: {}",
+                received.text
+            );
+        }
+    });
+    passes.get()
+}
+
+/// Whether this many bytes of [`EVENTS`] end after a whole event.
+fn is_boundary(length: usize) -> bool {
+    length.is_multiple_of(EVENTS.len() / 2)
+}
+
+#[test]
+fn whole_streams_of_any_framing_are_complete_and_kept() {
+    for framing in FRAMINGS {
+        for length in [EVENTS.len() / 2, EVENTS.len()] {
+            run(|executor| async move {
+                let harness = Harness::start_retaining(&executor).await;
+                let response = framed(framing, &EVENTS[..length]);
+                let (received, finish) = relay(&harness, &response, false).await;
+                assert!(received.is_complete, "{framing:?} {length}: {}", received.text);
+                assert!(finish.kept.is_some(), "{framing:?} {length}");
+            });
+        }
+    }
+}
+
+/// Guards against a reset that is read as the end of a body without framing.
+#[test]
+fn stream_that_is_reset_between_events_never_looks_complete() {
+    for framing in [Framing::UntilClose, Framing::Http10] {
+        run(|executor| async move {
+            let harness = Harness::start_retaining(&executor).await;
+            let response = framed(framing, &EVENTS[..EVENTS.len() / 2]);
+            let (received, finish) = relay(&harness, &response, true).await;
+            assert!(!received.is_complete, "{framing:?}: {}", received.text);
+            assert!(finish.kept.is_none(), "{framing:?}");
+        });
+    }
+}
