Split event streams whose lines end in CR, and tell where they end

Cause: the splitter knew LF and CR LF only. A stream whose lines end in CR, which the standard allows, was held back to its end, and where a stream ended relative to its events was not known at all.

Change: the splitter reads lines, holds a CR back only where it may be half of a CR LF, and says whether a stream is inside an event, after one, or before its first. Comments and empty lines begin no event.

--- a/agatetrestle/src/gateway/event_splitter.rs
+++ b/agatetrestle/src/gateway/event_splitter.rs
@@ -3,33 +3,109 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+use crate::transport::body_end::ContentEnd;
+
 /// Incremental splitter of a server-sent event stream.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
-    /// Leading bytes already searched for the end of an event.
+    /// Leading bytes of the buffer whose lines are known.
     scanned: usize,
+    /// Start of the line that is not yet complete.
+    line_start: usize,
+    /// How the last complete line of the current event ended.
+    last_line_end: Option<LineEnd>,
+    /// Whether the current event has a line that is not a comment.
+    in_event: bool,
+    /// Whether an event was complete.
+    any_event: bool,
 }
 
 /// A complete event, including the empty line that terminates it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RawEvent(pub Bytes);
 
+/// How a line ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum LineEnd {
+    Cr,
+    CrLf,
+    Lf,
+}
+
+/// Positions of a complete line in the buffer.
+struct Line {
+    content_end: usize,
+    end: usize,
+    ended_by: LineEnd,
+}
+
 impl EventSplitter {
     /// Appends bytes of the stream.
     pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Removes the next complete event from the buffer.
+    /// Removes the next complete event from the buffer, with the comments and empty lines before it.
     pub fn next_event(&mut self) -> Option<RawEvent> {
-        let start = self.scanned.saturating_sub(3);
-        let Some(end) = event_end(&self.buffer[start..]) else {
+        while let Some(line) = self.next_line() {
+            let start = std::mem::replace(&mut self.line_start, line.end);
+            let content = &self.buffer[start..line.content_end];
+            match (content.first(), self.last_line_end) {
+                (None, Some(_)) => return Some(self.take_event()),
+                // An empty line without an event before it.
+                (None, None) => {}
+                (Some(first), _) => {
+                    self.in_event |= *first != b':';
+                    self.last_line_end = Some(line.ended_by);
+                }
+            }
+        }
+        None
+    }
+
+    /// Returns the next line if its end is known. A CR that is the last byte may be half of a CR LF.
+    fn next_line(&mut self) -> Option<Line> {
+        let from = self.scanned.max(self.line_start);
+        let found = self.buffer[from..].iter().position(|byte| matches!(byte, b'\n' | b'\r'));
+        let Some(content_end) = found.map(|at| from + at) else {
             self.scanned = self.buffer.len();
             return None;
         };
-        self.scanned = 0;
-        Some(RawEvent(self.buffer.split_to(start + end).freeze()))
+        let is_empty = content_end == self.line_start;
+        let next = self.buffer.get(content_end + 1);
+        let ended_by = match (self.buffer[content_end], next) {
+            (b'\n', _) => LineEnd::Lf,
+            // The line before shows that a CR alone ends the lines of this event.
+            _ if is_empty && self.last_line_end == Some(LineEnd::Cr) => LineEnd::Cr,
+            (_, Some(b'\n')) => LineEnd::CrLf,
+            (_, Some(_)) => LineEnd::Cr,
+            (_, None) => {
+                self.scanned = content_end;
+                return None;
+            }
+        };
+        let end = content_end + if ended_by == LineEnd::CrLf { 2 } else { 1 };
+        Some(Line { content_end, end, ended_by })
+    }
+
+    /// Removes the event that ends before `line_start`.
+    fn take_event(&mut self) -> RawEvent {
+        let event = self.buffer.split_to(self.line_start).freeze();
+        (self.scanned, self.line_start, self.last_line_end) = (0, 0, None);
+        self.any_event |= std::mem::take(&mut self.in_event);
+        RawEvent(event)
+    }
+
+    /// Returns what an end of the stream at this point would mean, once [`EventSplitter::next_event`] has returned `None`.
+    #[must_use]
+    pub fn content_end(&self) -> ContentEnd {
+        let partial_line = &self.buffer[self.line_start..];
+        let is_empty_line = partial_line == b"\r" && self.last_line_end.is_none();
+        if self.in_event || !(partial_line.is_empty() || is_empty_line) {
+            return ContentEnd::InsideEvent;
+        }
+        if self.any_event { ContentEnd::AfterEvent } else { ContentEnd::NoEvent }
     }
 
     /// The bytes after the last complete event.
@@ -50,8 +126,7 @@
     #[must_use]
     pub fn data(&self) -> Option<Vec<u8>> {
         let mut data: Option<Vec<u8>> = None;
-        for line in self.0.split(|byte| *byte == b'\n') {
-            let line = line.strip_suffix(b"\r").unwrap_or(line);
+        for line in self.0.split(|byte| matches!(byte, b'\n' | b'\r')) {
             let Some(value) = line.strip_prefix(b"data:") else {
                 continue;
             };
@@ -67,18 +142,3 @@
         data
     }
 }
-
-/// End of the first event in `bytes`, which is terminated by an empty line. Lines end in LF or CR LF.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let line_ends = bytes.iter().enumerate().filter(|(_, byte)| **byte == b'\n').map(|(at, _)| at);
-    let mut previous: Option<usize> = None;
-    for at in line_ends {
-        if let Some(previous) = previous
-            && matches!(&bytes[previous + 1..at], b"" | b"\r")
-        {
-            return Some(at + 1);
-        }
-        previous = Some(at);
-    }
-    None
-}
--- a/agatetrestle/src/gateway/tests.rs
+++ b/agatetrestle/src/gateway/tests.rs
@@ -15,11 +15,13 @@
 use crate::clock::Timestamp;
 use crate::gateway::context::RequestContext;
 use crate::gateway::event_splitter::EventSplitter;
+use crate::gateway::event_splitter::RawEvent;
 use crate::gateway::resumption::StreamBinding;
 use crate::gateway::wire::RequestMetadata;
 use crate::routing::Route;
 use crate::routing::RouteKind;
 use crate::routing::Team;
+use crate::transport::body_end::ContentEnd;
 
 fn split(pieces: &[&[u8]]) -> (Vec<Vec<u8>>, Vec<u8>) {
     let mut splitter = EventSplitter::default();
@@ -48,10 +50,44 @@
     assert_eq!(splitter.next_event().and_then(|event| event.data()), None);
 }
 
+#[test]
+fn splits_events_whose_lines_end_in_cr() {
+    let (events, remainder) =
+        split(&[b"id: 1\rdata: a\r\r", b"id: 2\r\ndata: b\r\n\r", b"\nid: 3\rdata: c\r"]);
+    assert_eq!(events, [b"id: 1\rdata: a\r\r".to_vec(), b"id: 2\r\ndata: b\r\n\r\n".to_vec()]);
+    assert_eq!(remainder, b"id: 3\rdata: c\r");
+    assert_eq!(RawEvent(events[0].clone().into()).data(), Some(b"a".to_vec()));
+}
+
+#[test]
+fn tells_the_end_inside_an_event_from_the_end_after_one() {
+    let content_end = |stream: &str| {
+        let mut splitter = EventSplitter::default();
+        splitter.push(stream.as_bytes());
+        while splitter.next_event().is_some() {}
+        splitter.content_end()
+    };
+    for stream in ["", "\n", "\r", ": comment\n", ": comment\n\n", "\n: comment\r\n"] {
+        assert_eq!(content_end(stream), ContentEnd::NoEvent, "{stream:?}");
+    }
+    for rest in ["", "\n", "\r\n", "\r", ": comment\n", ": comment\n\n"] {
+        for event in ["data: a\n\n", "data: a\r\n\r\n", "data: a\r\r"] {
+            assert_eq!(content_end(&format!("{event}{rest}")), ContentEnd::AfterEvent, "{event:?}{rest:?}");
+        }
+    }
+    for rest in
+        ["d", "data: b\n", "data: b\r", "data: b\r\n\r", "data: b\n\r", "\n\ndata", ": comm", "id: 2\n: c\n"]
+    {
+        for event in ["", "data: a\n\n", "data: a\r\n\r\n", "data: a\r\r"] {
+            assert_eq!(content_end(&format!("{event}{rest}")), ContentEnd::InsideEvent, "{event:?}{rest:?}");
+        }
+    }
+}
+
 proptest! {
     #[test]
     fn events_do_not_depend_on_chunk_boundaries(
-        text in "(id: [0-9]\n|data: [a-c]{0,3}\n|\n|\r\n){0,12}",
+        text in "(id: [0-9]\n|data: [a-c]{0,3}\n|data: [a-c]\r|:c\r\n|\n|\r\n|\r){0,12}",
         cuts in prop::collection::vec(0_usize..80, 0..6),
     ) {
         let bytes = text.as_bytes();
--- a/agatetrestle/src/transport/body_end.rs
+++ b/agatetrestle/src/transport/body_end.rs
@@ -38,6 +38,19 @@
     Timeout,
 }
 
+/// What the content of a body shows at its end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ContentEnd {
+    /// Nothing: the content has no structure that is known here.
+    Opaque,
+    /// An event stream has not begun its first event.
+    NoEvent,
+    /// An event stream is between two events, or after its last.
+    AfterEvent,
+    /// An event stream is inside an event.
+    InsideEvent,
+}
+
 impl BodyFraming {
     /// Returns the framing of a body whose exact length, if announced, is known to the HTTP library.
     #[must_use]
