Decide in one place whether a body is complete, and break off streams that end inside an event

Cause: the end of a response was judged by whether the HTTP library reported an error. It reports none when the connection of a body with neither a length nor chunks is closed, nor when a framing claims a part of an event as whole. What the splitter still held was forwarded as the last piece.

Change: BodyEnd::check takes the way in which a body ended and what its content shows, and every path of the gateway asks it. A stream that ends inside an event is incomplete whatever its framing; one without framing that is closed before its first event too. Only ends by length or last chunk return the connection to the pool. A failed body waits once before its error, since hyper drops what it has not written yet.

--- a/agatetrestle/src/gateway/relay.rs
+++ b/agatetrestle/src/gateway/relay.rs
@@ -9,6 +9,9 @@
 use http::Response;
 use http::StatusCode;
 use http::Version;
+use http::header::CONTENT_TYPE;
+use smol::future::yield_now;
+use snafu::Snafu;
 
 use crate::clock::Timestamp;
 use crate::dispatch::RequestOutcome;
@@ -31,10 +34,13 @@
 use crate::transport::body::TruncatedBody;
 use crate::transport::body_end::BodyEnd;
 use crate::transport::body_end::BodyReader;
+use crate::transport::body_end::ContentEnd;
+use crate::transport::body_end::IncompleteBody;
 use crate::transport::client::PooledConnection;
 
 /// Responses up to this size are buffered, so that the request can be retried if one breaks off.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 << 10;
+const EVENT_STREAM_MEDIA_TYPE: &str = "text/event-stream";
 /// Limit on the size of one server-sent event.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -54,25 +60,34 @@
     _in_flight: InFlightRequest,
 }
 
-/// Why a body ended prematurely.
-type BodyError = &'static str;
+/// Why a response is broken off.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+enum RelayError {
+    #[snafu(context(false), display("{source}"))]
+    Incomplete { source: IncompleteBody },
+    #[snafu(display("an event is too long"))]
+    EventTooLong,
+}
 
 impl ResponseStream {
-    /// Returns the next data frame, or `None` at the end of a complete body.
-    async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
+    /// Returns the next bytes, or `None` at the end of a complete body.
+    async fn next(&mut self) -> Result<Option<Bytes>, IncompleteBody> {
+        match self.read().await {
+            Ok(data) => Ok(Some(data)),
+            Err(end) => self.check_end(end, ContentEnd::Opaque).map(|()| None),
+        }
+    }
+
+    async fn read(&mut self) -> Result<Bytes, BodyEnd> {
         let left = self.deadline.since(self.gateway.clock.now());
-        let end = match with_deadline(left, self.body.next()).await.unwrap_or(Err(BodyEnd::Timeout)) {
-            Ok(data) => return Ok(Some(data)),
-            Err(end) => end,
-        };
+        with_deadline(left, self.body.next()).await.unwrap_or(Err(BodyEnd::Timeout))
+    }
+
+    fn check_end(&mut self, end: BodyEnd, content: ContentEnd) -> Result<(), IncompleteBody> {
         self.log_entry.body_end = Some(end);
-        let reason = match end {
-            BodyEnd::Length | BodyEnd::LastChunk | BodyEnd::Close => return Ok(None),
-            BodyEnd::Cut | BodyEnd::Reset => "the server broke off",
-            BodyEnd::Timeout => "the time of the answer is up",
-        };
-        self.log_entry.record(&self.gateway, &Measurement::BrokenResponse(end.name()));
-        Err(reason)
+        end.check(content).inspect_err(|incomplete| {
+            self.log_entry.record(&self.gateway, &Measurement::BrokenResponse(incomplete.name()));
+        })
     }
 
     /// Releases the slot and returns the connection to the pool after a complete response.
@@ -87,7 +102,9 @@
             });
         }
         if let Some(connection) = self.connection.take() {
-            self.gateway.client.release(connection, &self.headers);
+            if self.log_entry.body_end.is_some_and(BodyEnd::leaves_connection_open) {
+                self.gateway.client.release(connection, &self.headers);
+            }
         }
     }
 
@@ -137,6 +154,7 @@
     }
     let headers = head.headers.clone();
     strip_hop_headers(&mut head.headers);
+    let is_opaque = !may_be_event_stream(&headers);
     let body = BodyReader::new(body, &headers);
     let length = body.length();
     let stream = ResponseStream {
@@ -162,6 +180,7 @@
             tokens_per_event: ctx.tokens_per_event,
             program: ctx.metadata.program.clone(),
             at_end: false,
+            is_opaque,
         };
         let body = ResponseBody::Stream(events.into_pieces(), None);
         return Ok(Response::from_parts(head, body));
@@ -170,6 +189,12 @@
     Ok(Response::from_parts(head, body))
 }
 
+/// Whether a successful response of a streaming route is a stream of events, which it is unless it says otherwise.
+fn may_be_event_stream(headers: &HeaderMap) -> bool {
+    let media_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    media_type.is_none_or(|media_type| media_type.to_ascii_lowercase().starts_with(EVENT_STREAM_MEDIA_TYPE))
+}
+
 /// Buffers a short response; one that exceeds the limit is streamed instead.
 async fn read_buffered(
     mut stream: ResponseStream,
@@ -190,7 +215,7 @@
                 // The request may be retried, and is logged with its final response.
                 stream.logged = true;
                 log_entry.body_end = stream.log_entry.body_end;
-                return Err(reason.into());
+                return Err(reason.to_string());
             }
         }
     }
@@ -208,7 +233,7 @@
             }
             Err(reason) => {
                 stream.fail();
-                stream.log(reason);
+                stream.log(&reason.to_string());
                 Some((Err(TruncatedBody), (stream, None)))
             }
         }
@@ -225,6 +250,8 @@
     tokens_per_event: u64,
     program: Option<Arc<str>>,
     at_end: bool,
+    /// Whether the response declares another media type than that of events.
+    is_opaque: bool,
 }
 
 impl EventStream {
@@ -242,7 +269,9 @@
                         turn.record_failure();
                     }
                     events.response.fail();
-                    events.response.log(reason);
+                    events.response.log(&reason.to_string());
+                    // The HTTP library drops what it has not written when a body fails. It writes once it has to wait.
+                    yield_now().await;
                     Some((Err(TruncatedBody), None))
                 }
             }
@@ -250,8 +279,8 @@
         Box::pin(pieces)
     }
 
-    /// Returns the next event. An incomplete event is forwarded only at the end of a complete stream.
-    async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
+    /// Returns the next event, or what follows the last one of a complete stream, or `None` after that.
+    async fn next(&mut self) -> Result<Option<Bytes>, RelayError> {
         if self.at_end {
             return Ok(None);
         }
@@ -270,21 +299,25 @@
                 return Ok(Some(event.0));
             }
             if self.splitter.buffered_len() > MAX_EVENT_BYTES {
-                return Err("an event is too long");
+                return Err(RelayError::EventTooLong);
             }
-            let data = self.response.next().await;
-            if !matches!(data, Ok(Some(_))) {
-                self.response.log_entry.rest_bytes = self.splitter.buffered_len();
+            match self.response.read().await {
+                Ok(data) => self.splitter.push(&data),
+                Err(end) => {
+                    self.response.log_entry.rest_bytes = self.splitter.buffered_len();
+                    self.response.check_end(end, self.content_end())?;
+                    self.at_end = true;
+                    let remainder = std::mem::take(&mut self.splitter).into_remainder();
+                    return Ok((!remainder.is_empty()).then_some(remainder));
+                }
             }
-            let Some(data) = data? else {
-                self.at_end = true;
-                let remainder = std::mem::take(&mut self.splitter).into_remainder();
-                return Ok((!remainder.is_empty()).then_some(remainder));
-            };
-            self.splitter.push(&data);
         }
     }
 
+    fn content_end(&self) -> ContentEnd {
+        if self.is_opaque { ContentEnd::Opaque } else { self.splitter.content_end() }
+    }
+
     /// Ends the response. A turn to be retained is committed first, so that the caller can continue from it.
     async fn finish(mut self) -> Result<(), TruncatedBody> {
         self.response.complete();
--- a/agatetrestle/src/gateway/tests/endings.rs
+++ b/agatetrestle/src/gateway/tests/endings.rs
@@ -138,3 +138,59 @@
         });
     }
 }
+
+/// Guards against a connection that is closed after the head, which does not show that the stream had begun.
+#[test]
+fn stream_without_events_is_complete_only_if_its_framing_says_so() {
+    for (framing, is_complete) in FRAMINGS.into_iter().zip([false, false, true, true]) {
+        for body in ["", ": comment\n\n"] {
+            run(|executor| async move {
+                let harness = Harness::start_retaining(&executor).await;
+                let (received, finish) = relay(&harness, &framed(framing, body), false).await;
+                assert_eq!(received.is_complete, is_complete, "{framing:?} {body:?}: {}", received.text);
+                assert_eq!(finish.kept.is_some(), is_complete, "{framing:?} {body:?}");
+            });
+        }
+    }
+}
+
+#[test]
+fn comments_and_empty_lines_after_the_last_event_belong_to_the_stream() {
+    for framing in FRAMINGS {
+        run(|executor| async move {
+            let harness = Harness::start_retaining(&executor).await;
+            let body = format!("{EVENTS}\n: end\n");
+            let (received, finish) = relay(&harness, &framed(framing, &body), false).await;
+            assert!(
+                received.is_complete && received.text.contains("\n: end\n"),
+                "{framing:?}: {}",
+                received.text
+            );
+            assert!(finish.kept.is_some(), "{framing:?}");
+        });
+    }
+}
+
+#[test]
+fn response_of_another_media_type_is_no_event_stream() {
+    run(|executor| async move {
+        let harness = Harness::start_retaining(&executor).await;
+        let response = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 2\r\n\r\n{}";
+        let (received, _) = relay(&harness, response, false).await;
+        assert!(received.is_complete && received.text.contains("{}"), "{}", received.text);
+    });
+}
+
+/// Guards against whole events that are lost because the response breaks off in the moment in which they arrive.
+#[test]
+fn events_right_before_a_break_reach_the_caller() {
+    run(|executor| async move {
+        let harness = Harness::start_retaining(&executor).await;
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        let response = format!("{head}{:x}\r\n{EVENTS}\r\nno chunk\r\n", EVENTS.len());
+        let (received, finish) = relay(&harness, &response, false).await;
+        assert!(!received.is_complete, "{}", received.text);
+        assert_eq!(received.text.matches("data: ").count(), 2, "{}", received.text);
+        assert_eq!(finish.spent, 2);
+    });
+}
--- a/agatetrestle/src/transport/body_end.rs
+++ b/agatetrestle/src/transport/body_end.rs
@@ -1,4 +1,7 @@
-//! How the body of a message ends, as its framing and its connection tell.
+//! How the body of a message ends, and whether it is complete.
+//!
+//! Readers of bodies ask [`BodyEnd::check`] instead of taking the end of a connection, or a length that has arrived, for the
+//! end of a message: docs/design/026-ends-of-responses.md.
 
 use std::error::Error;
 use std::io;
@@ -9,6 +12,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use hyper::body::Incoming;
+use snafu::Snafu;
 
 /// How the sender of a body marks its end; see [RFC 9112, section 6.3](https://www.rfc-editor.org/rfc/rfc9112#section-6.3).
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -51,6 +55,39 @@
     InsideEvent,
 }
 
+/// Why a body is not complete.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+pub enum IncompleteBody {
+    /// The connection ended before the body did.
+    #[snafu(display("the server broke off"))]
+    BrokenOff {
+        /// How it ended.
+        end: BodyEnd,
+    },
+    /// The deadline passed.
+    #[snafu(display("the time of the answer is up"))]
+    TimedOut,
+    /// The stream ended inside an event, whatever its framing says.
+    #[snafu(display("the stream ended inside an event"))]
+    InsideEvent,
+    /// The connection of a stream without framing was closed before its first event.
+    #[snafu(display("the stream ended before its first event"))]
+    NoEvent,
+}
+
+impl IncompleteBody {
+    /// The reason in metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::BrokenOff { end } => end.name(),
+            Self::TimedOut => BodyEnd::Timeout.name(),
+            Self::InsideEvent => "inside_event",
+            Self::NoEvent => "no_event",
+        }
+    }
+}
+
 impl BodyFraming {
     /// Returns the framing of a body whose exact length, if announced, is known to the HTTP library.
     #[must_use]
@@ -99,6 +136,28 @@
         Self::Cut
     }
 
+    /// Checks that a body which ended so is complete.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it is not. A regular end does not outweigh a stream that ends inside an event. A closed connection proves
+    /// less than other regular ends: of a stream without events it does not even show that the server had begun.
+    pub const fn check(self, content: ContentEnd) -> Result<(), IncompleteBody> {
+        match (self, content) {
+            (Self::Cut | Self::Reset, _) => Err(IncompleteBody::BrokenOff { end: self }),
+            (Self::Timeout, _) => Err(IncompleteBody::TimedOut),
+            (_, ContentEnd::InsideEvent) => Err(IncompleteBody::InsideEvent),
+            (Self::Close, ContentEnd::NoEvent) => Err(IncompleteBody::NoEvent),
+            (Self::Length | Self::LastChunk | Self::Close, _) => Ok(()),
+        }
+    }
+
+    /// Whether the connection can carry another response.
+    #[must_use]
+    pub const fn leaves_connection_open(self) -> bool {
+        matches!(self, Self::Length | Self::LastChunk)
+    }
+
     /// The name in logs and metrics.
     #[must_use]
     pub const fn name(self) -> &'static str {
