Ask the same type how a body ended in all readers of responses

Change: attempts, the list of backend servers, the VM list, engines' reports and orders go through BodyEnd::check, and HttpClient::release takes the end of the body. A plain service's stream that ends inside an event is lost, not an answer. Lists and reports were JSON, which a part of is refused anyway, so nothing else changes for callers.

--- a/agatetrestle/src/attempts/http.rs
+++ b/agatetrestle/src/attempts/http.rs
@@ -43,9 +43,12 @@
 use crate::attempts::sse::tool_of;
 use crate::attempts::sse::usage_of;
 use crate::attempts::timer::with_timeout;
+use crate::gateway::event_splitter::EventSplitter;
 use crate::ids::ProgramId;
 use crate::programs::command::Answer;
 use crate::scheduler::event::Failure;
+use crate::transport::body_end::BodyFraming;
+use crate::transport::body_end::ContentEnd;
 
 /// `async-h1` rejects heads just below this size.
 const MAX_HEAD_BYTES: usize = 8 << 10;
@@ -68,14 +71,6 @@
     connect_timeout: Duration,
 }
 
-/// How the end of an answer is determined.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Framing {
-    Length(usize),
-    Chunked,
-    UntilClose,
-}
-
 struct Exchange<'a> {
     timer: &'a dyn Timer,
     request: &'a BackendRequest,
@@ -179,11 +174,11 @@
             return Err(exchange_error(Failure::Refused, "the backend server did not start the call"));
         }
         let reply = match framing {
-            Framing::UntilClose => {
+            BodyFraming::UntilClose => {
                 let mut body = Cursor::new(rest).chain(stream);
                 self.read_body(&mut body, &response, framing, kind).await?
             }
-            Framing::Chunked | Framing::Length(_) => {
+            BodyFraming::Chunked | BodyFraming::Length(_) => {
                 let mut body = response.take_body();
                 self.read_body(&mut body, &response, framing, kind).await?
             }
@@ -260,7 +255,7 @@
         &self,
         body: &mut R,
         response: &Response,
-        framing: Framing,
+        framing: BodyFraming,
         kind: BackendKind,
     ) -> Result<BackendReply, ExchangeError> {
         let content_type = response.header("Content-Type").map_or("", |v| v.last().as_str()).to_owned();
@@ -290,12 +285,15 @@
                 break;
             }
         }
-        let truncated = match framing {
-            Framing::Length(length) => !parser.ended() && received.len() < length,
-            Framing::Chunked | Framing::UntilClose => false,
-        };
-        if truncated || (is_stream && !parser.ended()) {
-            return Err(exchange_error(Failure::Lost, "the answer was cut off"));
+        // The last event of an engine ends its stream, whatever follows.
+        if !parser.ended() {
+            let end = framing.end_after(u64::try_from(received.len()).unwrap_or(u64::MAX));
+            let content = match content_type.starts_with(EVENT_STREAM_MEDIA_TYPE) {
+                true if is_stream => ContentEnd::InsideEvent,
+                true => EventSplitter::content_end_of(&received),
+                false => ContentEnd::Opaque,
+            };
+            end.check(content).map_err(|_| exchange_error(Failure::Lost, "the answer was cut off"))?;
         }
         let usage = if is_stream { parser.usage() } else { TokenUsage::default() };
         let status = u16::from(response.status());
@@ -304,9 +302,13 @@
     }
 }
 
-/// Decodes the head. The body is read through the returned response or, with [`Framing::UntilClose`], from
+/// Decodes the head. The body is read through the returned response or, with [`BodyFraming::UntilClose`], from
 /// the connection.
-async fn decode(head: &[u8], rest: &[u8], stream: TcpStream) -> Result<(Response, Framing), ExchangeError> {
+async fn decode(
+    head: &[u8],
+    rest: &[u8],
+    stream: TcpStream,
+) -> Result<(Response, BodyFraming), ExchangeError> {
     let mut bytes = head.to_vec();
     if bytes.starts_with(HTTP_1_0) {
         bytes[..HTTP_1_0.len()].copy_from_slice(b"HTTP/1.1 ");
@@ -317,13 +319,13 @@
         .await
         .map_err(|e| exchange_error(Failure::Lost, format!("malformed answer: {e}")))?;
     let framing = match (response.header("Transfer-Encoding"), response.header("Content-Length")) {
-        (Some(_), _) => Framing::Chunked,
+        (Some(_), _) => BodyFraming::Chunked,
         (None, Some(length)) => match length.last().as_str().trim().parse() {
-            Ok(length) => Framing::Length(length),
+            Ok(length) => BodyFraming::Length(length),
             Err(_) => return Err(exchange_error(Failure::Lost, "malformed length of the answer")),
         },
-        (None, None) if u16::from(response.status()) == 204 => Framing::Length(0),
-        (None, None) => Framing::UntilClose,
+        (None, None) if u16::from(response.status()) == 204 => BodyFraming::Length(0),
+        (None, None) => BodyFraming::UntilClose,
     };
     Ok((response, framing))
 }
--- a/agatetrestle/src/attempts/http/admin.rs
+++ b/agatetrestle/src/attempts/http/admin.rs
@@ -10,7 +10,6 @@
 use http_types::Url;
 use serde::Deserialize;
 use serde::Serialize;
-use smol::io::AsyncReadExt;
 use smol::net::TcpStream;
 
 use crate::attempts::BackendReport;
@@ -21,6 +20,7 @@
 use crate::scheduler::event::CacheChange;
 use crate::scheduler::event::Failure;
 use crate::scheduler::event::Load;
+use crate::transport::body_end::read_decoded_body;
 
 const MAX_REPORT_BYTES: u64 = 4 << 20;
 
@@ -77,9 +77,8 @@
     if !response.status().is_success() {
         return Ok(None);
     }
-    let mut buf = Vec::new();
-    let read = response.take_body().take(MAX_REPORT_BYTES).read_to_end(&mut buf).await;
-    read.map_err(|e| exchange_error(Failure::Lost, e.to_string()))?;
+    let read = read_decoded_body(&mut response, MAX_REPORT_BYTES).await;
+    let buf = read.map_err(|e| exchange_error(Failure::Lost, e.to_string()))?;
     let body: ReportBody =
         serde_json::from_slice(&buf).map_err(|e| exchange_error(Failure::Lost, e.to_string()))?;
     let load = Load { running: body.running, waiting: body.waiting, age: Duration::from_millis(body.age_ms) };
--- a/agatetrestle/src/attempts/http/tests.rs
+++ b/agatetrestle/src/attempts/http/tests.rs
@@ -81,6 +81,8 @@
 const EVENTS: &str =
     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+const UNFRAMED_EVENTS: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+
 fn cases() -> Vec<(&'static str, BackendKind, Vec<&'static str>)> {
     use BackendKind::Engine;
     use BackendKind::Service;
@@ -95,6 +97,9 @@
         ("HTTP/1.0", Service, vec!["HTTP/1.0 200 OK\r\n\r\n", "ok"]),
         ("no body", Service, vec!["HTTP/1.1 204 No Content\r\n\r\n"]),
         ("two framings", Service, vec![ok, "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nok"]),
+        ("whole events until close", Service, vec![UNFRAMED_EVENTS, "data: a\n\n"]),
+        ("events until close, truncated", Service, vec![UNFRAMED_EVENTS, "data: a\n\ndata: b"]),
+        ("no events until close", Service, vec![UNFRAMED_EVENTS]),
         ("not HTTP", Service, vec!["220 mail ready\r\n\r\n"]),
         ("empty", Service, vec![]),
         ("truncated head", Service, vec!["HTTP/1.1 200"]),
--- a/agatetrestle/src/deployment/backend_list.rs
+++ b/agatetrestle/src/deployment/backend_list.rs
@@ -11,9 +11,7 @@
 use http::Request;
 use http::StatusCode;
 use http::header::HOST;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use log::info;
 use log::warn;
 use smol::LocalExecutor;
@@ -28,6 +26,7 @@
 use crate::node::group::Group;
 use crate::node::peer_link::with_deadline;
 use crate::ports::Recorder;
+use crate::transport::body_end::BodyReader;
 use crate::transport::client::HttpClient;
 use crate::transport::client::ReusePolicy;
 
@@ -166,10 +165,11 @@
     request.headers_mut().insert(HOST, host);
     let response = connection.send(request).await.map_err(|error| failed(&error))?;
     let (parts, body) = response.into_parts();
-    let body = Limited::new(body, MAX_PAGE_BYTES).collect().await.map_err(|error| failed(&error))?;
-    client.release(connection, &parts.headers);
+    let reader = BodyReader::new(body, &parts.headers);
+    let (body, end) = reader.read_to_end(MAX_PAGE_BYTES).await.map_err(|error| failed(&error))?;
+    client.release(connection, &parts.headers, end);
     if parts.status != StatusCode::OK {
         return Err(ListError::Status { status: parts.status });
     }
-    Ok(body.to_bytes())
+    Ok(body)
 }
--- a/agatetrestle/src/gateway/event_splitter.rs
+++ b/agatetrestle/src/gateway/event_splitter.rs
@@ -97,6 +97,15 @@
         RawEvent(event)
     }
 
+    /// Returns what the end of a stream of these bytes means.
+    #[must_use]
+    pub fn content_end_of(stream: &[u8]) -> ContentEnd {
+        let mut splitter = Self::default();
+        splitter.push(stream);
+        while splitter.next_event().is_some() {}
+        splitter.content_end()
+    }
+
     /// Returns what an end of the stream at this point would mean, once [`EventSplitter::next_event`] has returned `None`.
     #[must_use]
     pub fn content_end(&self) -> ContentEnd {
--- a/agatetrestle/src/gateway/relay.rs
+++ b/agatetrestle/src/gateway/relay.rs
@@ -102,8 +102,8 @@
             });
         }
         if let Some(connection) = self.connection.take() {
-            if self.log_entry.body_end.is_some_and(BodyEnd::leaves_connection_open) {
-                self.gateway.client.release(connection, &self.headers);
+            if let Some(end) = self.log_entry.body_end {
+                self.gateway.client.release(connection, &self.headers, end);
             }
         }
     }
--- a/agatetrestle/src/gateway/tests.rs
+++ b/agatetrestle/src/gateway/tests.rs
@@ -61,12 +61,7 @@
 
 #[test]
 fn tells_the_end_inside_an_event_from_the_end_after_one() {
-    let content_end = |stream: &str| {
-        let mut splitter = EventSplitter::default();
-        splitter.push(stream.as_bytes());
-        while splitter.next_event().is_some() {}
-        splitter.content_end()
-    };
+    let content_end = |stream: &str| EventSplitter::content_end_of(stream.as_bytes());
     for stream in ["", "\n", "\r", ": comment\n", ": comment\n\n", "\n: comment\r\n"] {
         assert_eq!(content_end(stream), ContentEnd::NoEvent, "{stream:?}");
     }
--- a/agatetrestle/src/node/vm_list.rs
+++ b/agatetrestle/src/node/vm_list.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::AsyncReadExt;
 use http_types::Method;
 use http_types::Request;
 use http_types::Url;
@@ -20,6 +19,7 @@
 use crate::members::vm_list::parse;
 use crate::node::heartbeats::HeartbeatSender;
 use crate::node::peer_link::with_deadline;
+use crate::transport::body_end::read_decoded_body;
 
 /// Limit of the size of a list, about 100 bytes for each of 40,000 VMs.
 const MAX_LIST_BYTES: u64 = 4 << 20;
@@ -58,9 +58,7 @@
     let stream = TcpStream::connect(address).await.context(ConnectSnafu)?;
     let exchange = async_h1::connect(stream, Request::new(Method::Get, url)).await;
     let mut response = exchange.map_err(|error| exchange_error(&error))?;
-    let mut bytes = Vec::new();
-    response.take_body().take(MAX_LIST_BYTES).read_to_end(&mut bytes).await.context(BodySnafu)?;
-    Ok(bytes)
+    read_decoded_body(&mut response, MAX_LIST_BYTES).await.context(BodySnafu)
 }
 
 /// Keeps only the text, because the library's error does not implement `std::error::Error`.
--- a/agatetrestle/src/orders/engines.rs
+++ b/agatetrestle/src/orders/engines.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::AsyncReadExt;
 use futures::future::LocalBoxFuture;
 use http_types::Body;
 use http_types::Method;
@@ -19,6 +18,7 @@
 use snafu::ensure;
 
 use crate::node::peer_link::with_deadline;
+use crate::transport::body_end::read_decoded_body;
 
 /// Header that carries the fencing token of an order.
 pub const FENCING_TOKEN_HEADER: &str = "Agatetrestle-Fence";
@@ -130,10 +130,7 @@
     let mut response: Response =
         async_h1::connect(stream, request).await.map_err(|error| exchange_error(&error))?;
     ensure!(response.status().is_success(), StatusSnafu { status: u16::from(response.status()) });
-    let mut bytes = Vec::new();
-    let body = response.take_body();
-    body.take(MAX_RESPONSE_BYTES).read_to_end(&mut bytes).await.map_err(|error| exchange_error(&error))?;
-    Ok(bytes)
+    read_decoded_body(&mut response, MAX_RESPONSE_BYTES).await.map_err(|error| exchange_error(&error))
 }
 
 fn exchange_error(error: &dyn std::fmt::Display) -> EngineError {
--- a/agatetrestle/src/transport/body_end.rs
+++ b/agatetrestle/src/transport/body_end.rs
@@ -7,9 +7,12 @@
 use std::io;
 
 use bytes::Bytes;
+use bytes::BytesMut;
+use futures::AsyncReadExt;
 use http::HeaderMap;
 use http::header::TRANSFER_ENCODING;
 use http_body_util::BodyExt;
+use http_types::Response;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use snafu::Snafu;
@@ -55,6 +58,23 @@
     InsideEvent,
 }
 
+/// Why a body was not read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+pub enum ReadError {
+    /// The body is not complete.
+    #[snafu(context(false), display("{source}"))]
+    Incomplete {
+        /// What it lacks.
+        source: IncompleteBody,
+    },
+    /// The body is longer than the reader allows.
+    #[snafu(display("the body is longer than {limit} bytes"))]
+    TooLong {
+        /// The limit in bytes.
+        limit: usize,
+    },
+}
+
 /// Why a body is not complete.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
 pub enum IncompleteBody {
@@ -103,9 +123,11 @@
         }
     }
 
-    /// The end of a body that the HTTP library has read without an error.
-    const fn regular_end(self) -> BodyEnd {
+    /// Returns how a body ended that was read to the end of its connection, or of its chunks, without an error.
+    #[must_use]
+    pub const fn end_after(self, received: u64) -> BodyEnd {
         match self {
+            Self::Length(length) if received < length => BodyEnd::Cut,
             Self::Length(_) => BodyEnd::Length,
             Self::Chunked => BodyEnd::LastChunk,
             Self::UntilClose => BodyEnd::Close,
@@ -177,6 +199,7 @@
 pub struct BodyReader {
     body: Incoming,
     framing: BodyFraming,
+    received: u64,
 }
 
 impl BodyReader {
@@ -184,7 +207,7 @@
     #[must_use]
     pub fn new(body: Incoming, headers: &HeaderMap) -> Self {
         let framing = BodyFraming::new(body.size_hint().exact(), headers);
-        Self { body, framing }
+        Self { body, framing, received: 0 }
     }
 
     /// Returns the announced length.
@@ -206,12 +229,52 @@
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        self.received += byte_count(data.len());
                         return Ok(data);
                     }
                 }
                 Some(Err(error)) => return Err(BodyEnd::from_http_error(&error)),
-                None => return Err(self.framing.regular_end()),
+                None => return Err(self.framing.end_after(self.received)),
             }
         }
     }
+
+    /// Reads a whole body whose content is opaque; also returns how it ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is incomplete, or longer than `limit` bytes.
+    pub async fn read_to_end(mut self, limit: usize) -> Result<(Bytes, BodyEnd), ReadError> {
+        let mut buf = BytesMut::new();
+        loop {
+            match self.next().await {
+                Ok(data) if buf.len() + data.len() > limit => return TooLongSnafu { limit }.fail(),
+                Ok(data) => buf.extend_from_slice(&data),
+                Err(end) => {
+                    end.check(ContentEnd::Opaque)?;
+                    return Ok((buf.freeze(), end));
+                }
+            }
+        }
+    }
+}
+
+/// Reads the body of a response that `async-h1` decoded, of up to `limit` bytes. The library reports a connection that is closed before
+/// the announced length as the end of the body, and a body without framing as empty.
+///
+/// # Errors
+///
+/// Fails if the connection fails or the body is incomplete, also because of the limit.
+pub async fn read_decoded_body(response: &mut Response, limit: u64) -> io::Result<Vec<u8>> {
+    let body = response.take_body();
+    let framing = body.len().map_or(BodyFraming::Chunked, |length| BodyFraming::Length(byte_count(length)));
+    let mut buf = Vec::new();
+    body.take(limit).read_to_end(&mut buf).await?;
+    let end = framing.end_after(byte_count(buf.len()));
+    end.check(ContentEnd::Opaque).map_err(|error| io::Error::new(io::ErrorKind::UnexpectedEof, error))?;
+    Ok(buf)
+}
+
+fn byte_count(length: usize) -> u64 {
+    u64::try_from(length).unwrap_or(u64::MAX)
 }
--- a/agatetrestle/src/transport/client.rs
+++ b/agatetrestle/src/transport/client.rs
@@ -35,6 +35,7 @@
 use crate::clock::Clock;
 use crate::clock::Timestamp;
 use crate::node::peer_link::with_deadline;
+use crate::transport::body_end::BodyEnd;
 use crate::transport::counted::CountedStream;
 use crate::transport::counted::WriteCounter;
 
@@ -208,12 +209,12 @@
         Ok(PooledConnection { connection, address, reused: false })
     }
 
-    /// Returns a connection to the pool, unless the response closes it or the pool is full. The response
-    /// must have been read to its end.
-    pub fn release(&self, connection: PooledConnection, headers: &HeaderMap) {
+    /// Returns a connection to the pool after a response whose body ended so, unless the response closes it or the pool is
+    /// full.
+    pub fn release(&self, connection: PooledConnection, headers: &HeaderMap, end: BodyEnd) {
         let closes =
             headers.get(CONNECTION).is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-        if closes {
+        if closes || !end.leaves_connection_open() {
             return;
         }
         let now = self.clock.now();
--- a/agatetrestle/src/transport/tests.rs
+++ b/agatetrestle/src/transport/tests.rs
@@ -28,6 +28,7 @@
 use crate::clock::Clock;
 use crate::transport::accept::ConnectionLimiter;
 use crate::transport::body::ResponseBody;
+use crate::transport::body_end::BodyEnd;
 use crate::transport::client::HttpClient;
 use crate::transport::client::RECENT_IDLE_LIMIT;
 use crate::transport::client::ReusePolicy;
@@ -127,7 +128,7 @@
             };
             let (head, body) = response.into_parts();
             bodies.push(body.collect().await.unwrap().to_bytes());
-            client.release(connection, &head.headers);
+            client.release(connection, &head.headers, BodyEnd::Length);
         }
         assert_eq!(bodies, [&b"a"[..], &b"c"[..]], "the excess response must not answer the next request");
     });
@@ -351,7 +352,7 @@
         let (response, ()) = futures::future::join(connection.send(get(b"")), answering).await;
         let (head, body) = response.unwrap().into_parts();
         body.collect().await.unwrap();
-        client.release(connection, &head.headers);
+        client.release(connection, &head.headers, BodyEnd::Length);
         drop(server);
         let connection = client.acquire(address, ReusePolicy::RecentOnly).await.unwrap();
         assert!(!connection.reused);
