Refuse callers of HTTP/1.0, to whom a broken stream looks complete

A response to HTTP/1.0 has no chunks, so every stream ends with its connection, and the caller can't tell one that broke off from a whole one.

Change: 505 before anything is sent.

--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -12,6 +12,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::Version;
 use http::header::CONNECTION;
 use http::header::HOST;
 use http::header::RETRY_AFTER;
@@ -188,6 +189,11 @@
 }
 
 fn read_metadata(gateway: &Gateway, parts: &Parts) -> Result<RequestMetadata, ErrorResponse> {
+    if parts.version < Version::HTTP_11 {
+        // Without chunks, a stream that breaks off would look complete.
+        let reason = "HTTP/1.1 is required";
+        return Err(ErrorResponse::new(StatusCode::HTTP_VERSION_NOT_SUPPORTED, reason));
+    }
     if parts.headers.get_all(HOST).iter().count() > 1 {
         return Err(ErrorResponse::new(StatusCode::BAD_REQUEST, "the request can be read in two ways"));
     }
--- a/agatetrestle/src/gateway/tests/endings.rs
+++ b/agatetrestle/src/gateway/tests/endings.rs
@@ -5,10 +5,12 @@
 
 use futures::AsyncReadExt;
 use futures::AsyncWriteExt;
+use futures::FutureExt;
 use smol::net::TcpStream;
 
 use crate::gateway::tests::early::Harness;
 use crate::gateway::tests::early::begun;
+use crate::gateway::tests::early::read_status;
 use crate::gateway::tests::early::run;
 use crate::turns::command::Finish;
 
@@ -194,3 +196,15 @@
         assert_eq!(finish.spent, 2);
     });
 }
+
+/// Guards against a caller of HTTP/1.0, to whom every stream ends with the connection, also one that broke off.
+#[test]
+fn callers_of_http_1_0_are_refused_before_anything_is_sent() {
+    run(|executor| async move {
+        let harness = Harness::start_retaining(&executor).await;
+        let request = b"POST /chat/x HTTP/1.0\r\nhost: app.example\r\ncontent-length: 3\r\n\r\nhey";
+        let mut caller = harness.send_bytes(request).await;
+        assert_eq!(read_status(&mut caller).await, 505);
+        assert!(harness.servers.accept().now_or_never().is_none(), "nothing was sent");
+    });
+}
