--- a/agatetrestle/src/gateway/relay.rs
+++ b/agatetrestle/src/gateway/relay.rs
@@ -101,10 +101,8 @@
                 RequestOutcome::Completed(took)
             });
         }
-        if let Some(connection) = self.connection.take() {
-            if let Some(end) = self.log_entry.body_end {
-                self.gateway.client.release(connection, &self.headers, end);
-            }
+        if let (Some(connection), Some(end)) = (self.connection.take(), self.log_entry.body_end) {
+            self.gateway.client.release(connection, &self.headers, end);
         }
     }
 
--- a/agatetrestle/tests/callers.rs
+++ b/agatetrestle/tests/callers.rs
@@ -24,6 +24,7 @@
 use agatetrestle_fakes::Forwarder;
 use agatetrestle_fakes::Service;
 use agatetrestle_fakes::client::ClientCall;
+use agatetrestle_fakes::server::Framing;
 use agatetrestle_fakes::service::Behaviour;
 use serde_json::json;
 use smol::channel;
@@ -249,6 +250,28 @@
     });
 }
 
+/// Guards against a stream whose connection an engine closed being taken for a whole answer.
+#[test]
+fn stream_that_ends_with_its_connection_is_an_answer_only_after_its_last_event() {
+    run(async |executor| {
+        let config = EngineConfig { framing: Framing::UntilClose, ..EngineConfig::default() };
+        let engine = Engine::start(&executor, config).await.unwrap();
+        let harness = Harness::new(&executor, &[engine.address], &[]);
+        let node = harness.start_node(1).await;
+        harness.open_program(&node).await;
+        engine.break_next(1);
+        let broken = node.client.chat(&call(1, "k1"), &chat_request()).await.unwrap();
+        assert!(!broken.is_done());
+        assert!(broken.events().last().unwrap().contains("broke_off"));
+        while node.entry.in_flight() > 0 {
+            smol::future::yield_now().await;
+        }
+        let whole = node.client.chat(&call(1, "k1"), &chat_request()).await.unwrap();
+        assert!(whole.is_done());
+        assert_eq!(whole.text().matches("vrsta/dawn#1:").count(), 8);
+    });
+}
+
 #[test]
 fn makes_no_attempt_beyond_the_budget() {
     run(async |executor| {
--- a/agatetrestle_fakes/src/engine.rs
+++ b/agatetrestle_fakes/src/engine.rs
@@ -24,6 +24,7 @@
 use crate::cache::CACHE_BLOCK_TOKENS;
 use crate::cache::Cache;
 use crate::server;
+use crate::server::Framing;
 use crate::server::HttpServer;
 use crate::server::header;
 
@@ -46,6 +47,8 @@
     pub gate: Option<Receiver<()>>,
     /// Number of tokens after which streams chosen by [`Engine::break_next`] break off.
     pub break_after: u64,
+    /// How responses end.
+    pub framing: Framing,
 }
 
 impl Default for EngineConfig {
@@ -58,6 +61,7 @@
             cache_blocks: 4096,
             gate: None,
             break_after: 2,
+            framing: Framing::default(),
         }
     }
 }
@@ -117,7 +121,7 @@
     ///
     /// Fails if no port can be bound.
     pub async fn start(executor: &Rc<LocalExecutor<'static>>, config: EngineConfig) -> io::Result<Self> {
-        let port = config.port;
+        let (port, framing) = (config.port, config.framing);
         let (order_tx, order_rx) = channel::unbounded();
         let state = Rc::new(EngineState {
             config,
@@ -134,7 +138,7 @@
         let shared = Rc::clone(&state);
         let spawner = Rc::clone(executor);
         let answer = move |req| answer(Rc::clone(&shared), Rc::clone(&spawner), req);
-        let server = server::serve(executor, port, answer).await?;
+        let server = server::serve_framed(executor, port, framing, answer).await?;
         Ok(Self { address: server.address, state, _server: server })
     }
 
--- a/agatetrestle_fakes/src/server.rs
+++ b/agatetrestle_fakes/src/server.rs
@@ -12,7 +12,19 @@
 use serde::Serialize;
 use smol::LocalExecutor;
 use smol::Task;
+use smol::io::AsyncWriteExt;
 use smol::net::TcpListener;
+use smol::net::TcpStream;
+
+/// How a server marks the end of its responses.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Framing {
+    /// By a length or a last chunk.
+    #[default]
+    Explicit,
+    /// By closing the connection, also when a response breaks off.
+    UntilClose,
+}
 
 /// A running HTTP server. Dropping it closes the listener and all connections.
 #[derive(Debug)]
@@ -32,6 +44,24 @@
     port: u16,
     answer: F,
 ) -> io::Result<HttpServer>
+where
+    F: Fn(Request) -> A + 'static,
+    A: Future<Output = http_types::Result<Response>> + 'static,
+{
+    serve_framed(executor, port, Framing::Explicit, answer).await
+}
+
+/// Like [`serve`], with a choice of how responses end.
+///
+/// # Errors
+///
+/// Fails if no port can be bound.
+pub async fn serve_framed<F, A>(
+    executor: &Rc<LocalExecutor<'static>>,
+    port: u16,
+    framing: Framing,
+    answer: F,
+) -> io::Result<HttpServer>
 where
     F: Fn(Request) -> A + 'static,
     A: Future<Output = http_types::Result<Response>> + 'static,
@@ -46,7 +76,10 @@
                 stream.set_nodelay(true).ok();
                 let answer = Rc::clone(&answer);
                 let serving = async move {
-                    async_h1::accept(stream, move |req| answer(req)).await.ok();
+                    match framing {
+                        Framing::Explicit => async_h1::accept(stream, move |req| answer(req)).await.ok(),
+                        Framing::UntilClose => answer_until_close(stream, &*answer).await.ok(),
+                    }
                 };
                 connections.spawn(serving).detach();
             }
@@ -56,6 +89,25 @@
     Ok(HttpServer { address, _accepting: executor.spawn(accepting) })
 }
 
+/// Answers one request and closes the connection.
+async fn answer_until_close<F, A>(mut stream: TcpStream, answer: &F) -> http_types::Result<()>
+where
+    F: Fn(Request) -> A,
+    A: Future<Output = http_types::Result<Response>>,
+{
+    let Some((request, _rest)) = async_h1::server::decode(stream.clone()).await? else {
+        return Ok(());
+    };
+    let mut response = answer(request).await?;
+    let status = response.status();
+    let headers = response.iter().map(|(name, values)| format!("{name}: {}\r\n", values.as_str()));
+    let headers: String = headers.collect();
+    let head = format!("HTTP/1.1 {status} {}\r\n{headers}\r\n", status.canonical_reason());
+    stream.write_all(head.as_bytes()).await?;
+    smol::io::copy(response.take_body(), &mut stream).await?;
+    Ok(())
+}
+
 /// Sleeps; returns without yielding if the duration is zero.
 pub async fn sleep(duration: Duration) {
     if !duration.is_zero() {
