--- a/agatetrestle/src/transport/tests.rs
+++ b/agatetrestle/src/transport/tests.rs
@@ -29,6 +29,9 @@
 use crate::transport::accept::ConnectionLimiter;
 use crate::transport::body::ResponseBody;
 use crate::transport::body_end::BodyEnd;
+use crate::transport::body_end::BodyReader;
+use crate::transport::body_end::IncompleteBody;
+use crate::transport::body_end::ReadError;
 use crate::transport::client::HttpClient;
 use crate::transport::client::RECENT_IDLE_LIMIT;
 use crate::transport::client::ReusePolicy;
@@ -107,6 +110,43 @@
     });
 }
 
+type ReadResult = Result<(Bytes, BodyEnd), ReadError>;
+
+/// Requests a response and reads its body to the end.
+async fn read_to_end(executor: &Rc<LocalExecutor<'static>>, response: &'static [u8]) -> ReadResult {
+    let address = serve_scripts(executor, vec![response]).await;
+    let client = HttpClient::new(executor, Clock::start());
+    let mut connection = client.acquire(address, ReusePolicy::Any).await.unwrap();
+    let (head, body) = connection.send(get(b"")).await.unwrap().into_parts();
+    BodyReader::new(body, &head.headers).read_to_end(3).await
+}
+
+#[test]
+fn tells_how_a_body_ended() {
+    let cut = Err(ReadError::Incomplete { source: IncompleteBody::BrokenOff { end: BodyEnd::Cut } });
+    let whole = |end| Ok((Bytes::from_static(b"abc"), end));
+    let cases: [(&'static [u8], ReadResult); 9] = [
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc", whole(BodyEnd::Length)),
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nabc", cut.clone()),
+        (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+            whole(BodyEnd::LastChunk),
+        ),
+        (b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n", cut.clone()),
+        (b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\nxyz\r\n", cut),
+        (b"HTTP/1.1 200 OK\r\n\r\nabc", whole(BodyEnd::Close)),
+        (b"HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nabc", whole(BodyEnd::Close)),
+        (b"HTTP/1.0 200 OK\r\n\r\nabc", whole(BodyEnd::Close)),
+        (b"HTTP/1.1 200 OK\r\n\r\nabcd", Err(ReadError::TooLong { limit: 3 })),
+    ];
+    for (response, expected) in cases {
+        run(|executor| async move {
+            let read = read_to_end(&executor, response).await;
+            assert_eq!(read, expected, "{}", String::from_utf8_lossy(response));
+        });
+    }
+}
+
 #[test]
 fn closes_connections_with_excess_response_bytes() {
     run(|executor| async move {
