Break off events that are cut on routes that do not stream

Cause: a response that declares events on a route of another kind is forwarded as it is, and its end was judged without its content.

Change: such a response is split on the way to know whether it ends inside an event.

Measured: events_of_a_route_that_does_not_stream_are_not_cut_inside_one fails without the change (a stream without framing that lacks its last byte is 200) and passes; the tests of the gateway pass (26).

--- a/agatetrestle/src/gateway/relay.rs
+++ b/agatetrestle/src/gateway/relay.rs
@@ -50,6 +50,8 @@
     slot: Option<ServerSlot>,
     connection: Option<PooledConnection>,
     body: BodyReader,
+    /// The events of a body that is forwarded as it is, to tell whether it ends inside one; `None` for other content.
+    events: Option<EventSplitter>,
     headers: HeaderMap,
     deadline: Timestamp,
     sent_at: Timestamp,
@@ -73,8 +75,17 @@
     /// Returns the next bytes, or `None` at the end of a complete body.
     async fn next(&mut self) -> Result<Option<Bytes>, IncompleteBody> {
         match self.read().await {
-            Ok(data) => Ok(Some(data)),
-            Err(end) => self.check_end(end, ContentEnd::Opaque).map(|()| None),
+            Ok(data) => {
+                if let Some(events) = &mut self.events {
+                    events.push(&data);
+                    while events.next_event().is_some() {}
+                }
+                Ok(Some(data))
+            }
+            Err(end) => {
+                let content = self.events.as_ref().map_or(ContentEnd::Opaque, EventSplitter::content_end);
+                self.check_end(end, content).map(|()| None)
+            }
         }
     }
 
@@ -152,7 +163,8 @@
     }
     let headers = head.headers.clone();
     strip_hop_headers(&mut head.headers);
-    let is_opaque = !may_be_event_stream(&headers);
+    let declares_events = declares_event_stream(&headers);
+    let streams_events = ctx.route.is_streaming() && status.is_success();
     let body = BodyReader::new(body, &headers);
     let length = body.length();
     let stream = ResponseStream {
@@ -160,6 +172,7 @@
         slot: Some(slot),
         connection: Some(connection),
         body,
+        events: (declares_events == Some(true) && !streams_events).then(EventSplitter::default),
         headers,
         deadline: ctx.deadline,
         sent_at,
@@ -169,7 +182,7 @@
         log_entry: log_entry.clone(),
         _in_flight: InFlightRequest::new(gateway),
     };
-    if ctx.route.is_streaming() && status.is_success() {
+    if streams_events {
         let events = EventStream {
             response: stream,
             splitter: EventSplitter::default(),
@@ -178,7 +191,7 @@
             tokens_per_event: ctx.tokens_per_event,
             program: ctx.metadata.program.clone(),
             at_end: false,
-            is_opaque,
+            is_opaque: declares_events == Some(false),
         };
         let body = ResponseBody::Stream(events.into_pieces(), None);
         return Ok(Response::from_parts(head, body));
@@ -187,10 +200,10 @@
     Ok(Response::from_parts(head, body))
 }
 
-/// Whether a successful response of a streaming route is a stream of events, which it is unless it says otherwise.
-fn may_be_event_stream(headers: &HeaderMap) -> bool {
-    let media_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
-    media_type.is_none_or(|media_type| media_type.to_ascii_lowercase().starts_with(EVENT_STREAM_MEDIA_TYPE))
+/// Whether the media type of a response is that of events; `None` if it declares none.
+fn declares_event_stream(headers: &HeaderMap) -> Option<bool> {
+    let media_type = headers.get(CONTENT_TYPE)?.to_str().ok()?;
+    Some(media_type.to_ascii_lowercase().starts_with(EVENT_STREAM_MEDIA_TYPE))
 }
 
 /// Buffers a short response; one that exceeds the limit is streamed instead.
--- a/agatetrestle/src/gateway/tests/early.rs
+++ b/agatetrestle/src/gateway/tests/early.rs
@@ -73,10 +73,12 @@
 /// A wire format in which every request is a turn of one program with a budget. The only header names the previous turn.
 struct FixedWire {
     heads_read: Cell<u32>,
-    /// How long completed turns are retained.
-    retention: Option<Duration>,
+    /// Kind of the route, and how long its completed turns are retained.
+    route: (RouteKind, Option<Duration>),
 }
 
+const STREAMING: RouteKind = RouteKind::Streaming { resumable: false };
+
 impl WireFormat for FixedWire {
     fn read_request(&self, headers: &HeaderMap) -> Result<RequestMetadata, ParseError> {
         let previous_turn = headers.get("previous-turn").map(|value| value.to_str().unwrap().into());
@@ -103,13 +105,13 @@
             name: "chat".into(),
             host: "app.example".into(),
             prefix: "/chat/".into(),
-            kind: RouteKind::Streaming { resumable: false },
+            kind: self.route.0,
             timeout: Duration::from_mins(10),
             objective: Duration::from_mins(1),
             priority: 0,
             targets: vec![RouteTarget { service: "engines".into(), weight: 1 }],
             max_attempts: 1,
-            retention: self.retention,
+            retention: self.route.1,
             sticky: false,
             public: false,
         };
@@ -212,12 +214,17 @@
 
 impl Harness {
     pub(super) async fn start(executor: &Rc<LocalExecutor<'static>>, early: Option<TurnReply>) -> Self {
-        Self::start_with(executor, early, 0, None).await
+        Self::start_with(executor, early, 0, (STREAMING, None)).await
     }
 
     /// Starts a gateway that gets no early answers and retains completed turns.
     pub(super) async fn start_retaining(executor: &Rc<LocalExecutor<'static>>) -> Self {
-        Self::start_with(executor, None, 0, Some(Duration::from_mins(1))).await
+        Self::start_with(executor, None, 0, (STREAMING, Some(Duration::from_mins(1)))).await
+    }
+
+    /// Starts a gateway with a route of the given kind.
+    pub(super) async fn start_with_kind(executor: &Rc<LocalExecutor<'static>>, kind: RouteKind) -> Self {
+        Self::start_with(executor, None, 0, (kind, None)).await
     }
 
     /// Starts a gateway that also knows servers of its own failure domain, which refuse connections.
@@ -225,7 +232,7 @@
         executor: &Rc<LocalExecutor<'static>>,
         early: Option<TurnReply>,
         refusing_servers: u16,
-        retention: Option<Duration>,
+        route: (RouteKind, Option<Duration>),
     ) -> Self {
         let (servers, server_address) = bind().await;
         let (listener, callers) = bind().await;
@@ -235,7 +242,7 @@
             commits: receiver,
             finished: RefCell::default(),
         });
-        let wire = Rc::new(FixedWire { heads_read: Cell::new(0), retention });
+        let wire = Rc::new(FixedWire { heads_read: Cell::new(0), route });
         let limits = ServerLimits::new(8);
         let gateway = Gateway::new(GatewayParts {
             wire: wire.clone(),
@@ -434,7 +441,7 @@
 #[test]
 fn refused_connections_are_no_attempts() {
     run(|executor| async move {
-        let gateway = Harness::start_with(&executor, Some(begun(&[])), 6, None).await;
+        let gateway = Harness::start_with(&executor, Some(begun(&[])), 6, (STREAMING, None)).await;
         gateway.commits.send(Ok(begun(&[]))).await.unwrap();
         let mut caller = gateway.send().await;
         let mut server = {
--- a/agatetrestle/src/gateway/tests/endings.rs
+++ b/agatetrestle/src/gateway/tests/endings.rs
@@ -12,6 +12,7 @@
 use crate::gateway::tests::early::begun;
 use crate::gateway::tests::early::read_status;
 use crate::gateway::tests::early::run;
+use crate::routing::RouteKind;
 use crate::turns::command::Finish;
 
 const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
@@ -208,3 +209,22 @@
         assert!(harness.servers.accept().now_or_never().is_none(), "nothing was sent");
     });
 }
+
+/// Guards against a stream of events on a route of another kind, which is forwarded as it is.
+#[test]
+fn events_of_a_route_that_does_not_stream_are_not_cut_inside_one() {
+    for framing in FRAMINGS {
+        for (length, status) in [(EVENTS.len(), 200), (EVENTS.len() - 1, 502)] {
+            run(|executor| async move {
+                let harness = Harness::start_with_kind(&executor, RouteKind::Idempotent).await;
+                let head = "200 OK\r\ncontent-type: text/event-stream\r\n";
+                let response = framed(framing, &EVENTS[..length]).replace("200 OK\r\n", head);
+                let mut caller = harness.send().await;
+                let mut server = harness.receive(b"hey").await;
+                server.write_all(response.as_bytes()).await.unwrap();
+                drop(server);
+                assert_eq!(read_status(&mut caller).await, status, "{framing:?} {length}");
+            });
+        }
+    }
+}
--- a/agatetrestle/src/transport/body_end.rs
+++ b/agatetrestle/src/transport/body_end.rs
@@ -259,8 +259,8 @@
     }
 }
 
-/// Reads the body of a response that `async-h1` decoded, of up to `limit` bytes. The library reports a connection that is closed before
-/// the announced length as the end of the body, and a body without framing as empty.
+/// Reads the body of a response that `async-h1` decoded, of up to `limit` bytes. The library reports a connection that is
+/// closed before the announced length as the end of the body, and a body without framing as empty.
 ///
 /// # Errors
 ///
