--- a/agatetrestle/src/gateway/tests/endings.rs
+++ b/agatetrestle/src/gateway/tests/endings.rs
@@ -86,8 +86,8 @@
     }
 }
 
-/// Whether the start of [`EVENTS`] reaches its caller with a regular end, or is kept. Panics if another number of events than its whole ones
-/// arrives.
+/// Whether the first bytes of [`EVENTS`] reach their caller with a regular end, or are kept. Panics if they arrive with other
+/// events than the whole ones among them.
 fn passes_as_complete(framing: Framing, length: usize) -> bool {
     let passes = Rc::new(Cell::new(false));
     let passes_here = passes.clone();
