--- a/agatetrestle/src/gateway/tests/endings.rs
+++ b/agatetrestle/src/gateway/tests/endings.rs
@@ -2,12 +2,17 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures::AsyncReadExt;
 use futures::AsyncWriteExt;
 use futures::FutureExt;
 use smol::net::TcpStream;
 
+use crate::dispatch;
+use crate::dispatch::Decision;
+use crate::dispatch::RequestProfile;
+use crate::gateway::Gateway;
 use crate::gateway::tests::early::Harness;
 use crate::gateway::tests::early::begun;
 use crate::gateway::tests::early::read_status;
@@ -228,3 +233,42 @@
         }
     }
 }
+
+/// Whether dispatch sends a request to the only server at once.
+fn server_is_in_use(gateway: &Gateway) -> bool {
+    let now = gateway.clock.now();
+    let request = dispatch::Request {
+        ticket: u64::MAX,
+        service: "engines".into(),
+        priority: 0,
+        started: true,
+        max_wait: Duration::from_secs(1),
+        deadline: now + Duration::from_mins(1),
+        finish_by: now + Duration::from_mins(1),
+        affinity: None,
+        version: None,
+        excluded: Vec::new(),
+        profile: RequestProfile::default(),
+    };
+    let decisions = gateway.dispatch.borrow_mut().submit(now, request);
+    decisions.iter().any(|decision| matches!(decision, Decision::Send { .. }))
+}
+
+/// Guards against a server that keeps its record although it breaks off one stream after the other.
+#[test]
+fn server_whose_streams_end_inside_an_event_is_left_alone() {
+    for (length, is_in_use) in [(EVENTS.len(), true), (EVENTS.len() - 1, false)] {
+        run(|executor| async move {
+            let harness = Harness::start_retaining(&executor).await;
+            for _ in 0..3 {
+                harness.commits.send(Ok(begun(&[]))).await.unwrap();
+                let caller = harness.send().await;
+                let mut server = harness.receive(b"hey").await;
+                server.write_all(framed(Framing::UntilClose, &EVENTS[..length]).as_bytes()).await.unwrap();
+                drop(server);
+                read_response(caller).await;
+            }
+            assert_eq!(server_is_in_use(&harness.gateway), is_in_use, "{length}");
+        });
+    }
+}
