Log attempts whose server broke off, with what a request's attempts have in common

Entries logged the last server of an attempt only, nothing that two attempts of the same request share, and no word on whether a server had broken off or answered badly.

Each such attempt now gets a line with the request's fingerprint (team, method, host, target, previous turn, program or conversation, body), the server's ID and address, the age and the reason. A break of the connection is told from bytes that are no response, whose server runs.

No logic is changed.

--- a/agatetrestle/src/gateway/attempt.rs
+++ b/agatetrestle/src/gateway/attempt.rs
@@ -55,10 +55,19 @@
     NotRun(String),
     /// The server may have run the request.
     MayHaveRun(String),
+    /// The same, and the connection broke, so the server may have ended.
+    ServerLost(String),
     /// The request's deadline passed after it was sent.
     TimedOut,
 }
 
+impl SendFailure {
+    /// Whether the request was certainly not run.
+    pub(super) const fn is_unrun(&self) -> bool {
+        matches!(self, Self::NotSent(_) | Self::NotRun(_))
+    }
+}
+
 /// Sends a request and validates the response head. `is_last` is set if no other server may be tried afterwards.
 pub(super) async fn send(
     gateway: &Rc<Gateway>,
@@ -109,9 +118,15 @@
             slot.release(RequestOutcome::Unreachable);
             return Err(SendFailure::NotSent(error.to_string()));
         }
-        SendOutcome::Started(Err(error @ SendError::NoResponse { .. })) => {
+        SendOutcome::Started(Err(SendError::NoResponse { source })) => {
             slot.release(RequestOutcome::BadResponse);
-            return Err(SendFailure::MayHaveRun(error.to_string()));
+            let reason = format!("no answer: {source}");
+            // A server that sends what is no response is running.
+            return Err(if source.is_parse() {
+                SendFailure::MayHaveRun(reason)
+            } else {
+                SendFailure::ServerLost(reason)
+            });
         }
         SendOutcome::Started(Ok(response)) => response,
     };
--- a/agatetrestle/src/gateway/context.rs
+++ b/agatetrestle/src/gateway/context.rs
@@ -5,8 +5,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderValue;
 use http::StatusCode;
+use http::header::HOST;
 use http::request::Parts;
+use http::uri::PathAndQuery;
 
 use crate::clock::Timestamp;
 use crate::gateway::resumption::StreamBinding;
@@ -14,6 +17,7 @@
 use crate::gateway::wire::RequestMetadata;
 use crate::routing::Route;
 use crate::routing::Team;
+use crate::suspects::Fingerprint;
 
 /// Retry delay for errors that are unrelated to load; covers a leader election.
 pub(super) const FAILOVER_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -96,6 +100,24 @@
         priority.min(LOWEST_SERVER_PRIORITY)
     }
 
+    /// What all attempts of the caller at this request have in common. The program is a part of it: programs that send the
+    /// same content do not share a record, and for requests without a body little else tells them apart.
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        let host = self.parts.headers.get(HOST).map_or(&b""[..], HeaderValue::as_bytes);
+        let target = self.parts.uri.path_and_query().map_or("", PathAndQuery::as_str);
+        let previous = self.metadata.previous_turn.as_deref().unwrap_or_default();
+        let affinity = self.metadata.affinity.unwrap_or_default().to_le_bytes();
+        Fingerprint::of(&[
+            self.team_name().as_bytes(),
+            self.parts.method.as_str().as_bytes(),
+            host,
+            target.as_bytes(),
+            previous.as_bytes(),
+            &affinity,
+            &self.body[self.chain_bytes..],
+        ])
+    }
+
     /// The team's name, or an empty string if there is no team.
     pub(super) fn team_name(&self) -> Arc<str> {
         self.team.as_ref().map(|team| team.name.clone()).unwrap_or_default()
--- a/agatetrestle/src/gateway/mod.rs
+++ b/agatetrestle/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod commit;
 mod context;
 pub mod event_splitter;
+mod losses;
 mod relay;
 mod request;
 mod reserve;
--- a/agatetrestle/src/gateway/relay.rs
+++ b/agatetrestle/src/gateway/relay.rs
@@ -24,6 +24,8 @@
 use crate::gateway::context::RequestContext;
 use crate::gateway::context::transcript;
 use crate::gateway::event_splitter::EventSplitter;
+use crate::gateway::losses;
+use crate::gateway::losses::ServedRequest;
 use crate::gateway::slot::ServerSlot;
 use crate::gateway::turn::OpenTurn;
 use crate::gateway::turn::Transcript;
@@ -47,6 +49,7 @@
 /// A response body being read, with the resources released when it ends.
 struct ResponseStream {
     gateway: Rc<Gateway>,
+    request: ServedRequest,
     slot: Option<ServerSlot>,
     connection: Option<PooledConnection>,
     body: BodyReader,
@@ -125,6 +128,13 @@
         }
     }
 
+    /// Records that a response broke off of which a part was forwarded.
+    fn record_break(&self, incomplete: IncompleteBody) {
+        if incomplete.is_loss() {
+            losses::record(&self.gateway, &self.request, &incomplete.to_string());
+        }
+    }
+
     fn log(&mut self, outcome: &str) {
         self.logged = true;
         let total_time = self.gateway.clock.now().since(self.arrived_at);
@@ -151,7 +161,7 @@
     started: StartedResponse,
     turn: &mut Option<OpenTurn>,
     log_entry: &mut AccessLogEntry,
-) -> Result<Response<ResponseBody>, String> {
+) -> Result<Response<ResponseBody>, IncompleteBody> {
     let StartedResponse { slot, connection, response, sent_at, load } = started;
     let (mut head, body) = response.into_parts();
     // The version is the sender's own. With that of a server of HTTP/1.0 the response would end with the connection, and
@@ -167,8 +177,10 @@
     let streams_events = ctx.route.is_streaming() && status.is_success();
     let body = BodyReader::new(body, &headers);
     let length = body.length();
+    let request = ServedRequest::new(ctx, slot.server, &log_entry.server);
     let stream = ResponseStream {
         gateway: gateway.clone(),
+        request,
         slot: Some(slot),
         connection: Some(connection),
         body,
@@ -211,7 +223,7 @@
     mut stream: ResponseStream,
     length: Option<u64>,
     log_entry: &mut AccessLogEntry,
-) -> Result<ResponseBody, String> {
+) -> Result<ResponseBody, IncompleteBody> {
     let mut buffer = BytesMut::new();
     while buffer.len() <= MAX_BUFFERED_RESPONSE_BYTES {
         match stream.next().await {
@@ -226,7 +238,7 @@
                 // The request may be retried, and is logged with its final response.
                 stream.logged = true;
                 log_entry.body_end = stream.log_entry.body_end;
-                return Err(reason.to_string());
+                return Err(reason);
             }
         }
     }
@@ -245,6 +257,7 @@
             Err(reason) => {
                 stream.fail();
                 stream.log(&reason.to_string());
+                stream.record_break(reason);
                 Some((Err(TruncatedBody), (stream, None)))
             }
         }
@@ -281,6 +294,9 @@
                     }
                     events.response.fail();
                     events.response.log(&reason.to_string());
+                    if let RelayError::Incomplete { source } = reason {
+                        events.response.record_break(source);
+                    }
                     // The HTTP library drops what it has not written when a body fails. It writes once it has to wait.
                     yield_now().await;
                     Some((Err(TruncatedBody), None))
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -35,6 +35,8 @@
 use crate::gateway::context::ErrorResponse;
 use crate::gateway::context::FAILOVER_RETRY_AFTER;
 use crate::gateway::context::RequestContext;
+use crate::gateway::losses;
+use crate::gateway::losses::ServedRequest;
 use crate::gateway::relay;
 use crate::gateway::reserve;
 use crate::gateway::resumption;
@@ -241,7 +243,7 @@
             SendFailure::TimedOut => {
                 Err(ErrorResponse::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time"))
             }
-            SendFailure::MayHaveRun(reason) => {
+            SendFailure::MayHaveRun(reason) | SendFailure::ServerLost(reason) => {
                 self.may_have_run += 1;
                 if may_retry(ctx, self.may_have_run) {
                     return Ok(());
@@ -309,8 +311,9 @@
             resumption::record_start(gateway, &ctx, start).await?;
         }
         log_entry.tries += 1;
-        retries.tried.push(slot.server);
-        (log_entry.server, log_entry.software) = gateway.identity(slot.server).unwrap_or_default();
+        let server = slot.server;
+        retries.tried.push(server);
+        (log_entry.server, log_entry.software) = gateway.identity(server).unwrap_or_default();
         if let Some(turn) = &mut turn {
             turn.record_server(&log_entry.server);
         }
@@ -324,7 +327,10 @@
                 log_entry.commit_time = commit.took().unwrap_or(log_entry.commit_time);
                 match relay::forward(gateway, &ctx, started, &mut turn, log_entry).await {
                     Ok(response) => return Ok(response),
-                    Err(reason) => SendFailure::MayHaveRun(reason),
+                    Err(incomplete) if incomplete.is_loss() => {
+                        SendFailure::ServerLost(incomplete.to_string())
+                    }
+                    Err(incomplete) => SendFailure::MayHaveRun(incomplete.to_string()),
                 }
             }
             Err(failure) => failure,
@@ -332,9 +338,14 @@
         if matches!(failure, SendFailure::NotSent(_)) {
             log_entry.tries -= 1;
         }
-        if let (Some(turn), SendFailure::MayHaveRun(_) | SendFailure::TimedOut) = (&mut turn, &failure) {
+        if !failure.is_unrun()
+            && let Some(turn) = &mut turn
+        {
             turn.record_failure();
         }
+        if let SendFailure::ServerLost(reason) = &failure {
+            losses::record(gateway, &ServedRequest::new(&ctx, server, &log_entry.server), reason);
+        }
         retries.record_failure(&ctx, failure)?;
     }
 }
--- a/agatetrestle/src/lib.rs
+++ b/agatetrestle/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod retention;
 pub mod routing;
 pub mod scheduler;
+pub mod suspects;
 pub mod trace;
 pub mod transport;
 pub mod turns;
--- a/agatetrestle/src/transport/body_end.rs
+++ b/agatetrestle/src/transport/body_end.rs
@@ -96,6 +96,12 @@
 }
 
 impl IncompleteBody {
+    /// Whether the connection ended, so that its sender may have ended too.
+    #[must_use]
+    pub const fn is_loss(self) -> bool {
+        !matches!(self, Self::TimedOut)
+    }
+
     /// The reason in metrics.
     #[must_use]
     pub const fn name(self) -> &'static str {
