--- a/agatetrestle/benches/decisions.rs
+++ b/agatetrestle/benches/decisions.rs
@@ -141,6 +141,7 @@
                 finish_by: now + Duration::from_secs(3),
                 affinity: Some((ticket / 4).wrapping_mul(0x9e37_79b9_7f4a_7c15)),
                 excluded: Vec::new(),
+                isolated: false,
                 profile: RequestProfile {
                     prompt_tokens: Some(2_000),
                     max_tokens: Some(100),
--- a/agatetrestle/src/cluster/leader_load.rs
+++ b/agatetrestle/src/cluster/leader_load.rs
@@ -101,7 +101,10 @@
             TurnCommand::Begin(_) => self.begins.record(end),
             TurnCommand::Finish(_) => self.finishes.record(end),
             TurnCommand::Take(_) => self.charges.record(end),
-            TurnCommand::Chain(_) | TurnCommand::RecordStream(_) | TurnCommand::ReadStream(_) => {}
+            TurnCommand::Chain(_)
+            | TurnCommand::RecordStream(_)
+            | TurnCommand::ReadStream(_)
+            | TurnCommand::Suspect(_) => {}
         }
         if end == RequestEnd::Done && matches!(command, TurnCommand::Begin(_) | TurnCommand::Finish(_)) {
             self.commits.saturating_record(micros(took));
--- a/agatetrestle/src/cluster/mod.rs
+++ b/agatetrestle/src/cluster/mod.rs
@@ -17,6 +17,7 @@
 pub mod report_log;
 pub mod service;
 pub mod subscriber;
+pub mod suspect_watch;
 #[cfg(test)]
 mod tests;
 pub mod versioned;
--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -20,6 +20,8 @@
 use crate::cluster::leader_load::RequestEnd;
 use crate::cluster::message::ControlRequest;
 use crate::cluster::registry::ClusterRegistry;
+use crate::cluster::suspect_watch::SuspectQuery;
+use crate::cluster::suspect_watch::SuspectWatch;
 use crate::codec::DecodeError;
 use crate::codec::decode;
 use crate::codec::encode;
@@ -33,6 +35,8 @@
 use crate::node::service::commit;
 use crate::node::service::read;
 use crate::node::service::to_submission;
+use crate::suspects::record::SuspectCommand;
+use crate::suspects::record::SuspectDecision;
 use crate::turns::admission::TurnAdmission;
 use crate::turns::clock::LeaderClock;
 use crate::turns::command::BeginQuery;
@@ -111,6 +115,7 @@
     /// Proposals of this leader whose outcome is not recorded yet.
     in_flight: RefCell<InFlight>,
     load: RefCell<LeaderLoad>,
+    suspect_watch: SuspectWatch,
 }
 
 impl TurnService {
@@ -125,14 +130,16 @@
             pending: RefCell::default(),
             in_flight: RefCell::default(),
             load: RefCell::new(LeaderLoad::new(clock.now())),
+            suspect_watch: SuspectWatch::default(),
         }
     }
 
-    /// Logs the load while this replica leads, until the task is dropped.
+    /// Logs the load and tells of suspects while this replica leads, until the task is dropped.
     pub async fn log_load_forever(self: Rc<Self>) {
         loop {
             let due = self.clock.now() + LOOP_DELAY_INTERVAL;
             Timer::after(LOOP_DELAY_INTERVAL).await;
+            self.announce();
             let now = self.clock.now();
             let mut load = self.load.borrow_mut();
             load.record_loop_delay(now.since(due));
@@ -173,6 +180,13 @@
         if let TurnCommand::Take(take) = command {
             return self.take(take).await;
         }
+        if let TurnCommand::Suspect(SuspectCommand::Admit(admit)) = &command
+            && self.group.confirms_leadership()
+            && self.group.machine(|state| !state.suspects().contains(admit.fingerprint))
+            && self.group.last_index() == self.group.applied_index()
+        {
+            return Submission::Applied(TurnReply::Suspect(SuspectDecision::Innocent).encode());
+        }
         if let Err(reason) = self.check_load(&command) {
             self.load.borrow_mut().record(&command, RequestEnd::Busy, Duration::ZERO);
             return to_submission(ProposalOutcome::Rejected(reason));
@@ -210,6 +224,40 @@
         to_submission(Rc::unwrap_or_clone(outcome))
     }
 
+    /// Wakes the questions of entries about suspects if there are new ones, and returns the version of the record.
+    fn announce(&self) -> u64 {
+        let version = self.group.machine(|state| state.suspects().version());
+        let term = self.group.confirms_leadership().then(|| self.group.term());
+        self.suspect_watch.announce(self.clock.now(), term, version);
+        version
+    }
+
+    /// Answers an encoded [`SuspectQuery`]. A watch is answered after [`crate::cluster::suspect_watch::MAX_WATCH`] with what is
+    /// known if nothing is new.
+    pub async fn query_suspects(&self, query: &[u8]) -> Submission {
+        let query = match decode::<SuspectQuery>(query) {
+            Ok(query) => query,
+            Err(error) => return Submission::Refused(error.to_string().into()),
+        };
+        if !self.group.confirms_leadership() {
+            return Submission::NotLeader(None);
+        }
+        let version = self.announce();
+        let request = match query {
+            SuspectQuery::Watch(request) => request,
+            SuspectQuery::Announce => {
+                self.suspect_watch.acknowledged(self.clock.now(), version).await;
+                return Submission::Applied(Vec::new());
+            }
+        };
+        self.suspect_watch.wait(request, version).await;
+        if !self.group.confirms_leadership() {
+            return Submission::NotLeader(None);
+        }
+        let digest = self.group.machine(|state| state.suspects().since(state.now(), request.version));
+        Submission::Applied(encode(&digest))
+    }
+
     /// Checks whether the log takes a command now. A refusal must cost less than what it avoids, so this comes before admission,
     /// placement and encoding.
     fn check_load(&self, command: &TurnCommand) -> Result<(), Rejection> {
@@ -225,6 +273,9 @@
     async fn reply(&self, proposal: Rc<Proposal>) -> Submission {
         let outcome = proposal.outcome.clone().await;
         self.record_outcomes();
+        if let TurnCommand::Suspect(SuspectCommand::Lose(_)) = &*proposal.command {
+            self.announce();
+        }
         let placed = proposal.placed;
         drop(proposal);
         with_server(to_submission(Rc::unwrap_or_clone(outcome)), placed)
--- a/agatetrestle/src/deployment/entry.rs
+++ b/agatetrestle/src/deployment/entry.rs
@@ -36,6 +36,7 @@
 use crate::ids::GroupId;
 use crate::ids::NodeId;
 use crate::node::peer_server::PeerServer;
+use crate::suspects::SuspectView;
 use crate::transport::body::ResponseBody;
 use crate::transport::server::Handler;
 use crate::transport::server::ServerLimits;
@@ -96,7 +97,10 @@
 
 pub(super) fn start(context: &ProcessContext) -> Entry {
     let links = context.links.clone();
+    let suspects = Rc::new(SuspectView::default());
     let turns = TurnRouter::new(TurnRouterParts {
+        suspects: suspects.clone(),
+        executor: context.executor.clone(),
         node: context.node,
         links,
         clock: context.clock,
@@ -108,6 +112,7 @@
     let gateway = Gateway::new(GatewayParts {
         wire: context.wire.clone(),
         turns: Rc::new(RoutedTurnClient(turns.clone())),
+        suspects,
         dispatch: Dispatch::new(context.settings.process.failure_domain.clone(), context.node.0)
             .with_policy(context.settings.decisions),
         node: context.node,
--- a/agatetrestle/src/deployment/store.rs
+++ b/agatetrestle/src/deployment/store.rs
@@ -148,6 +148,7 @@
             service: RefCell::default(),
         });
         server.services.insert(id.early_answers(), Rc::new(EarlyAnswerService(service.clone())));
+        server.services.insert(id.suspects(), Rc::new(SuspectService(service.clone())));
         server.services.insert(id, service);
     }
     server
@@ -208,6 +209,22 @@
     }
 }
 
+/// Tells entries of new suspects; see docs/design/027-requests-that-end-servers.md.
+struct SuspectService(Rc<StoreService>);
+
+impl GroupService for SuspectService {
+    fn submit(&self, request: Vec<u8>) -> LocalBoxFuture<'_, Submission> {
+        let Some(service) = self.0.turn_service() else {
+            return Box::pin(async { Submission::NotLeader(None) });
+        };
+        Box::pin(async move { service.query_suspects(&request).await })
+    }
+
+    fn history(&self, _offset: u64) -> Vec<u8> {
+        Vec::new()
+    }
+}
+
 /// The stores that may take part in a group: those that run a replica of it and spare ones.
 fn candidates(group: GroupId, view: &ClusterView) -> Vec<Candidate> {
     let eligible = |store: &Member| store.ready && store.group.is_none_or(|id| id == group);
--- a/agatetrestle/src/deployment/tests/state_group.rs
+++ b/agatetrestle/src/deployment/tests/state_group.rs
@@ -203,7 +203,14 @@
             links.add_address(node, address);
         }
         let timeouts = RequestTimeouts { attempt: NO_TIMEOUT, request: NO_TIMEOUT, recorded: NO_TIMEOUT };
-        let router = TurnRouter::new(TurnRouterParts { node: ENTRY, links, clock: Clock::start(), timeouts });
+        let router = TurnRouter::new(TurnRouterParts {
+            node: ENTRY,
+            links,
+            clock: Clock::start(),
+            timeouts,
+            suspects: Rc::default(),
+            executor: executor.clone(),
+        });
         router.set_holders(1, &[(FIRST_STATE_GROUP, STORES.to_vec())].into());
         let group = Self { stores, router };
         // The entry knows the leader from now on.
--- a/agatetrestle/src/deployment/turns.rs
+++ b/agatetrestle/src/deployment/turns.rs
@@ -15,10 +15,16 @@
 use futures::future::join_all;
 use futures::future::select;
 use log::info;
+use log::warn;
+use smol::LocalExecutor;
 use smol::Timer;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::Clock;
+use crate::cluster::suspect_watch::MAX_ACKNOWLEDGEMENT;
+use crate::cluster::suspect_watch::MAX_WATCH;
+use crate::cluster::suspect_watch::SuspectQuery;
+use crate::cluster::suspect_watch::WatchRequest;
 use crate::codec::decode;
 use crate::codec::encode;
 use crate::gateway::turn::TurnClient;
@@ -28,7 +34,12 @@
 use crate::node::links::Links;
 use crate::node::router::RequestTimeouts;
 use crate::node::router::Router;
+use crate::node::service::Submission;
 use crate::ports::GroupError;
+use crate::suspects::Fingerprint;
+use crate::suspects::SuspectView;
+use crate::suspects::record::Digest;
+use crate::suspects::record::SuspectCommand;
 use crate::turns::command::Begin;
 use crate::turns::command::BeginQuery;
 use crate::turns::command::Take;
@@ -40,12 +51,22 @@
 /// How often a command checks whether control has announced the state groups, soon after an entry starts.
 const GROUPS_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Longest time without an answer to a question for suspects.
+const WATCH_TIMEOUT: Duration = MAX_WATCH.saturating_add(Duration::from_secs(2));
+/// The same for a question to announce them.
+const ANNOUNCE_TIMEOUT: Duration = MAX_ACKNOWLEDGEMENT.saturating_mul(4);
+/// Delay after a question for suspects that was not answered.
+const WATCH_RETRY_DELAY: Duration = Duration::from_millis(100);
+
 /// Parameters of the routers of all groups.
 pub(super) struct TurnRouterParts {
     pub(super) node: NodeId,
     pub(super) links: Rc<Links>,
     pub(super) clock: Clock,
     pub(super) timeouts: RequestTimeouts,
+    /// Told of the suspects of all groups.
+    pub(super) suspects: Rc<SuspectView>,
+    pub(super) executor: Rc<LocalExecutor<'static>>,
 }
 
 /// Sends commands to the state group of their program.
@@ -63,8 +84,12 @@
     /// Updates the nodes that hold replicas of each group. The number of groups never changes once it is known.
     pub(super) fn set_holders(&self, groups: usize, holders: &BTreeMap<GroupId, Vec<NodeId>>) {
         let mut routers = self.routers.borrow_mut();
-        if routers.is_empty() {
+        if routers.is_empty() && groups > 0 {
             routers.extend(state_groups().take(groups).map(|group| Rc::new(self.router(group))));
+            self.parts.suspects.set_groups(groups);
+            for (group, router) in state_groups().zip(&*routers) {
+                self.parts.executor.spawn(self.watch_suspects(group, router.clone())).detach();
+            }
         }
         for (group, router) in state_groups().zip(&*routers) {
             // A list without holders of a group comes from a new control leader that has no reports from them yet.
@@ -75,10 +100,33 @@
     }
 
     fn router(&self, group: GroupId) -> Router {
-        let TurnRouterParts { node, links, clock, timeouts } = &self.parts;
+        let TurnRouterParts { node, links, clock, timeouts, .. } = &self.parts;
         Router::new(group, *node, None, links.clone(), &[], Rc::new(*clock), *timeouts)
     }
 
+    /// Keeps the view of suspects up to date with a group's, until the task is dropped.
+    fn watch_suspects(&self, group: GroupId, router: Rc<Router>) -> impl Future<Output = ()> + use<> {
+        let TurnRouterParts { node, clock, suspects, .. } = &self.parts;
+        let (node, clock, suspects) = (*node, *clock, suspects.clone());
+        async move {
+            let mut cursor = 0;
+            loop {
+                let watch = WatchRequest { node, version: suspects.version(group) };
+                let request = encode(&SuspectQuery::Watch(watch));
+                let answer = router.ask_once(group.suspects(), &request, WATCH_TIMEOUT, &mut cursor).await;
+                match answer {
+                    Submission::Applied(digest) => match decode::<Digest>(&digest) {
+                        Ok(digest) => suspects.apply(clock.now(), group, &digest),
+                        Err(error) => warn!("Failed to read the suspects of group {}: {error}.", group.0),
+                    },
+                    _ => {
+                        Timer::after(WATCH_RETRY_DELAY).await;
+                    }
+                }
+            }
+        }
+    }
+
     pub(super) async fn commit(&self, command: TurnCommand) -> Result<TurnReply, GroupError> {
         if let TurnCommand::Begin(begin) = command {
             return self.begin(begin, oneshot::channel().0).await;
@@ -88,7 +136,10 @@
             let account_group = group_index(&take.team, routers.len());
             return request(&routers[account_group], command).await;
         }
-        let own_group = group_index(command.program(), routers.len());
+        let own_group = match &command {
+            TurnCommand::Suspect(command) => fingerprint_group(command.fingerprint(), routers.len()),
+            command => group_index(command.program(), routers.len()),
+        };
         request(&routers[own_group], command).await
     }
 
@@ -122,6 +173,19 @@
         request(&routers[own_group], TurnCommand::Begin(Begin { carried, ..begin })).await
     }
 
+    /// Returns once the entries in touch with the group of a suspect know it, or after a short time.
+    async fn announce(&self, fingerprint: Fingerprint) {
+        let routers = self.routers.borrow().clone();
+        let Some((group, router)) =
+            state_groups().zip(&routers).nth(fingerprint_group(fingerprint, routers.len()))
+        else {
+            return;
+        };
+        let query = encode(&SuspectQuery::Announce);
+        // Without an answer the entries learn of it as soon as they reach the group.
+        router.ask_once(group.suspects(), &query, ANNOUNCE_TIMEOUT, &mut 0).await;
+    }
+
     /// Waits until control has announced the state groups.
     async fn wait_for_routers(&self) -> Result<Vec<Rc<Router>>, GroupError> {
         let start = self.parts.clock.now();
@@ -179,11 +243,20 @@
     usize::try_from(hash % groups.max(1) as u64).unwrap_or(0)
 }
 
-/// Sends a command. A full queue rejects new work at once, but not the end of a turn, which must be recorded.
+/// Index of the group that holds the record of a request. All nodes must compute the same.
+fn fingerprint_group(fingerprint: Fingerprint, groups: usize) -> usize {
+    usize::try_from(fingerprint.0 % groups.max(1) as u64).unwrap_or(0)
+}
+
+/// Sends a command. A full queue rejects new work at once, but not the end of a turn or the loss of a server, which must
+/// be recorded.
 async fn request(router: &Router, command: TurnCommand) -> Result<TurnReply, GroupError> {
     let encoded = command.encode(Duration::ZERO);
     let reply = match command {
-        TurnCommand::Finish(_) => router.submit(encoded).await?,
+        TurnCommand::Finish(_)
+        | TurnCommand::Suspect(SuspectCommand::Lose(_) | SuspectCommand::Clear(_) | SuspectCommand::End(_)) => {
+            router.submit(encoded).await?
+        }
         _ => router.try_submit(encoded).await?,
     };
     decode(&reply).map_err(|error| GroupError::Unknown { reason: error.to_string().into() })
@@ -244,6 +317,11 @@
         Box::pin(async move { router.commit(command).await })
     }
 
+    fn announce(&self, fingerprint: Fingerprint) -> LocalBoxFuture<'static, ()> {
+        let router = self.0.clone();
+        Box::pin(async move { router.announce(fingerprint).await })
+    }
+
     fn begin(
         &self,
         begin: Begin,
--- a/agatetrestle/src/dispatch/choice.rs
+++ b/agatetrestle/src/dispatch/choice.rs
@@ -52,6 +52,9 @@
     ) -> Option<ServerKey> {
         let tie_seed = self.rng.below(u64::MAX);
         let load_ttl = service_time.clamp(LOAD_TTL_RANGE.0, LOAD_TTL_RANGE.1);
+        if request.isolated {
+            return self.choose_isolated(now, request, load_ttl, tie_seed);
+        }
         let pool = self.pools.get_mut(&request.service)?;
         pool.retain_in_use(|key| self.servers[key].is_in_use(now, load_ttl));
         let position = request.affinity.unwrap_or(tie_seed);
@@ -63,6 +66,7 @@
         } else if is_partial && !keys.iter().any(|key| self.has_free_slot(now, *key, request, load_ttl)) {
             keys = self.pools[&request.service].all().collect();
         }
+        keys = self.without_isolated(now, request, keys);
         if self.is_modelled(now, &request.service) {
             return self.choose_by_time(now, request, service_time, &keys, &candidates);
         }
--- a/agatetrestle/src/dispatch/completion.rs
+++ b/agatetrestle/src/dispatch/completion.rs
@@ -93,6 +93,7 @@
             return Vec::new();
         };
         let service = server.instance.service.clone();
+        self.isolated_runs -= usize::from(run.is_some_and(|run| run.isolated));
         server.finish(now, outcome);
         let queue = self.queues.entry(service.clone()).or_default();
         if let RequestOutcome::Completed(elapsed) = outcome {
--- a/agatetrestle/src/dispatch/decision.rs
+++ b/agatetrestle/src/dispatch/decision.rs
@@ -30,6 +30,8 @@
     pub version: Option<Arc<str>>,
     /// Servers that have already received it and must not receive it again.
     pub excluded: Vec<ServerKey>,
+    /// Whether servers have ended under it, so that it should take as little with it as possible if another one does.
+    pub isolated: bool,
     /// What indicates how long it takes.
     pub profile: RequestProfile,
 }
--- a/agatetrestle/src/dispatch/expected.rs
+++ b/agatetrestle/src/dispatch/expected.rs
@@ -236,8 +236,10 @@
             assigned_at: now,
             affinity: request.affinity,
             profile: request.profile,
+            isolated: request.isolated,
             held_tokens: self.models.get(&request.service).map_or(0.0, |m| m.own_tokens(&request.profile)),
         });
+        self.isolated_runs += usize::from(request.isolated);
         crate::dispatch::mark_in_use(&mut self.pools, key, server);
         if let Some(affinity) = request.affinity {
             let tokens = to_f64(request.profile.prompt_tokens.unwrap_or(0));
--- a/agatetrestle/src/dispatch/mod.rs
+++ b/agatetrestle/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod decision;
 mod expected;
 mod instances;
+mod isolation;
 mod model;
 mod outlier;
 mod pool;
@@ -71,6 +72,8 @@
     /// Capacity of each service in hundredths of slots, and when it was computed.
     capacities: HashMap<Arc<str>, (u32, Timestamp)>,
     prompts: SentPrompts,
+    /// Isolated requests of this node in flight, at all servers.
+    isolated_runs: usize,
     zone: Arc<str>,
     rng: Random,
     policy: Decisions,
@@ -91,6 +94,7 @@
             models: HashMap::new(),
             capacities: HashMap::new(),
             prompts: SentPrompts::default(),
+            isolated_runs: 0,
             zone,
             rng: Random::new(seed),
             policy: Decisions::Own,
@@ -133,6 +137,12 @@
         self.pools.get(service).map_or(0, Pool::slots)
     }
 
+    /// Number of known servers of a service.
+    #[must_use]
+    pub fn server_count(&self, service: &Arc<str>) -> usize {
+        self.pools.get(service).map_or(0, Pool::len)
+    }
+
     /// Number of queued requests of all services.
     #[must_use]
     pub fn waiting(&self) -> usize {
--- a/agatetrestle/src/dispatch/queue.rs
+++ b/agatetrestle/src/dispatch/queue.rs
@@ -75,7 +75,7 @@
                     self.assign(now, server, &request);
                     decisions.push(Decision::Send { ticket: request.ticket, server });
                 }
-                None if request.accepts_any_server() => {
+                None if request.accepts_any_server() && !request.isolated => {
                     remaining.insert(rank, request);
                     remaining.append(&mut queue.waiting);
                 }
--- a/agatetrestle/src/dispatch/server.rs
+++ b/agatetrestle/src/dispatch/server.rs
@@ -77,6 +77,8 @@
     pub(super) assigned_at: Timestamp,
     pub(super) affinity: Option<u64>,
     pub(super) profile: RequestProfile,
+    /// Whether it is an isolated request.
+    pub(super) isolated: bool,
     /// Tokens in the server's memory, without those of a shared prefix.
     pub(super) held_tokens: f64,
 }
@@ -214,6 +216,11 @@
         (!self.runs.is_empty()).then(|| self.runs.remove(index.unwrap_or(0)))
     }
 
+    /// This node's isolated requests in flight here.
+    pub(super) fn isolated_runs(&self) -> usize {
+        self.runs.iter().filter(|run| run.isolated).count()
+    }
+
     /// Takes back the request that was assigned last.
     pub(super) fn take_last_run(&mut self) -> Option<Run> {
         let run = self.runs.pop();
--- a/agatetrestle/src/dispatch/tests.rs
+++ b/agatetrestle/src/dispatch/tests.rs
@@ -51,6 +51,7 @@
         finish_by: at(deadline),
         affinity: None,
         excluded: Vec::new(),
+        isolated: false,
         profile: RequestProfile::default(),
     }
 }
--- a/agatetrestle/src/gateway/access_log.rs
+++ b/agatetrestle/src/gateway/access_log.rs
@@ -38,6 +38,8 @@
     pub(super) body_end: Option<BodyEnd>,
     /// Bytes of a stream after its last whole event.
     pub(super) rest_bytes: usize,
+    /// Whether the request was refused since servers ended under it.
+    pub(super) is_suspect: bool,
     /// Time to reserve the turn, after which the request is sent.
     pub(super) reserve_time: Duration,
     /// Time to commit the reservation; longer than `reserve_time` after an early answer.
@@ -96,6 +98,7 @@
             record(Measurement::Retried("failed"));
         }
         match StatusCode::from_u16(status) {
+            Ok(StatusCode::SERVICE_UNAVAILABLE) if self.is_suspect => record(Measurement::Refused("suspect")),
             Ok(StatusCode::SERVICE_UNAVAILABLE) => record(Measurement::Refused("overload")),
             Ok(StatusCode::TOO_MANY_REQUESTS) => record(Measurement::Refused("allowance")),
             Ok(StatusCode::UNAUTHORIZED) => record(Measurement::Refused("key")),
--- a/agatetrestle/src/gateway/attempt.rs
+++ b/agatetrestle/src/gateway/attempt.rs
@@ -20,6 +20,7 @@
 use crate::dispatch::ServerLoad;
 use crate::gateway::Gateway;
 use crate::gateway::context::RequestContext;
+use crate::gateway::losses;
 use crate::gateway::slot::ServerSlot;
 use crate::gateway::wire::ForwardMetadata;
 use crate::node::peer_link::with_deadline;
@@ -57,6 +58,8 @@
     MayHaveRun(String),
     /// The same, and the connection broke, so the server may have ended.
     ServerLost(String),
+    /// The same, and the server said nothing for too long.
+    Silent(String),
     /// The request's deadline passed after it was sent.
     TimedOut,
 }
@@ -104,11 +107,11 @@
     let response = match outcome {
         SendOutcome::Unresponsive => {
             slot.release(RequestOutcome::Unresponsive);
-            return Err(SendFailure::MayHaveRun("the server says nothing while others answer".into()));
+            return Err(SendFailure::Silent("the server says nothing while others answer".into()));
         }
         SendOutcome::TimedOut if timeout < left => {
             slot.release(RequestOutcome::BadResponse);
-            return Err(SendFailure::MayHaveRun("the server was silent for too long".into()));
+            return Err(SendFailure::Silent("the server was silent for too long".into()));
         }
         SendOutcome::TimedOut => {
             slot.release(RequestOutcome::BadResponse);
@@ -303,5 +306,6 @@
         started.slot.release(RequestOutcome::BadResponse);
         return Err(SendFailure::MayHaveRun(format!("the server answered {status} and may have run it")));
     }
+    losses::record_response(gateway, server, started.sent_at);
     Ok(started)
 }
--- a/agatetrestle/src/gateway/context.rs
+++ b/agatetrestle/src/gateway/context.rs
@@ -35,17 +35,19 @@
     pub(super) status: StatusCode,
     pub(super) reason: Arc<str>,
     pub(super) retry_after: Option<Duration>,
+    /// Whether the request is refused since servers ended under it.
+    pub(super) is_suspect: bool,
 }
 
 impl ErrorResponse {
     pub(super) fn new(status: StatusCode, reason: impl fmt::Display) -> Self {
-        Self { status, reason: reason.to_string().into(), retry_after: None }
+        Self { status, reason: reason.to_string().into(), retry_after: None, is_suspect: false }
     }
 
     /// A 503 guaranteeing that the request was not run and never will be.
     pub(super) fn not_run(reason: impl fmt::Display, retry_after: Duration) -> Self {
         let retry_after = Some(retry_after);
-        Self { status: StatusCode::SERVICE_UNAVAILABLE, reason: reason.to_string().into(), retry_after }
+        Self { retry_after, ..Self::new(StatusCode::SERVICE_UNAVAILABLE, reason) }
     }
 }
 
--- a/agatetrestle/src/gateway/mod.rs
+++ b/agatetrestle/src/gateway/mod.rs
@@ -51,6 +51,7 @@
 use crate::dispatch::RequestOutcome;
 use crate::dispatch::RunProgress;
 use crate::dispatch::ServerKey;
+use crate::gateway::losses::Losses;
 use crate::gateway::slot::Assignment;
 use crate::gateway::slot::DispatchRejection;
 use crate::gateway::turn::TurnClient;
@@ -60,6 +61,7 @@
 use crate::ports::Recorder;
 use crate::routing::RouteTable;
 use crate::scheduler::random::Random;
+use crate::suspects::SuspectView;
 use crate::transport::body::ResponseBody;
 use crate::transport::client::HttpClient;
 use crate::transport::server::ServerLimits;
@@ -79,6 +81,8 @@
     pub wire: Rc<dyn WireFormat>,
     /// Client of the state groups, which hold turns and budgets.
     pub turns: Rc<dyn TurnClient>,
+    /// The suspects that the state groups tell of.
+    pub suspects: Rc<SuspectView>,
     /// Dispatch state without any known backend server.
     pub dispatch: Dispatch,
     /// The node that runs the gateway; seeds the random choice among a route's services.
@@ -101,6 +105,7 @@
 pub struct Gateway {
     wire: Rc<dyn WireFormat>,
     turns: Rc<dyn TurnClient>,
+    losses: Losses,
     table: RefCell<Option<Rc<RouteTable>>>,
     dispatch: RefCell<Dispatch>,
     /// Queued requests by ticket.
@@ -130,6 +135,7 @@
         let GatewayParts {
             wire,
             turns,
+            suspects,
             dispatch,
             node,
             placement,
@@ -142,6 +148,7 @@
         Rc::new(Self {
             wire,
             turns,
+            losses: Losses::new(suspects, clock.now()),
             table: RefCell::default(),
             dispatch: RefCell::new(dispatch),
             waiters: RefCell::default(),
@@ -177,6 +184,7 @@
                 self.client.close_expired();
                 let now = self.clock.now();
                 self.last_turns.borrow_mut().retain(|_, last| now.since(*last) < PROGRAM_TTL);
+                self.losses.expire(now);
             }
         }
     }
@@ -310,6 +318,7 @@
     fn backends(&self, change: &BackendChange) {
         let decisions = self.dispatch.borrow_mut().apply_change(self.clock.now(), change);
         self.apply(decisions);
+        losses::record_unlisted(self);
         let (listed, leaving) = self.dispatch.borrow().instance_counts();
         info!("{listed} backend servers are listed, {leaving} of them leaving.");
     }
--- a/agatetrestle/src/gateway/relay.rs
+++ b/agatetrestle/src/gateway/relay.rs
@@ -25,6 +25,7 @@
 use crate::gateway::context::transcript;
 use crate::gateway::event_splitter::EventSplitter;
 use crate::gateway::losses;
+use crate::gateway::losses::Admission;
 use crate::gateway::losses::ServedRequest;
 use crate::gateway::slot::ServerSlot;
 use crate::gateway::turn::OpenTurn;
@@ -107,6 +108,7 @@
     /// Releases the slot and returns the connection to the pool after a complete response.
     fn complete(&mut self) {
         let took = self.gateway.clock.now().since(self.sent_at);
+        self.request.complete(&self.gateway);
         if let Some(slot) = self.slot.take() {
             let failed = self.status >= StatusCode::INTERNAL_SERVER_ERROR.as_u16();
             slot.release(if failed {
@@ -129,9 +131,9 @@
     }
 
     /// Records that a response broke off of which a part was forwarded.
-    fn record_break(&self, incomplete: IncompleteBody) {
+    async fn record_break(&self, incomplete: IncompleteBody) {
         if incomplete.is_loss() {
-            losses::record(&self.gateway, &self.request, &incomplete.to_string());
+            losses::record(&self.gateway, &self.request, &incomplete.to_string(), false).await;
         }
     }
 
@@ -160,6 +162,7 @@
     ctx: &RequestContext,
     started: StartedResponse,
     turn: &mut Option<OpenTurn>,
+    admission: Option<&Rc<Admission>>,
     log_entry: &mut AccessLogEntry,
 ) -> Result<Response<ResponseBody>, IncompleteBody> {
     let StartedResponse { slot, connection, response, sent_at, load } = started;
@@ -177,7 +180,7 @@
     let streams_events = ctx.route.is_streaming() && status.is_success();
     let body = BodyReader::new(body, &headers);
     let length = body.length();
-    let request = ServedRequest::new(ctx, slot.server, &log_entry.server);
+    let request = ServedRequest::new(gateway, ctx, slot.server, admission);
     let stream = ResponseStream {
         gateway: gateway.clone(),
         request,
@@ -257,7 +260,7 @@
             Err(reason) => {
                 stream.fail();
                 stream.log(&reason.to_string());
-                stream.record_break(reason);
+                stream.record_break(reason).await;
                 Some((Err(TruncatedBody), (stream, None)))
             }
         }
@@ -295,7 +298,7 @@
                     events.response.fail();
                     events.response.log(&reason.to_string());
                     if let RelayError::Incomplete { source } = reason {
-                        events.response.record_break(source);
+                        events.response.record_break(source).await;
                     }
                     // The HTTP library drops what it has not written when a body fails. It writes once it has to wait.
                     yield_now().await;
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -73,6 +73,7 @@
         Ok(response) => response,
         Err(error) => {
             let total_time = gateway.clock.now().since(arrived_at);
+            guard.log_entry.is_suspect = error.is_suspect;
             guard.log_entry.finish(gateway, error.status.as_u16(), &error.reason, total_time);
             into_response(&error)
         }
@@ -243,7 +244,9 @@
             SendFailure::TimedOut => {
                 Err(ErrorResponse::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time"))
             }
-            SendFailure::MayHaveRun(reason) | SendFailure::ServerLost(reason) => {
+            SendFailure::MayHaveRun(reason)
+            | SendFailure::ServerLost(reason)
+            | SendFailure::Silent(reason) => {
                 self.may_have_run += 1;
                 if may_retry(ctx, self.may_have_run) {
                     return Ok(());
@@ -267,6 +270,14 @@
         }
     }
 
+    /// The response if another attempt is refused.
+    fn refuse(&self, refusal: ErrorResponse) -> ErrorResponse {
+        match self.may_have_run {
+            0 => refusal,
+            _ => ErrorResponse::new(StatusCode::BAD_GATEWAY, refusal.reason),
+        }
+    }
+
     /// The response if no server is left: one that is safe to retry, unless a server may have run the request.
     fn give_up(&self, reason: impl fmt::Display, retry_after: Duration) -> ErrorResponse {
         match self.may_have_run {
@@ -282,6 +293,7 @@
     mut ctx: RequestContext,
     log_entry: &mut AccessLogEntry,
 ) -> Result<Response<ResponseBody>, ErrorResponse> {
+    let mut admission = losses::admit(gateway, &ctx).await?;
     let mut retries = RetryState::default();
     let mut turn: Option<OpenTurn> = None;
     let mut commit = PendingCommit::default();
@@ -291,14 +303,21 @@
     }
     loop {
         let queued_at = gateway.clock.now();
-        let slot = ServerSlot::acquire(gateway, dispatch_request(&ctx, queued_at, &retries.tried)).await;
+        let request = dispatch::Request {
+            isolated: admission.is_some(),
+            ..dispatch_request(&ctx, queued_at, &retries.tried)
+        };
+        let slot = ServerSlot::acquire(gateway, request).await;
         let mut slot = slot
             .map_err(|rejection| retries.give_up(format!("{:?}", rejection.reason), rejection.retry_after))?;
         let assigned_at = gateway.clock.now();
         log_entry.queue_time += assigned_at.since(queued_at);
         let start = stream_start(gateway, &mut ctx, slot.server);
         if !reserved {
-            let request = reservation_request(&ctx, assigned_at, &retries.tried, start.as_ref());
+            let request = dispatch::Request {
+                isolated: admission.is_some(),
+                ..reservation_request(&ctx, assigned_at, &retries.tried, start.as_ref())
+            };
             let (reserved_turn, pending) =
                 reserve::reserve_turn(gateway, &mut ctx, &mut slot, &request, start).await?;
             turn = Some(reserved_turn);
@@ -310,6 +329,10 @@
             commit.finish(ctx.deadline.since(assigned_at)).await?;
             resumption::record_start(gateway, &ctx, start).await?;
         }
+        if admission.is_none() {
+            // It may have become a suspect since.
+            admission = losses::admit(gateway, &ctx).await.map_err(|refusal| retries.refuse(refusal))?;
+        }
         log_entry.tries += 1;
         let server = slot.server;
         retries.tried.push(server);
@@ -325,7 +348,7 @@
                 // Dropping the response closes its connection, which cancels the run.
                 commit.finish(ctx.deadline.since(gateway.clock.now())).await?;
                 log_entry.commit_time = commit.took().unwrap_or(log_entry.commit_time);
-                match relay::forward(gateway, &ctx, started, &mut turn, log_entry).await {
+                match relay::forward(gateway, &ctx, started, &mut turn, admission.as_ref(), log_entry).await {
                     Ok(response) => return Ok(response),
                     Err(incomplete) if incomplete.is_loss() => {
                         SendFailure::ServerLost(incomplete.to_string())
@@ -343,8 +366,17 @@
         {
             turn.record_failure();
         }
-        if let SendFailure::ServerLost(reason) = &failure {
-            losses::record(gateway, &ServedRequest::new(&ctx, server, &log_entry.server), reason);
+        let sent_request = || ServedRequest::new(gateway, &ctx, server, admission.as_ref());
+        match &failure {
+            SendFailure::ServerLost(reason) => {
+                let goes_on = may_retry(&ctx, retries.may_have_run + 1);
+                admission = losses::record(gateway, &sent_request(), reason, goes_on).await;
+                if goes_on && admission.is_none() {
+                    return Err(ErrorResponse::new(StatusCode::BAD_GATEWAY, reason));
+                }
+            }
+            SendFailure::Silent(_) | SendFailure::TimedOut => losses::record_silence(gateway, sent_request()),
+            _ => {}
         }
         retries.record_failure(&ctx, failure)?;
     }
@@ -388,6 +420,7 @@
         affinity: ctx.metadata.affinity.filter(|_| ctx.route.sticky),
         version: ctx.stream.required.clone(),
         excluded: tried.to_vec(),
+        isolated: false,
         profile: RequestProfile {
             route: xxh3_64(ctx.route.name.as_bytes()),
             prompt_tokens: ctx.metadata.prompt_tokens,
--- a/agatetrestle/src/gateway/reserve.rs
+++ b/agatetrestle/src/gateway/reserve.rs
@@ -87,6 +87,7 @@
     let started_at = gateway.clock.now();
     let candidates = match gateway.placement {
         Placement::Entry => Vec::new(),
+        Placement::Leader if request.isolated => Vec::new(),
         Placement::Leader => candidates(gateway, slot.server, request),
     };
     let capacity = {
--- a/agatetrestle/src/gateway/tests/early.rs
+++ b/agatetrestle/src/gateway/tests/early.rs
@@ -57,6 +57,9 @@
 use crate::routing::RouteTable;
 use crate::routing::RouteTarget;
 use crate::routing::Service;
+use crate::suspects::Fingerprint;
+use crate::suspects::SuspectView;
+use crate::suspects::Suspects;
 use crate::transport::server;
 use crate::transport::server::Handler;
 use crate::transport::server::ServerLimits;
@@ -164,14 +167,26 @@
     early: RefCell<Option<TurnReply>>,
     commits: Receiver<Reply>,
     finished: RefCell<Vec<Finish>>,
+    suspects: RefCell<Suspects>,
 }
 
 impl TurnClient for ScriptedTurns {
     fn commit(&self, command: TurnCommand) -> LocalBoxFuture<'static, Reply> {
-        if let TurnCommand::Finish(finish) = command {
-            self.finished.borrow_mut().push(finish);
-        }
-        Box::pin(async { Ok(TurnReply::Settled) })
+        let reply = match command {
+            TurnCommand::Finish(finish) => {
+                self.finished.borrow_mut().push(finish);
+                TurnReply::Settled
+            }
+            TurnCommand::Suspect(command) => {
+                TurnReply::Suspect(self.suspects.borrow_mut().execute(0, command))
+            }
+            _ => TurnReply::Settled,
+        };
+        Box::pin(async { Ok(reply) })
+    }
+
+    fn announce(&self, _fingerprint: Fingerprint) -> LocalBoxFuture<'static, ()> {
+        Box::pin(async {})
     }
 
     fn begin(&self, _begin: Begin, early: oneshot::Sender<TurnReply>) -> LocalBoxFuture<'static, Reply> {
@@ -241,12 +256,14 @@
             early: RefCell::new(early),
             commits: receiver,
             finished: RefCell::default(),
+            suspects: RefCell::default(),
         });
         let wire = Rc::new(FixedWire { heads_read: Cell::new(0), route });
         let limits = ServerLimits::new(8);
         let gateway = Gateway::new(GatewayParts {
             wire: wire.clone(),
             turns: turns.clone(),
+            suspects: Rc::new(SuspectView::without_groups()),
             dispatch: Dispatch::new("a".into(), 1),
             node: NodeId(1),
             placement: Placement::Entry,
--- a/agatetrestle/src/gateway/tests/endings.rs
+++ b/agatetrestle/src/gateway/tests/endings.rs
@@ -238,6 +238,7 @@
 fn server_is_in_use(gateway: &Gateway) -> bool {
     let now = gateway.clock.now();
     let request = dispatch::Request {
+        isolated: false,
         ticket: u64::MAX,
         service: "engines".into(),
         priority: 0,
--- a/agatetrestle/src/gateway/turn.rs
+++ b/agatetrestle/src/gateway/turn.rs
@@ -15,6 +15,7 @@
 use crate::dispatch::ServerLoad;
 use crate::gateway::Gateway;
 use crate::ports::GroupError;
+use crate::suspects::Fingerprint;
 use crate::turns::command::Begin;
 use crate::turns::command::Finish;
 use crate::turns::command::RetainedTurn;
@@ -27,6 +28,9 @@
     /// Commits a command to the group of its program or team.
     fn commit(&self, command: TurnCommand) -> LocalBoxFuture<'static, Result<TurnReply, GroupError>>;
 
+    /// Returns once the entries in touch with the group of a suspect know it, or after a short time.
+    fn announce(&self, fingerprint: Fingerprint) -> LocalBoxFuture<'static, ()>;
+
     /// Commits a begin. If its leader is certain before the commit that the turn will be granted, `early` gets the reply
     /// then. The future must be awaited all the same: the commit can still fail.
     fn begin(
--- a/agatetrestle/src/ids.rs
+++ b/agatetrestle/src/ids.rs
@@ -33,6 +33,8 @@
 /// Added to the id of a state group to address the early answers of its leader. A node of an older build has no such group,
 /// so it answers that it does not lead it, and logs nothing.
 const EARLY_ANSWERS: u32 = 1 << 16;
+/// The same for the suspects of a state group.
+const SUSPECTS: u32 = 1 << 17;
 
 impl GroupId {
     /// The address of the early answers of a state group; see docs/design/020-commit-latency.md.
@@ -40,6 +42,12 @@
     pub const fn early_answers(self) -> Self {
         Self(self.0 | EARLY_ANSWERS)
     }
+
+    /// The address of the suspects of a state group; see docs/design/027-requests-that-end-servers.md.
+    #[must_use]
+    pub const fn suspects(self) -> Self {
+        Self(self.0 | SUSPECTS)
+    }
 }
 
 /// Id of a program. The partner is part of it, so that programs of two partners can't collide.
--- a/agatetrestle/src/metrics/instruments.rs
+++ b/agatetrestle/src/metrics/instruments.rs
@@ -39,6 +39,7 @@
     refused: Counter<u64>,
     retried: Counter<u64>,
     broken_responses: Counter<u64>,
+    lost_servers: Counter<u64>,
     unknown_outcomes: Counter<u64>,
     tokens: Counter<u64>,
     cache_held: Gauge<u64>,
@@ -96,6 +97,10 @@
                 "agatetrestle_broken_responses",
                 "Responses that servers broke off, by how they ended.",
             ),
+            lost_servers: counter(
+                "agatetrestle_lost_servers",
+                "Requests whose server broke off and may have ended under them.",
+            ),
             unknown_outcomes: counter(
                 "agatetrestle_unknown",
                 "Calls of which nobody can tell whether they ran.",
@@ -144,6 +149,7 @@
             Measurement::BrokenResponse(reason) => {
                 self.broken_responses.add(1, series.with_reason(reason));
             }
+            Measurement::LostServer => self.lost_servers.add(1, &series.attributes),
             Measurement::UnknownOutcome => self.unknown_outcomes.add(1, &series.attributes),
             Measurement::Tokens(count) => self.tokens.add(*count, &series.attributes),
         }
--- a/agatetrestle/src/node/router.rs
+++ b/agatetrestle/src/node/router.rs
@@ -50,6 +50,9 @@
 /// the timeout of an attempt.
 const SEARCH_DELAY: Duration = Duration::from_millis(100);
 
+/// How often a long question checks whether the leader was replaced.
+const LEADER_POLL_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Why new work is refused while the circuit breaker is open.
 const UNREACHABLE: &str = "no replica of the group answers";
 
@@ -230,6 +233,35 @@
         }
     }
 
+    /// Asks the known leader, or the next holder in turn, through another address of the group. Does not retry.
+    pub async fn ask_once(
+        &self,
+        group: GroupId,
+        request: &[u8],
+        deadline: Duration,
+        cursor: &mut usize,
+    ) -> Submission {
+        if self.holders.borrow().is_empty() {
+            return Submission::NotLeader(None);
+        }
+        let target = self.leader_hint.get().unwrap_or_else(|| self.next_holder(cursor, None));
+        let Some(link) = self.links.get(target) else {
+            return Submission::NotLeader(None);
+        };
+        let answer = submit_remotely(&link, deadline, group, request);
+        // Answers may take long, so a replaced leader is noticed by what other requests learn.
+        let replaced = async {
+            while self.leader_hint.get().is_none_or(|leader| leader == target) {
+                self.time.sleep(LEADER_POLL_INTERVAL).await;
+            }
+            Submission::NotLeader(self.leader_hint.get())
+        };
+        match select(pin!(answer), pin!(replaced)).await {
+            Either::Left((Err(error), _)) => Submission::Unreachable(error.to_string().into()),
+            Either::Left((Ok(submission), _)) | Either::Right((submission, _)) => submission,
+        }
+    }
+
     async fn forward(&self, request: Vec<u8>, policy: BusyPolicy) -> Result<Vec<u8>, GroupError> {
         let admission = match policy {
             BusyPolicy::Retry => Admission::Pass,
--- a/agatetrestle/src/ports.rs
+++ b/agatetrestle/src/ports.rs
@@ -221,6 +221,8 @@
     Retried(&'static str),
     /// A response that its server broke off, by the way it ended.
     BrokenResponse(&'static str),
+    /// A server broke off and may have ended under a request.
+    LostServer,
     /// A call that may or may not have run.
     UnknownOutcome,
     /// Generated tokens.
--- /dev/null
+++ b/agatetrestle/src/suspects/record.rs
@@ -0,0 +1,340 @@
+//! The replicated record of suspects: requests under which servers have ended.
+//!
+//! It decides whether a suspect may be sent to another server. Times are those of the state that holds it, in milliseconds,
+//! so that all replicas decide alike.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::suspects::Fingerprint;
+
+/// Servers that may end under one request. Once as many have ended, it is sent to none.
+pub const MAX_LOSSES: usize = 3;
+/// Suspects that are remembered, 3 MB at most. Beyond it those with the fewest losses are dropped first, the oldest of them
+/// before others.
+pub const MAX_SUSPECTS: usize = 8_192;
+/// Losses from which few suspects of a service run at once. After an outage many requests have lost one server, of which
+/// hardly any loses another.
+const LIMITED_FROM_LOSSES: usize = 2;
+/// Time after its last loss for which a suspect is remembered. Callers that repeat a request for longer have a person or a
+/// schedule behind them, and a mended server may run it.
+pub const RETENTION_MS: u64 = 600_000;
+/// Time after a loss in which a server that only broke off shows that it runs. A refusal until then may be taken back.
+const CONFIRMATION_MS: u64 = 2_000;
+/// Retry delay while other attempts at suspects are under way.
+const BUSY_RETRY_MS: u64 = 500;
+/// Servers that are remembered of one suspect. More end only under attempts that were sent before the first loss was known.
+const MAX_REMEMBERED_LOSSES: usize = 8;
+/// Bounds the time for which an attempt counts as under way, if its entry does not report its end.
+const MAX_RUN_MS: u64 = 120_000;
+
+/// A command about a suspect. All are idempotent.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum SuspectCommand {
+    /// Asks whether an attempt may be sent to a server, and counts it as under way if it may.
+    Admit(Admit),
+    /// Reports that the server of an attempt broke off.
+    Lose(Lose),
+    /// Reports that a server which broke off runs.
+    Clear(Clear),
+    /// Reports that an attempt is not under way any more.
+    End(End),
+}
+
+impl SuspectCommand {
+    /// The request that it is about.
+    #[must_use]
+    pub fn fingerprint(&self) -> Fingerprint {
+        match self {
+            Self::Admit(admit) => admit.fingerprint,
+            Self::Lose(lose) => lose.admit.fingerprint,
+            Self::Clear(clear) => clear.fingerprint,
+            Self::End(end) => end.fingerprint,
+        }
+    }
+}
+
+/// Payload of [`SuspectCommand::Admit`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Admit {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The attempt.
+    pub attempt: Arc<str>,
+    /// The service that it is addressed to.
+    pub service: Arc<str>,
+    /// Milliseconds for which it may be under way.
+    pub run_ms: u64,
+    /// Suspects of the service under which several servers ended that this group may let run at once.
+    pub max_running: u32,
+}
+
+/// Payload of [`SuspectCommand::Lose`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Lose {
+    /// The server that broke off.
+    pub server: Arc<str>,
+    /// Whether the attempt goes on at another server if it may.
+    pub goes_on: bool,
+    /// The attempt and its request.
+    pub admit: Admit,
+}
+
+/// Payload of [`SuspectCommand::Clear`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Clear {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The server that runs.
+    pub server: Arc<str>,
+}
+
+/// Payload of [`SuspectCommand::End`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct End {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// The attempt.
+    pub attempt: Arc<str>,
+    /// Whether its completion clears the request, since nothing tells it from those of other callers.
+    pub clears: bool,
+}
+
+/// Whether an attempt may be sent to a server.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum SuspectDecision {
+    /// The request is no suspect.
+    Innocent,
+    /// It may, as one that is counted as under way.
+    Admitted {
+        /// Servers that have ended under the request.
+        losses: u32,
+    },
+    /// So many servers have ended under the request that it is sent to none.
+    Exhausted {
+        /// Milliseconds until that may change.
+        retry_ms: u64,
+    },
+    /// Other attempts are under way, under which servers may end.
+    Busy {
+        /// Milliseconds after which the caller may retry.
+        retry_ms: u64,
+    },
+}
+
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+struct Suspect {
+    /// Servers that have ended under it.
+    lost: BTreeSet<Arc<str>>,
+    /// Attempts under way, with the time until which they count.
+    running: BTreeMap<Arc<str>, u64>,
+    service: Arc<str>,
+    last_loss: u64,
+    /// Version of the record that added it.
+    version: u64,
+}
+
+impl Suspect {
+    fn until(&self) -> u64 {
+        self.last_loss.saturating_add(RETENTION_MS)
+    }
+
+    fn rank(&self) -> (usize, u64) {
+        (self.lost.len(), self.last_loss)
+    }
+}
+
+/// Suspects that were added to a record, for the processes that send requests.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Digest {
+    /// Version of the record.
+    pub version: u64,
+    /// The suspects, with the milliseconds for which they are remembered.
+    pub added: Vec<(Fingerprint, u64)>,
+}
+
+/// Suspects by their fingerprint.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Suspects {
+    by_fingerprint: BTreeMap<Fingerprint, Suspect>,
+    /// By number of losses and time of the last one.
+    by_rank: BTreeSet<((usize, u64), Fingerprint)>,
+    by_version: BTreeMap<u64, Fingerprint>,
+    /// Those with attempts under way.
+    running: BTreeSet<Fingerprint>,
+    /// Suspects that were added so far.
+    version: u64,
+}
+
+impl Suspects {
+    /// Whether there was never a suspect.
+    #[must_use]
+    pub fn is_unused(&self) -> bool {
+        self.version == 0
+    }
+
+    /// Number of suspects.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.by_fingerprint.len()
+    }
+
+    /// Whether there are none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_fingerprint.is_empty()
+    }
+
+    /// Number of suspects that were added so far.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Whether a request is a suspect.
+    #[must_use]
+    pub fn contains(&self, fingerprint: Fingerprint) -> bool {
+        self.by_fingerprint.contains_key(&fingerprint)
+    }
+
+    /// Servers that ended under a request.
+    #[must_use]
+    pub fn losses(&self, fingerprint: Fingerprint) -> usize {
+        self.by_fingerprint.get(&fingerprint).map_or(0, |suspect| suspect.lost.len())
+    }
+
+    /// Suspects that were added after a version, all if the version is of another record.
+    #[must_use]
+    pub fn since(&self, now: u64, version: u64) -> Digest {
+        let version = if version > self.version { 0 } else { version };
+        let added = self.by_version.range(version + 1..).filter_map(|(_, fingerprint)| {
+            let suspect = self.by_fingerprint.get(fingerprint)?;
+            Some((*fingerprint, suspect.until().saturating_sub(now)))
+        });
+        Digest { version: self.version, added: added.collect() }
+    }
+
+    /// Executes a command.
+    pub(crate) fn execute(&mut self, now: u64, command: SuspectCommand) -> SuspectDecision {
+        match command {
+            SuspectCommand::Admit(admit) => self.admit(now, admit),
+            SuspectCommand::Lose(lose) => self.lose(now, lose),
+            SuspectCommand::Clear(Clear { fingerprint, server }) => {
+                self.update(fingerprint, |suspect| {
+                    suspect.lost.remove(&server);
+                });
+                SuspectDecision::Innocent
+            }
+            SuspectCommand::End(End { fingerprint, attempt, clears }) => {
+                self.update(fingerprint, |suspect| {
+                    suspect.running.remove(&attempt);
+                    if clears && suspect.lost.len() < MAX_LOSSES {
+                        suspect.lost.clear();
+                    }
+                });
+                SuspectDecision::Innocent
+            }
+        }
+    }
+
+    /// Decides on an attempt. Those under way count as if their servers ended, so that three is three.
+    fn admit(&mut self, now: u64, admit: Admit) -> SuspectDecision {
+        let running = self.running(now, &admit.service);
+        let Some(suspect) = self.by_fingerprint.get_mut(&admit.fingerprint) else {
+            return SuspectDecision::Innocent;
+        };
+        suspect.running.retain(|_, until| *until > now);
+        let losses = suspect.lost.len();
+        if losses >= MAX_LOSSES {
+            let confirmed_at = suspect.last_loss.saturating_add(CONFIRMATION_MS);
+            let until = if confirmed_at > now { confirmed_at } else { suspect.until() };
+            return SuspectDecision::Exhausted { retry_ms: until.saturating_sub(now) };
+        }
+        if !suspect.running.contains_key(&admit.attempt) {
+            let is_crowded = losses >= LIMITED_FROM_LOSSES && running >= admit.max_running;
+            if losses + suspect.running.len() >= MAX_LOSSES || is_crowded {
+                return SuspectDecision::Busy { retry_ms: BUSY_RETRY_MS };
+            }
+            suspect.running.insert(admit.attempt, now.saturating_add(admit.run_ms.min(MAX_RUN_MS)));
+            self.running.insert(admit.fingerprint);
+        }
+        SuspectDecision::Admitted { losses: u32::try_from(losses).unwrap_or(u32::MAX) }
+    }
+
+    fn lose(&mut self, now: u64, lose: Lose) -> SuspectDecision {
+        let Lose { server, goes_on, admit } = lose;
+        let fingerprint = admit.fingerprint;
+        if !self.contains(fingerprint) {
+            self.version += 1;
+            let suspect =
+                Suspect { service: admit.service.clone(), version: self.version, ..Suspect::default() };
+            self.by_version.insert(self.version, fingerprint);
+            self.by_rank.insert((suspect.rank(), fingerprint));
+            self.by_fingerprint.insert(fingerprint, suspect);
+        }
+        self.update(fingerprint, |suspect| {
+            suspect.last_loss = now;
+            if suspect.lost.len() < MAX_REMEMBERED_LOSSES {
+                suspect.lost.insert(server);
+            }
+            suspect.running.remove(&admit.attempt);
+        });
+        if self.by_fingerprint.len() > MAX_SUSPECTS
+            && let Some((_, fingerprint)) = self.by_rank.first().copied()
+        {
+            self.remove(fingerprint);
+        }
+        if goes_on { self.admit(now, admit) } else { SuspectDecision::Innocent }
+    }
+
+    /// Attempts under way at suspects of a service under which several servers ended.
+    fn running(&self, now: u64, service: &str) -> u32 {
+        let suspects = self.running.iter().filter_map(|fingerprint| self.by_fingerprint.get(fingerprint));
+        let of_service = suspects
+            .filter(|suspect| &*suspect.service == service && suspect.lost.len() >= LIMITED_FROM_LOSSES);
+        let running = of_service.flat_map(|suspect| suspect.running.values()).filter(|until| **until > now);
+        u32::try_from(running.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Changes a suspect, and drops it if it has lost no server.
+    fn update(&mut self, fingerprint: Fingerprint, update: impl FnOnce(&mut Suspect)) {
+        let Some(suspect) = self.by_fingerprint.get_mut(&fingerprint) else {
+            return;
+        };
+        self.by_rank.remove(&(suspect.rank(), fingerprint));
+        update(suspect);
+        let (rank, is_cleared) = (suspect.rank(), suspect.lost.is_empty());
+        self.by_rank.insert((rank, fingerprint));
+        if suspect.running.is_empty() {
+            self.running.remove(&fingerprint);
+        }
+        if is_cleared {
+            self.remove(fingerprint);
+        }
+    }
+
+    fn remove(&mut self, fingerprint: Fingerprint) {
+        if let Some(suspect) = self.by_fingerprint.remove(&fingerprint) {
+            self.by_rank.remove(&(suspect.rank(), fingerprint));
+            self.by_version.remove(&suspect.version);
+            self.running.remove(&fingerprint);
+        }
+    }
+
+    /// Drops the suspects whose last loss is long ago.
+    pub(crate) fn advance(&mut self, now: u64) {
+        for losses in 1..=MAX_REMEMBERED_LOSSES {
+            let oldest = ((losses, 0), Fingerprint(0));
+            while let Some((rank, fingerprint)) = self.by_rank.range(oldest..).next().copied()
+                && rank.0 == losses
+                && rank.1.saturating_add(RETENTION_MS) < now
+            {
+                self.remove(fingerprint);
+            }
+        }
+    }
+}
--- a/agatetrestle/src/turns/command.rs
+++ b/agatetrestle/src/turns/command.rs
@@ -11,6 +11,8 @@
 use crate::codec::decode;
 use crate::codec::encode_with_capacity;
 use crate::ids::NodeId;
+use crate::suspects::record::SuspectCommand;
+use crate::suspects::record::SuspectDecision;
 use crate::turns::streams::StreamOrigin;
 use crate::turns::streams::StreamStart;
 
@@ -33,6 +35,8 @@
     RecordStream(RecordStream),
     /// Reads where a stream began. It goes through the log so that the reply reflects every acknowledged write.
     ReadStream(ReadStream),
+    /// Reports or asks about a request under which servers ended. The group is selected by the request's fingerprint.
+    Suspect(SuspectCommand),
 }
 
 /// Payload of [`TurnCommand::RecordStream`].
@@ -166,7 +170,7 @@
             Self::Finish(finish) => &finish.program,
             Self::RecordStream(record) => &record.program,
             Self::ReadStream(read) => &read.program,
-            Self::Chain(_) | Self::Take(_) => "",
+            Self::Chain(_) | Self::Take(_) | Self::Suspect(_) => "",
         }
     }
 
@@ -378,6 +382,8 @@
     Recorded,
     /// Where a stream began; `None` if it is not known.
     Stream(Option<StreamOrigin>),
+    /// Whether a suspect may be sent to a server.
+    Suspect(SuspectDecision),
     /// The command could not be decoded or does not belong in the log.
     Refused,
 }
--- a/agatetrestle/src/turns/state.rs
+++ b/agatetrestle/src/turns/state.rs
@@ -27,6 +27,7 @@
 use crate::codec::Blob;
 use crate::codec::decode;
 use crate::codec::encode_large;
+use crate::suspects::Suspects;
 use crate::turns::command::Begin;
 use crate::turns::command::Finish;
 use crate::turns::command::RetainedTurn;
@@ -105,6 +106,9 @@
     /// Where resumable streams began. Empty in snapshots of older builds.
     #[serde(default, skip_serializing_if = "Streams::is_empty")]
     streams: Streams,
+    /// Requests under which servers ended. Unused in snapshots of older builds.
+    #[serde(default, skip_serializing_if = "Suspects::is_unused")]
+    suspects: Suspects,
     #[serde(skip)]
     decoded: DecodedProposals,
 }
@@ -129,6 +133,7 @@
                 TurnReply::Recorded
             }
             TurnCommand::ReadStream(read) => TurnReply::Stream(self.streams.origin(&read.turn).cloned()),
+            TurnCommand::Suspect(command) => TurnReply::Suspect(self.suspects.execute(self.now, command)),
             TurnCommand::Take(_) => TurnReply::Refused,
         }
     }
@@ -164,6 +169,12 @@
         &self.streams
     }
 
+    /// Requests under which servers ended.
+    #[must_use]
+    pub fn suspects(&self) -> &Suspects {
+        &self.suspects
+    }
+
     /// Milliseconds that leaders measured between commands so far.
     #[must_use]
     pub fn now(&self) -> u64 {
@@ -323,6 +334,7 @@
         self.now = self.now.saturating_add(elapsed);
         self.recent.advance(self.now);
         self.streams.advance(self.now);
+        self.suspects.advance(self.now);
         while let Some((until, _)) = self.turns_by_end.first()
             && *until < self.now
             && let Some((_, name)) = self.turns_by_end.pop_first()
--- a/agatetrestle/src/turns/state/pending.rs
+++ b/agatetrestle/src/turns/state/pending.rs
@@ -242,7 +242,8 @@
                 TurnCommand::Chain(_)
                 | TurnCommand::Take(_)
                 | TurnCommand::RecordStream(_)
-                | TurnCommand::ReadStream(_) => {}
+                | TurnCommand::ReadStream(_)
+                | TurnCommand::Suspect(_) => {}
             }
         }
         let reserved = open.values().fold(0, |sum: u64, reservation| sum.saturating_add(reservation.most));
@@ -259,7 +260,8 @@
         TurnCommand::Chain(_)
         | TurnCommand::Take(_)
         | TurnCommand::RecordStream(_)
-        | TurnCommand::ReadStream(_) => None,
+        | TurnCommand::ReadStream(_)
+        | TurnCommand::Suspect(_) => None,
     }
 }
 
--- a/agatetrestle/src/turns/tests/burst.rs
+++ b/agatetrestle/src/turns/tests/burst.rs
@@ -416,6 +416,7 @@
             finish_by: Timestamp(program.deadline),
             affinity: Some(turn.program as u64),
             excluded: turn.excluded.clone(),
+            isolated: false,
             profile: RequestProfile::default(),
         }
     }
