Count lost servers of calls in the ledger of the own interface

Callers of the own interface could resend a repeatable call whose outcome was unknown without end; each resend made three attempts.

The ledger now adds up the servers that broke off under a call, also under earlier calls of the program with the same content. After three the call is in doubt, and a new one with its content is refused (`suspect`); an operator's finding that it did not run takes the losses back.

--- a/agatetrestle/src/attempts/call.rs
+++ b/agatetrestle/src/attempts/call.rs
@@ -70,6 +70,8 @@
     pub service_time: Duration,
     /// Number of attempts.
     pub attempts: u32,
+    /// Servers that ended under attempts.
+    pub lost_servers: u32,
     /// Known token cost of lost attempts: their prompts and the events received.
     pub lost_tokens: u64,
 }
@@ -83,6 +85,9 @@
     /// Tokens that all attempts together may use. Read after the call is admitted.
     fn token_budget(&self) -> u64;
 
+    /// Servers that may still end under the call before it is sent to none. Read after the call is admitted.
+    fn servers_to_lose(&self) -> u32;
+
     /// Called for each server-sent event of the first streamed answer except the last.
     fn on_event(&self, bytes: &[u8]);
 
--- a/agatetrestle/src/attempts/call_driver.rs
+++ b/agatetrestle/src/attempts/call_driver.rs
@@ -177,11 +177,12 @@
         CallOutcome::Answered(reply)
     }
 
-    /// Records a failed attempt; returns an outcome if the token budget allows no further one.
+    /// Records a failed attempt; returns an outcome if the token budget, or the servers that ended, allow no further one.
     fn handle_failure(&self, error: ExchangeError) -> Option<CallOutcome> {
         if self.event_count.get() > 0 && !self.detached.replace(true) {
             self.caller.on_interrupted();
         }
+        self.update_stats(|stats| stats.lost_servers += u32::from(error.server_lost));
         self.last_error.replace(error.detail);
         self.error_reply.replace(error.reply);
         let failure = self.delivery.borrow_mut().fail(error.failure);
@@ -191,7 +192,8 @@
         }
         self.dispatcher.step(Event::Failed { call: self.id, failure });
         let needed = self.stats.get().lost_tokens.saturating_add(self.call.max_attempt_tokens);
-        (needed > self.caller.token_budget()).then(|| self.give_up(DEFAULT_RETRY_AFTER))
+        let is_exhausted = self.stats.get().lost_servers >= self.caller.servers_to_lose();
+        (is_exhausted || needed > self.caller.token_budget()).then(|| self.give_up(DEFAULT_RETRY_AFTER))
     }
 
     /// Completes when the caller disconnects; never completes for a detached call.
--- a/agatetrestle/src/attempts/dispatcher.rs
+++ b/agatetrestle/src/attempts/dispatcher.rs
@@ -215,7 +215,7 @@
             Some((BackendKind::Service, address)) => self.services.call(address, request, observer).await,
             None => {
                 let detail = "the backend server is no longer declared".into();
-                Err(ExchangeError { failure: Failure::Connect, detail, reply: None })
+                Err(ExchangeError { failure: Failure::Connect, detail, reply: None, server_lost: false })
             }
         }
     }
--- a/agatetrestle/src/attempts/http.rs
+++ b/agatetrestle/src/attempts/http.rs
@@ -211,7 +211,7 @@
         };
         match with_timeout(self.timer, self.request.idle_timeout, writing).await {
             Some(Ok(())) => Ok(()),
-            Some(Err(e)) => Err(exchange_error(Failure::Lost, format!("while writing: {e}"))),
+            Some(Err(e)) => Err(server_lost(format!("while writing: {e}"))),
             None => Err(exchange_error(Failure::Lost, "no progress while writing")),
         }
     }
@@ -230,7 +230,7 @@
             }
             let count = self.read(stream, &mut chunk).await?;
             if count == 0 {
-                return Err(exchange_error(Failure::Lost, "the connection closed before an answer"));
+                return Err(server_lost("the connection closed before an answer"));
             }
             buf.extend_from_slice(&chunk[..count]);
         }
@@ -244,7 +244,7 @@
         for _ in 0..IDLE_POLLS {
             match with_timeout(self.timer, self.request.idle_timeout / IDLE_POLLS, reader.read(buf)).await {
                 Some(Ok(count)) => return Ok(count),
-                Some(Err(e)) => return Err(exchange_error(Failure::Lost, format!("while reading: {e}"))),
+                Some(Err(e)) => return Err(server_lost(format!("while reading: {e}"))),
                 None => {}
             }
         }
@@ -293,7 +293,7 @@
                 true => EventSplitter::content_end_of(&received),
                 false => ContentEnd::Opaque,
             };
-            end.check(content).map_err(|_| exchange_error(Failure::Lost, "the answer was cut off"))?;
+            end.check(content).map_err(|_| server_lost("the answer was cut off"))?;
         }
         let usage = if is_stream { parser.usage() } else { TokenUsage::default() };
         let status = u16::from(response.status());
@@ -347,13 +347,23 @@
     }
     if status >= 500 {
         let detail = format!("the backend server answered {status}").into();
-        return Err(ExchangeError { failure: Failure::Error, detail, reply: Some(reply) });
+        return Err(ExchangeError {
+            failure: Failure::Error,
+            detail,
+            reply: Some(reply),
+            server_lost: false,
+        });
     }
     Ok(reply)
 }
 
 fn exchange_error(failure: Failure, detail: impl Into<Arc<str>>) -> ExchangeError {
-    ExchangeError { failure, detail: detail.into(), reply: None }
+    ExchangeError { failure, detail: detail.into(), reply: None, server_lost: false }
+}
+
+/// The error if the connection broke after the request was sent.
+fn server_lost(detail: impl Into<Arc<str>>) -> ExchangeError {
+    ExchangeError { server_lost: true, ..exchange_error(Failure::Lost, detail) }
 }
 
 #[cfg(test)]
--- a/agatetrestle/src/attempts/mod.rs
+++ b/agatetrestle/src/attempts/mod.rs
@@ -130,6 +130,8 @@
     pub detail: Arc<str>,
     /// The complete answer if the failure is [`Failure::Error`].
     pub reply: Option<BackendReply>,
+    /// Whether the connection broke after the request was sent, so that the server may have ended under it.
+    pub server_lost: bool,
 }
 
 /// A command about a program's prefix cache in an engine.
--- a/agatetrestle/src/entry/begin.rs
+++ b/agatetrestle/src/entry/begin.rs
@@ -99,6 +99,7 @@
 
     fn mark_begun(&self, view: ProgramView) -> CallStart {
         self.begun.set(true);
+        self.lost_before.set(view.lost_servers);
         CallStart::Begun(view)
     }
 
@@ -106,7 +107,7 @@
     /// `NotRun`.
     async fn begin_failed(&self, e: &GroupError) -> Result<Answer, Problem> {
         if let GroupError::Unknown { .. } = e {
-            self.end_attempt(ExecutionStatus::NotRun).await;
+            self.end_attempt(ExecutionStatus::NotRun, 0).await;
         }
         let problem = Problem::not_run(503, ProblemReason::Ledger, format!("nothing was sent: {e}"));
         self.resolve_refusal(problem.retry_after(RETRY_AFTER)).await
@@ -147,7 +148,7 @@
         let request = &self.call.request;
         let (program, call) = (request.program.clone(), request.call);
         if request.repeatable == Repeatable::No {
-            let command = ProgramCommand::Unknown { program, call, attempt: holder };
+            let command = ProgramCommand::Unknown { program, call, attempt: holder, lost_servers: 0 };
             let reply = self.submit(command).await.map_err(|e| programs::unknown_outcome(&e))?;
             return match reply {
                 ProgramReply::Stored(answer) => Ok(CallStart::Answered(answer)),
--- a/agatetrestle/src/entry/call_task.rs
+++ b/agatetrestle/src/entry/call_task.rs
@@ -32,6 +32,7 @@
 use crate::programs::command::ProgramCommand;
 use crate::programs::command::ProgramReply;
 use crate::programs::command::ProgramView;
+use crate::suspects::record::MAX_LOSSES;
 
 /// Class label of metrics while the program of the call is not known.
 const NO_CLASS: &str = "none";
@@ -43,6 +44,8 @@
     pub(super) attempt: AttemptId,
     pub(super) reserve: Cell<u64>,
     pub(super) begun: Cell<bool>,
+    /// Servers that ended under earlier attempts at the request.
+    pub(super) lost_before: Cell<u32>,
     pub(super) early_result: RefCell<Option<Result<Answer, Problem>>>,
     pub(super) pending_settlement: RefCell<Option<ProgramCommand>>,
     sender: &'a ResponseSender,
@@ -99,6 +102,10 @@
         self.reserve.get()
     }
 
+    fn servers_to_lose(&self) -> u32 {
+        u32::try_from(MAX_LOSSES).unwrap_or(u32::MAX).saturating_sub(self.lost_before.get())
+    }
+
     fn on_event(&self, bytes: &[u8]) {
         let now = self.server.clock.now();
         let measure = match self.last_chunk_at.replace(Some(now)) {
@@ -125,6 +132,7 @@
             attempt,
             reserve: Cell::new(call.cost),
             begun: Cell::new(false),
+            lost_before: Cell::default(),
             early_result: RefCell::default(),
             pending_settlement: RefCell::default(),
             sender,
@@ -159,7 +167,7 @@
         let stats = Cell::new(CallStats::default());
         let outcome =
             self.server.dispatcher.run(&self.outgoing_call(cached), self, disconnected, &stats).await;
-        let settled = self.settle(outcome, stats.get().lost_tokens).await;
+        let settled = self.settle(outcome, stats.get()).await;
         self.record_stats(stats.get());
         settled
     }
--- a/agatetrestle/src/entry/problem.rs
+++ b/agatetrestle/src/entry/problem.rs
@@ -65,6 +65,8 @@
     Budget,
     /// The program has reached its limit on calls.
     Turns,
+    /// Servers ended under the request.
+    Suspect,
     /// The key was used for another request.
     KeyReused,
     /// Sub-agents have not ended.
@@ -227,6 +229,7 @@
             Self::CallOpen => "call_open",
             Self::Budget => "budget",
             Self::Turns => "turns",
+            Self::Suspect => "suspect",
             Self::KeyReused => "key_reused",
             Self::Children => "children",
             Self::WrongState => "wrong_state",
@@ -274,6 +277,9 @@
                 (409, ProblemReason::Budget, format!("{left} tokens are left").into())
             }
             Refusal::Turns => (409, ProblemReason::Turns, "the program may make no further call".into()),
+            Refusal::ServersLost => {
+                (409, ProblemReason::Suspect, "too many servers ended under the request".into())
+            }
             Refusal::KeyReused => {
                 (422, ProblemReason::KeyReused, "the key was used for another request".into())
             }
--- a/agatetrestle/src/entry/settle.rs
+++ b/agatetrestle/src/entry/settle.rs
@@ -5,6 +5,7 @@
 
 use crate::attempts::BackendReply;
 use crate::attempts::CallOutcome;
+use crate::attempts::CallStats;
 use crate::attempts::ExecutionStatus;
 use crate::entry::call_task::CallTask;
 use crate::entry::problem::Problem;
@@ -24,9 +25,9 @@
 const SETTLE_RETRY_DELAY: Duration = Duration::from_millis(500);
 
 impl CallTask<'_> {
-    pub(super) async fn settle(&self, outcome: CallOutcome, lost_tokens: u64) -> Result<Answer, Problem> {
+    pub(super) async fn settle(&self, outcome: CallOutcome, stats: CallStats) -> Result<Answer, Problem> {
         let (execution, problem) = match outcome {
-            CallOutcome::Answered(reply) => return self.finish(reply, lost_tokens).await,
+            CallOutcome::Answered(reply) => return self.finish(reply, stats.lost_tokens).await,
             CallOutcome::NotAdmitted => {
                 return self.early_result.take().unwrap_or_else(|| Err(programs::in_progress()));
             }
@@ -44,7 +45,7 @@
         if !self.begun.get() {
             return self.resolve_refusal(problem).await;
         }
-        self.end_attempt(execution).await;
+        self.end_attempt(execution, stats.lost_servers).await;
         Err(problem)
     }
 
@@ -98,14 +99,14 @@
 
     /// Settles an attempt that got no answer, or leaves the settlement pending if the ledger does not reply. A
     /// repeatable call that is marked as unknown may be begun again; its reservation stays charged.
-    pub(super) async fn end_attempt(&self, execution: ExecutionStatus) {
+    pub(super) async fn end_attempt(&self, execution: ExecutionStatus, lost_servers: u32) {
         let program = self.call.request.program.clone();
         let call = self.call.request.call;
         let attempt = self.attempt;
         let command = match execution {
             ExecutionStatus::NotRun => ProgramCommand::NotRun { program, call, attempt },
             ExecutionStatus::Unknown | ExecutionStatus::Retryable => {
-                ProgramCommand::Unknown { program, call, attempt }
+                ProgramCommand::Unknown { program, call, attempt, lost_servers }
             }
         };
         if self.commit_with_retry(&command, 1).await.is_none() {
--- a/agatetrestle/src/programs/command.rs
+++ b/agatetrestle/src/programs/command.rs
@@ -119,6 +119,9 @@
         call: CallNumber,
         /// The attempt with the unknown outcome.
         attempt: AttemptId,
+        /// Servers that ended under the attempt.
+        #[serde(default)]
+        lost_servers: u32,
     },
     /// Records an operator's finding about a call with an unknown outcome.
     Resolve {
@@ -185,6 +188,9 @@
     pub last: Option<(CallNumber, CallState, AttemptId, Repeatable)>,
     /// Opening time in wall-clock milliseconds since 1970, by the proposing node's clock.
     pub opened_at: u64,
+    /// Servers that have ended under the last call, and under earlier ones with the same content.
+    #[serde(default)]
+    pub lost_servers: u32,
 }
 
 /// Reply to a command or query.
@@ -228,6 +234,8 @@
     },
     /// The program has reached its limit on calls.
     Turns,
+    /// Too many servers have ended under calls with the same content.
+    ServersLost,
     /// The key was used for another request.
     KeyReused,
     /// The attempt is not the current one of the call, or has released it.
--- a/agatetrestle/src/programs/ledger.rs
+++ b/agatetrestle/src/programs/ledger.rs
@@ -106,7 +106,9 @@
                 program.finish(call, attempt, spent, || store_answer(history.as_mut(), answer))?;
             }
             ProgramCommand::NotRun { call, attempt, .. } => program.not_run(call, attempt)?,
-            ProgramCommand::Unknown { call, attempt, .. } => program.mark_unknown(call, attempt)?,
+            ProgramCommand::Unknown { call, attempt, lost_servers, .. } => {
+                program.mark_unknown(call, attempt, lost_servers)?;
+            }
             ProgramCommand::Resolve { call, ran, note, .. } => program.resolve(call, ran, note)?,
             ProgramCommand::End { .. } => {
                 let settlement = program.end()?;
--- a/agatetrestle/src/programs/program.rs
+++ b/agatetrestle/src/programs/program.rs
@@ -17,6 +17,7 @@
 use crate::programs::command::ProgramView;
 use crate::programs::command::Refusal;
 use crate::programs::command::Repeatable;
+use crate::suspects::record::MAX_LOSSES;
 
 /// A call with what is needed to answer a resend of its request.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -31,6 +32,14 @@
     request: RecordLocation,
     answer: Option<StoredAnswer>,
     note: Option<Arc<str>>,
+    /// Servers that have ended under it, and under earlier calls with the same content.
+    #[serde(default)]
+    lost_servers: u32,
+}
+
+/// Whether so many servers have ended under a request that it is sent to none.
+fn is_exhausted(lost_servers: u32) -> bool {
+    usize::try_from(lost_servers).is_ok_and(|lost| lost >= MAX_LOSSES)
 }
 
 /// An answer whose body is in the history.
@@ -134,6 +143,11 @@
         if self.calls.len() >= self.spec.turns as usize {
             return Err(Refusal::Turns);
         }
+        let same_content = self.calls.iter().filter(|call| call.digest == new_call.digest);
+        let lost_servers = same_content.map(|call| call.lost_servers).max().unwrap_or(0);
+        if is_exhausted(lost_servers) {
+            return Err(Refusal::ServersLost);
+        }
         self.reserve(new_call.reserve)?;
         self.calls.push(CallRecord {
             key: new_call.key,
@@ -146,6 +160,7 @@
             request: append_request(),
             answer: None,
             note: None,
+            lost_servers,
         });
         Ok(BeginOutcome::Started)
     }
@@ -171,7 +186,7 @@
     fn reopen(&mut self, index: usize, new_call: &NewCall) -> Result<BeginOutcome, Refusal> {
         let call = &self.calls[index];
         let is_last = index + 1 == self.calls.len();
-        if call.repeatable == Repeatable::No || !is_last || self.ended {
+        if call.repeatable == Repeatable::No || !is_last || self.ended || is_exhausted(call.lost_servers) {
             return Ok(BeginOutcome::Duplicate(PriorRequest::InDoubt(call.attempt)));
         }
         if self.was_released(new_call.attempt) {
@@ -305,7 +320,12 @@
     }
 
     /// Marks the outcome of a call as unknown and charges its whole reservation.
-    pub(super) fn mark_unknown(&mut self, number: CallNumber, attempt: AttemptId) -> Result<(), Refusal> {
+    pub(super) fn mark_unknown(
+        &mut self,
+        number: CallNumber,
+        attempt: AttemptId,
+        lost_servers: u32,
+    ) -> Result<(), Refusal> {
         let call = self.call_mut(number)?;
         if call.attempt != attempt {
             return Err(Refusal::NotYourAttempt);
@@ -316,6 +336,7 @@
             CallState::Open => {}
         }
         call.state = CallState::Unknown;
+        call.lost_servers = call.lost_servers.saturating_add(lost_servers);
         call.charged += call.reserve;
         let reserve = call.reserve;
         self.settle(reserve, reserve);
@@ -331,6 +352,7 @@
         if ran {
             return Ok(());
         }
+        call.lost_servers = 0;
         let refund = std::mem::take(&mut call.charged);
         call.reserve = 0;
         self.spent -= refund;
@@ -375,6 +397,7 @@
             ended: self.ended,
             last: last.map(|c| (CallNumber(next_call.0 - 1), c.state, c.attempt, c.repeatable)),
             opened_at: self.opened_at,
+            lost_servers: last.map_or(0, |call| call.lost_servers),
         }
     }
 }
--- a/agatetrestle/src/programs/tests.rs
+++ b/agatetrestle/src/programs/tests.rs
@@ -75,7 +75,39 @@
 }
 
 fn mark_unknown(program: &str, call: u32, attempt: AttemptId) -> ProgramCommand {
-    ProgramCommand::Unknown { program: id(program), call: CallNumber(call), attempt }
+    ProgramCommand::Unknown { program: id(program), call: CallNumber(call), attempt, lost_servers: 0 }
+}
+
+/// Losses add up over attempts and calls of the same content, and an operator's finding takes them back.
+#[test]
+fn call_under_which_three_servers_ended_is_not_begun_again() {
+    let mut ledger = ledger();
+    let lose = |attempt, lost_servers| ProgramCommand::Unknown {
+        program: id("vrsta/a"),
+        call: CallNumber(1),
+        attempt,
+        lost_servers,
+    };
+    for (number, lost) in [(1, 1), (2, 2)] {
+        applied(ledger.execute(begin("vrsta/a", 1, attempt(1, number), Repeatable::Yes)));
+        for _ in 0..2 {
+            applied(ledger.execute(lose(attempt(1, number), lost)));
+        }
+    }
+    let again = ledger.execute(begin("vrsta/a", 1, attempt(1, 3), Repeatable::Yes));
+    assert_eq!(again, ProgramReply::InDoubt(attempt(1, 2)));
+    let ProgramCommand::Begin { digest, .. } = begin("vrsta/a", 1, attempt(1, 4), Repeatable::Yes) else {
+        unreachable!("it is a begin")
+    };
+    let mut same = begin("vrsta/a", 2, attempt(1, 4), Repeatable::Yes);
+    if let ProgramCommand::Begin { digest: same_digest, .. } = &mut same {
+        *same_digest = digest;
+    }
+    assert_eq!(ledger.execute(same), ProgramReply::Refused(Refusal::ServersLost));
+    let note = "the servers were mended".into();
+    let resolve = ProgramCommand::Resolve { program: id("vrsta/a"), call: CallNumber(1), ran: false, note };
+    applied(ledger.execute(resolve));
+    assert_eq!(applied(ledger.execute(begin("vrsta/a", 1, attempt(1, 5), Repeatable::Yes))).lost_servers, 0);
 }
 
 fn applied(reply: ProgramReply) -> ProgramView {
