--- a/agatetrestle/src/gateway/losses.rs
+++ b/agatetrestle/src/gateway/losses.rs
@@ -21,7 +21,9 @@
 use crate::gateway::context::ErrorResponse;
 use crate::gateway::context::FAILOVER_RETRY_AFTER;
 use crate::gateway::context::RequestContext;
+use crate::gateway::reserve;
 use crate::gateway::reserve::millis;
+use crate::gateway::resumption::is_resumable;
 use crate::health::max_ejected;
 use crate::node::peer_link::with_deadline;
 use crate::ports::GroupError;
@@ -42,6 +44,8 @@
 /// Longest time that the end of a broken response waits for the report of the loss. A caller that returns after it may find an
 /// entry that has not heard of it.
 const MAX_REPORT_WAIT: Duration = Duration::from_millis(500);
+/// The same for turns and resumable streams, whose next attempt needs the group anyway; outlasts an election.
+const MAX_GROUP_REPORT_WAIT: Duration = Duration::from_secs(2);
 /// Reports under way, some hundred bytes each. Beyond it losses are logged only.
 const MAX_REPORTS: usize = 1_024;
 /// Time after a loss from which a response shows that the server runs. One that is about to end may still answer others.
@@ -110,6 +114,8 @@
     sent_at: Timestamp,
     /// Whether nothing tells the request from those of other callers, which clear it by their completion.
     is_anonymous: bool,
+    /// How long the end of a broken response waits for the report of the loss.
+    report_wait: Duration,
     admission: Option<Rc<Admission>>,
 }
 
@@ -127,6 +133,11 @@
             route: ctx.route.name.clone(),
             sent_at: gateway.clock.now(),
             is_anonymous: ctx.metadata.affinity.is_none() && ctx.body.len() == ctx.chain_bytes,
+            report_wait: if reserve::needs_turn(ctx) || is_resumable(&ctx.route) {
+                MAX_GROUP_REPORT_WAIT
+            } else {
+                MAX_REPORT_WAIT
+            },
             admission: admission.cloned(),
         }
     }
@@ -255,14 +266,14 @@
     goes_on: bool,
 ) -> Option<Rc<Admission>> {
     let reply = report_loss(gateway, request, reason, goes_on);
-    let ServedRequest { admit, admission, .. } = request;
+    let ServedRequest { admit, report_wait, admission, .. } = request;
     if let Some(admission) = admission {
         admission.ended.set(true);
     }
     let started_at = gateway.clock.now();
-    let reply = with_deadline(MAX_REPORT_WAIT, reply).await.and_then(Result::ok);
+    let reply = with_deadline(*report_wait, reply).await.and_then(Result::ok);
     if reply.is_some() {
-        let left = MAX_REPORT_WAIT.saturating_sub(gateway.clock.now().since(started_at));
+        let left = report_wait.saturating_sub(gateway.clock.now().since(started_at));
         // Entries that are not told in time learn of the suspect later.
         let _ = with_deadline(left, gateway.turns.announce(admit.fingerprint)).await;
     }
--- a/agatetrestle/tests/callers.rs
+++ b/agatetrestle/tests/callers.rs
@@ -185,6 +185,24 @@
     });
 }
 
+/// The same for an engine that ends with all its connections, and starts again.
+#[test]
+fn engine_ends_three_times_under_a_fatal_prompt() {
+    run(async |executor| {
+        let cfg = EngineConfig { fatal_text: Some("Ana is ill.".into()), ..EngineConfig::default() };
+        let engine = Engine::start(&executor, cfg).await.unwrap();
+        let harness = Harness::new(&executor, &[engine.address], &[]);
+        let nodes = [harness.start_node(1).await, harness.start_node(2).await];
+        harness.open_program(&nodes[0]).await;
+        let fatal = chat_request();
+        for number in 0..6 {
+            let reply = nodes[number % 2].client.chat(&call(1, "k1"), &fatal).await.unwrap();
+            assert_ne!(reply.status, 200, "{number}: {}", reply.text());
+        }
+        assert!((1..=3).contains(&engine.restarts()), "{}", engine.restarts());
+    });
+}
+
 #[test]
 fn callers_can_only_disable_retries() {
     run(async |executor| {
--- a/agatetrestle_fakes/src/engine.rs
+++ b/agatetrestle_fakes/src/engine.rs
@@ -17,9 +17,11 @@
 use serde_json::Value;
 use serde_json::json;
 use smol::LocalExecutor;
+use smol::Task;
 use smol::channel;
 use smol::channel::Receiver;
 use smol::channel::Sender;
+use smol::future::yield_now;
 
 use crate::cache::CACHE_BLOCK_TOKENS;
 use crate::cache::Cache;
@@ -49,6 +51,8 @@
     pub break_after: u64,
     /// How responses end.
     pub framing: Framing,
+    /// Text that ends the engine if a prompt holds it. The engine then starts again at its address, with an empty cache.
+    pub fatal_text: Option<String>,
 }
 
 impl Default for EngineConfig {
@@ -62,6 +66,7 @@
             gate: None,
             break_after: 2,
             framing: Framing::default(),
+            fatal_text: None,
         }
     }
 }
@@ -95,6 +100,8 @@
     cache_orders: RefCell<Vec<(String, String)>>,
     order_tx: Sender<()>,
     order_rx: Receiver<()>,
+    restarts: Cell<u32>,
+    end_tx: Sender<()>,
 }
 
 /// A running fake engine.
@@ -103,7 +110,7 @@
     /// Listening address.
     pub address: SocketAddr,
     state: Rc<EngineState>,
-    _server: HttpServer,
+    _supervisor: Task<()>,
 }
 
 struct PlannedAnswer {
@@ -123,6 +130,7 @@
     pub async fn start(executor: &Rc<LocalExecutor<'static>>, config: EngineConfig) -> io::Result<Self> {
         let (port, framing) = (config.port, config.framing);
         let (order_tx, order_rx) = channel::unbounded();
+        let (end_tx, end_rx) = channel::unbounded();
         let state = Rc::new(EngineState {
             config,
             requests: RefCell::default(),
@@ -134,12 +142,31 @@
             cache_orders: RefCell::default(),
             order_tx,
             order_rx,
+            restarts: Cell::default(),
+            end_tx,
         });
-        let shared = Rc::clone(&state);
-        let spawner = Rc::clone(executor);
-        let answer = move |req| answer(Rc::clone(&shared), Rc::clone(&spawner), req);
-        let server = server::serve_framed(executor, port, framing, answer).await?;
-        Ok(Self { address: server.address, state, _server: server })
+        let server = serve(executor, port, framing, &state).await?;
+        let address = server.address;
+        let (spawner, shared) = (Rc::clone(executor), Rc::clone(&state));
+        let supervise = async move {
+            let mut running = Some(server);
+            while end_rx.recv().await.is_ok() {
+                running.take();
+                shared.cache.take();
+                shared.restarts.set(shared.restarts.get() + 1);
+                while running.is_none() {
+                    running = serve(&spawner, address.port(), framing, &shared).await.ok();
+                    yield_now().await;
+                }
+            }
+        };
+        Ok(Self { address, state, _supervisor: executor.spawn(supervise) })
+    }
+
+    /// How often the engine ended under a request and started again.
+    #[must_use]
+    pub fn restarts(&self) -> u32 {
+        self.state.restarts.get()
     }
 
     /// Closes the listener and all connections.
@@ -193,6 +220,17 @@
     }
 }
 
+async fn serve(
+    executor: &Rc<LocalExecutor<'static>>,
+    port: u16,
+    framing: Framing,
+    state: &Rc<EngineState>,
+) -> io::Result<HttpServer> {
+    let (spawner, state) = (Rc::clone(executor), Rc::clone(state));
+    let answer = move |req| answer(Rc::clone(&state), Rc::clone(&spawner), req);
+    server::serve_framed(executor, port, framing, answer).await
+}
+
 async fn answer(
     state: Rc<EngineState>,
     executor: Rc<LocalExecutor<'static>>,
@@ -213,6 +251,11 @@
         return Ok(Response::new(StatusCode::ServiceUnavailable));
     }
     let answer = plan_answer(&state, &request, &form);
+    if state.config.fatal_text.as_ref().is_some_and(|text| form["messages"].to_string().contains(text)) {
+        state.end_tx.try_send(()).ok();
+        // Until the supervisor closes the connection.
+        std::future::pending::<()>().await;
+    }
     state.running.set(state.running.get() + 1);
     if form["stream"].as_bool().unwrap_or(false) {
         return Ok(stream(state, &executor, answer));
