Limit the events that a response declares on routes that do not stream

It is now broken off beyond 1 MiB, as in a stream; shorter ones are forwarded as before.

event_of_a_route_that_does_not_stream_is_broken_off_beyond_the_limit failed before (a response with an event of 1.25 MiB was complete) and passes; the other 27 tests of the gateway pass.

--- a/agatetrestle/src/gateway/relay.rs
+++ b/agatetrestle/src/gateway/relay.rs
@@ -68,27 +68,41 @@
 
 /// Why a response is broken off.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
-enum RelayError {
+pub(super) enum RelayError {
     #[snafu(context(false), display("{source}"))]
     Incomplete { source: IncompleteBody },
     #[snafu(display("an event is too long"))]
     EventTooLong,
 }
 
+impl RelayError {
+    /// Whether the connection ended, so that the server may have ended too.
+    pub(super) const fn is_loss(self) -> bool {
+        match self {
+            Self::Incomplete { source } => source.is_loss(),
+            Self::EventTooLong => false,
+        }
+    }
+}
+
 impl ResponseStream {
     /// Returns the next bytes, or `None` at the end of a complete body.
-    async fn next(&mut self) -> Result<Option<Bytes>, IncompleteBody> {
+    async fn next(&mut self) -> Result<Option<Bytes>, RelayError> {
         match self.read().await {
             Ok(data) => {
                 if let Some(events) = &mut self.events {
                     events.push(&data);
                     while events.next_event().is_some() {}
+                    if events.buffered_len() > MAX_EVENT_BYTES {
+                        return Err(RelayError::EventTooLong);
+                    }
                 }
                 Ok(Some(data))
             }
             Err(end) => {
                 let content = self.events.as_ref().map_or(ContentEnd::Opaque, EventSplitter::content_end);
-                self.check_end(end, content).map(|()| None)
+                self.check_end(end, content)?;
+                Ok(None)
             }
         }
     }
@@ -131,9 +145,9 @@
     }
 
     /// Records that a response broke off of which a part was forwarded.
-    async fn record_break(&self, incomplete: IncompleteBody) {
-        if incomplete.is_loss() {
-            losses::record(&self.gateway, &self.request, &incomplete.to_string(), false).await;
+    async fn record_break(&self, reason: RelayError) {
+        if reason.is_loss() {
+            losses::record(&self.gateway, &self.request, &reason.to_string(), false).await;
         }
     }
 
@@ -164,7 +178,7 @@
     turn: &mut Option<OpenTurn>,
     admission: Option<&Rc<Admission>>,
     log_entry: &mut AccessLogEntry,
-) -> Result<Response<ResponseBody>, IncompleteBody> {
+) -> Result<Response<ResponseBody>, RelayError> {
     let StartedResponse { slot, connection, response, sent_at, load } = started;
     let (mut head, body) = response.into_parts();
     // The version is the sender's own. With that of a server of HTTP/1.0 the response would end with the connection, and
@@ -226,7 +240,7 @@
     mut stream: ResponseStream,
     length: Option<u64>,
     log_entry: &mut AccessLogEntry,
-) -> Result<ResponseBody, IncompleteBody> {
+) -> Result<ResponseBody, RelayError> {
     let mut buffer = BytesMut::new();
     while buffer.len() <= MAX_BUFFERED_RESPONSE_BYTES {
         match stream.next().await {
@@ -297,9 +311,7 @@
                     }
                     events.response.fail();
                     events.response.log(&reason.to_string());
-                    if let RelayError::Incomplete { source } = reason {
-                        events.response.record_break(source).await;
-                    }
+                    events.response.record_break(reason).await;
                     // The HTTP library drops what it has not written when a body fails. It writes once it has to wait.
                     yield_now().await;
                     Some((Err(TruncatedBody), None))
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -353,7 +353,7 @@
                     Err(incomplete) if incomplete.is_loss() => {
                         SendFailure::ServerLost(incomplete.to_string())
                     }
-                    Err(incomplete) => SendFailure::MayHaveRun(incomplete.to_string()),
+                    Err(reason) => SendFailure::MayHaveRun(reason.to_string()),
                 }
             }
             Err(failure) => failure,
--- a/agatetrestle/src/gateway/tests/endings.rs
+++ b/agatetrestle/src/gateway/tests/endings.rs
@@ -203,6 +203,28 @@
     });
 }
 
+/// Guards against an entry that holds all of an event that a server does not end.
+#[test]
+fn event_of_a_route_that_does_not_stream_is_broken_off_beyond_the_limit() {
+    for (length, is_complete) in [(512 << 10, true), (5 << 18, false)] {
+        run(|executor| async move {
+            let harness = Harness::start_with_kind(&executor, RouteKind::Idempotent).await;
+            let event = format!("data: {}\n\n", "x".repeat(length));
+            let head = "200 OK\r\ncontent-type: text/event-stream\r\n";
+            let response = framed(Framing::Chunked, &event).replace("200 OK\r\n", head);
+            let caller = harness.send().await;
+            let mut server = harness.receive(b"hey").await;
+            let writing = async {
+                // The gateway closes the connection of a response that it gives up.
+                let _ = server.write_all(response.as_bytes()).await;
+            };
+            let (received, ()) = futures::future::join(read_response(caller), writing).await;
+            assert_eq!(received.is_complete, is_complete, "{length}");
+            assert_eq!(received.text.len() >= length, is_complete, "{length}: {}", received.text.len());
+        });
+    }
+}
+
 /// Guards against a caller of HTTP/1.0, to whom every stream ends with the connection, also one that broke off.
 #[test]
 fn callers_of_http_1_0_are_refused_before_anything_is_sent() {
