Find the leader that tells suspects without other requests to the group

An entry asked the leader that it knew for new suspects. If that leader was replaced while the entry had no other request for the group, nothing told it of the successor, and it went on asking. After three questions without an answer it now asks all holders in turn; an answer that can't be read waits like one that is missing instead of being asked for again at once.

--- a/agatetrestle/src/deployment/turns.rs
+++ b/agatetrestle/src/deployment/turns.rs
@@ -55,6 +55,8 @@
 const WATCH_TIMEOUT: Duration = MAX_WATCH.saturating_add(Duration::from_secs(2));
 /// The same for a question to announce them.
 const ANNOUNCE_TIMEOUT: Duration = MAX_ACKNOWLEDGEMENT.saturating_mul(4);
+/// Questions without an answer after which all holders are asked in turn.
+const MAX_WATCH_FAILURES: u32 = 3;
 /// Delay after a question for suspects that was not answered.
 const WATCH_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -109,19 +111,29 @@
         let TurnRouterParts { node, clock, suspects, .. } = &self.parts;
         let (node, clock, suspects) = (*node, *clock, suspects.clone());
         async move {
-            let mut cursor = 0;
+            let (mut cursor, mut failures) = (0, 0_u32);
             loop {
                 let watch = WatchRequest { node, version: suspects.version(group) };
                 let request = encode(&SuspectQuery::Watch(watch));
-                let answer = router.ask_once(group.suspects(), &request, WATCH_TIMEOUT, &mut cursor).await;
-                match answer {
-                    Submission::Applied(digest) => match decode::<Digest>(&digest) {
-                        Ok(digest) => suspects.apply(clock.now(), group, &digest),
-                        Err(error) => warn!("Failed to read the suspects of group {}: {error}.", group.0),
-                    },
-                    _ => {
-                        Timer::after(WATCH_RETRY_DELAY).await;
-                    }
+                // Without other requests to the group, nothing else finds a leader that was replaced.
+                let prefers_leader = failures < MAX_WATCH_FAILURES;
+                let address = group.suspects();
+                let answer =
+                    router.ask_once(address, &request, WATCH_TIMEOUT, prefers_leader, &mut cursor).await;
+                let digest = match answer {
+                    Submission::Applied(digest) => decode::<Digest>(&digest)
+                        .inspect_err(|error| {
+                            warn!("Failed to read the suspects of group {}: {error}.", group.0);
+                        })
+                        .ok(),
+                    _ => None,
+                };
+                if let Some(digest) = digest {
+                    failures = 0;
+                    suspects.apply(clock.now(), group, &digest);
+                } else {
+                    failures = failures.saturating_add(1);
+                    Timer::after(WATCH_RETRY_DELAY).await;
                 }
             }
         }
@@ -183,7 +195,7 @@
         };
         let query = encode(&SuspectQuery::Announce);
         // Without an answer the entries learn of it as soon as they reach the group.
-        router.ask_once(group.suspects(), &query, ANNOUNCE_TIMEOUT, &mut 0).await;
+        router.ask_once(group.suspects(), &query, ANNOUNCE_TIMEOUT, true, &mut 0).await;
     }
 
     /// Waits until control has announced the state groups.
--- a/agatetrestle/src/node/router.rs
+++ b/agatetrestle/src/node/router.rs
@@ -233,25 +233,29 @@
         }
     }
 
-    /// Asks the known leader, or the next holder in turn, through another address of the group. Does not retry.
+    /// Asks the next holder in turn, or the known leader if `prefers_leader` is set, through another address of the group. Does
+    /// not retry, and ends early if another leader becomes known.
     pub async fn ask_once(
         &self,
         group: GroupId,
         request: &[u8],
         deadline: Duration,
+        prefers_leader: bool,
         cursor: &mut usize,
     ) -> Submission {
         if self.holders.borrow().is_empty() {
             return Submission::NotLeader(None);
         }
-        let target = self.leader_hint.get().unwrap_or_else(|| self.next_holder(cursor, None));
+        let known = self.leader_hint.get();
+        let target = known.filter(|_| prefers_leader).unwrap_or_else(|| self.next_holder(cursor, None));
         let Some(link) = self.links.get(target) else {
             return Submission::NotLeader(None);
         };
         let answer = submit_remotely(&link, deadline, group, request);
         // Answers may take long, so a replaced leader is noticed by what other requests learn.
         let replaced = async {
-            while self.leader_hint.get().is_none_or(|leader| leader == target) {
+            let is_news = |leader: &NodeId| *leader != target && Some(*leader) != known;
+            while !self.leader_hint.get().as_ref().is_some_and(is_news) {
                 self.time.sleep(LEADER_POLL_INTERVAL).await;
             }
             Submission::NotLeader(self.leader_hint.get())
