End the permission of an attempt with the attempt

An entry that watches a server which broke off kept the request with its permission for 15 s. The group counted the attempt as under way for as long, so that a request which had gone on at another server and was served was refused when it was sent again ('others run'). What is watched now holds no permission, and its number is bounded for each server.

request_that_went_on_at_another_server_is_served_again fails before (503 at the fourth and at the sixth of eight equal calls) and passes.

--- a/agatetrestle/src/gateway/losses.rs
+++ b/agatetrestle/src/gateway/losses.rs
@@ -52,8 +52,11 @@
 const LIFE_SIGN_DELAY: Duration = Duration::from_millis(500);
 /// Time for which servers that broke off or were silent are watched. Ended servers stay listed for some seconds.
 const WATCH_TIME: Duration = Duration::from_secs(15);
-/// Requests whose servers are watched.
+/// Requests that are watched since their servers were silent.
 const MAX_WATCHED: usize = 4_096;
+/// Servers that are watched since they broke off, and requests of each. Beyond it a loss is not taken back.
+const MAX_WATCHED_SERVERS: usize = 1_024;
+const MAX_WATCHED_PER_SERVER: usize = 64;
 /// Time after the start in which requests wait for the suspects of all groups.
 const STARTUP_TIME: Duration = Duration::from_secs(3);
 /// Longest time that a request waits for them.
@@ -98,8 +101,11 @@
 
     fn watch(&self, now: Timestamp, request: &ServedRequest) {
         let mut broken = self.broken.borrow_mut();
-        if broken.len() < MAX_WATCHED {
-            broken.entry(request.server).or_default().push((request.clone(), now));
+        if broken.len() < MAX_WATCHED_SERVERS {
+            let requests = broken.entry(request.server).or_default();
+            if requests.len() < MAX_WATCHED_PER_SERVER {
+                requests.push((request.without_admission(), now));
+            }
         }
     }
 }
@@ -142,6 +148,11 @@
         }
     }
 
+    /// A copy to be kept beyond the attempt, whose permission ends with it.
+    fn without_admission(&self) -> Self {
+        Self { admission: None, ..self.clone() }
+    }
+
     /// Reports that the response is complete if others of the same content are suspects.
     pub(super) fn complete(&self, gateway: &Gateway) {
         let suspects = &gateway.losses.suspects;
@@ -317,11 +328,10 @@
 }
 
 /// Remembers a request whose server was silent, which counts as a loss if the list loses the server soon.
-pub(super) fn record_silence(gateway: &Gateway, request: ServedRequest) {
+pub(super) fn record_silence(gateway: &Gateway, request: &ServedRequest) {
     let mut silent = gateway.losses.silent.borrow_mut();
     if silent.len() < MAX_WATCHED {
-        // The attempt is over, whatever becomes of its server.
-        silent.push((ServedRequest { admission: None, ..request }, gateway.clock.now()));
+        silent.push((request.without_admission(), gateway.clock.now()));
     }
 }
 
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -375,7 +375,9 @@
                     return Err(ErrorResponse::new(StatusCode::BAD_GATEWAY, reason));
                 }
             }
-            SendFailure::Silent(_) | SendFailure::TimedOut => losses::record_silence(gateway, sent_request()),
+            SendFailure::Silent(_) | SendFailure::TimedOut => {
+                losses::record_silence(gateway, &sent_request())
+            }
             _ => {}
         }
         retries.record_failure(&ctx, failure)?;
