--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -376,7 +376,7 @@
                 }
             }
             SendFailure::Silent(_) | SendFailure::TimedOut => {
-                losses::record_silence(gateway, &sent_request())
+                losses::record_silence(gateway, &sent_request());
             }
             _ => {}
         }
