Test that an entry hears of suspects from a new leader by its questions alone

The change that made it so (asking all holders after three questions without an answer) was found by reading and had no test. The leader is cut from its followers, another is elected, and a loss is reported to that one without the entry.

--- a/agatetrestle/src/deployment/tests/state_group.rs
+++ b/agatetrestle/src/deployment/tests/state_group.rs
@@ -46,6 +46,11 @@
 use crate::node::service::Submission;
 use crate::ports::GroupError;
 use crate::routing::Team;
+use crate::suspects::Fingerprint;
+use crate::suspects::SuspectView;
+use crate::suspects::record::Admit;
+use crate::suspects::record::Lose;
+use crate::suspects::record::SuspectCommand;
 use crate::turns::admission::TurnAdmission;
 use crate::turns::command::AdmissionParams;
 use crate::turns::command::Begin;
@@ -87,10 +92,23 @@
     }
 }
 
+struct SuspectQueries(Rc<TurnService>);
+
+impl GroupService for SuspectQueries {
+    fn submit(&self, request: Vec<u8>) -> LocalBoxFuture<'_, Submission> {
+        Box::pin(async move { self.0.query_suspects(&request).await })
+    }
+
+    fn history(&self, _offset: u64) -> Vec<u8> {
+        Vec::new()
+    }
+}
+
 /// How all stores are built and set up.
 #[derive(Clone, Copy, Debug)]
 struct Options {
     early_answers: bool,
+    tells_suspects: bool,
     /// A leader is without a lease for this long before it steps down.
     clock_drift: Duration,
     leader_interval: Duration,
@@ -99,6 +117,7 @@
 
 const DEFAULT: Options = Options {
     early_answers: true,
+    tells_suspects: false,
     clock_drift: Duration::from_millis(5),
     leader_interval: Duration::from_millis(40),
     max_in_flight: 64,
@@ -107,6 +126,8 @@
 struct StateGroup {
     stores: Vec<Store>,
     router: Rc<TurnRouter>,
+    /// The suspects that the entry knows.
+    suspects: Rc<SuspectView>,
 }
 
 fn start_store(
@@ -176,6 +197,11 @@
     let mut server = PeerServer::default();
     server.handlers.insert(FIRST_STATE_GROUP, handler);
     server.services.insert(FIRST_STATE_GROUP, service.clone());
+    if options.tells_suspects {
+        executor.spawn(service.clone().log_load_forever()).detach();
+        let queries: Rc<dyn GroupService> = Rc::new(SuspectQueries(service.clone()));
+        server.services.insert(FIRST_STATE_GROUP.suspects(), queries);
+    }
     if options.early_answers {
         let early: Rc<dyn GroupService> = Rc::new(EarlyAnswers(service.clone()));
         server.services.insert(FIRST_STATE_GROUP.early_answers(), early);
@@ -203,16 +229,17 @@
             links.add_address(node, address);
         }
         let timeouts = RequestTimeouts { attempt: NO_TIMEOUT, request: NO_TIMEOUT, recorded: NO_TIMEOUT };
+        let suspects = Rc::new(SuspectView::default());
         let router = TurnRouter::new(TurnRouterParts {
             node: ENTRY,
             links,
             clock: Clock::start(),
             timeouts,
-            suspects: Rc::default(),
+            suspects: suspects.clone(),
             executor: executor.clone(),
         });
         router.set_holders(1, &[(FIRST_STATE_GROUP, STORES.to_vec())].into());
-        let group = Self { stores, router };
+        let group = Self { stores, router, suspects };
         // The entry knows the leader from now on.
         let reply = group.router.commit(TurnCommand::Finish(Finish::default())).await;
         assert_eq!(reply.unwrap(), TurnReply::Settled);
@@ -259,6 +286,34 @@
     smol::block_on(executor.run(test(executor.clone())));
 }
 
+/// Guards against an entry that goes on asking a replaced leader for suspects, since it has no other request for the group.
+#[test]
+fn entry_without_other_requests_hears_of_suspects_from_a_new_leader() {
+    run(|executor| async move {
+        let group = StateGroup::start(&executor, Options { tells_suspects: true, ..DEFAULT }).await;
+        let old = group.leader().await;
+        old.cut.set(true);
+        while old.group.confirms_leadership() {
+            Timer::after(TICK).await;
+        }
+        let new = group.leader().await;
+        let fingerprint = Fingerprint(7);
+        let admit = Admit {
+            fingerprint,
+            attempt: "a".into(),
+            service: "engines".into(),
+            run_ms: 4_000,
+            max_running: 1,
+        };
+        let lose = SuspectCommand::Lose(Lose { server: "x".into(), goes_on: false, admit });
+        let reported = new.service.submit(TurnCommand::Suspect(lose).encode(Duration::ZERO)).await;
+        assert!(matches!(reported, Submission::Applied(_)), "{reported:?}");
+        while !group.suspects.contains(fingerprint) {
+            Timer::after(TICK).await;
+        }
+    });
+}
+
 /// Guards against a query that overtakes its begin on the way to the leader, after which no answer would come early.
 #[test]
 fn leader_answers_a_begin_before_its_commit() {
