Answer an entry's first question for suspects at once

After a restart each request of an entry took 300 ms longer for 3 s: the entry waits until the groups have told their suspects, and its first question named version 0, which is that of a group that never had any, so that the leader held it for 10 s. The first question names no version now.

first_question_for_suspects_is_answered_at_once holds it.

--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -254,7 +254,8 @@
         if !self.group.confirms_leadership() {
             return Submission::NotLeader(None);
         }
-        let digest = self.group.machine(|state| state.suspects().since(state.now(), request.version));
+        let digest =
+            self.group.machine(|state| state.suspects().since(state.now(), request.version.unwrap_or(0)));
         Submission::Applied(encode(&digest))
     }
 
--- a/agatetrestle/src/cluster/suspect_watch.rs
+++ b/agatetrestle/src/cluster/suspect_watch.rs
@@ -42,13 +42,13 @@
 pub struct WatchRequest {
     /// The entry that asks.
     pub node: NodeId,
-    /// The version that it knows.
-    pub version: u64,
+    /// The version that it knows; `None` if it knows none, so that it is answered at once.
+    pub version: Option<u64>,
 }
 
 #[derive(Debug, Default)]
 struct WatchingEntry {
-    version: u64,
+    version: Option<u64>,
     /// Wakes its question; `None` between two questions.
     waker: Option<oneshot::Sender<()>>,
 }
@@ -82,7 +82,7 @@
     /// Records what an entry knows, and waits until there is a newer version or the time is up.
     pub(super) async fn wait(&self, request: WatchRequest, version: u64) {
         let (tx, rx) = oneshot::channel();
-        let waits = request.version == version;
+        let waits = request.version == Some(version);
         let waker = waits.then_some(tx);
         self.entries.borrow_mut().insert(request.node, WatchingEntry { version: request.version, waker });
         if !waits {
@@ -119,10 +119,10 @@
             }
         };
         let _ = with_deadline(MAX_ACKNOWLEDGEMENT, known).await;
-        self.entries.borrow_mut().retain(|_, entry| entry.version >= version);
+        self.entries.borrow_mut().retain(|_, entry| entry.version >= Some(version));
     }
 
     fn all_know(&self, version: u64) -> bool {
-        self.entries.borrow().values().all(|entry| entry.version >= version)
+        self.entries.borrow().values().all(|entry| entry.version >= Some(version))
     }
 }
--- a/agatetrestle/src/deployment/tests/state_group.rs
+++ b/agatetrestle/src/deployment/tests/state_group.rs
@@ -28,6 +28,8 @@
 use crate::clock::Clock;
 use crate::clock::Timestamp;
 use crate::cluster::service::TurnService;
+use crate::cluster::suspect_watch::SuspectQuery;
+use crate::cluster::suspect_watch::WatchRequest;
 use crate::codec::codec_counts;
 use crate::codec::encode;
 use crate::deployment::turns::TurnRouter;
@@ -314,6 +316,23 @@
     });
 }
 
+/// Guards against an entry whose first requests wait for suspects that its group does not have.
+#[test]
+fn first_question_for_suspects_is_answered_at_once() {
+    run(|executor| async move {
+        let group = StateGroup::start(&executor, Options { tells_suspects: true, ..DEFAULT }).await;
+        let leader = group.leader().await;
+        let first = SuspectQuery::Watch(WatchRequest { node: NodeId(9), version: None });
+        let answer = leader.service.query_suspects(&encode(&first)).now_or_never();
+        assert!(matches!(answer, Some(Submission::Applied(_))), "{answer:?}");
+        let next = SuspectQuery::Watch(WatchRequest { node: NodeId(9), version: Some(0) });
+        assert!(leader.service.query_suspects(&encode(&next)).now_or_never().is_none(), "nothing is new");
+        while !group.suspects.is_complete() {
+            Timer::after(TICK).await;
+        }
+    });
+}
+
 /// Guards against a query that overtakes its begin on the way to the leader, after which no answer would come early.
 #[test]
 fn leader_answers_a_begin_before_its_commit() {
--- a/agatetrestle/src/suspects/tests/record.rs
+++ b/agatetrestle/src/suspects/tests/record.rs
@@ -199,11 +199,11 @@
     view.apply(Timestamp(0), FIRST_STATE_GROUP, &record.since(0, 0));
     assert!(view.is_complete() && view.is_empty());
     lose(&mut record, 0, "x", "a");
-    let digest = record.since(0, view.version(FIRST_STATE_GROUP));
+    let digest = record.since(0, view.version(FIRST_STATE_GROUP).unwrap_or(0));
     assert_eq!(digest.added.len(), 1);
     view.apply(Timestamp(0), FIRST_STATE_GROUP, &digest);
     assert!(view.contains(REQUEST));
-    assert!(record.since(0, view.version(FIRST_STATE_GROUP)).added.is_empty());
+    assert!(record.since(0, view.version(FIRST_STATE_GROUP).unwrap_or(0)).added.is_empty());
     // Asked before the suspect was added, so that the answer says nothing about it.
     view.remove_older(Timestamp(0), REQUEST);
     assert!(view.contains(REQUEST));
--- a/agatetrestle/src/suspects/tests/replay.rs
+++ b/agatetrestle/src/suspects/tests/replay.rs
@@ -276,7 +276,7 @@
 
     fn push(&mut self) {
         for (_, view) in &self.entries {
-            let digest = self.record.since(self.now / MILLIS, view.version(FIRST_STATE_GROUP));
+            let digest = self.record.since(self.now / MILLIS, view.version(FIRST_STATE_GROUP).unwrap_or(0));
             view.apply(Timestamp(self.now), FIRST_STATE_GROUP, &digest);
         }
     }
--- a/agatetrestle/src/suspects/view.rs
+++ b/agatetrestle/src/suspects/view.rs
@@ -49,10 +49,10 @@
         self.groups.get().is_some_and(|groups| self.versions.borrow().len() >= groups)
     }
 
-    /// Version of a group's record that is known; 0 for none.
+    /// Version of a group's record that is known.
     #[must_use]
-    pub fn version(&self, group: GroupId) -> u64 {
-        self.versions.borrow().get(&group).copied().unwrap_or(0)
+    pub fn version(&self, group: GroupId) -> Option<u64> {
+        self.versions.borrow().get(&group).copied()
     }
 
     /// Adds what a group tells.
