Clear a request without a program by its completion, whatever its body

Callers without a program or conversation that send the same content can't be told apart. Only requests without a body were cleared by a completion.

Such a request is now cleared by any completion below three losses; a fatal one is never completed. resumed_streams (10 tests) and fatal_requests (9) pass.

--- a/agatetrestle/src/gateway/losses.rs
+++ b/agatetrestle/src/gateway/losses.rs
@@ -138,7 +138,7 @@
             server_id: gateway.identity(server).unwrap_or_default().0,
             route: ctx.route.name.clone(),
             sent_at: gateway.clock.now(),
-            is_anonymous: ctx.metadata.affinity.is_none() && ctx.body.len() == ctx.chain_bytes,
+            is_anonymous: ctx.metadata.affinity.is_none(),
             report_wait: if reserve::needs_turn(ctx) || is_resumable(&ctx.route) {
                 MAX_GROUP_REPORT_WAIT
             } else {
