Find a control leader that the settings do not name in the overview

Operators saw "no control replica leads" for as long as a replica led that was added after the settings were written: the tool asked the replicas in the settings only, each of which answered that it does not lead.

--- a/agatetrestle/src/cluster/message.rs
+++ b/agatetrestle/src/cluster/message.rs
@@ -203,6 +203,8 @@
     Emptying(Arc<str>),
     /// Read the overview of the deployment, confirmed by a quorum.
     Overview,
+    /// Read the addresses of the control replicas, as any of them knows them.
+    Addresses,
 }
 
 /// Progress of draining a store's VM.
--- a/agatetrestle/src/cluster/registry.rs
+++ b/agatetrestle/src/cluster/registry.rs
@@ -318,7 +318,8 @@
         reported.or_else(|| founder_ip(node).map(|ip| SocketAddrV4::new(ip, self.peer_port)))
     }
 
-    fn control_addresses(&self) -> BTreeMap<NodeId, SocketAddrV4> {
+    /// The addresses of the control replicas, as far as this one knows them.
+    pub fn control_addresses(&self) -> BTreeMap<NodeId, SocketAddrV4> {
         let voters = self.group.replicas().voters;
         voters.into_iter().filter_map(|node| Some((node, self.address(node)?))).collect()
     }
--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -71,6 +71,7 @@
             Ok(ControlRequest::Overview) => {
                 read(&self.group, |_| self.registry.overview(self.min_voters)).await
             }
+            Ok(ControlRequest::Addresses) => Submission::Applied(encode(&self.registry.control_addresses())),
             Err(error) => Submission::Refused(error.to_string().into()),
         }
     }
