Elect leaders on slow disks, and keep them while the disks are busy

Callers saw 503 "the group has no leader" for two seconds and more. The logs of the known red restarted_control_replicas_find_each_other had looked alike under load.

Cause: an election takes two writes, the candidate's and its voter's, and the next replica campaigned after 250 to 500 ms whatever the disks took; answers to heartbeats waited for entries that were still being written, so a write of a quarter of a second cost the leader its quorum.

--- a/agatetrestle/src/agreement/replica/election.rs
+++ b/agatetrestle/src/agreement/replica/election.rs
@@ -13,6 +13,10 @@
 use crate::clock::micros;
 use crate::ids::NodeId;
 
+/// How often the election timeout doubles at most. Four timeouts leave time to store the votes on disks whose writes take as
+/// long as a timeout, and bound how long a group waits for its next election after the disks have recovered.
+const MAX_TIMEOUT_DOUBLINGS: u32 = 2;
+
 impl Replica {
     pub(super) fn tick(&mut self, now: Timestamp) {
         if self.is_leader() {
@@ -23,11 +27,14 @@
         }
     }
 
-    /// Sets the deadline to a random time between one and two election timeouts, so that votes are rarely split.
+    /// Sets the deadline to a random time between one and two election timeouts, so that votes are rarely split. The timeout
+    /// doubles with each term that had no leader, so that disks or processes that are too slow for it store their votes in time.
     pub(super) fn reset_election_deadline(&mut self, now: Timestamp) {
-        let spread = micros(self.cfg.election_timeout).max(1);
-        let extra = self.next_random() % spread;
-        self.election_deadline = Timestamp((now + self.cfg.election_timeout).0.saturating_add(extra));
+        let elections = self.term.saturating_sub(self.leader_term).saturating_sub(1);
+        let doublings = u32::try_from(elections).unwrap_or(u32::MAX).min(MAX_TIMEOUT_DOUBLINGS);
+        let timeout = self.cfg.election_timeout * 2_u32.pow(doublings);
+        let extra = self.next_random() % micros(timeout).max(1);
+        self.election_deadline = Timestamp((now + timeout).0.saturating_add(extra));
     }
 
     /// Retries the pre-vote after a random time between one and two intervals. The retry comes before the next election
--- a/agatetrestle/src/agreement/replica/fault.rs
+++ b/agatetrestle/src/agreement/replica/fault.rs
@@ -8,6 +8,8 @@
 pub(in crate::agreement) enum Fault {
     /// Votes and acknowledgements are sent before the write they depend on is synced.
     AcknowledgeBeforeSync,
+    /// A heartbeat is answered as if all entries were stored.
+    AcknowledgeUnsyncedEntries,
     /// A leader counts its own entries as replicated before they are synced.
     CountOwnUnsynced,
     /// An entry of an earlier term is committed by counting replicas.
--- a/agatetrestle/src/agreement/replica/mod.rs
+++ b/agatetrestle/src/agreement/replica/mod.rs
@@ -125,6 +125,8 @@
     applied: u64,
     /// When a message from the current leader last arrived, or when the replica started.
     leader_contact: Timestamp,
+    /// Latest term in which a leader was known, or that of the start.
+    leader_term: u64,
     election_deadline: Timestamp,
     rng_state: u64,
     failed: bool,
@@ -136,6 +138,8 @@
     write: Write,
     write_sequence: u64,
     synced_sequence: u64,
+    /// Sequence number of the write with the latest term and vote.
+    hard_state_write: u64,
     /// Sequence number and last log index of each unsynced write.
     pending_writes: VecDeque<(u64, u64)>,
     durable_index: u64,
@@ -178,6 +182,7 @@
             commit: base.index,
             applied: base.index,
             leader_contact: now,
+            leader_term: hard_state.term,
             election_deadline: now,
             rng_state: cfg.seed ^ cfg.node.0.rotate_left(32) ^ hard_state.term,
             failed,
@@ -186,6 +191,7 @@
             write: Write::default(),
             write_sequence: 0,
             synced_sequence: 0,
+            hard_state_write: 0,
             pending_writes: VecDeque::new(),
             delayed_messages: VecDeque::new(),
             reported_role: (hard_state.term, None),
--- a/agatetrestle/src/agreement/replica/replication.rs
+++ b/agatetrestle/src/agreement/replica/replication.rs
@@ -26,6 +26,7 @@
         let first_index = self.log.last().index + 1;
         self.role = Role::Leader(Box::new(LeaderState::new(now, first_index)));
         self.leader = Some(self.cfg.node);
+        self.leader_term = self.term;
         self.append_as_leader(EntryKind::NoOperation, Arc::from([]));
         self.add_peers();
         self.start_round(now);
@@ -278,13 +279,22 @@
         };
         self.commit = self.commit.max(commit.min(matched));
         self.apply_committed();
-        self.send_when_durable(from, Body::AppendReply { accepted: true, matched, round });
+        if self.term_is_durable() && self.nothing_to_write() {
+            // The leader keeps its lease while the disk stores what came before.
+            let stored =
+                if fault_injected!(self, AcknowledgeUnsyncedEntries) { matched } else { self.durable_index };
+            let matched = matched.min(stored);
+            self.send(from, Body::AppendReply { accepted: true, matched, round });
+        } else {
+            self.send_when_durable(from, Body::AppendReply { accepted: true, matched, round });
+        }
     }
 
     /// Follows the leader of this term and restarts the election timeout.
     pub(super) fn follow_leader(&mut self, now: Timestamp, from: NodeId) {
         self.become_follower(self.term, Some(from));
         self.leader_contact = now;
+        self.leader_term = self.term;
         self.reset_election_deadline(now);
     }
 
--- a/agatetrestle/src/agreement/replica/writes.rs
+++ b/agatetrestle/src/agreement/replica/writes.rs
@@ -15,7 +15,17 @@
 impl Replica {
     /// Sequence number of the write after which all changes so far are durable.
     pub(super) fn required_write(&self) -> u64 {
-        if write_is_empty(&self.write) { self.write_sequence } else { self.write_sequence + 1 }
+        if self.nothing_to_write() { self.write_sequence } else { self.write_sequence + 1 }
+    }
+
+    /// Whether the current step has changed nothing that has to be stored.
+    pub(super) fn nothing_to_write(&self) -> bool {
+        write_is_empty(&self.write)
+    }
+
+    /// Whether the term and the vote are stored.
+    pub(super) fn term_is_durable(&self) -> bool {
+        self.hard_state_write <= self.synced_sequence
     }
 
     /// Sends a message once all changes so far are durable.
@@ -32,6 +42,7 @@
     pub(super) fn save_hard_state(&mut self) {
         let Self { term, vote, without_vote, .. } = *self;
         self.write.hard_state = Some(HardState { term, vote, without_vote });
+        self.hard_state_write = self.write_sequence + 1;
     }
 
     pub(super) fn append(&mut self, entry: Entry) {
--- a/agatetrestle/src/agreement/tests/mutations.rs
+++ b/agatetrestle/src/agreement/tests/mutations.rs
@@ -33,6 +33,11 @@
     assert_caught(Fault::AcknowledgeBeforeSync);
 }
 
+#[test]
+fn mutation_acknowledge_unsynced_entries_is_caught() {
+    assert_caught(Fault::AcknowledgeUnsyncedEntries);
+}
+
 #[test]
 fn mutation_count_own_unsynced_is_caught() {
     assert_caught(Fault::CountOwnUnsynced);
--- a/agatetrestle/src/agreement/tests/overload.rs
+++ b/agatetrestle/src/agreement/tests/overload.rs
@@ -1,4 +1,4 @@
-//! Tests a group under three times the load that its leader can process.
+//! Tests a group under three times the load that its leader can process, and with slow disks.
 //!
 //! Each process handles one input at a time. Inputs, message delivery and syncs take simulated time.
 
@@ -34,6 +34,8 @@
 /// One way between regions. A commit takes over two thirds of [`MAX_COMMIT_WAIT`].
 const REGION_DELAY_MICROS: u64 = 34_000;
 const SYNC_MICROS: u64 = 1_000;
+/// A third of the time in which a deployment must have recovered.
+const MAX_ELECTION_MILLIS: u64 = 5_000;
 
 #[derive(Debug)]
 enum SimEvent {
@@ -60,6 +62,9 @@
 
 struct LoadSimulation {
     network_delay_micros: u64,
+    sync_micros: u64,
+    /// Whether proposals may be rejected since their leader was replaced.
+    may_change_leader: bool,
     now: u64,
     event_number: u64,
     events: BinaryHeap<Reverse<(u64, u64)>>,
@@ -73,6 +78,11 @@
 
 impl LoadSimulation {
     fn new(max_commit_wait: Duration, network_delay_micros: u64) -> Self {
+        Self::with_disks(max_commit_wait, network_delay_micros, SYNC_MICROS, 7)
+    }
+
+    /// A group whose disks take a time for each write.
+    fn with_disks(max_commit_wait: Duration, network_delay_micros: u64, sync_micros: u64, seed: u64) -> Self {
         let voters = (1..=VOTERS).map(NodeId);
         let initial = Replicas { voters: voters.clone().collect(), ..Replicas::default() };
         let process = |node: NodeId| {
@@ -82,7 +92,7 @@
                 leader_interval: Duration::from_millis(60),
                 election_timeout: Duration::from_millis(250),
                 clock_drift: Duration::from_millis(20),
-                seed: 7,
+                seed,
                 max_in_flight: 4_096,
                 max_commit_wait,
                 max_batch_bytes: 1 << 20,
@@ -93,6 +103,8 @@
         };
         Self {
             network_delay_micros,
+            sync_micros,
+            may_change_leader: false,
             now: 0,
             event_number: 0,
             events: BinaryHeap::new(),
@@ -190,9 +202,10 @@
                 }
                 Output::Write(write) => {
                     let process = self.processes.get_mut(&node).unwrap();
-                    let done = process.syncing_until.max(self.now + busy_micros) + SYNC_MICROS;
+                    let sync_micros = self.sync_micros;
+                    let done = process.syncing_until.max(self.now + busy_micros) + sync_micros;
                     // Writes that arrive during a sync share the next one.
-                    process.syncing_until = done.min(self.now + busy_micros + 2 * SYNC_MICROS);
+                    process.syncing_until = done.min(self.now + busy_micros + 2 * sync_micros);
                     self.schedule(done, SimEvent::Input(node, Input::Written(write.sequence)));
                 }
                 Output::Apply { ticket: Some(ticket), .. } => {
@@ -202,7 +215,10 @@
                     self.stats.latencies.push(self.now + busy_micros - proposed_at);
                 }
                 Output::Reject { ticket, reason } => {
-                    assert_eq!(reason, Rejection::Busy, "the leader must not change");
+                    assert!(
+                        reason == Rejection::Busy || self.may_change_leader,
+                        "the leader must not change"
+                    );
                     busy_micros = REJECT_MICROS;
                     self.proposed.remove(&ticket);
                     self.stats.rejected += 1;
@@ -273,3 +289,32 @@
         assert_eq!(replica.check_accepts_proposals(Timestamp(sim.now), NEW_PROGRAM_TOLERANCE), Ok(()));
     }
 }
+
+/// Guards against elections that are repeated before slow disks have stored the votes, so that none ends, and against leaders
+/// that are given up while the disks of their followers are busy.
+#[test]
+fn slow_disks_elect_a_leader_and_keep_it() {
+    for sync_millis in [1, 50, 100, 150, 200, 300, 400] {
+        let runs = (1..=20).map(|seed| time_to_leader(sync_millis, seed));
+        let slowest = runs.clone().map(|(millis, _)| millis).max();
+        let lost = runs.filter(|(_, kept)| !kept).count();
+        println!("sync {sync_millis} ms: elected after {slowest:?} ms at most, {lost} of 20 leaders lost");
+        assert!(slowest < Some(MAX_ELECTION_MILLIS), "sync {sync_millis} ms: {slowest:?}");
+        assert!(lost == 0 || sync_millis > 100, "sync {sync_millis} ms: {lost} leaders lost");
+    }
+}
+
+/// Returns after how many milliseconds a group has a leader, and whether it keeps it for five seconds with some commands.
+fn time_to_leader(sync_millis: u64, seed: u64) -> (u64, bool) {
+    let mut sim =
+        LoadSimulation::with_disks(MAX_COMMIT_WAIT, NETWORK_DELAY_MICROS, sync_millis * 1_000, seed);
+    sim.may_change_leader = true;
+    let mut waited = 0;
+    while sim.leader().is_none() && waited < MAX_ELECTION_MILLIS {
+        sim.run(10, 0);
+        waited += 10;
+    }
+    let leader = sim.leader();
+    sim.run(5_000, 20);
+    (waited, leader.is_some() && sim.leader() == leader)
+}
