Wait for the permission of a call's next try, and for suspects only once

The entry waited 500 ms for the group's permission to go on at another server and then gave the call up. It now waits for half of the call's time left, 2 s at most, so that the other half remains for the next try or the caller's own.

A request that arrived before the groups had told their suspects waited for them twice, 600 ms instead of 300 ms.

--- a/agatetrestle/src/gateway/losses.rs
+++ b/agatetrestle/src/gateway/losses.rs
@@ -44,8 +44,11 @@
 /// Longest time that the end of a broken response waits for the report of the loss. A caller that returns after it may find an
 /// entry that has not heard of it.
 const MAX_REPORT_WAIT: Duration = Duration::from_millis(500);
-/// The same for turns and resumable streams, whose next attempt needs the group anyway; outlasts an election.
+/// The same for turns and resumable streams, whose next attempt needs the group anyway, and for calls that go on at another
+/// server with its permission; outlasts an election.
 const MAX_GROUP_REPORT_WAIT: Duration = Duration::from_secs(2);
+/// Share of the time left for which a call waits for that permission. The rest is for the other attempt, or for the caller's own.
+const PERMISSION_WAIT_DIVISOR: u32 = 2;
 /// Reports under way, some hundred bytes each. Beyond it losses are logged only.
 const MAX_REPORTS: usize = 1_024;
 /// Time after a loss from which a response shows that the server runs. One that is about to end may still answer others.
@@ -200,9 +203,6 @@
     ctx: &RequestContext,
 ) -> Result<Option<Rc<Admission>>, ErrorResponse> {
     let losses = &gateway.losses;
-    if !losses.suspects.is_complete() {
-        wait_for_suspects(gateway).await;
-    }
     if losses.suspects.is_empty() || !losses.suspects.contains(ctx.fingerprint()) {
         return Ok(None);
     }
@@ -244,7 +244,7 @@
 }
 
 /// Waits soon after the start until the groups have told their suspects.
-async fn wait_for_suspects(gateway: &Gateway) {
+pub(super) async fn wait_for_suspects(gateway: &Gateway) {
     let Losses { suspects, started_at, .. } = &gateway.losses;
     let mut waited = Duration::ZERO;
     while !suspects.is_complete()
@@ -277,14 +277,16 @@
     goes_on: bool,
 ) -> Option<Rc<Admission>> {
     let reply = report_loss(gateway, request, reason, goes_on);
-    let ServedRequest { admit, report_wait, admission, .. } = request;
+    let ServedRequest { admit, admission, .. } = request;
     if let Some(admission) = admission {
         admission.ended.set(true);
     }
+    let wait =
+        if goes_on { permission_wait(Duration::from_millis(admit.run_ms)) } else { request.report_wait };
     let started_at = gateway.clock.now();
-    let reply = with_deadline(*report_wait, reply).await.and_then(Result::ok);
+    let reply = with_deadline(wait, reply).await.and_then(Result::ok);
     if reply.is_some() {
-        let left = report_wait.saturating_sub(gateway.clock.now().since(started_at));
+        let left = wait.saturating_sub(gateway.clock.now().since(started_at));
         // Entries that are not told in time learn of the suspect later.
         let _ = with_deadline(left, gateway.turns.announce(admit.fingerprint)).await;
     }
@@ -299,6 +301,11 @@
     Some(admission)
 }
 
+/// How long an attempt that has just lost its server and has some time left waits for the permission to go on at another one.
+pub(super) fn permission_wait(left: Duration) -> Duration {
+    (left / PERMISSION_WAIT_DIVISOR).min(MAX_GROUP_REPORT_WAIT)
+}
+
 const fn is_admitted(reply: Option<&TurnReply>) -> bool {
     matches!(reply, Some(TurnReply::Suspect(SuspectDecision::Admitted { .. })))
 }
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -293,6 +293,7 @@
     mut ctx: RequestContext,
     log_entry: &mut AccessLogEntry,
 ) -> Result<Response<ResponseBody>, ErrorResponse> {
+    losses::wait_for_suspects(gateway).await;
     let mut admission = losses::admit(gateway, &ctx).await?;
     let mut retries = RetryState::default();
     let mut turn: Option<OpenTurn> = None;
--- a/agatetrestle/src/gateway/tests.rs
+++ b/agatetrestle/src/gateway/tests.rs
@@ -2,6 +2,7 @@
 
 mod early;
 mod endings;
+mod losses;
 mod relay;
 mod routes;
 mod stop;
