Count servers that go silent under a request although the list lost them before

A request under which VMs lost power, so that no connection breaks, was sent to one server after the other. Found by a test for silence, which had none:

- A server that the list loses while a request runs there stays known to dispatch until the next change of the list, and was taken for listed.
Its loss was not counted if no other change came within 15 s.
- The same if the list had lost it before the request's time was up.
- A response that fell silent in the middle was not watched at all, nor one whose caller left in the middle.

Silence counts as a loss if the server is not listed when the attempt ends or within 15 s of it. A request whose caller leaves before the head of the response is still not watched: nothing tells whether it was sent.

--- a/agatetrestle/src/gateway/losses.rs
+++ b/agatetrestle/src/gateway/losses.rs
@@ -334,12 +334,16 @@
     report(gateway, SuspectCommand::Lose(lose))
 }
 
-/// Remembers a request whose server was silent, which counts as a loss if the list loses the server soon.
+/// Remembers a request whose server was silent, or whose caller left in mid-response. It counts as a loss if
+/// the list has lost the server or does so soon.
 pub(super) fn record_silence(gateway: &Gateway, request: &ServedRequest) {
-    let mut silent = gateway.losses.silent.borrow_mut();
-    if silent.len() < MAX_WATCHED {
-        silent.push((request.without_admission(), gateway.clock.now()));
+    {
+        let mut silent = gateway.losses.silent.borrow_mut();
+        if silent.len() < MAX_WATCHED {
+            silent.push((request.without_admission(), gateway.clock.now()));
+        }
     }
+    record_unlisted(gateway);
 }
 
 /// Records the losses of silent servers that are not listed any more.
@@ -347,7 +351,7 @@
     let gone: Vec<ServedRequest> = {
         let dispatch = gateway.dispatch.borrow();
         let mut silent = gateway.losses.silent.borrow_mut();
-        let gone = silent.extract_if(.., |(request, _)| dispatch.instance(request.server).is_none());
+        let gone = silent.extract_if(.., |(request, _)| !dispatch.is_listed(request.server));
         gone.map(|(request, _)| request).collect()
     };
     for request in gone {
--- a/agatetrestle/src/gateway/relay.rs
+++ b/agatetrestle/src/gateway/relay.rs
@@ -83,6 +83,11 @@
             Self::EventTooLong => false,
         }
     }
+
+    /// Whether the server said nothing until the deadline.
+    pub(super) const fn is_silence(self) -> bool {
+        matches!(self, Self::Incomplete { source: IncompleteBody::TimedOut })
+    }
 }
 
 impl ResponseStream {
@@ -148,6 +153,8 @@
     async fn record_break(&self, reason: RelayError) {
         if reason.is_loss() {
             losses::record(&self.gateway, &self.request, &reason.to_string(), false).await;
+        } else if reason.is_silence() {
+            losses::record_silence(&self.gateway, &self.request);
         }
     }
 
@@ -162,6 +169,7 @@
     fn drop(&mut self) {
         if !self.logged {
             self.log(CALLER_DISCONNECTED);
+            losses::record_silence(&self.gateway, &self.request);
         }
     }
 }
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -354,6 +354,7 @@
                     Err(incomplete) if incomplete.is_loss() => {
                         SendFailure::ServerLost(incomplete.to_string())
                     }
+                    Err(incomplete) if incomplete.is_silence() => SendFailure::Silent(incomplete.to_string()),
                     Err(reason) => SendFailure::MayHaveRun(reason.to_string()),
                 }
             }
