--- a/agatetrestle/src/gateway/losses.rs
+++ b/agatetrestle/src/gateway/losses.rs
@@ -334,16 +334,17 @@
     report(gateway, SuspectCommand::Lose(lose))
 }
 
-/// Remembers a request whose server was silent, or whose caller left in mid-response. It counts as a loss if
-/// the list has lost the server or does so soon.
+/// Records that the server of a request was silent, or that its caller left in mid-response. It is a loss if the list has lost
+/// the server, or does so soon.
 pub(super) fn record_silence(gateway: &Gateway, request: &ServedRequest) {
-    {
-        let mut silent = gateway.losses.silent.borrow_mut();
-        if silent.len() < MAX_WATCHED {
-            silent.push((request.without_admission(), gateway.clock.now()));
-        }
+    if !gateway.dispatch.borrow().is_listed(request.server) {
+        report_unlisted(gateway, request);
+        return;
+    }
+    let mut silent = gateway.losses.silent.borrow_mut();
+    if silent.len() < MAX_WATCHED {
+        silent.push((request.without_admission(), gateway.clock.now()));
     }
-    record_unlisted(gateway);
 }
 
 /// Records the losses of silent servers that are not listed any more.
@@ -355,11 +356,15 @@
         gone.map(|(request, _)| request).collect()
     };
     for request in gone {
-        // Nobody waits: the request ended long ago.
-        drop(report_loss(gateway, &request, "the server was silent and is not listed any more", false));
+        report_unlisted(gateway, &request);
     }
 }
 
+fn report_unlisted(gateway: &Gateway, request: &ServedRequest) {
+    // Nobody waits: the attempt has ended.
+    drop(report_loss(gateway, request, "the server was silent and is not listed any more", false));
+}
+
 /// Clears requests whose server broke off, since it has responded to a request that was sent later.
 pub(super) fn record_response(gateway: &Gateway, server: ServerKey, sent_at: Timestamp) {
     let mut broken = gateway.losses.broken.borrow_mut();
