--- a/agatetrestle/src/suspects/tests/replay.rs
+++ b/agatetrestle/src/suspects/tests/replay.rs
@@ -519,6 +519,16 @@
     }
 }
 
+/// The losses of a flood are bounded by the number of its requests alone, and cost those of others dearly.
+#[test]
+fn three_servers_end_under_each_request_of_a_flood() {
+    for count in [80, 160] {
+        let scenario = Scenario { fatal_requests: count, ..fatal_requests(Counting::Suspects, 1) };
+        let figures = play_and_print("flood", scenario, 1);
+        assert!(figures.ended.iter().all(|ended| *ended <= 3), "{figures:?}");
+    }
+}
+
 /// Asking about each request bounds the losses as well, at the price of a question for each.
 #[test]
 fn asking_about_each_request_ends_no_fewer_servers() {
