--- a/review/standin/src/case_late_rejection.rs
+++ b/review/standin/src/case_late_rejection.rs
@@ -103,3 +103,8 @@
     }
     if twice + refused > 0 { Finding::Broken } else { Finding::Held }
 }
+
+#[test]
+fn late_rejection_is_no_answer_to_another_request() {
+    assert!(crate::script_holds(2));
+}
--- a/review/standin/src/case_long_turn.rs
+++ b/review/standin/src/case_long_turn.rs
@@ -190,3 +190,8 @@
     }
     wrong
 }
+
+#[test]
+fn turn_that_outlasts_its_predecessor_can_be_continued() {
+    assert!(crate::script_holds(3));
+}
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -107,3 +107,25 @@
     system::end_all();
     ExitCode::from(code)
 }
+
+#[cfg(test)]
+fn script_holds(case: u8) -> bool {
+    let status = std::process::Command::new(format!("../{case}/run.sh")).status();
+    status.expect("the script can be run").success()
+}
+
+/// The day of case 1, on the users' bench. Two stores lose their disks while links lose packets.
+#[test]
+fn state_group_survives_two_disk_losses_on_lossy_links() {
+    for seed in ["1", "2", "3"] {
+        let bench = "../given/kit/more/system/bin/fleetbench";
+        let site = "../given/kit/more/system/sites/lernwerk-prod.toml";
+        let output = std::process::Command::new(bench)
+            .args(["run", site, "review/1/day.toml", "--seed", seed, "--why", "review, case 1"])
+            .current_dir("../..")
+            .output();
+        let output = output.expect("the bench can be run").stdout;
+        let text = String::from_utf8_lossy(&output);
+        assert!(!text.contains("rules broken"), "seed {seed}:\n{text}");
+    }
+}
