Ask a leader again that was silent once and is still named

Callers saw: 503 for a resumed stream, after 1.8 s, while its state group had a leader all the time.

Cause: a holder that did not answer for 400 ms was a suspect until the end of the request, and replies that name a suspect were ignored. A leader behind a busy disk was then named by all followers and asked by nobody.

Ruled out: elections (none in the logs), commits of 1.8 s (264 ms).

Change: if a follower still names the suspect, it is asked again after the usual delay.

Measured: leader_that_was_silent_once_is_asked_again fails before (its follower is asked 50 times) and passes.

--- a/agatetrestle/src/node/router.rs
+++ b/agatetrestle/src/node/router.rs
@@ -308,12 +308,18 @@
                     return Ok(reply);
                 }
                 Submission::NotLeader(leader) => {
-                    let hint = leader.filter(|leader| *leader != target && Some(*leader) != suspect);
+                    let named = leader.filter(|leader| *leader != target);
+                    let hint = named.filter(|leader| Some(*leader) != suspect);
                     self.leader_hint.set(hint);
                     reason = "the group has no leader".into();
                     if hint.is_some() {
                         continue;
                     }
+                    if named.is_some() {
+                        // It may only be slow, and is asked again after the delay.
+                        suspect = None;
+                        reason = "the leader is silent".into();
+                    }
                 }
                 Submission::Refused(text) => {
                     self.no_early_answers_until.set(self.time.now() + EARLY_ANSWER_PAUSE);
--- a/agatetrestle/src/node/router/tests.rs
+++ b/agatetrestle/src/node/router/tests.rs
@@ -141,6 +141,60 @@
     assert!(many <= 2 * one, "{many} copies instead of {one}");
 }
 
+/// A leader that answers no request before it has received a second one, as while its disk is busy.
+struct SlowReplica(Cell<u32>);
+
+impl GroupService for SlowReplica {
+    fn submit(&self, request: Vec<u8>) -> LocalBoxFuture<'_, Submission> {
+        self.0.set(self.0.get() + 1);
+        if self.0.get() == 1 { futures::future::pending().boxed_local() } else { answer(request) }
+    }
+
+    fn history(&self, _offset: u64) -> Vec<u8> {
+        Vec::new()
+    }
+}
+
+fn answer(request: Vec<u8>) -> LocalBoxFuture<'static, Submission> {
+    async move { Submission::Applied(request) }.boxed_local()
+}
+
+/// A follower that names the leader, and may be asked a few times only.
+struct Follower(Cell<u32>);
+
+impl GroupService for Follower {
+    fn submit(&self, _request: Vec<u8>) -> LocalBoxFuture<'_, Submission> {
+        self.0.set(self.0.get() + 1);
+        assert!(self.0.get() < 50, "the leader that it names is not asked");
+        async { Submission::NotLeader(Some(SILENT)) }.boxed_local()
+    }
+
+    fn history(&self, _offset: u64) -> Vec<u8> {
+        Vec::new()
+    }
+}
+
+/// Guards against a slow leader that is never asked again, although the others go on to name it.
+#[test]
+fn leader_that_was_silent_once_is_asked_again() {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(async {
+        let (listener, address) = silent_peer().await;
+        let leader = Rc::new(SlowReplica(Cell::new(0)));
+        let mut server = PeerServer::default();
+        server.services.insert(GroupId(1), leader);
+        executor.spawn(peer_server::serve(Rc::new(server), listener, Rc::downgrade(&executor))).detach();
+        let links = Links::new(OWN, NO_TIMEOUT, &executor);
+        links.add_address(SILENT, address);
+        let follower: Rc<dyn GroupService> = Rc::new(Follower(Cell::new(0)));
+        let attempt = RETRY_DELAY * 4;
+        let timeouts = RequestTimeouts { attempt, request: NO_TIMEOUT, recorded: NO_TIMEOUT };
+        let time = Rc::new(Clock::start());
+        let router = Router::new(GroupId(1), OWN, Some(follower), links, &[OWN, SILENT], time, timeouts);
+        assert_eq!(router.try_submit(vec![7]).await.unwrap(), [7]);
+    }));
+}
+
 #[test]
 fn request_waits_until_holders_are_set() {
     let executor = Rc::new(LocalExecutor::new());
