Read where a stream began without a write

Callers saw: 503 "no answer in time" for a resumed stream while the disks of its group were busy.

Cause: the read of its origin was a command in the log. With commits of 500 to 700 ms a resumed stream waited for the disk up to three times within the 1.8 s of a request: for its origin, as a suspect, and for its own begin.

Change: the leader answers the read once a quorum confirms that it leads, like every other read. An acknowledged record is visible as before, since it is applied before it is acknowledged.

--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -40,6 +40,7 @@
 use crate::turns::admission::TurnAdmission;
 use crate::turns::clock::LeaderClock;
 use crate::turns::command::BeginQuery;
+use crate::turns::command::ReadStream;
 use crate::turns::command::Take;
 use crate::turns::command::TimedCommand;
 use crate::turns::command::TurnCommand;
@@ -178,9 +179,11 @@
         let Some(TimedCommand { elapsed, command }) = TimedCommand::decode(&payload) else {
             return commit(&self.group, payload).await;
         };
-        if let TurnCommand::Take(take) = command {
-            return self.take(take).await;
-        }
+        let command = match command {
+            TurnCommand::Take(take) => return self.take(take).await,
+            TurnCommand::ReadStream(stream) => return self.read_stream(&stream).await,
+            command => command,
+        };
         if let TurnCommand::Suspect(SuspectCommand::Admit(admit)) = &command
             && self.group.confirms_leadership()
             && self.group.machine(|state| !state.suspects().contains(admit.fingerprint))
@@ -351,6 +354,17 @@
         }
     }
 
+    /// Reads where a stream began, once a quorum confirms this leader. Nothing is written, so a busy disk does not delay it.
+    async fn read_stream(&self, read: &ReadStream) -> Submission {
+        match self.group.read_barrier().await {
+            ProposalOutcome::Ready => {
+                let origin = self.group.machine(|state| state.streams().origin(&read.turn).cloned());
+                Submission::Applied(TurnReply::Stream(origin).encode())
+            }
+            outcome => to_submission(outcome),
+        }
+    }
+
     /// Takes a request from a team's account, which requires a valid lease, or that a quorum confirms the leader after the
     /// request arrived. The account is no part of the state machine, so a read of that is not waited for.
     async fn take(&self, take: Take) -> Submission {
--- a/agatetrestle/src/deployment/tests/state_group.rs
+++ b/agatetrestle/src/deployment/tests/state_group.rs
@@ -57,10 +57,14 @@
 use crate::turns::command::AdmissionParams;
 use crate::turns::command::Begin;
 use crate::turns::command::Finish;
+use crate::turns::command::ReadStream;
+use crate::turns::command::RecordStream;
 use crate::turns::command::Take;
 use crate::turns::command::TurnCommand;
 use crate::turns::command::TurnReply;
 use crate::turns::state::TurnState;
+use crate::turns::streams::StreamOrigin;
+use crate::turns::streams::StreamStart;
 
 const STORES: [NodeId; 3] = [NodeId(1), NodeId(2), NodeId(3)];
 const ENTRY: NodeId = NodeId(9);
@@ -288,6 +292,25 @@
     smol::block_on(executor.run(test(executor.clone())));
 }
 
+/// Guards against resumed streams that are refused since the read of their origin waits for a busy disk.
+#[test]
+fn origin_of_a_stream_is_read_without_a_write() {
+    run(|executor| async move {
+        let group = StateGroup::start(&executor, DEFAULT).await;
+        let origin = StreamOrigin { service: "engines".into(), version: "v1".into() };
+        let start = StreamStart { origin: origin.clone(), resumable_ms: 60_000, revision: 0 };
+        let record = RecordStream { program: "program".into(), turn: "a".into(), start };
+        let reply = group.router.commit(TurnCommand::RecordStream(record)).await;
+        assert_eq!(reply.unwrap(), TurnReply::Recorded);
+        let leader = group.leader().await;
+        let before = leader.group.last_index();
+        let read = ReadStream { program: "program".into(), turn: "a".into() };
+        let reply = group.router.commit(TurnCommand::ReadStream(read)).await;
+        assert_eq!(reply.unwrap(), TurnReply::Stream(Some(origin)));
+        assert_eq!(leader.group.last_index(), before, "nothing is appended to the log");
+    });
+}
+
 /// Guards against an entry that goes on asking a replaced leader for suspects, since it has no other request for the group.
 #[test]
 fn entry_without_other_requests_hears_of_suspects_from_a_new_leader() {
--- a/agatetrestle/src/turns/command.rs
+++ b/agatetrestle/src/turns/command.rs
@@ -33,7 +33,8 @@
     Take(Take),
     /// Records where a stream begins that reserves no turn, or whose first server did not run it. Idempotent.
     RecordStream(RecordStream),
-    /// Reads where a stream began. It goes through the log so that the reply reflects every acknowledged write.
+    /// Reads where a stream began. The leader answers it without appending it to the log, once a quorum has confirmed that it
+    /// leads, so that the reply reflects every acknowledged write.
     ReadStream(ReadStream),
     /// Reports or asks about a request under which servers ended. The group is selected by the request's fingerprint.
     Suspect(SuspectCommand),
--- a/agatetrestle/src/turns/streams.rs
+++ b/agatetrestle/src/turns/streams.rs
@@ -94,7 +94,7 @@
     }
 
     /// Where an attempt began; `None` if it is not known any more.
-    pub(super) fn origin(&self, turn: &TurnId) -> Option<&StreamOrigin> {
+    pub(crate) fn origin(&self, turn: &TurnId) -> Option<&StreamOrigin> {
         self.by_turn.get(turn).map(|stream| &stream.origin)
     }
 
