--- a/agatetrestle/src/gateway/access_log.rs
+++ b/agatetrestle/src/gateway/access_log.rs
@@ -32,6 +32,8 @@
     pub(super) software: Arc<str>,
     /// The attempt that brought the first event of the resumed stream; empty for other requests.
     pub(super) resumes: Arc<str>,
+    /// The software version at which the resumed stream has to go on; empty for other requests.
+    pub(super) origin: Arc<str>,
     /// Attempts to send the request to a backend server.
     pub(super) tries: u32,
     /// How the body of the server's response ended; `None` if there was none or the caller left before.
@@ -61,13 +63,13 @@
         outcome: impl fmt::Display,
         total_time: Duration,
     ) {
-        let Self { attempt_id, version, route, service, team, server, software, resumes, tries, .. } = self;
+        let Self { attempt_id, version, route, service, team, server, software, resumes, origin, .. } = self;
         let end = self.body_end.map_or("", BodyEnd::name);
-        let rest_bytes = self.rest_bytes;
+        let (tries, rest_bytes) = (self.tries, self.rest_bytes);
         self.record_metrics(gateway, status);
         info!(
             "request={attempt_id} version={version} route={route} service={service} team={team} \
-             server={server} software={software} resumes={resumes} tries={tries} status={status} end={end} \
+             server={server} software={software} resumes={resumes} origin={origin} tries={tries} status={status} end={end} \
              rest_bytes={rest_bytes} outcome=\"{outcome}\" wait_us={} begin_us={} commit_us={} head_us={} finish_us={} total_us={}",
             self.queue_time.as_micros(),
             self.reserve_time.as_micros(),
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -162,6 +162,7 @@
     let limit = table.limits.max_body_bytes;
     let (_permit, body) = read_body(gateway, body, limit, deadline).await?;
     let origin = resumption::find_origin(gateway, &route, &metadata, deadline).await?;
+    log_entry.origin = origin.as_ref().map(|origin| origin.version.clone()).unwrap_or_default();
     let draw = gateway.random.borrow_mut().below(u64::MAX);
     let service = origin.as_ref().map_or_else(|| route.pick_service(draw), |origin| &origin.service).clone();
     log_entry.service = service.clone();
