Find a stream that names no attempt by its content, or refuse it

Callers saw: 200 and a whole stream whose first events came from one software version and the rest from another, after the servers of the first had been replaced.

Cause: a resumed stream that named no attempt went on at the version of the listed servers if they had only one. The list says who serves now, not who began.

Change: the record of each begin holds the fingerprint of its request. A stream without a named attempt goes on at the origin that all attempts at its request have in common in the group of its program; else, also if a record may have been dropped, it is refused as not run. The decision by the list is removed with its unit test. Two tests change: the one of a deployment with one version resumed a stream that had never begun, and completes eight begun ones now; the unnamed request that has to be refused belongs to a program without streams, since the begun one can go on now.

Ruled out: two runs joined in one response (tries=1).

--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -358,7 +358,7 @@
     async fn read_stream(&self, read: &ReadStream) -> Submission {
         match self.group.read_barrier().await {
             ProposalOutcome::Ready => {
-                let origin = self.group.machine(|state| state.streams().origin(&read.turn).cloned());
+                let origin = self.group.machine(|state| state.stream_origin(read));
                 Submission::Applied(TurnReply::Stream(origin).encode())
             }
             outcome => to_submission(outcome),
--- a/agatetrestle/src/dispatch/versions.rs
+++ b/agatetrestle/src/dispatch/versions.rs
@@ -1,6 +1,5 @@
 //! Servers that may go on with a stream, which are those of the software version that began it.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use crate::clock::Timestamp;
@@ -9,14 +8,6 @@
 use crate::dispatch::ServerKey;
 
 impl Dispatch {
-    /// The software version of all known servers of a service, leaving ones included; `None` if they differ or none is known.
-    #[must_use]
-    pub fn only_version(&self, service: &Arc<str>) -> Option<Arc<str>> {
-        let mut servers = self.servers_of(service).map(|(_, server)| &server.instance.version);
-        let first = servers.next()?;
-        servers.all(|version| version == first).then(|| first.clone())
-    }
-
     /// Time until a server accepts a request; `None` if it may not have it. A leaving server accepts only streams of its
     /// version.
     pub(super) fn accepts_in(&self, now: Timestamp, key: ServerKey, request: &Request) -> Option<Duration> {
--- a/agatetrestle/src/gateway/context.rs
+++ b/agatetrestle/src/gateway/context.rs
@@ -102,22 +102,9 @@
         priority.min(LOWEST_SERVER_PRIORITY)
     }
 
-    /// What all attempts of the caller at this request have in common. The program is a part of it: programs that send the
-    /// same content do not share a record, and for requests without a body little else tells them apart.
+    /// Identifies the request over all attempts of its caller.
     pub(super) fn fingerprint(&self) -> Fingerprint {
-        let host = self.parts.headers.get(HOST).map_or(&b""[..], HeaderValue::as_bytes);
-        let target = self.parts.uri.path_and_query().map_or("", PathAndQuery::as_str);
-        let previous = self.metadata.previous_turn.as_deref().unwrap_or_default();
-        let affinity = self.metadata.affinity.unwrap_or_default().to_le_bytes();
-        Fingerprint::of(&[
-            self.team_name().as_bytes(),
-            self.parts.method.as_str().as_bytes(),
-            host,
-            target.as_bytes(),
-            previous.as_bytes(),
-            &affinity,
-            &self.body[self.chain_bytes..],
-        ])
+        fingerprint(&self.parts, &self.metadata, &self.team_name(), &self.body[self.chain_bytes..])
     }
 
     /// The team's name, or an empty string if there is no team.
@@ -126,6 +113,24 @@
     }
 }
 
+/// What all attempts of a caller at the same request have in common. The program is a part of it: programs that send the
+/// same content do not share a record, and for requests without a body little else tells them apart.
+pub(super) fn fingerprint(parts: &Parts, metadata: &RequestMetadata, team: &str, body: &[u8]) -> Fingerprint {
+    let host = parts.headers.get(HOST).map_or(&b""[..], HeaderValue::as_bytes);
+    let target = parts.uri.path_and_query().map_or("", PathAndQuery::as_str);
+    let previous = metadata.previous_turn.as_deref().unwrap_or_default();
+    let affinity = metadata.affinity.unwrap_or_default().to_le_bytes();
+    Fingerprint::of(&[
+        team.as_bytes(),
+        parts.method.as_str().as_bytes(),
+        host,
+        target.as_bytes(),
+        previous.as_bytes(),
+        &affinity,
+        body,
+    ])
+}
+
 /// The transcript to retain, holding the caller's text so far; `None` if the route retains no turns.
 pub(super) fn transcript(ctx: &RequestContext) -> Option<Transcript> {
     let retention = ctx.route.retention?;
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -32,6 +32,7 @@
 use crate::gateway::attempt::SendFailure;
 use crate::gateway::body::read_body;
 use crate::gateway::commit::PendingCommit;
+use crate::gateway::context;
 use crate::gateway::context::ErrorResponse;
 use crate::gateway::context::FAILOVER_RETRY_AFTER;
 use crate::gateway::context::RequestContext;
@@ -161,7 +162,9 @@
     let deadline = arrived_at + timeout.min(route.timeout);
     let limit = table.limits.max_body_bytes;
     let (_permit, body) = read_body(gateway, body, limit, deadline).await?;
-    let origin = resumption::find_origin(gateway, &route, &metadata, deadline).await?;
+    let team_name = team.as_ref().map_or("", |team| &team.name);
+    let fingerprint = context::fingerprint(&parts, &metadata, team_name, &body);
+    let origin = resumption::find_origin(gateway, &route, &metadata, fingerprint, deadline).await?;
     log_entry.origin = origin.as_ref().map(|origin| origin.version.clone()).unwrap_or_default();
     let draw = gateway.random.borrow_mut().below(u64::MAX);
     let service = origin.as_ref().map_or_else(|| route.pick_service(draw), |origin| &origin.service).clone();
@@ -186,7 +189,7 @@
         body,
         chain_bytes: 0,
         timeout,
-        stream: StreamBinding::new(origin.map(|origin| origin.version)),
+        stream: StreamBinding::new(origin.map(|origin| origin.version), fingerprint),
         program_started,
     };
     run(gateway, ctx, log_entry).await
--- a/agatetrestle/src/gateway/resumption.rs
+++ b/agatetrestle/src/gateway/resumption.rs
@@ -18,9 +18,11 @@
 use crate::gateway::wire::RequestMetadata;
 use crate::routing::Route;
 use crate::routing::RouteKind;
+use crate::suspects::Fingerprint;
 use crate::turns::command::ReadStream;
 use crate::turns::command::RecordStream;
 use crate::turns::command::TurnCommand;
+use crate::turns::command::TurnId;
 use crate::turns::command::TurnReply;
 use crate::turns::streams::StreamOrigin;
 use crate::turns::streams::StreamStart;
@@ -32,12 +34,14 @@
     pub(super) required: Option<Arc<str>>,
     /// The version that is recorded for the attempt, and how many were before.
     recorded: Option<(Arc<str>, u32)>,
+    /// The request, under which the attempt is recorded for callers that do not name it.
+    request: Option<Fingerprint>,
 }
 
 impl StreamBinding {
-    /// A binding to the version at which the stream has to go on, if any.
-    pub(super) fn new(required: Option<Arc<str>>) -> Self {
-        Self { required, recorded: None }
+    /// A binding of an attempt at a request to the version at which the stream has to go on, if any.
+    pub(super) fn new(required: Option<Arc<str>>, request: Fingerprint) -> Self {
+        Self { required, recorded: None, request: Some(request) }
     }
 
     /// The start to record before a server of this version is sent the attempt; `None` if it is recorded already. `timeout` is
@@ -55,7 +59,7 @@
         };
         self.recorded = Some((version.clone(), revision));
         let origin = StreamOrigin { service: service.clone(), version };
-        Some(StreamStart { origin, resumable_ms: millis(timeout), revision })
+        Some(StreamStart { origin, resumable_ms: millis(timeout), revision, request: self.request })
     }
 }
 
@@ -73,6 +77,7 @@
     gateway: &Gateway,
     route: &Route,
     metadata: &RequestMetadata,
+    request: Fingerprint,
     deadline: Timestamp,
 ) -> Result<Option<StreamOrigin>, ErrorResponse> {
     let resumes = metadata.resumes.as_ref();
@@ -83,11 +88,17 @@
     if resumes.is_none() && !metadata.has_last_event {
         return Ok(None);
     }
-    let origin = match resumes {
-        Some(first) => read_origin(gateway, metadata, first, deadline).await?,
-        None => only_origin(gateway, route),
+    let read = match (resumes, &metadata.program) {
+        (Some(first), program) => {
+            let program = program.as_ref().unwrap_or(first).clone();
+            ReadStream { program, turn: first.clone(), request: None }
+        }
+        (None, Some(program)) => {
+            ReadStream { program: program.clone(), turn: TurnId::default(), request: Some(request) }
+        }
+        (None, None) => return Err(refusal("the request names no attempt and no program to find it by")),
     };
-    let Some(origin) = origin else {
+    let Some(origin) = read_origin(gateway, read, deadline).await? else {
         return Err(refusal("the software version that began the stream is not known"));
     };
     if !route.targets.iter().any(|target| target.service == origin.service) {
@@ -100,30 +111,18 @@
     ErrorResponse::not_run(reason, FAILOVER_RETRY_AFTER)
 }
 
-/// Reads where an attempt began from its state group.
+/// Reads where a stream began from its state group.
 async fn read_origin(
     gateway: &Gateway,
-    metadata: &RequestMetadata,
-    first: &Arc<str>,
+    read: ReadStream,
     deadline: Timestamp,
 ) -> Result<Option<StreamOrigin>, ErrorResponse> {
-    let program = metadata.program.as_ref().unwrap_or(first).clone();
-    let command = TurnCommand::ReadStream(ReadStream { program, turn: first.clone() });
-    match reserve::commit_before_sending(gateway, command, deadline).await? {
+    match reserve::commit_before_sending(gateway, TurnCommand::ReadStream(read), deadline).await? {
         TurnReply::Stream(origin) => Ok(origin),
         reply => Err(error_response(&reply)),
     }
 }
 
-/// Where a stream began whose caller does not name its first attempt: only one version serves.
-fn only_origin(gateway: &Gateway, route: &Route) -> Option<StreamOrigin> {
-    let [target] = &route.targets[..] else {
-        return None;
-    };
-    let version = gateway.dispatch.borrow().only_version(&target.service)?;
-    Some(StreamOrigin { service: target.service.clone(), version })
-}
-
 /// Records where an attempt begins, which must be complete before the attempt is sent.
 ///
 /// # Errors
--- a/agatetrestle/src/turns/command.rs
+++ b/agatetrestle/src/turns/command.rs
@@ -11,6 +11,7 @@
 use crate::codec::decode;
 use crate::codec::encode_with_capacity;
 use crate::ids::NodeId;
+use crate::suspects::Fingerprint;
 use crate::suspects::record::SuspectCommand;
 use crate::suspects::record::SuspectDecision;
 use crate::turns::streams::StreamOrigin;
@@ -56,8 +57,11 @@
 pub struct ReadStream {
     /// The program that the stream belongs to, or the attempt that began it if it belongs to none. It selects the group.
     pub program: Arc<str>,
-    /// The attempt that brought its first event.
+    /// The attempt that brought its first event; empty if its caller names none.
     pub turn: TurnId,
+    /// The request, if its caller names no attempt: the origin is read that all attempts at it have in common.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub request: Option<Fingerprint>,
 }
 
 /// Payload of [`TurnCommand::Take`].
--- a/agatetrestle/src/turns/state.rs
+++ b/agatetrestle/src/turns/state.rs
@@ -30,6 +30,7 @@
 use crate::suspects::Suspects;
 use crate::turns::command::Begin;
 use crate::turns::command::Finish;
+use crate::turns::command::ReadStream;
 use crate::turns::command::RetainedTurn;
 use crate::turns::command::TimedCommand;
 use crate::turns::command::TransferredTurn;
@@ -38,6 +39,7 @@
 use crate::turns::command::TurnReply;
 use crate::turns::recent::RecentPrograms;
 use crate::turns::state::decoded::DecodedProposals;
+use crate::turns::streams::StreamOrigin;
 use crate::turns::streams::Streams;
 
 /// Added to a turn's retention, since the caller counts it from when it received the last bytes of the answer. Clock skew
@@ -133,7 +135,7 @@
                 self.streams.record(self.now, &record.turn, record.start);
                 TurnReply::Recorded
             }
-            TurnCommand::ReadStream(read) => TurnReply::Stream(self.streams.origin(&read.turn).cloned()),
+            TurnCommand::ReadStream(read) => TurnReply::Stream(self.stream_origin(&read)),
             TurnCommand::Suspect(command) => TurnReply::Suspect(self.suspects.execute(self.now, command)),
             TurnCommand::Take(_) => TurnReply::Refused,
         }
@@ -170,6 +172,16 @@
         &self.streams
     }
 
+    /// Where a stream began that a caller resumes; `None` if it is not certain.
+    #[must_use]
+    pub fn stream_origin(&self, read: &ReadStream) -> Option<StreamOrigin> {
+        let origin = match read.request {
+            Some(request) => self.streams.only_origin(self.now, request),
+            None => self.streams.origin(&read.turn),
+        };
+        origin.cloned()
+    }
+
     /// Requests under which servers ended.
     #[must_use]
     pub fn suspects(&self) -> &Suspects {
@@ -426,6 +438,7 @@
         *self = Self::default();
         *self = decode(data).context(UndecodableSnafu)?;
         self.count_kept_bytes();
+        self.streams.restore_index();
         Ok(())
     }
 }
--- a/agatetrestle/src/turns/streams.rs
+++ b/agatetrestle/src/turns/streams.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::suspects::Fingerprint;
 use crate::turns::command::TurnId;
 
 /// Streams that are remembered, 5 MB at most. Beyond it those are dropped whose callers have the least time left. Their
@@ -40,6 +41,9 @@
     /// Number of origins that were recorded before for the same attempt, whose servers did not run it.
     #[serde(default, skip_serializing_if = "is_first")]
     pub revision: u32,
+    /// What its caller's attempts at the same request have in common; `None` from entries that do not send it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub request: Option<Fingerprint>,
 }
 
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
@@ -47,11 +51,18 @@
     *revision == 0
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 struct Stream {
     origin: StreamOrigin,
     revision: u32,
     until: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    request: Option<Fingerprint>,
 }
 
 /// Streams by the attempt that began them. Times are those of the state, in milliseconds.
@@ -59,6 +70,12 @@
 pub struct Streams {
     by_turn: HashMap<TurnId, Stream>,
     by_end: BTreeSet<(u64, TurnId)>,
+    /// The attempts at each request. Derived from `by_turn`.
+    #[serde(skip)]
+    by_request: BTreeSet<(Option<Fingerprint>, TurnId)>,
+    /// Since when no stream may be resumed any more that was dropped for want of memory.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    complete_since: u64,
 }
 
 impl Streams {
@@ -76,20 +93,21 @@
 
     /// Records where an attempt begins. A late copy of an earlier record of the attempt changes nothing.
     pub(super) fn record(&mut self, now: u64, turn: &TurnId, start: StreamStart) {
-        let StreamStart { origin, resumable_ms, revision } = start;
-        if let Some(known) = self.by_turn.get(turn) {
-            if known.revision >= revision {
-                return;
-            }
-            self.by_end.remove(&(known.until, turn.clone()));
+        let StreamStart { origin, resumable_ms, revision, request } = start;
+        if self.by_turn.get(turn).is_some_and(|known| known.revision >= revision) {
+            return;
         }
+        self.remove(turn);
         let until = now.saturating_add(resumable_ms.min(MAX_RESUMABLE_MS)).saturating_add(RESUME_MARGIN_MS);
-        self.by_turn.insert(turn.clone(), Stream { origin, revision, until });
+        let origin = self.share(origin);
         self.by_end.insert((until, turn.clone()));
+        self.by_request.insert((request, turn.clone()));
+        self.by_turn.insert(turn.clone(), Stream { origin, revision, until, request });
         if self.by_turn.len() > MAX_STREAMS
-            && let Some((_, turn)) = self.by_end.pop_first()
+            && let Some((until, turn)) = self.by_end.first().cloned()
         {
-            self.by_turn.remove(&turn);
+            self.complete_since = self.complete_since.max(until.saturating_add(1));
+            self.remove(&turn);
         }
     }
 
@@ -98,13 +116,49 @@
         self.by_turn.get(turn).map(|stream| &stream.origin)
     }
 
+    /// Where all attempts at a request began that may be resumed; `None` if there is none, if they differ, or if one may be
+    /// unknown.
+    pub(crate) fn only_origin(&self, now: u64, request: Fingerprint) -> Option<&StreamOrigin> {
+        if now < self.complete_since || self.attempts(None).next().is_some() {
+            return None;
+        }
+        let mut origins = self.attempts(Some(request)).filter_map(|turn| self.origin(turn));
+        let first = origins.next()?;
+        origins.all(|origin| origin == first).then_some(first)
+    }
+
+    /// The attempts at a request, or those of an unknown request.
+    fn attempts(&self, request: Option<Fingerprint>) -> impl Iterator<Item = &TurnId> {
+        let from = self.by_request.range((request, TurnId::default())..);
+        from.take_while(move |(of, _)| *of == request).map(|(_, turn)| turn)
+    }
+
+    /// Restores what is derived, after the rest was decoded.
+    pub(super) fn restore_index(&mut self) {
+        let entries = self.by_turn.iter().map(|(turn, stream)| (stream.request, turn.clone()));
+        self.by_request = entries.collect();
+    }
+
     /// Drops the streams that cannot be resumed any more.
     pub(super) fn advance(&mut self, now: u64) {
-        while let Some((until, _)) = self.by_end.first()
-            && *until < now
-            && let Some((_, turn)) = self.by_end.pop_first()
+        while let Some((until, turn)) = self.by_end.first().cloned()
+            && until < now
         {
-            self.by_turn.remove(&turn);
+            self.remove(&turn);
         }
     }
+
+    fn remove(&mut self, turn: &TurnId) {
+        if let Some(stream) = self.by_turn.remove(turn) {
+            self.by_end.remove(&(stream.until, turn.clone()));
+            self.by_request.remove(&(stream.request, turn.clone()));
+        }
+    }
+
+    /// Replaces an origin by an equal one that is held already, since each decoded command has copies of its own.
+    fn share(&self, origin: StreamOrigin) -> StreamOrigin {
+        let known = [self.by_end.first(), self.by_end.last()].into_iter().flatten();
+        let mut known = known.filter_map(|(_, turn)| self.origin(turn));
+        known.find(|known| **known == origin).cloned().unwrap_or(origin)
+    }
 }
