Refuse a configuration that is not UTF-8

Operators saw: 200 for a configuration with a byte that is not UTF-8, which was then in force and read back with other bytes.

Cause: the adapter replaced such bytes before the table was parsed, so that nothing was left to refuse.

Change: the adapter passes the bytes on; they are checked before they are parsed, and what is kept is what was sent. Control logs what it answers to a read.

A configuration with other than ASCII text is accepted and read back byte for byte.

--- a/agatetrestle/src/deployment/operators.rs
+++ b/agatetrestle/src/deployment/operators.rs
@@ -14,6 +14,7 @@
 use log::info;
 use log::warn;
 use serde::de::DeserializeOwned;
+use snafu::ResultExt;
 
 use crate::cluster::message::ControlRequest;
 use crate::cluster::message::DrainStatus;
@@ -26,6 +27,8 @@
 use crate::gateway::wire::WireFormat;
 use crate::node::router::Router;
 use crate::ports::GroupError;
+use crate::routing::InvalidTable;
+use crate::routing::NotUtf8Snafu;
 use crate::transport::body::ResponseBody;
 use crate::transport::server::Handler;
 
@@ -73,7 +76,7 @@
             Err(error) => return text_response(StatusCode::PAYLOAD_TOO_LARGE, error.to_string()),
         };
         match self.wire.read_operator_request(&parts.method, parts.uri.path(), &body) {
-            Some(OperatorRequest::PublishRoutes(text)) => self.publish(text).await,
+            Some(OperatorRequest::PublishRoutes(text)) => self.publish(&text).await,
             Some(OperatorRequest::ReadRoutes) => self.read_routes().await,
             Some(OperatorRequest::Drain(vm)) => self.drain(vm).await,
             Some(OperatorRequest::DrainStatus(vm)) => self.drain_status(vm).await,
@@ -81,9 +84,16 @@
         }
     }
 
-    async fn publish(&self, text: Arc<str>) -> Response<ResponseBody> {
-        let version = match self.wire.read_table(text.as_bytes()) {
-            Ok(table) => table.version,
+    /// Reads a table that an operator published, with its version. What is kept is what was sent, byte for byte.
+    fn read_table(&self, text: &[u8]) -> Result<(u64, Arc<str>), InvalidTable> {
+        let text = str::from_utf8(text).context(NotUtf8Snafu)?;
+        let table = self.wire.read_table(text.as_bytes())?;
+        Ok((table.version, text.into()))
+    }
+
+    async fn publish(&self, text: &[u8]) -> Response<ResponseBody> {
+        let (version, text) = match self.read_table(text) {
+            Ok(read) => read,
             Err(invalid) => {
                 info!("publish outcome=refused reason=\"{invalid}\"");
                 return text_response(StatusCode::BAD_REQUEST, invalid.to_string());
@@ -108,9 +118,15 @@
 
     async fn read_routes(&self) -> Response<ResponseBody> {
         match self.submit::<Option<Document>>(&ControlRequest::Routes).await {
-            Ok(Some(document)) => json_response(document.text.to_string()),
+            Ok(Some(document)) => {
+                info!("read version={} revision={}", document.version, document.revision);
+                json_response(document.text.to_string())
+            }
             Ok(None) => text_response(StatusCode::SERVICE_UNAVAILABLE, "no routes were published yet"),
-            Err(error) => unavailable(&error),
+            Err(error) => {
+                warn!("read outcome=unsure reason=\"{error}\"");
+                unavailable(&error)
+            }
         }
     }
 
--- a/agatetrestle/src/gateway/tests/early.rs
+++ b/agatetrestle/src/gateway/tests/early.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use agatetrestle_config::deployment::Placement;
+use bytes::Bytes;
 use futures::AsyncReadExt;
 use futures::AsyncWriteExt;
 use futures::FutureExt;
@@ -135,7 +136,7 @@
         RouteTable::new(1, vec![route], vec![service], limits)
     }
 
-    fn read_operator_request(&self, _: &Method, _: &str, _: &[u8]) -> Option<OperatorRequest> {
+    fn read_operator_request(&self, _: &Method, _: &str, _: &Bytes) -> Option<OperatorRequest> {
         None
     }
 
--- a/agatetrestle/src/gateway/wire.rs
+++ b/agatetrestle/src/gateway/wire.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::HeaderMap;
 use http::Method;
 use http::Uri;
@@ -78,8 +79,8 @@
 /// A request of the operators' API.
 #[derive(Clone, Debug)]
 pub enum OperatorRequest {
-    /// Publish a route table.
-    PublishRoutes(Arc<str>),
+    /// Publish a route table, as received.
+    PublishRoutes(Bytes),
     /// Return the route table in force.
     ReadRoutes,
     /// Drain a store's VM.
@@ -137,7 +138,7 @@
     fn read_table(&self, text: &[u8]) -> Result<RouteTable, InvalidTable>;
 
     /// Parses a request of the operators' API; `None` if the method or path is unknown.
-    fn read_operator_request(&self, method: &Method, path: &str, body: &[u8]) -> Option<OperatorRequest>;
+    fn read_operator_request(&self, method: &Method, path: &str, body: &Bytes) -> Option<OperatorRequest>;
 
     /// Serializes the progress of draining a VM.
     fn write_drain_status(&self, status: DrainStatus) -> Vec<u8>;
--- a/agatetrestle/src/routing/check.rs
+++ b/agatetrestle/src/routing/check.rs
@@ -1,6 +1,7 @@
 //! Validation of route tables.
 
 use std::collections::BTreeMap;
+use std::str::Utf8Error;
 use std::sync::Arc;
 
 use snafu::Snafu;
@@ -20,6 +21,12 @@
         /// What was expected, and where.
         reason: Arc<str>,
     },
+    /// The text is not UTF-8.
+    #[snafu(display("the route table is not UTF-8: {source}"))]
+    NotUtf8 {
+        /// Where the text is invalid.
+        source: Utf8Error,
+    },
     /// A route has a target that is not declared.
     #[snafu(display("route {route} refers to undeclared service {service}"))]
     UnknownService {
--- a/agatetrestle/src/routing/mod.rs
+++ b/agatetrestle/src/routing/mod.rs
@@ -9,6 +9,7 @@
 mod tests;
 
 pub use self::check::InvalidTable;
+pub(crate) use self::check::NotUtf8Snafu;
 pub use self::teams::ApiKey;
 pub use self::teams::RateLimit;
 pub use self::teams::Team;
