Let a replica that was held up read its messages before it times out

Cause: a leader whose thread was held up for an election timeout stepped down at its next tick, though the answers to its heartbeats waited in its sockets. Its successor was held up by the reports of all processes and stepped down too: a leader each 0.6 to 1 s. Followers campaigned in the same way.

Ruled out: timeouts that are too short in themselves; nearly each term had a leader.

Change: time between two ticks beyond a heartbeat interval does not count for the leader's step down, and postpones a follower's campaign. The lease is counted by the clock as before.

Measured: both new tests fail before.

--- a/agatetrestle/src/agreement/replica/election.rs
+++ b/agatetrestle/src/agreement/replica/election.rs
@@ -18,10 +18,17 @@
 const MAX_TIMEOUT_DOUBLINGS: u32 = 2;
 
 impl Replica {
+    /// Advances the timeouts. After a late tick they wait for the messages that arrived since the one before, which are
+    /// processed after it: a process that was held up for so long would else take a sound group for lost.
     pub(super) fn tick(&mut self, now: Timestamp) {
+        let since_last = now.since(std::mem::replace(&mut self.last_tick, now));
         if self.is_leader() {
-            self.tick_leader(now);
-        } else if now >= self.election_deadline {
+            self.tick_leader(now, since_last.min(self.max_tick_gap));
+            return;
+        }
+        let held_up = since_last.saturating_sub(self.max_tick_gap);
+        self.election_deadline = self.election_deadline + held_up.min(now.since(self.leader_contact));
+        if now >= self.election_deadline {
             self.schedule_pre_vote_retry(now, self.cfg.leader_interval);
             self.start_pre_vote(now);
         }
--- a/agatetrestle/src/agreement/replica/fault.rs
+++ b/agatetrestle/src/agreement/replica/fault.rs
@@ -1,5 +1,7 @@
 //! Injected faults, which show that the failure tests detect violations.
 
+use std::time::Duration;
+
 use crate::agreement::replica::Replica;
 use crate::clock::Timestamp;
 
@@ -46,6 +48,11 @@
         self
     }
 
+    /// Takes time without ticks for time in which messages could be received.
+    pub(in crate::agreement) fn without_hold_ups(self) -> Self {
+        Self { max_tick_gap: Duration::MAX, ..self }
+    }
+
     pub(super) fn has_fault(&self, fault: Fault) -> bool {
         self.fault == Some(fault)
     }
--- a/agatetrestle/src/agreement/replica/leader.rs
+++ b/agatetrestle/src/agreement/replica/leader.rs
@@ -134,6 +134,9 @@
     /// Send times of recent rounds, oldest first.
     pub(super) rounds: VecDeque<(u64, Timestamp)>,
     pub(super) next_heartbeat: Timestamp,
+    /// Latest round that a majority had acknowledged at a tick, and the time since then in which messages could be received.
+    pub(super) confirmed_round: u64,
+    pub(super) unconfirmed_for: Duration,
     /// Pending proposals and when they were made, by log index.
     pub(super) tickets: BTreeMap<u64, (Ticket, Timestamp)>,
     pub(super) shortest_commit: ShortestCommit,
@@ -152,6 +155,8 @@
             round: 0,
             rounds: VecDeque::new(),
             next_heartbeat: elected_at,
+            confirmed_round: 0,
+            unconfirmed_for: Duration::ZERO,
             tickets: BTreeMap::new(),
             shortest_commit: ShortestCommit::default(),
             reads: Vec::new(),
--- a/agatetrestle/src/agreement/replica/lease.rs
+++ b/agatetrestle/src/agreement/replica/lease.rs
@@ -76,13 +76,19 @@
         others.filter(|voter| now.since(last_ack(voter)) > timeout).copied().collect()
     }
 
-    pub(super) fn tick_leader(&mut self, now: Timestamp) {
-        let Role::Leader(leader) = &self.role else {
+    /// Sends heartbeats, and steps down once no majority has acknowledged one for an election timeout. `listened` is the time
+    /// since the last tick in which messages could be received. The lease does not depend on this.
+    pub(super) fn tick_leader(&mut self, now: Timestamp, listened: Duration) {
+        let acked = self.quorum_acked_round();
+        let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        let acked = self.quorum_acked_at(now).unwrap_or_default().max(leader.elected_at);
+        let is_confirmed = acked > leader.confirmed_round;
+        leader.confirmed_round = acked;
+        leader.unconfirmed_for =
+            if is_confirmed { Duration::ZERO } else { leader.unconfirmed_for + listened };
         let heartbeat_due = now >= leader.next_heartbeat;
-        if now.since(acked) >= self.cfg.election_timeout {
+        if leader.unconfirmed_for >= self.cfg.election_timeout {
             self.become_follower(self.term, None);
             self.reset_election_deadline(now);
             return;
--- a/agatetrestle/src/agreement/replica/mod.rs
+++ b/agatetrestle/src/agreement/replica/mod.rs
@@ -131,6 +131,9 @@
     /// Latest term in which a leader was known, or that of the start.
     leader_term: u64,
     election_deadline: Timestamp,
+    last_tick: Timestamp,
+    /// A tick that is later than this after the one before shows that the process was held up.
+    max_tick_gap: Duration,
     rng_state: u64,
     failed: bool,
     /// Set on a replica that may have lost its vote with its files, until a leader addresses it as a learner.
@@ -188,6 +191,8 @@
             leader_contact: now,
             leader_term: hard_state.term,
             election_deadline: now,
+            last_tick: now,
+            max_tick_gap: cfg.leader_interval,
             rng_state: cfg.seed ^ cfg.node.0.rotate_left(32) ^ hard_state.term,
             failed,
             joining: false,
--- a/agatetrestle/src/agreement/tests/basics.rs
+++ b/agatetrestle/src/agreement/tests/basics.rs
@@ -238,6 +238,44 @@
     assert_eq!(network.applied(leader), [first, second, fourth].map(|ticket| ticket.0));
 }
 
+/// Guards against leaders that step down one after the other, since each is held up by the reports that its election brings.
+#[test]
+fn held_up_leader_hears_the_answers_that_wait_before_it_steps_down() {
+    let mut network = Network::new(3, 0);
+    network.run(ELECTION_TIMEOUT * 3);
+    let leader = network.leader();
+    for _ in 0..3 {
+        network.now = network.now + ELECTION_TIMEOUT * 2;
+        let outputs = network.replicas.get_mut(&leader).unwrap().step(network.now, Input::Tick);
+        assert!(network.replicas[&leader].is_leader(), "the answers to its heartbeats are still unread");
+        for output in outputs {
+            if let Output::Send(message) = output {
+                network.input(message.to, Input::Receive(message));
+            }
+        }
+    }
+    network.run(ELECTION_TIMEOUT * 2);
+    assert_eq!(network.leader(), leader);
+    network.replicas.retain(|node, _| *node == leader);
+    network.run(ELECTION_TIMEOUT * 2);
+    assert!(!network.replicas[&leader].is_leader(), "nobody answers");
+}
+
+/// Guards against followers that campaign after they were held up, although heartbeats wait to be read.
+#[test]
+fn held_up_follower_reads_the_heartbeats_that_wait_before_it_campaigns() {
+    let mut network = Network::new(3, 0);
+    network.run(ELECTION_TIMEOUT * 3);
+    let (leader, term) = (network.leader(), network.replicas[&network.leader()].term());
+    let follower = *network.replicas.keys().find(|node| **node != leader).unwrap();
+    network.now = network.now + ELECTION_TIMEOUT * 4;
+    let outputs = network.replicas.get_mut(&follower).unwrap().step(network.now, Input::Tick);
+    assert!(!outputs.iter().any(|output| matches!(output, Output::Send(_))), "{outputs:?}");
+    network.input(leader, Input::Tick);
+    network.run(ELECTION_TIMEOUT * 2);
+    assert_eq!((network.leader(), network.replicas[&leader].term()), (leader, term));
+}
+
 #[test]
 fn paused_leader_confirms_leadership_before_read() {
     let mut network = Network::new(3, 0);
--- a/agatetrestle/src/agreement/tests/node.rs
+++ b/agatetrestle/src/agreement/tests/node.rs
@@ -33,6 +33,15 @@
 /// State machine of the tests: term and command of each applied entry, by index.
 pub(super) type Applied = BTreeMap<u64, (u64, u64)>;
 
+/// What a node does between two ticks that are far apart.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum TimeWithoutTicks {
+    /// It is held up, and processes no messages.
+    HeldUp,
+    /// It waits for messages.
+    Waiting,
+}
+
 pub(super) struct SimNode {
     pub(super) id: NodeId,
     clock_rate_ppm: u64,
@@ -41,6 +50,7 @@
     pub(super) paused: bool,
     /// Whether writes are synced only by explicit steps.
     pub(super) slow_disk: bool,
+    pub(super) time_without_ticks: TimeWithoutTicks,
     /// Whether the files were lost and no hard state has been stored since.
     files_lost: bool,
     pub(super) durable: PersistentState,
@@ -60,6 +70,7 @@
             replica: None,
             paused: false,
             slow_disk: false,
+            time_without_ticks: TimeWithoutTicks::Waiting,
             files_lost: false,
             durable: PersistentState::default(),
             unsynced: VecDeque::new(),
@@ -98,6 +109,10 @@
         } else {
             Replica::new(cfg, initial.clone(), self.durable.clone(), now)
         };
+        let replica = match self.time_without_ticks {
+            TimeWithoutTicks::HeldUp => replica,
+            TimeWithoutTicks::Waiting => replica.without_hold_ups(),
+        };
         self.replica = Some(replica.with_fault(fault));
         self.paused = false;
         self.slow_disk = false;
--- a/agatetrestle/src/agreement/tests/schedule.rs
+++ b/agatetrestle/src/agreement/tests/schedule.rs
@@ -78,6 +78,8 @@
     CampaignDuringLease(usize, u64),
     /// Crashes all nodes but one after a leader with a slow disk has replicated an unsynced entry.
     CrashBeforeSync(usize),
+    /// Crashes followers with slow disks that have answered heartbeats after an entry which they have not synced.
+    CrashSlowFollowers(usize),
     /// Replicates entries of an earlier term to a majority, then restarts the leader of a term in between.
     OldLeaderReturns,
     /// Has an isolated leader remove two other nodes.
@@ -143,6 +145,7 @@
         2 => (node(), 0..40_u64).prop_map(|(node, ticks)| Step::CampaignDuringLease(node, ticks)),
         1 => Just(Step::OldLeaderReturns),
         1 => node().prop_map(Step::CrashBeforeSync),
+        1 => node().prop_map(Step::CrashSlowFollowers),
         1 => node().prop_map(Step::RemoveTwo),
     ];
     prop_oneof![5 => network, 3 => clients, 3 => failures]
@@ -205,6 +208,7 @@
             campaign_during_lease(sim, select(NodeSelector::Node(node), sim), ticks)?;
         }
         Step::CrashBeforeSync(node) => crash_before_sync(sim, select(NodeSelector::Node(node), sim))?,
+        Step::CrashSlowFollowers(node) => crash_slow_followers(sim, select(NodeSelector::Node(node), sim))?,
         Step::OldLeaderReturns => old_leader_returns(sim)?,
         Step::RemoveTwo(node) => remove_two(sim, node)?,
     }
@@ -344,6 +348,20 @@
     sim.run(ELECTION_TICKS, HOPS_PER_TICK)
 }
 
+fn crash_slow_followers(sim: &mut Simulation, cut: usize) -> Result<(), Violation> {
+    let leader = sim.select(NodeSelector::Leader);
+    cut_from_leader(sim, cut);
+    let followers: Vec<usize> = (0..sim.nodes.len()).filter(|slot| ![leader, cut].contains(slot)).collect();
+    for slot in &followers {
+        sim.nodes[*slot].slow_disk = true;
+    }
+    sim.propose(leader)?;
+    sim.run(COMMIT_TICKS, HOPS_PER_TICK)?;
+    sim.isolate(leader);
+    followers.into_iter().try_for_each(|slot| crash_restart(sim, slot))?;
+    sim.run(ELECTION_TICKS, HOPS_PER_TICK)
+}
+
 fn old_leader_returns(sim: &mut Simulation) -> Result<(), Violation> {
     let first = sim.select(NodeSelector::Leader);
     sim.isolate(first);
--- a/agatetrestle/src/agreement/tests/simulation.rs
+++ b/agatetrestle/src/agreement/tests/simulation.rs
@@ -16,6 +16,7 @@
 use crate::agreement::replica::fault::Fault;
 use crate::agreement::tests::node::Applied;
 use crate::agreement::tests::node::SimNode;
+use crate::agreement::tests::node::TimeWithoutTicks;
 use crate::agreement::tests::node::decode;
 use crate::agreement::tests::node::entry_at;
 use crate::agreement::tests::node::snapshot_index;
@@ -126,6 +127,9 @@
         };
         for id in 1..=voters + SPARE_NODES {
             let mut node = SimNode::new(id, sim.next_random());
+            if seed & 6 == 0 {
+                node.time_without_ticks = TimeWithoutTicks::HeldUp;
+            }
             node.start(&sim.initial, 0, sim.max_batch_bytes, fault);
             sim.nodes.push(node);
         }
