--- a/review/4/case.py
+++ b/review/4/case.py
@@ -23,7 +23,7 @@
     def __init__(self, record, deployment, number):
         self.record, self.number = record, number
         self.entries = [entry.address("frontend") for entry in deployment.entries]
-        self.history = b""
+        self.history, self.events = b"", []
 
     async def attempt(self, entry, text, events, previous):
         """One attempt at a turn, which resumes the stream after the events that the caller has."""
@@ -57,7 +57,7 @@
 
     async def turn(self, entry, text, previous=None):
         """Sends a turn until its stream is complete; returns the attempt that completed it."""
-        events = []
+        events = self.events = []
         for tries in range(12):
             attempt, whole = await self.attempt(entry, text, events, previous)
             if whole:
@@ -88,7 +88,8 @@
         callers = [Caller(record, deployment, number) for number in range(PROGRAMS)]
         first = [asyncio.create_task(caller.turn(0, f"first input {caller.number}\n".encode())) for caller in callers]
         if side.TROUBLE:
-            await asyncio.sleep(0.45)
+            while not all(len(caller.events) >= 3 for caller in callers):
+                await asyncio.sleep(0.01)
             record(f"{deployment.entries[0].name} is killed")
             deployment.entries[0].kill()
             await asyncio.sleep(DOWN_S)
