--- a/review/4/case.py
+++ b/review/4/case.py
@@ -13,7 +13,7 @@
 from deployment import ZONES
 
 HOST, SERVICE, PATH = "agents.example", "engines", "/chat/"
-DOWN_S = 3.5
+DOWN_S = 2.0
 PROGRAMS = 6
 
 
