Retain a resumed turn with the events before the break

Cause: the attempt that completed the turn built the transcript from the events that it relayed itself. What came before was held by the entry of the earlier attempt alone, also if a server broke off and no entry was lost. Last-Event-Id was read for the software version only.

Change: the events of such turns are committed to the group of their program before they are handed out, all that arrived since the last commit at once. A request that resumes reads them as it reads the origin, by the attempt that brought the first event or by its content, and is refused as not run if they are not certain. Handing them out first and recording them afterwards was weighed: it refuses the resumption just when an entry was killed. Running the turn anew joins two runs in one stream.

--- a/agatetrestle/src/cluster/leader_load.rs
+++ b/agatetrestle/src/cluster/leader_load.rs
@@ -104,6 +104,8 @@
             TurnCommand::Chain(_)
             | TurnCommand::RecordStream(_)
             | TurnCommand::ReadStream(_)
+            | TurnCommand::RecordEvents(_)
+            | TurnCommand::ReadEvents(_)
             | TurnCommand::Suspect(_) => {}
         }
         if end == RequestEnd::Done && matches!(command, TurnCommand::Begin(_) | TurnCommand::Finish(_)) {
--- a/agatetrestle/src/cluster/service.rs
+++ b/agatetrestle/src/cluster/service.rs
@@ -41,7 +41,6 @@
 use crate::turns::admission::TurnAdmission;
 use crate::turns::clock::LeaderClock;
 use crate::turns::command::BeginQuery;
-use crate::turns::command::ReadStream;
 use crate::turns::command::Take;
 use crate::turns::command::TimedCommand;
 use crate::turns::command::TurnCommand;
@@ -184,7 +183,12 @@
         };
         let command = match command {
             TurnCommand::Take(take) => return self.take(take).await,
-            TurnCommand::ReadStream(stream) => return self.read_stream(&stream).await,
+            TurnCommand::ReadStream(read) => {
+                return self.read(|state| TurnReply::Stream(state.stream_origin(&read))).await;
+            }
+            TurnCommand::ReadEvents(read) => {
+                return self.read(|state| TurnReply::Received(state.received_events(&read))).await;
+            }
             command => command,
         };
         if let TurnCommand::Suspect(SuspectCommand::Admit(admit)) = &command
@@ -381,12 +385,9 @@
     }
 
     /// Reads where a stream began, once a quorum confirms this leader. Nothing is written, so a busy disk does not delay it.
-    async fn read_stream(&self, read: &ReadStream) -> Submission {
+    async fn read(&self, read: impl FnOnce(&TurnState) -> TurnReply) -> Submission {
         match self.group.read_barrier().await {
-            ProposalOutcome::Ready => {
-                let origin = self.group.machine(|state| state.stream_origin(read));
-                Submission::Applied(TurnReply::Stream(origin).encode())
-            }
+            ProposalOutcome::Ready => Submission::Applied(self.group.machine(|state| read(state)).encode()),
             outcome => to_submission(outcome),
         }
     }
--- a/agatetrestle/src/deployment/turns.rs
+++ b/agatetrestle/src/deployment/turns.rs
@@ -260,12 +260,13 @@
     usize::try_from(fingerprint.0 % groups.max(1) as u64).unwrap_or(0)
 }
 
-/// Sends a command. A full queue rejects new work at once, but not the end of a turn or the loss of a server, which must
-/// be recorded.
+/// Sends a command. A full queue rejects new work at once, but not what becomes of a turn that runs or the loss of a server,
+/// which must be recorded.
 async fn request(router: &Router, command: TurnCommand) -> Result<TurnReply, GroupError> {
     let encoded = command.encode(Duration::ZERO);
     let reply = match command {
         TurnCommand::Finish(_)
+        | TurnCommand::RecordEvents(_)
         | TurnCommand::Suspect(SuspectCommand::Lose(_) | SuspectCommand::Clear(_) | SuspectCommand::End(_)) => {
             router.submit(encoded).await?
         }
--- a/agatetrestle/src/gateway/context.rs
+++ b/agatetrestle/src/gateway/context.rs
@@ -12,6 +12,7 @@
 use http::uri::PathAndQuery;
 
 use crate::clock::Timestamp;
+use crate::gateway::resumption::Received;
 use crate::gateway::resumption::StreamBinding;
 use crate::gateway::turn::Transcript;
 use crate::gateway::wire::RequestMetadata;
@@ -71,6 +72,8 @@
     pub(super) timeout: Duration,
     /// The software version that the stream is bound to, if its caller may resume it.
     pub(super) stream: StreamBinding,
+    /// What the caller has received of the turn that it resumes.
+    pub(super) received: Option<Received>,
     /// Whether this node knows that the program has run a turn before.
     pub(super) program_started: bool,
 }
@@ -131,10 +134,11 @@
     ])
 }
 
-/// The transcript to retain, holding the caller's text so far; `None` if the route retains no turns.
+/// The transcript to retain, holding the caller's text and what it has received so far; `None` if the route retains no turns.
 pub(super) fn transcript(ctx: &RequestContext) -> Option<Transcript> {
     let retention = ctx.route.retention?;
     let retention_ms = u64::try_from(retention.as_millis()).unwrap_or(u64::MAX);
-    let text = ctx.body[ctx.chain_bytes..].to_vec();
+    let received = ctx.received.as_ref().map_or(&[][..], |received| &received.text);
+    let text = [&ctx.body[ctx.chain_bytes..], received].concat();
     Some(Transcript { previous: ctx.metadata.previous_turn.clone(), retention_ms, text })
 }
--- a/agatetrestle/src/gateway/event_splitter.rs
+++ b/agatetrestle/src/gateway/event_splitter.rs
@@ -1,5 +1,7 @@
 //! Splits a stream of server-sent events at event boundaries, preserving every byte.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use bytes::BytesMut;
 
@@ -131,15 +133,18 @@
 }
 
 impl RawEvent {
+    /// The value of the last `id` line; `None` if there is no such line, or if it is no text.
+    #[must_use]
+    pub fn id(&self) -> Option<Arc<str>> {
+        let last = self.values(b"id:").last()?;
+        std::str::from_utf8(last).ok().map(Into::into)
+    }
+
     /// The values of the `data` lines, joined by line feeds; `None` if there is no such line.
     #[must_use]
     pub fn data(&self) -> Option<Vec<u8>> {
         let mut data: Option<Vec<u8>> = None;
-        for line in self.0.split(|byte| matches!(byte, b'\n' | b'\r')) {
-            let Some(value) = line.strip_prefix(b"data:") else {
-                continue;
-            };
-            let value = value.strip_prefix(b" ").unwrap_or(value);
+        for value in self.values(b"data:") {
             match &mut data {
                 Some(data) => {
                     data.push(b'\n');
@@ -150,4 +155,11 @@
         }
         data
     }
+
+    /// The values of the lines of a field.
+    fn values<'a>(&'a self, field: &'a [u8]) -> impl Iterator<Item = &'a [u8]> {
+        let lines = self.0.split(|byte| matches!(byte, b'\n' | b'\r'));
+        let values = lines.filter_map(move |line| line.strip_prefix(field));
+        values.map(|value| value.strip_prefix(b" ").unwrap_or(value))
+    }
 }
--- a/agatetrestle/src/gateway/mod.rs
+++ b/agatetrestle/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod body;
 mod commit;
 mod context;
+mod event_recorder;
 pub mod event_splitter;
 mod losses;
 mod relay;
--- a/agatetrestle/src/gateway/relay.rs
+++ b/agatetrestle/src/gateway/relay.rs
@@ -10,6 +10,7 @@
 use http::StatusCode;
 use http::Version;
 use http::header::CONTENT_TYPE;
+use log::warn;
 use smol::future::yield_now;
 use snafu::Snafu;
 
@@ -23,7 +24,9 @@
 use crate::gateway::attempt::strip_hop_headers;
 use crate::gateway::context::RequestContext;
 use crate::gateway::context::transcript;
+use crate::gateway::event_recorder::EventRecorder;
 use crate::gateway::event_splitter::EventSplitter;
+use crate::gateway::event_splitter::RawEvent;
 use crate::gateway::sent::FailureSign;
 use crate::gateway::sent::SentAttempt;
 use crate::gateway::slot::ServerSlot;
@@ -78,6 +81,8 @@
     EventTooLong,
     #[snafu(display("the events of the turn are too long to be retained"))]
     TurnTooLong,
+    #[snafu(display("the events of the turn could not be recorded"))]
+    Unrecorded,
 }
 
 impl RelayError {
@@ -87,6 +92,7 @@
             Self::Incomplete { source: IncompleteBody::Oversize }
             | Self::EventTooLong
             | Self::TurnTooLong => FailureSign::TooLong,
+            Self::Unrecorded => FailureSign::Abandoned,
             Self::Incomplete { .. } => FailureSign::BrokenOff,
         }
     }
@@ -167,8 +173,10 @@
     /// Records that a response broke off of which a part was forwarded.
     async fn record_break(&self, reason: RelayError) {
         match reason.sign() {
-            // Its caller's time is up.
-            sign @ FailureSign::Silent => self.attempt.fail_unawaited(sign, &reason.to_string()),
+            // Its caller's time is up, or its group does not answer.
+            sign @ (FailureSign::Silent | FailureSign::Abandoned) => {
+                self.attempt.fail_unawaited(sign, &reason.to_string());
+            }
             sign => drop(self.attempt.fail(sign, &reason.to_string(), false).await),
         }
     }
@@ -233,12 +241,15 @@
         _in_flight: InFlightRequest::new(gateway),
     };
     if streams_events {
+        let transcript = transcript(ctx).filter(|_| turn.is_some());
+        let recorder = transcript.as_ref().and_then(|_| EventRecorder::new(gateway, ctx));
         let events = EventStream {
             response: stream,
             splitter: EventSplitter::default(),
             turn: turn.take(),
-            transcript: transcript(ctx),
-            retained_bytes: 0,
+            retained_bytes: ctx.received.as_ref().map_or(0, |received| received.text.len()),
+            transcript,
+            recorder,
             tokens_per_event: ctx.tokens_per_event,
             program: ctx.metadata.program.clone(),
             at_end: false,
@@ -314,6 +325,8 @@
     transcript: Option<Transcript>,
     /// Bytes of the events in the transcript.
     retained_bytes: usize,
+    /// Records the events of a turn that its caller may resume.
+    recorder: Option<EventRecorder>,
     tokens_per_event: u64,
     program: Option<Arc<str>>,
     at_end: bool,
@@ -353,21 +366,13 @@
             return Ok(None);
         }
         loop {
-            if let Some(event) = self.splitter.next_event() {
+            if let Some(event) = self.next_event().await? {
                 if let Some(turn) = &mut self.turn {
                     turn.add_tokens(self.tokens_per_event);
                 }
                 if let Some(slot) = &mut self.response.slot {
                     slot.progress.generated_tokens += self.tokens_per_event;
                 }
-                if let (Some(transcript), Some(data)) = (&mut self.transcript, event.data()) {
-                    transcript.text.extend_from_slice(&data);
-                    transcript.text.push(b'\n');
-                    self.retained_bytes += data.len() + 1;
-                    if self.retained_bytes > MAX_RETAINED_BYTES {
-                        return Err(RelayError::TurnTooLong);
-                    }
-                }
                 return Ok(Some(event.0));
             }
             if self.splitter.buffered_len() > MAX_EVENT_BYTES {
@@ -386,6 +391,48 @@
         }
     }
 
+    /// Returns the next complete event that may be handed out.
+    async fn next_event(&mut self) -> Result<Option<RawEvent>, RelayError> {
+        if self.recorder.as_ref().is_none_or(EventRecorder::is_empty) {
+            while let Some(event) = self.splitter.next_event() {
+                let start = self.transcript.as_ref().map_or(0, |transcript| transcript.text.len());
+                self.retain(&event)?;
+                let Some(recorder) = &mut self.recorder else {
+                    return Ok(Some(event));
+                };
+                recorder.push(event, self.transcript.as_ref().map_or(&[], |kept| &kept.text[start..]));
+            }
+        }
+        let Some(recorder) = &mut self.recorder else {
+            return Ok(None);
+        };
+        let left = self.response.deadline.since(self.response.gateway.clock.now());
+        match with_deadline(left, recorder.next()).await {
+            Some(Ok(event)) => Ok(event),
+            Some(Err(reply)) => {
+                warn!(
+                    "turn={} has events that its group refuses: {reply:?}.",
+                    self.response.log_entry.attempt_id
+                );
+                Err(RelayError::Unrecorded)
+            }
+            None => Err(RelayError::Unrecorded),
+        }
+    }
+
+    /// Adds an event to the transcript.
+    fn retain(&mut self, event: &RawEvent) -> Result<(), RelayError> {
+        if let (Some(transcript), Some(data)) = (&mut self.transcript, event.data()) {
+            transcript.text.extend_from_slice(&data);
+            transcript.text.push(b'\n');
+            self.retained_bytes += data.len() + 1;
+            if self.retained_bytes > MAX_RETAINED_BYTES {
+                return Err(RelayError::TurnTooLong);
+            }
+        }
+        Ok(())
+    }
+
     fn content_end(&self) -> ContentEnd {
         if self.is_opaque { ContentEnd::Opaque } else { self.splitter.content_end() }
     }
--- a/agatetrestle/src/gateway/request.rs
+++ b/agatetrestle/src/gateway/request.rs
@@ -165,7 +165,9 @@
     let (_permit, body) = read_body(gateway, body, limit, deadline).await?;
     let team_name = team.as_ref().map_or("", |team| &team.name);
     let fingerprint = context::fingerprint(&parts, &metadata, team_name, &body);
-    let origin = resumption::find_origin(gateway, &route, &metadata, fingerprint, deadline).await?;
+    let resumed = resumption::find_stream(gateway, &route, &metadata, fingerprint, deadline).await?;
+    let (origin, received) = resumed.map(|resumed| (resumed.origin, resumed.received)).unzip();
+    let received = received.flatten();
     log_entry.origin = origin.as_ref().map(|origin| origin.version.clone()).unwrap_or_default();
     let draw = gateway.random.borrow_mut().below(u64::MAX);
     let service = origin.as_ref().map_or_else(|| route.pick_service(draw), |origin| &origin.service).clone();
@@ -191,6 +193,7 @@
         chain_bytes: 0,
         timeout,
         stream: StreamBinding::new(origin.map(|origin| origin.version), fingerprint),
+        received,
         program_started,
     };
     run(gateway, ctx, log_entry).await
--- a/agatetrestle/src/gateway/resumption.rs
+++ b/agatetrestle/src/gateway/resumption.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::clock::Timestamp;
+use crate::codec::Blob;
 use crate::gateway::Gateway;
 use crate::gateway::context::ErrorResponse;
 use crate::gateway::context::FAILOVER_RETRY_AFTER;
@@ -24,6 +25,8 @@
 use crate::turns::command::TurnCommand;
 use crate::turns::command::TurnId;
 use crate::turns::command::TurnReply;
+use crate::turns::relayed::ReadEvents;
+use crate::turns::relayed::ReceivedEvents;
 use crate::turns::streams::StreamOrigin;
 use crate::turns::streams::StreamStart;
 
@@ -63,23 +66,43 @@
     }
 }
 
+/// A stream that a request resumes.
+#[derive(Clone, Debug)]
+pub(super) struct Resumption {
+    /// Where it began.
+    pub(super) origin: StreamOrigin,
+    /// What the caller has received, if the turn is to be retained.
+    pub(super) received: Option<Received>,
+}
+
+/// What the caller of a turn has received before it resumes it.
+#[derive(Clone, Debug)]
+pub(super) struct Received {
+    /// The attempt that brought its first event.
+    pub(super) root: TurnId,
+    /// ID of the last event.
+    pub(super) last_event: Arc<str>,
+    /// The data of each event, followed by a line feed.
+    pub(super) text: Blob,
+}
+
 /// Whether callers may resume the streams of a route.
 pub(super) fn is_resumable(route: &Route) -> bool {
     matches!(route.kind, RouteKind::Streaming { resumable: true })
 }
 
-/// Returns where the stream began that a request resumes; `None` if it resumes none.
+/// Returns the stream that a request resumes; `None` if it resumes none.
 ///
 /// # Errors
 ///
-/// 503 if that is not known, or if the route in force does not allow it (any more).
-pub(super) async fn find_origin(
+/// 503 if it is not known, or if the route in force does not allow it (any more).
+pub(super) async fn find_stream(
     gateway: &Gateway,
     route: &Route,
     metadata: &RequestMetadata,
     request: Fingerprint,
     deadline: Timestamp,
-) -> Result<Option<StreamOrigin>, ErrorResponse> {
+) -> Result<Option<Resumption>, ErrorResponse> {
     let resumes = metadata.resumes.as_ref();
     if !is_resumable(route) {
         // The caller may know the route from another version of the table.
@@ -88,6 +111,16 @@
     if resumes.is_none() && !metadata.has_last_event {
         return Ok(None);
     }
+    // A turn that is retained needs what its caller has received already.
+    if let (Some(_), Some(program), true) = (route.retention, &metadata.program, metadata.has_last_event) {
+        let Some(last_event) = metadata.last_event.clone() else {
+            return Err(refusal("the request names no event after which it goes on"));
+        };
+        let root = resumes.cloned().unwrap_or_default();
+        let read = ReadEvents { program: program.clone(), root, request, last_event };
+        let resumption = read_events(gateway, read, deadline).await?;
+        return check_service(route, resumption).map(Some);
+    }
     let read = match (resumes, &metadata.program) {
         (Some(first), program) => {
             let program = program.as_ref().unwrap_or(first).clone();
@@ -101,10 +134,14 @@
     let Some(origin) = read_origin(gateway, read, deadline).await? else {
         return Err(refusal("the software version that began the stream is not known"));
     };
-    if !route.targets.iter().any(|target| target.service == origin.service) {
+    check_service(route, Resumption { origin, received: None }).map(Some)
+}
+
+fn check_service(route: &Route, resumption: Resumption) -> Result<Resumption, ErrorResponse> {
+    if !route.targets.iter().any(|target| target.service == resumption.origin.service) {
         return Err(refusal("the route does not lead to the service that began the stream any more"));
     }
-    Ok(Some(origin))
+    Ok(resumption)
 }
 
 fn refusal(reason: &str) -> ErrorResponse {
@@ -123,6 +160,22 @@
     }
 }
 
+/// Reads what the caller of an unfinished turn has received from its state group.
+async fn read_events(
+    gateway: &Gateway,
+    read: ReadEvents,
+    deadline: Timestamp,
+) -> Result<Resumption, ErrorResponse> {
+    let last_event = read.last_event.clone();
+    match reserve::commit_before_sending(gateway, TurnCommand::ReadEvents(read), deadline).await? {
+        TurnReply::Received(Some(ReceivedEvents { origin, root, text })) => {
+            Ok(Resumption { origin, received: Some(Received { root, last_event, text }) })
+        }
+        TurnReply::Received(None) => Err(refusal("the events that the caller has received are not known")),
+        reply => Err(error_response(&reply)),
+    }
+}
+
 /// Records where an attempt begins, which must be complete before the attempt is sent.
 ///
 /// # Errors
--- a/agatetrestle/src/gateway/tests.rs
+++ b/agatetrestle/src/gateway/tests.rs
@@ -138,6 +138,7 @@
         deadline: Timestamp(3_000_000),
         body: Bytes::new(),
         chain_bytes: 0,
+        received: None,
         program_started,
     }
 }
--- a/agatetrestle/src/gateway/wire.rs
+++ b/agatetrestle/src/gateway/wire.rs
@@ -44,6 +44,8 @@
     pub resumes: Option<Arc<str>>,
     /// Whether the caller has received events of the stream already.
     pub has_last_event: bool,
+    /// ID of the last event that the caller received; `None` if it names none that is a text.
+    pub last_event: Option<Arc<str>>,
     /// Key of the caller's team.
     pub key: Option<ApiKey>,
     /// Hash of the program or prompt prefix that the request shares with others.
--- a/agatetrestle/src/turns/command.rs
+++ b/agatetrestle/src/turns/command.rs
@@ -14,6 +14,9 @@
 use crate::suspects::Fingerprint;
 use crate::suspects::record::SuspectCommand;
 use crate::suspects::record::SuspectDecision;
+use crate::turns::relayed::ReadEvents;
+use crate::turns::relayed::ReceivedEvents;
+use crate::turns::relayed::RecordEvents;
 use crate::turns::streams::StreamOrigin;
 use crate::turns::streams::StreamStart;
 
@@ -37,6 +40,10 @@
     /// Reads where a stream began. The leader answers it without appending it to the log, once a quorum has confirmed that it
     /// leads, so that the reply reflects every acknowledged write.
     ReadStream(ReadStream),
+    /// Records events of a turn that its caller may resume, before the caller gets them. Idempotent.
+    RecordEvents(RecordEvents),
+    /// Reads the events that the caller of an unfinished turn has received. It is answered as [`TurnCommand::ReadStream`] is.
+    ReadEvents(ReadEvents),
     /// Reports or asks about a request under which servers ended. The group is selected by the request's fingerprint.
     Suspect(SuspectCommand),
 }
@@ -191,6 +198,8 @@
             Self::Finish(finish) => &finish.program,
             Self::RecordStream(record) => &record.program,
             Self::ReadStream(read) => &read.program,
+            Self::RecordEvents(record) => &record.program,
+            Self::ReadEvents(read) => &read.program,
             Self::Chain(_) | Self::Take(_) | Self::Suspect(_) => "",
         }
     }
@@ -414,6 +423,8 @@
     Recorded,
     /// Where a stream began; `None` if it is not known.
     Stream(Option<StreamOrigin>),
+    /// What the caller of an unfinished turn has received; `None` if it is not certain.
+    Received(Option<ReceivedEvents>),
     /// Whether a suspect may be sent to a server.
     Suspect(SuspectDecision),
     /// The command could not be decoded or does not belong in the log.
--- a/agatetrestle/src/turns/mod.rs
+++ b/agatetrestle/src/turns/mod.rs
@@ -10,6 +10,7 @@
 pub mod placement;
 pub mod program_admission;
 pub mod recent;
+pub mod relayed;
 pub mod shedding;
 pub mod state;
 pub mod streams;
--- a/agatetrestle/src/turns/state.rs
+++ b/agatetrestle/src/turns/state.rs
@@ -42,6 +42,9 @@
 use crate::turns::command::TurnId;
 use crate::turns::command::TurnReply;
 use crate::turns::recent::RecentPrograms;
+use crate::turns::relayed::ReadEvents;
+use crate::turns::relayed::ReceivedEvents;
+use crate::turns::relayed::RecordEvents;
 use crate::turns::state::decoded::DecodedProposals;
 use crate::turns::streams::StreamOrigin;
 use crate::turns::streams::Streams;
@@ -151,6 +154,8 @@
                 TurnReply::Recorded
             }
             TurnCommand::ReadStream(read) => TurnReply::Stream(self.stream_origin(&read)),
+            TurnCommand::RecordEvents(record) => self.record_events(record),
+            TurnCommand::ReadEvents(read) => TurnReply::Received(self.received_events(&read)),
             TurnCommand::Suspect(command) => TurnReply::Suspect(self.suspects.execute(self.now, command)),
             TurnCommand::Take(_) => TurnReply::Refused,
         }
@@ -218,6 +223,12 @@
         origin.cloned()
     }
 
+    /// What the caller of an unfinished turn has received; `None` if it is not certain.
+    #[must_use]
+    pub fn received_events(&self, read: &ReadEvents) -> Option<ReceivedEvents> {
+        self.streams.received(self.now, read)
+    }
+
     /// Requests under which servers ended.
     #[must_use]
     pub fn suspects(&self) -> &Suspects {
@@ -251,7 +262,7 @@
         let Some(chain) = self.chain(&begin.team, begin.previous.as_ref()) else {
             return TurnReply::NoSuchTurn;
         };
-        if self.room > 0 && self.kept_bytes > self.room {
+        if self.is_full(0) {
             return TurnReply::Full;
         }
         let key = account_key(&begin.team, &begin.program);
@@ -286,6 +297,19 @@
         reply
     }
 
+    /// Whether the memory is used up once so many bytes are added.
+    fn is_full(&self, added: usize) -> bool {
+        let used = self.kept_bytes.saturating_add(self.streams.event_bytes()).saturating_add(added);
+        self.room > 0 && used > self.room
+    }
+
+    fn record_events(&mut self, record: RecordEvents) -> TurnReply {
+        if self.is_full(record.bytes()) {
+            return TurnReply::Full;
+        }
+        if self.streams.record_events(record) { TurnReply::Recorded } else { TurnReply::Refused }
+    }
+
     fn finish(&mut self, finish: Finish) -> TurnReply {
         let key = account_key(&finish.team, &finish.program);
         if let Some(account) = self.accounts.get_mut(&key)
--- a/agatetrestle/src/turns/state/pending.rs
+++ b/agatetrestle/src/turns/state/pending.rs
@@ -183,7 +183,7 @@
         }
         let now = self.now.saturating_add(u64::try_from(added.elapsed.as_millis()).unwrap_or(u64::MAX));
         let chain = self.chain_until(begin, now)?;
-        if self.room > 0 && self.kept_bytes.saturating_add(added.retained_bytes) > self.room {
+        if self.is_full(added.retained_bytes) {
             return None;
         }
         self.fits_budget(begin, key, now, of_account).then_some(chain)
@@ -243,6 +243,8 @@
                 | TurnCommand::Take(_)
                 | TurnCommand::RecordStream(_)
                 | TurnCommand::ReadStream(_)
+                | TurnCommand::RecordEvents(_)
+                | TurnCommand::ReadEvents(_)
                 | TurnCommand::Suspect(_) => {}
             }
         }
@@ -261,6 +263,8 @@
         | TurnCommand::Take(_)
         | TurnCommand::RecordStream(_)
         | TurnCommand::ReadStream(_)
+        | TurnCommand::RecordEvents(_)
+        | TurnCommand::ReadEvents(_)
         | TurnCommand::Suspect(_) => None,
     }
 }
@@ -272,6 +276,7 @@
             carried.iter().map(|turn| turn.text.len() + TURN_OVERHEAD_BYTES).sum()
         }
         TurnCommand::Finish(Finish { kept: Some(kept), .. }) => kept.text.len() + TURN_OVERHEAD_BYTES,
+        TurnCommand::RecordEvents(record) => record.bytes(),
         _ => 0,
     }
 }
--- a/agatetrestle/src/turns/streams.rs
+++ b/agatetrestle/src/turns/streams.rs
@@ -11,8 +11,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::codec::Blob;
 use crate::suspects::Fingerprint;
 use crate::turns::command::TurnId;
+use crate::turns::relayed::ReadEvents;
+use crate::turns::relayed::ReceivedEvents;
+use crate::turns::relayed::RecordEvents;
+use crate::turns::relayed::Relayed;
 
 /// Streams that are remembered, 5 MB at most. Beyond it those are dropped whose callers have the least time left. Their
 /// callers can start over but not resume.
@@ -63,6 +68,9 @@
     until: u64,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     request: Option<Fingerprint>,
+    /// The events of a turn, if it is to be retained.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    relayed: Option<Relayed>,
 }
 
 /// Streams by the attempt that began them. Times are those of the state, in milliseconds.
@@ -76,6 +84,12 @@
     /// Since when no stream may be resumed any more that was dropped for want of memory.
     #[serde(default, skip_serializing_if = "is_zero")]
     complete_since: u64,
+    /// Attempts of which events were recorded so far.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    relaying: u64,
+    /// Memory of the recorded events. Derived from `by_turn`.
+    #[serde(skip)]
+    event_bytes: usize,
 }
 
 impl Streams {
@@ -102,7 +116,7 @@
         let origin = self.share(origin);
         self.by_end.insert((until, turn.clone()));
         self.by_request.insert((request, turn.clone()));
-        self.by_turn.insert(turn.clone(), Stream { origin, revision, until, request });
+        self.by_turn.insert(turn.clone(), Stream { origin, revision, until, request, relayed: None });
         if self.by_turn.len() > MAX_STREAMS
             && let Some((until, turn)) = self.by_end.first().cloned()
         {
@@ -127,6 +141,58 @@
         origins.all(|origin| origin == first).then_some(first)
     }
 
+    /// Memory of the events of unfinished turns.
+    pub(crate) fn event_bytes(&self) -> usize {
+        self.event_bytes
+    }
+
+    /// Records events of an attempt. Returns whether no earlier ones are missing. An attempt that is not known (any more) can't be
+    /// resumed, so that its events are not needed.
+    pub(super) fn record_events(&mut self, record: RecordEvents) -> bool {
+        let RecordEvents { turn, root, position, events, .. } = record;
+        let Some(stream) = self.by_turn.get_mut(&turn) else {
+            return true;
+        };
+        let relayed = stream.relayed.get_or_insert_with(|| {
+            self.relaying += 1;
+            Relayed::new(root, self.relaying)
+        });
+        let added = relayed.append(position, events);
+        self.event_bytes += added.unwrap_or(0);
+        added.is_some()
+    }
+
+    /// What the caller of an unfinished turn has received; `None` if it is not certain.
+    ///
+    /// The newest attempt that brought the last event is the one that the caller went on from. If the caller names no attempt, all
+    /// streams that it may have received have to agree.
+    pub(crate) fn received(&self, now: u64, read: &ReadEvents) -> Option<ReceivedEvents> {
+        let ReadEvents { root, request, last_event, .. } = read;
+        let (origin, request) = if root.is_empty() {
+            (self.only_origin(now, *request)?, Some(*request))
+        } else {
+            let stream = self.by_turn.get(root)?;
+            (&stream.origin, stream.request)
+        };
+        let relayed = self.attempts(request).filter_map(|turn| self.by_turn.get(turn)?.relayed.as_ref());
+        let relayed = relayed.filter(|relayed| root.is_empty() || relayed.root == *root);
+        let mut brought: Vec<(&Relayed, Vec<u8>)> =
+            relayed.filter_map(|relayed| Some((relayed, relayed.text_until(last_event)?))).collect();
+        brought.sort_by_key(|(relayed, _)| relayed.number);
+        let (newest, text) = brought.pop()?;
+        let mut roots_seen = BTreeSet::from([&newest.root]);
+        while let Some((other, other_text)) = brought.pop() {
+            if roots_seen.insert(&other.root) && other_text != text {
+                return None;
+            }
+        }
+        Some(ReceivedEvents {
+            origin: origin.clone(),
+            root: newest.root.clone(),
+            text: Blob::from(&text[..]),
+        })
+    }
+
     /// The attempts at a request, or those of an unknown request.
     fn attempts(&self, request: Option<Fingerprint>) -> impl Iterator<Item = &TurnId> {
         let from = self.by_request.range((request, TurnId::default())..);
@@ -137,6 +203,8 @@
     pub(super) fn restore_index(&mut self) {
         let entries = self.by_turn.iter().map(|(turn, stream)| (stream.request, turn.clone()));
         self.by_request = entries.collect();
+        let relayed = self.by_turn.values().filter_map(|stream| stream.relayed.as_ref());
+        self.event_bytes = relayed.map(Relayed::bytes).sum();
     }
 
     /// Drops the streams that cannot be resumed any more.
@@ -152,6 +220,7 @@
         if let Some(stream) = self.by_turn.remove(turn) {
             self.by_end.remove(&(stream.until, turn.clone()));
             self.by_request.remove(&(stream.request, turn.clone()));
+            self.event_bytes -= stream.relayed.as_ref().map_or(0, Relayed::bytes);
         }
     }
 
--- a/agatetrestle/src/turns/tests/streams.rs
+++ b/agatetrestle/src/turns/tests/streams.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::agreement::StateMachine;
+use crate::codec::Blob;
 use crate::suspects::Fingerprint;
 use crate::turns::command::Begin;
 use crate::turns::command::ReadStream;
@@ -10,6 +11,9 @@
 use crate::turns::command::TimedCommand;
 use crate::turns::command::TurnCommand;
 use crate::turns::command::TurnReply;
+use crate::turns::relayed::ReadEvents;
+use crate::turns::relayed::RecordEvents;
+use crate::turns::relayed::RelayedEvent;
 use crate::turns::state::TurnState;
 use crate::turns::streams::MAX_STREAMS;
 use crate::turns::streams::StreamOrigin;
@@ -166,3 +170,111 @@
     record_at(&mut restored, "b", "v2", 7);
     assert_eq!(read_request(&mut restored, 0, 7), None);
 }
+
+fn relay(
+    state: &mut TurnState,
+    turn: &str,
+    root: &str,
+    position: usize,
+    events: &[(&str, &str)],
+) -> TurnReply {
+    let events =
+        events.iter().map(|(id, text)| RelayedEvent { id: (*id).into(), text: Blob::from(text.as_bytes()) });
+    let record = RecordEvents {
+        program: "p".into(),
+        turn: turn.into(),
+        root: root.into(),
+        position,
+        events: events.collect(),
+    };
+    execute(state, 0, TurnCommand::RecordEvents(record))
+}
+
+/// Reads what the caller of request 7 has received, as its text and the attempt that began it.
+fn received(
+    state: &mut TurnState,
+    elapsed_ms: u64,
+    root: &str,
+    last_event: &str,
+) -> Option<(String, String)> {
+    let read = ReadEvents {
+        program: "p".into(),
+        root: root.into(),
+        request: Fingerprint(7),
+        last_event: last_event.into(),
+    };
+    match execute(state, elapsed_ms, TurnCommand::ReadEvents(read)) {
+        TurnReply::Received(received) => received.map(|received| {
+            (String::from_utf8_lossy(&received.text).into_owned(), received.root.to_string())
+        }),
+        reply => panic!("{reply:?}"),
+    }
+}
+
+/// Guards against a turn that is retained with events that its caller did not receive.
+#[test]
+fn events_are_those_of_the_newest_attempt_at_a_stream() {
+    let mut state = TurnState::default();
+    record_at(&mut state, "a", "v1", 7);
+    assert_eq!(relay(&mut state, "a", "a", 0, &[("1", "a1\n")]), TurnReply::Recorded);
+    assert_eq!(relay(&mut state, "a", "a", 1, &[("2", "a2\n"), ("3", "a3\n")]), TurnReply::Recorded);
+    // A command that is repeated changes nothing, and one that leaves a gap is refused.
+    assert_eq!(relay(&mut state, "a", "a", 1, &[("2", "a2\n"), ("3", "a3\n")]), TurnReply::Recorded);
+    assert_eq!(relay(&mut state, "a", "a", 4, &[("5", "a5\n")]), TurnReply::Refused);
+    let all = Some(("a1\na2\na3\n".into(), "a".into()));
+    assert_eq!(received(&mut state, 0, "a", "3"), all);
+    assert_eq!(received(&mut state, 0, "", "3"), all);
+    // The third event did not reach the caller, which resumes after the second.
+    record_at(&mut state, "b", "v1", 7);
+    assert_eq!(relay(&mut state, "b", "a", 0, &[("2", "a1\na2\n"), ("3", "b3\n")]), TurnReply::Recorded);
+    for root in ["a", ""] {
+        assert_eq!(received(&mut state, 0, root, "3"), Some(("a1\na2\nb3\n".into(), "a".into())));
+        assert_eq!(received(&mut state, 0, root, "2"), Some(("a1\na2\n".into(), "a".into())));
+    }
+    assert_eq!(received(&mut state, 0, "a", "4"), None);
+    assert_eq!(received(&mut state, 0, "b", "3"), None, "it did not bring the first event");
+}
+
+/// Guards against events of another stream at the same request.
+#[test]
+fn events_of_streams_that_differ_are_told_apart_or_refused() {
+    let mut state = TurnState::default();
+    for (turn, text) in [("a", "same\n"), ("b", "same\n")] {
+        record_at(&mut state, turn, "v1", 7);
+        relay(&mut state, turn, turn, 0, &[("1", text)]);
+        relay(&mut state, turn, turn, 1, &[("2", turn)]);
+    }
+    assert_eq!(received(&mut state, 0, "", "1"), Some(("same\n".into(), "b".into())));
+    assert_eq!(received(&mut state, 0, "", "2"), None);
+    assert_eq!(received(&mut state, 0, "a", "2"), Some(("same\na".into(), "a".into())));
+    assert_eq!(received(&mut state, 0, "b", "2"), Some(("same\nb".into(), "b".into())));
+}
+
+/// Guards against events that outlive the time in which their caller may resume, or a restart.
+#[test]
+fn events_survive_a_snapshot_and_end_with_their_stream() {
+    let mut state = TurnState::default();
+    record_at(&mut state, "a", "v1", 7);
+    relay(&mut state, "a", "a", 0, &[("1", "a1\n")]);
+    let bytes = state.streams().event_bytes();
+    let mut restored = TurnState::default();
+    restored.restore(&state.snapshot()).expect("the snapshot is valid");
+    assert_eq!(restored, state);
+    assert_eq!(restored.streams().event_bytes(), bytes);
+    assert!(received(&mut restored, 4_500, "a", "1").is_some());
+    assert_eq!(received(&mut restored, 600, "a", "1"), None);
+    assert_eq!(restored.streams().event_bytes(), 0);
+}
+
+/// Guards against events of unfinished turns that exceed the memory of a store.
+#[test]
+fn events_are_refused_once_the_memory_is_used_up() {
+    let mut state = TurnState::with_max_bytes(1_000);
+    record_at(&mut state, "a", "v1", 7);
+    let text = "x".repeat(600);
+    assert_eq!(relay(&mut state, "a", "a", 0, &[("1", &text)]), TurnReply::Recorded);
+    assert_eq!(relay(&mut state, "a", "a", 1, &[("2", &text)]), TurnReply::Full);
+    execute(&mut state, 6_000, TurnCommand::Chain("none".into()));
+    record_at(&mut state, "b", "v1", 7);
+    assert_eq!(relay(&mut state, "b", "b", 0, &[("1", &text)]), TurnReply::Recorded);
+}
