Clear a page whose callers left by its completions, and ask its servers whether they run

Cause: a caller that leaves was recorded like a server that broke off, so that from three on no completion of the same content cleared the record. And where the page was all that its service was asked for, no response could show any more that the servers run. The logs name both: sign=abandoned five times, then decision=Exhausted for each request and no "is cleared".

Change: losses of which only the caller's leaving is known are marked, and a completion of a request that nothing tells from those of others clears any number of them; others below three only, as before. An entry asks a server on its health path once a response would take a loss back and none has come.

--- a/agatetrestle/src/deployment/tests/state_group.rs
+++ b/agatetrestle/src/deployment/tests/state_group.rs
@@ -330,7 +330,7 @@
             run_ms: 4_000,
             max_running: 1,
         };
-        let lose = SuspectCommand::Lose(Lose { server: "x".into(), goes_on: false, admit });
+        let lose = SuspectCommand::Lose(Lose { server: "x".into(), goes_on: false, abandoned: false, admit });
         let reported = new.service.submit(TurnCommand::Suspect(lose).encode(Duration::ZERO)).await;
         assert!(matches!(reported, Submission::Applied(_)), "{reported:?}");
         while !group.suspects.contains(fingerprint) {
--- a/agatetrestle/src/gateway/losses.rs
+++ b/agatetrestle/src/gateway/losses.rs
@@ -57,6 +57,12 @@
 const LIFE_SIGN_DELAY: Duration = Duration::from_secs(2);
 /// Time after that for which the server's responses are watched.
 const WATCH_TIME: Duration = Duration::from_secs(15);
+/// Time after that in which a response to a caller's request saves the probe of the server.
+const PROBE_DELAY: Duration = Duration::from_millis(250);
+/// Pause before the second probe of a server that does not answer, doubled with each further one.
+const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+/// Servers that are probed at once.
+const MAX_PROBES: usize = 16;
 /// Servers that are watched since an attempt failed there, and requests of each. Beyond it a loss is not taken back.
 const MAX_WATCHED_SERVERS: usize = 1_024;
 const MAX_WATCHED_PER_SERVER: usize = 64;
@@ -86,6 +92,9 @@
     attempt: Arc<str>,
     server_id: Arc<str>,
     settles_at: Timestamp,
+    /// When its server is asked whether it runs.
+    probe_at: Timestamp,
+    probe_interval: Duration,
 }
 
 /// A server that may have ended under an attempt.
@@ -120,16 +129,34 @@
         });
     }
 
+    /// Returns the servers to be asked now whether they run, and schedules their next probes.
+    pub(super) fn take_due_probes(&self, now: Timestamp) -> Vec<ServerKey> {
+        let mut watched = self.watched.borrow_mut();
+        let is_due = |loss: &WatchedLoss| loss.probe_at <= now;
+        let due = watched.iter_mut().filter(|(_, losses)| losses.iter().any(is_due)).take(MAX_PROBES);
+        let schedule_next = |(server, losses): (&ServerKey, &mut Vec<WatchedLoss>)| {
+            for loss in losses.iter_mut().filter(|loss| is_due(loss)) {
+                loss.probe_at = now + loss.probe_interval;
+                loss.probe_interval *= 2;
+            }
+            *server
+        };
+        due.map(schedule_next).collect()
+    }
+
     fn watch(&self, report: &LossReport) {
         let mut watched = self.watched.borrow_mut();
         if watched.len() < MAX_WATCHED_SERVERS {
             let losses = watched.entry(report.server).or_default();
             if losses.len() < MAX_WATCHED_PER_SERVER {
+                let settles_at = report.runs_until + LIFE_SIGN_DELAY;
                 losses.push(WatchedLoss {
                     fingerprint: report.admit.fingerprint,
                     attempt: report.admit.attempt.clone(),
                     server_id: report.server_id.clone(),
-                    settles_at: report.runs_until + LIFE_SIGN_DELAY,
+                    settles_at,
+                    probe_at: settles_at + PROBE_DELAY,
+                    probe_interval: PROBE_INTERVAL,
                 });
             }
         }
@@ -301,7 +328,11 @@
     gateway.recorder.record(&labels, &Measurement::LostServer(sign.name()));
     gateway.losses.suspects.add(now, *fingerprint, RETENTION_MS);
     gateway.losses.watch(&loss);
-    report(gateway, SuspectCommand::Lose(Lose { server: loss.server_id, goes_on, admit: loss.admit }))
+    let abandoned = sign == FailureSign::Abandoned;
+    report(
+        gateway,
+        SuspectCommand::Lose(Lose { server: loss.server_id, goes_on, abandoned, admit: loss.admit }),
+    )
 }
 
 /// Reports attempts at a request whose entries have ended, and which may have ended their servers.
@@ -319,7 +350,12 @@
     for attempt in attempts {
         let Admit { fingerprint, service, .. } = &admit;
         warn!("request={attempt} fingerprint={fingerprint} service={service} lost its entry.");
-        let lose = Lose { server: "".into(), goes_on: false, admit: Admit { attempt, ..admit.clone() } };
+        let lose = Lose {
+            server: "".into(),
+            goes_on: false,
+            abandoned: false,
+            admit: Admit { attempt, ..admit.clone() },
+        };
         let left = ctx.deadline.since(gateway.clock.now());
         if !matches!(with_deadline(left, report(gateway, SuspectCommand::Lose(lose))).await, Some(Ok(_))) {
             return Err(unknown_record(&admit, "the loss of an entry is not reported yet"));
--- a/agatetrestle/src/gateway/mod.rs
+++ b/agatetrestle/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod context;
 mod event_recorder;
 pub mod event_splitter;
+mod liveness;
 mod losses;
 mod relay;
 mod request;
@@ -76,6 +77,8 @@
 const PROGRAM_TTL: Duration = Duration::from_secs(20);
 /// Polls between two sweeps of idle connections and expired programs.
 const POLLS_PER_SWEEP: u32 = 25;
+/// Polls between two looks for servers to probe.
+const POLLS_PER_PROBE: u32 = 5;
 
 /// Dependencies and limits of a gateway.
 pub struct GatewayParts {
@@ -182,6 +185,9 @@
                 let decisions = self.dispatch.borrow_mut().tick(self.clock.now());
                 self.apply(decisions);
             }
+            if polls.is_multiple_of(POLLS_PER_PROBE) {
+                liveness::probe_due(&self);
+            }
             if polls.is_multiple_of(POLLS_PER_SWEEP) {
                 self.client.close_expired();
                 let now = self.clock.now();
--- a/agatetrestle/src/gateway/tests/early.rs
+++ b/agatetrestle/src/gateway/tests/early.rs
@@ -98,12 +98,19 @@
 
     fn write_forwarded(&self, _headers: &mut HeaderMap, _metadata: ForwardMetadata<'_>) {}
 
+    fn write_probe(&self, _headers: &mut HeaderMap, _instance: &str, _address: SocketAddrV4) {}
+
     /// A response names the turn unless a header names another one or none.
     fn read_response(&self, headers: &HeaderMap) -> ResponseMetadata {
         self.heads_read.set(self.heads_read.get() + 1);
         let named = headers.get("attempt").map_or("turn", |value| value.to_str().unwrap());
         let attempt_id = (named != "none").then(|| named.into());
-        ResponseMetadata { attempt_id, signed: true, not_run: headers.contains_key("not-run"), load: None }
+        ResponseMetadata {
+            attempt_id,
+            signed: true,
+            not_run: headers.contains_key("not-run"),
+            ..ResponseMetadata::default()
+        }
     }
 
     fn read_table(&self, _text: &[u8]) -> Result<RouteTable, InvalidTable> {
@@ -126,6 +133,7 @@
             max_connections: 8,
             tokens_per_event: Some(1),
             memory_tokens: None,
+            health_path: None,
         };
         let limits = CallerLimits {
             max_header_bytes: 16 << 10,
--- a/agatetrestle/src/gateway/wire.rs
+++ b/agatetrestle/src/gateway/wire.rs
@@ -76,6 +76,8 @@
     pub not_run: bool,
     /// Load of the server from all callers.
     pub load: Option<ServerLoad>,
+    /// The instance that names itself, as in responses to probes.
+    pub instance: Option<Arc<str>>,
 }
 
 /// A request of the operators' API.
@@ -129,6 +131,9 @@
     /// Rewrites a caller's headers for a backend server: removes those that callers must not set, then adds `metadata`.
     fn write_forwarded(&self, headers: &mut HeaderMap, metadata: ForwardMetadata<'_>);
 
+    /// Writes the headers of a probe of a backend server, which no other instance must answer.
+    fn write_probe(&self, headers: &mut HeaderMap, instance: &str, address: SocketAddrV4);
+
     /// Parses the headers of a backend server's response.
     fn read_response(&self, headers: &HeaderMap) -> ResponseMetadata;
 
--- a/agatetrestle/src/routing/mod.rs
+++ b/agatetrestle/src/routing/mod.rs
@@ -84,6 +84,8 @@
     pub tokens_per_event: Option<u64>,
     /// Tokens that the memory of one of its backend servers holds, if they are model engines that declare it.
     pub memory_tokens: Option<u64>,
+    /// Path at which its backend servers tell whether they are healthy, if they do.
+    pub health_path: Option<Arc<str>>,
 }
 
 /// Limits on the requests and connections of callers.
--- a/agatetrestle/src/routing/tests.rs
+++ b/agatetrestle/src/routing/tests.rs
@@ -30,7 +30,13 @@
 }
 
 fn service(name: &str) -> Service {
-    Service { name: name.into(), max_connections: 10, tokens_per_event: None, memory_tokens: None }
+    Service {
+        name: name.into(),
+        max_connections: 10,
+        tokens_per_event: None,
+        memory_tokens: None,
+        health_path: None,
+    }
 }
 
 fn table(routes: Vec<Route>) -> Result<RouteTable, InvalidTable> {
--- a/agatetrestle/src/suspects/record.rs
+++ b/agatetrestle/src/suspects/record.rs
@@ -87,6 +87,9 @@
     pub server: Arc<str>,
     /// Whether the attempt goes on at another server if it may.
     pub goes_on: bool,
+    /// Whether the caller left, which says nothing about the server.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub abandoned: bool,
     /// The attempt and its request.
     pub admit: Admit,
 }
@@ -137,6 +140,9 @@
 struct Suspect {
     /// Servers that may have ended under it.
     lost: BTreeSet<Arc<str>>,
+    /// Those of them of which only callers that left are known.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    abandoned: BTreeSet<Arc<str>>,
     /// Attempts whose entries have not reported what became of them.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     unreported: BTreeSet<Arc<str>>,
@@ -169,18 +175,23 @@
         let expired = self.running.extract_if(.., |_, until| *until <= now);
         let expired: Vec<Arc<str>> = expired.map(|(attempt, _)| attempt).collect();
         for attempt in expired {
-            self.lose(attempt, "".into());
+            self.lose(attempt, "".into(), false);
         }
     }
 
     /// Adds the loss of an attempt, whose server may not be known.
-    fn lose(&mut self, attempt: Arc<str>, server: Arc<str>) {
+    fn lose(&mut self, attempt: Arc<str>, server: Arc<str>, abandoned: bool) {
         self.end(&attempt);
         if server.is_empty() {
             if self.unreported.len() < MAX_REMEMBERED_LOSSES && !self.reported.contains(&attempt) {
                 self.unreported.insert(attempt);
             }
-        } else if self.lost.len() < MAX_REMEMBERED_LOSSES {
+        } else if self.lost.contains(&server) || self.lost.len() < MAX_REMEMBERED_LOSSES {
+            if !abandoned {
+                self.abandoned.remove(&server);
+            } else if !self.lost.contains(&server) {
+                self.abandoned.insert(server.clone());
+            }
             self.lost.insert(server);
             if self.reported.len() < MAX_REMEMBERED_LOSSES {
                 self.reported.insert(attempt);
@@ -188,6 +199,24 @@
         }
     }
 
+    /// Forgets a server that runs.
+    fn clear(&mut self, server: &str) {
+        self.lost.remove(server);
+        self.abandoned.remove(server);
+    }
+
+    /// Takes the completion of a request with the same content as evidence. It outweighs any number of callers that left, whose
+    /// servers may all run, and fewer than [`MAX_LOSSES`] attempts that failed.
+    fn record_completion(&mut self) {
+        for server in std::mem::take(&mut self.abandoned) {
+            self.lost.remove(&server);
+        }
+        if self.losses() < MAX_LOSSES {
+            self.lost.clear();
+            self.unreported.clear();
+        }
+    }
+
     /// Forgets an attempt whose entry has reported its end.
     fn end(&mut self, attempt: &str) {
         self.running.remove(attempt);
@@ -283,17 +312,14 @@
             SuspectCommand::Admit(admit) => self.admit(now, admit),
             SuspectCommand::Lose(lose) => self.lose(now, lose),
             SuspectCommand::Clear(Clear { fingerprint, server }) => {
-                self.update(fingerprint, |suspect| {
-                    suspect.lost.remove(&server);
-                });
+                self.update(fingerprint, |suspect| suspect.clear(&server));
                 SuspectDecision::Innocent
             }
             SuspectCommand::End(End { fingerprint, attempt, clears }) => {
                 self.update(fingerprint, |suspect| {
                     suspect.end(&attempt);
-                    if clears && suspect.losses() < MAX_LOSSES {
-                        suspect.lost.clear();
-                        suspect.unreported.clear();
+                    if clears {
+                        suspect.record_completion();
                     }
                 });
                 SuspectDecision::Innocent
@@ -325,7 +351,7 @@
     }
 
     fn lose(&mut self, now: u64, lose: Lose) -> SuspectDecision {
-        let Lose { server, goes_on, admit } = lose;
+        let Lose { server, goes_on, abandoned, admit } = lose;
         let fingerprint = admit.fingerprint;
         if !self.contains(fingerprint) {
             self.version += 1;
@@ -337,7 +363,7 @@
         }
         self.update(fingerprint, |suspect| {
             suspect.last_loss = now;
-            suspect.lose(admit.attempt.clone(), server);
+            suspect.lose(admit.attempt.clone(), server, abandoned);
         });
         if self.by_fingerprint.len() > MAX_SUSPECTS
             && let Some((_, fingerprint)) = self.by_rank.first().copied()
--- a/agatetrestle/src/suspects/tests/record.rs
+++ b/agatetrestle/src/suspects/tests/record.rs
@@ -33,7 +33,10 @@
 
 fn lose(record: &mut Suspects, now: u64, server: &str, attempt: &str) -> SuspectDecision {
     let admit = admit_of(REQUEST, attempt);
-    record.execute(now, SuspectCommand::Lose(Lose { server: server.into(), goes_on: false, admit }))
+    record.execute(
+        now,
+        SuspectCommand::Lose(Lose { server: server.into(), goes_on: false, abandoned: false, admit }),
+    )
 }
 
 fn end(record: &mut Suspects, attempt: &str, clears: bool) {
@@ -138,7 +141,10 @@
     let mut record = Suspects::default();
     let decisions = ["x", "y", "z"].map(|server| {
         let admit = admit_of(REQUEST, "a");
-        record.execute(0, SuspectCommand::Lose(Lose { server: server.into(), goes_on: true, admit }))
+        record.execute(
+            0,
+            SuspectCommand::Lose(Lose { server: server.into(), goes_on: true, abandoned: false, admit }),
+        )
     });
     assert_eq!(
         decisions[..2],
@@ -188,13 +194,55 @@
     assert_eq!(record.losses(REQUEST), MAX_LOSSES, "three servers ended");
 }
 
+fn abandon(record: &mut Suspects, server: &str, attempt: &str) {
+    let admit = admit_of(REQUEST, attempt);
+    let lose = Lose { server: server.into(), goes_on: false, abandoned: true, admit };
+    record.execute(0, SuspectCommand::Lose(lose));
+}
+
+/// Guards against a page that is refused to all its callers, since some of them left early while others got it.
+#[test]
+fn completion_clears_a_request_whose_callers_left() {
+    let mut record = Suspects::default();
+    for server in ["u", "v", "w", "x", "y", "z"] {
+        abandon(&mut record, server, server);
+    }
+    assert!(matches!(admit(&mut record, 0, "b"), SuspectDecision::Exhausted { .. }));
+    end(&mut record, "c", true);
+    assert!(record.is_empty());
+}
+
+/// Guards against a request that goes on to end servers, since the loss of some of them is also known from callers that left.
+#[test]
+fn completion_does_not_clear_servers_that_failed() {
+    let mut record = Suspects::default();
+    for server in ["x", "y", "z"] {
+        abandon(&mut record, server, "a");
+        lose(&mut record, 0, server, "b");
+        abandon(&mut record, server, "c");
+    }
+    end(&mut record, "d", true);
+    assert_eq!(record.losses(REQUEST), MAX_LOSSES);
+    end(&mut record, "d", false);
+    assert_eq!(record.losses(REQUEST), MAX_LOSSES);
+    // Nobody else completed it.
+    let mut record = Suspects::default();
+    for server in ["x", "y", "z"] {
+        abandon(&mut record, server, server);
+    }
+    end(&mut record, "d", false);
+    assert!(matches!(admit(&mut record, 0, "e"), SuspectDecision::Exhausted { .. }));
+    clear(&mut record, "y");
+    assert_eq!(admit(&mut record, 0, "e"), SuspectDecision::Admitted { losses: 2 });
+}
+
 #[test]
 fn suspects_with_two_losses_run_a_few_at_a_time() {
     let mut record = Suspects::default();
     for number in 0..4 {
         let admit = Admit { max_running: 2, ..admit_of(Fingerprint(number), "a") };
         for server in ["x", "y"] {
-            let lose = Lose { server: server.into(), goes_on: false, admit: admit.clone() };
+            let lose = Lose { server: server.into(), goes_on: false, abandoned: false, admit: admit.clone() };
             record.execute(0, SuspectCommand::Lose(lose));
         }
         let decision = record.execute(0, SuspectCommand::Admit(admit));
@@ -206,7 +254,7 @@
         assert_eq!(decision, expected, "{number}");
     }
     let elsewhere = Admit { service: "tools".into(), max_running: 2, ..admit_of(Fingerprint(9), "a") };
-    let lost = Lose { server: "x".into(), goes_on: true, admit: elsewhere };
+    let lost = Lose { server: "x".into(), goes_on: true, abandoned: false, admit: elsewhere };
     assert_eq!(record.execute(0, SuspectCommand::Lose(lost)), SuspectDecision::Admitted { losses: 1 });
 }
 
@@ -228,7 +276,10 @@
     }
     for number in 0..2 * MAX_SUSPECTS as u64 {
         let admit = admit_of(Fingerprint(1_000 + number), "a");
-        record.execute(number, SuspectCommand::Lose(Lose { server: "x".into(), goes_on: false, admit }));
+        record.execute(
+            number,
+            SuspectCommand::Lose(Lose { server: "x".into(), goes_on: false, abandoned: false, admit }),
+        );
     }
     assert_eq!(record.len(), MAX_SUSPECTS);
     assert_eq!(record.losses(REQUEST), MAX_LOSSES);
@@ -264,7 +315,7 @@
         let Admit { fingerprint, attempt, .. } = admit.clone();
         match kind {
             0 => SuspectCommand::Admit(admit),
-            1 => SuspectCommand::Lose(Lose { server, goes_on: flag, admit }),
+            1 => SuspectCommand::Lose(Lose { server, goes_on: flag, abandoned: !flag, admit }),
             2 => SuspectCommand::Clear(Clear { fingerprint, server }),
             _ => SuspectCommand::End(End { fingerprint, attempt, clears: flag }),
         }
--- a/agatetrestle/src/suspects/tests/replay.rs
+++ b/agatetrestle/src/suspects/tests/replay.rs
@@ -446,6 +446,7 @@
             let report = Lose {
                 server: instance(server, generation).id,
                 goes_on: false,
+                abandoned: false,
                 admit: self.admit_of(caller),
             };
             *self.own[entry].entry(report.admit.fingerprint).or_default() += 1;
