Apply the limits in force to open connections

No caller repeats after 431.

Cause: the largest head and the idle time were given to the HTTP library when a connection was accepted, which keeps them; a starting entry accepted with its defaults. A limit that was raised or lowered on a running entry reached no open connection either.

Change: the library has no limit of its own in practice, and the state of the connection applies those in force: to a complete head by its size, to an incomplete one once it is a read beyond the limit, and to idle connections each second. The library also bounded what it buffers of a response by the size of a head; the connection does that now. Before its first table an entry takes heads of up to 256 KB and answers them 503, which is true.

Evidence: on the test of changed_limits.rs failed (431), and in transport/tests the raised and the lowered limit and the idle time (still open after 60 s); all pass.

--- a/agatetrestle/src/deployment/entry.rs
+++ b/agatetrestle/src/deployment/entry.rs
@@ -39,6 +39,7 @@
 use crate::suspects::SuspectView;
 use crate::transport::body::ResponseBody;
 use crate::transport::server::Handler;
+use crate::transport::server::MAX_HEAD_BYTES_AT_START;
 use crate::transport::server::ServerLimits;
 
 /// Request bodies may take up to the memory limit divided by this.
@@ -109,6 +110,7 @@
     let max_connections = context.settings.limits.descriptors.saturating_sub(RESERVED_DESCRIPTORS);
     let limits =
         ServerLimits::new(usize::try_from(max_connections).unwrap_or(usize::MAX).max(MIN_CONNECTIONS));
+    limits.max_head_bytes.set(MAX_HEAD_BYTES_AT_START);
     let gateway = Gateway::new(GatewayParts {
         wire: context.wire.clone(),
         turns: Rc::new(RoutedTurnClient(turns.clone())),
--- a/agatetrestle/src/metrics/scrape.rs
+++ b/agatetrestle/src/metrics/scrape.rs
@@ -23,7 +23,7 @@
 use crate::metrics::Metrics;
 use crate::transport::accept::ConnectionLimiter;
 use crate::transport::observed::ObservedStream;
-use crate::transport::observed::ReadObserver;
+use crate::transport::observed::StreamObserver;
 
 const MAX_SCRAPE_CONNECTIONS: usize = 8;
 const MAX_SCRAPE_REQUEST_BYTES: usize = 8 << 10;
@@ -99,7 +99,7 @@
 #[derive(Clone)]
 struct ByteLimit(Arc<AtomicUsize>);
 
-impl ReadObserver for ByteLimit {
+impl StreamObserver for ByteLimit {
     fn max_read(&self) -> usize {
         self.0.load(Ordering::Relaxed)
     }
--- a/agatetrestle/src/transport/server.rs
+++ b/agatetrestle/src/transport/server.rs
@@ -4,14 +4,19 @@
 use std::convert::Infallible;
 use std::net::IpAddr;
 use std::net::SocketAddrV4;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures::AsyncWriteExt;
 use futures::future::Either;
 use futures::future::LocalBoxFuture;
 use futures::future::select;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::StatusCode;
+use http::header::CONNECTION;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -25,6 +30,7 @@
 use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolTimer;
 
+use crate::node::peer_link::with_deadline;
 use crate::transport::accept::ConnectionLimiter;
 use crate::transport::body::ResponseBody;
 use crate::transport::connection_state::ConnectionState;
@@ -35,8 +41,15 @@
 const BIND_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Interval at which a connection checks for shutdown and late request heads. Both have bounds of seconds.
 const CONNECTION_CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// Smallest read buffer that `hyper` accepts.
-const MIN_HEAD_BUFFER_BYTES: usize = 8_192;
+/// Largest buffer for a request head, beyond which `hyper` refuses it whatever the limits are.
+const MAX_HEAD_BUFFER_BYTES: usize = 16 << 20;
+/// Largest request head before the limits in force are known.
+pub const MAX_HEAD_BYTES_AT_START: usize = 256 << 10;
+/// Time for writing the refusal of a head that is too large.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Refusal of a head that did not end within the limit.
+const HEAD_TOO_LARGE: &[u8] =
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
 /// Handles one request; the future is dropped if the client disconnects.
 pub type Handler = Rc<dyn Fn(Request<Incoming>) -> LocalBoxFuture<'static, Response<ResponseBody>>>;
@@ -45,7 +58,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct PeerAddress(pub IpAddr);
 
-/// Limits on connections and requests, changeable while the server runs.
+/// Limits on connections and requests. Changes apply to open connections too.
 #[derive(Debug)]
 pub struct ServerLimits {
     /// Largest request head in bytes.
@@ -122,36 +135,45 @@
         debug!("Failed to set up a connection: {error}.");
         return;
     }
-    let state = ConnectionState::new();
+    let state = ConnectionState::new(limits.clone());
+    let refusal_stream = stream.clone();
     let service_state = state.clone();
     let peer = stream.peer_addr().ok().map(|address| PeerAddress(address.ip()));
     let service = service_fn(move |mut request: Request<Incoming>| {
         if let Some(peer) = peer {
             request.extensions_mut().insert(peer);
         }
-        let (response, guard) = (handler(request), service_state.begin_response());
+        let guard = service_state.begin_response();
+        let is_too_large = service_state.is_too_large(&request);
+        let response = if is_too_large { refuse_head() } else { handler(request) };
         async move {
             let response = response.await;
-            Ok::<_, Infallible>(response.map(|body| TrackedBody { body, _guard: guard }))
+            Ok::<_, Infallible>(response.map(|body| TrackedBody { body, guard }))
         }
     });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
-        // `hyper` counts the idle time before a head too, so slow heads are detected by the check below.
-        .header_read_timeout(limits.idle_timeout.get())
-        .max_buf_size(limits.max_head_bytes.get().max(MIN_HEAD_BUFFER_BYTES))
+        // The limits of `hyper` would be those at the start of the connection.
+        .header_read_timeout(None)
+        .max_buf_size(MAX_HEAD_BUFFER_BYTES)
         .serve_connection(FuturesIo::new(ObservedStream { stream, observer: state.clone() }), service);
-    let mut connection = std::pin::pin!(connection);
+    let mut connection = pin!(connection);
     loop {
-        match select(connection.as_mut(), Timer::after(CONNECTION_CHECK_INTERVAL)).await {
+        let check = pin!(with_deadline(CONNECTION_CHECK_INTERVAL, state.endless_head()));
+        match select(connection.as_mut(), check).await {
             Either::Left((outcome, _)) => {
                 if let Err(error) = outcome {
                     debug!("A connection ended: {error}.");
                 }
                 return;
             }
-            Either::Right(_) if limits.shutting_down.get() => break,
-            Either::Right(_) if state.head_is_late(limits.head_timeout.get()) => {
+            Either::Right((Some(()), _)) => {
+                debug!("Closed a connection: its request head is too large.");
+                with_deadline(REFUSAL_TIMEOUT, write_refusal(refusal_stream)).await;
+                return;
+            }
+            Either::Right(_) if limits.shutting_down.get() || state.is_idle_for_too_long() => break,
+            Either::Right(_) if state.head_is_late() => {
                 debug!("Closed a connection: its request head did not arrive in time.");
                 return;
             }
@@ -163,3 +185,16 @@
         debug!("A connection ended: {error}.");
     }
 }
+
+fn refuse_head() -> LocalBoxFuture<'static, Response<ResponseBody>> {
+    let mut response = Response::new(ResponseBody::full(""));
+    *response.status_mut() = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    Box::pin(async move { response })
+}
+
+async fn write_refusal(mut stream: TcpStream) {
+    if let Err(error) = stream.write_all(HEAD_TOO_LARGE).await {
+        debug!("A head that is too large could not be refused: {error}.");
+    }
+}
--- a/agatetrestle/src/transport/tests.rs
+++ b/agatetrestle/src/transport/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the HTTP server and client against misbehaving peers.
 
+mod limits;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::io;
