Take no status for an answer that can't end a request

Cause: a head counted as a response once the HTTP library had parsed it. The library rejects 000 and other forms, takes 100 to 999, and hands 101 out as a last answer.

Change: a status below 200 or above 599 is malformed, before anything else of the head is believed. RFC 9110, section 15, calls those above 599 invalid and equal to a 5xx, so that no answer is lost which a caller could use.

--- a/agatetrestle/src/gateway/attempt.rs
+++ b/agatetrestle/src/gateway/attempt.rs
@@ -273,6 +273,12 @@
     }
 }
 
+/// Whether a status can end a request. Interim ones precede a response, 101 was not asked for, and others are not valid in HTTP
+/// ([RFC 9110, section 15](https://www.rfc-editor.org/rfc/rfc9110#section-15)).
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Whether a status promises a caller that its request was not run.
 fn promises_not_run(status: StatusCode) -> bool {
     [StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE]
@@ -296,6 +302,10 @@
         started.slot.release(RequestOutcome::BadResponse);
         return Err(malformed("the answer belongs to another request"));
     }
+    if !is_final(status) {
+        started.slot.release(RequestOutcome::BadResponse);
+        return Err(malformed(&format!("the server answered {status}, which ends no request")));
+    }
     started.load = metadata.load;
     if let Some(load) = metadata.load {
         gateway.dispatch.borrow_mut().record_load(gateway.clock.now(), server, load);
