Limit what the responses of an entry hold in memory together

Cause: an event, the events of a turn and a short response had limits of one request each (1 MiB, 1 MiB, 256 KiB, with buffers twice as large while they grow), and nothing limited their sum. A response that its caller read slowly stayed in the HTTP library as a whole.

Change: all responses share an eighth of the memory, besides 16 KiB of each that are free. A short response that finds no room is passed on as it comes and does not fail; an event or a turn that has to be held whole breaks off. What is held stays charged until it is written, in pieces of 16 KiB. Reads from servers are 16 KiB at most, by which the library sizes its buffers. All that is sent as one body, chunk sizes included, is 32 MiB at most.

--- a/agatetrestle/src/deployment/entry.rs
+++ b/agatetrestle/src/deployment/entry.rs
@@ -44,6 +44,8 @@
 
 /// Request bodies may take up to the memory limit divided by this.
 const BODY_MEMORY_DIVISOR: usize = 4;
+/// The same for responses, besides a small part of each.
+const RESPONSE_MEMORY_DIVISOR: usize = 8;
 /// File descriptors reserved for connections to backend servers and to other processes, and for files.
 const RESERVED_DESCRIPTORS: u64 = 1_200;
 /// Bound on the connections of readiness probes, and the lowest bound on those of callers.
@@ -122,6 +124,7 @@
         clock: context.clock,
         limits: limits.clone(),
         body_buffer_bytes: context.memory_bytes() / BODY_MEMORY_DIVISOR,
+        response_buffer_bytes: context.memory_bytes() / RESPONSE_MEMORY_DIVISOR,
         recorder: context.metrics.clone(),
         executor: context.executor.clone(),
     });
--- a/agatetrestle/src/gateway/mod.rs
+++ b/agatetrestle/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod access_log;
 mod attempt;
 mod body;
+mod buffer_budget;
 mod commit;
 mod context;
 mod event_recorder;
@@ -54,6 +55,7 @@
 use crate::dispatch::RequestOutcome;
 use crate::dispatch::RunProgress;
 use crate::dispatch::ServerKey;
+use crate::gateway::buffer_budget::BufferBudget;
 use crate::gateway::losses::Losses;
 use crate::gateway::slot::Assignment;
 use crate::gateway::slot::DispatchRejection;
@@ -100,6 +102,8 @@
     pub limits: Rc<ServerLimits>,
     /// Total size of request bodies that may be buffered at once.
     pub body_buffer_bytes: usize,
+    /// Total size of responses that may be buffered at once, besides a small part of each.
+    pub response_buffer_bytes: usize,
     /// Recorder of metrics.
     pub recorder: Rc<dyn Recorder>,
     /// Executor of the tasks that outlive a request.
@@ -123,6 +127,7 @@
     placement: Placement,
     random: RefCell<Random>,
     free_body_bytes: Cell<usize>,
+    response_buffers: BufferBudget,
     in_flight: Cell<usize>,
     /// When each program last completed a turn here.
     last_turns: RefCell<HashMap<Arc<str>, Timestamp>>,
@@ -147,6 +152,7 @@
             clock,
             limits,
             body_buffer_bytes,
+            response_buffer_bytes,
             recorder,
             executor,
         } = parts;
@@ -165,6 +171,7 @@
             placement,
             random: RefCell::new(Random::new(node.0)),
             free_body_bytes: Cell::new(body_buffer_bytes),
+            response_buffers: BufferBudget::new(response_buffer_bytes),
             in_flight: Cell::new(0),
             last_turns: RefCell::default(),
             draining: Cell::new(false),
--- a/agatetrestle/src/gateway/relay.rs
+++ b/agatetrestle/src/gateway/relay.rs
@@ -22,6 +22,7 @@
 use crate::gateway::access_log::CALLER_DISCONNECTED;
 use crate::gateway::attempt::StartedResponse;
 use crate::gateway::attempt::strip_hop_headers;
+use crate::gateway::buffer_budget::BufferPermit;
 use crate::gateway::context::RequestContext;
 use crate::gateway::context::transcript;
 use crate::gateway::event_recorder::EventRecorder;
@@ -62,6 +63,8 @@
     body: BodyReader,
     /// The events of a body that is forwarded as it is, to tell whether it ends inside one; `None` for other content.
     events: Option<EventSplitter>,
+    /// What is held of the response in memory.
+    permit: BufferPermit,
     headers: HeaderMap,
     deadline: Timestamp,
     sent_at: Timestamp,
@@ -83,6 +86,8 @@
     TurnTooLong,
     #[snafu(display("the events of the turn could not be recorded"))]
     Unrecorded,
+    #[snafu(display("responses take all the memory that they may"))]
+    NoMemory,
 }
 
 impl RelayError {
@@ -91,6 +96,7 @@
             Self::Incomplete { source: IncompleteBody::TimedOut } => FailureSign::Silent,
             Self::Incomplete { source: IncompleteBody::Oversize }
             | Self::EventTooLong
+            | Self::NoMemory
             | Self::TurnTooLong => FailureSign::TooLong,
             Self::Unrecorded => FailureSign::Abandoned,
             Self::Incomplete { .. } => FailureSign::BrokenOff,
@@ -106,9 +112,7 @@
                 if let Some(events) = &mut self.events {
                     events.push(&data);
                     while events.next_event().is_some() {}
-                    if events.buffered_len() > MAX_EVENT_BYTES {
-                        return Err(RelayError::EventTooLong);
-                    }
+                    check_event(events.buffered_len(), 0, &mut self.permit)?;
                 }
                 Ok(Some(data))
             }
@@ -230,6 +234,7 @@
         slot: Some(slot),
         connection: Some(connection),
         body,
+        permit: gateway.response_buffers.open(),
         events: (declares_events == Some(true) && !streams_events).then(EventSplitter::default),
         headers,
         deadline: ctx.deadline,
@@ -268,21 +273,31 @@
     Some(media_type.to_ascii_lowercase().starts_with(EVENT_STREAM_MEDIA_TYPE))
 }
 
-/// Buffers a short response; one that exceeds the limit is streamed instead.
+/// Checks what is held of an event that is not complete, and of the events before that are retained.
+fn check_event(event: usize, retained: usize, permit: &mut BufferPermit) -> Result<(), RelayError> {
+    if event > MAX_EVENT_BYTES {
+        return Err(RelayError::EventTooLong);
+    }
+    // A buffer that grows takes up to twice what it holds.
+    if permit.try_hold(2 * (event + retained)) { Ok(()) } else { Err(RelayError::NoMemory) }
+}
+
+/// Buffers a short response; one that exceeds the limit, or the memory of all responses, is streamed instead.
 async fn read_buffered(
     mut stream: ResponseStream,
     length: Option<u64>,
     log_entry: &mut AccessLogEntry,
 ) -> Result<ResponseBody, RelayError> {
     let mut buffer = BytesMut::new();
-    while buffer.len() <= MAX_BUFFERED_RESPONSE_BYTES {
+    while buffer.len() <= MAX_BUFFERED_RESPONSE_BYTES && stream.permit.try_hold(buffer.len()) {
         match stream.next().await {
             Ok(Some(data)) => buffer.extend_from_slice(&data),
             Ok(None) => {
                 stream.complete();
                 stream.resolve().await;
                 stream.log("whole");
-                return Ok(ResponseBody::full(buffer.freeze()));
+                let permit = std::mem::replace(&mut stream.permit, stream.gateway.response_buffers.open());
+                return Ok(ResponseBody::full(permit.attach(buffer.freeze())));
             }
             Err(reason) => {
                 stream.fail();
@@ -293,7 +308,8 @@
             }
         }
     }
-    let first = buffer.freeze();
+    let permit = std::mem::replace(&mut stream.permit, stream.gateway.response_buffers.open());
+    let first = permit.attach(buffer.freeze());
     let pieces = futures::stream::unfold((stream, Some(first)), |(mut stream, first)| async move {
         if let Some(first) = first {
             return Some((Ok(first), (stream, None)));
@@ -375,9 +391,7 @@
                 }
                 return Ok(Some(event.0));
             }
-            if self.splitter.buffered_len() > MAX_EVENT_BYTES {
-                return Err(RelayError::EventTooLong);
-            }
+            check_event(self.splitter.buffered_len(), self.retained_bytes, &mut self.response.permit)?;
             match self.response.read().await {
                 Ok(data) => self.splitter.push(&data),
                 Err(end) => {
--- a/agatetrestle/src/gateway/tests.rs
+++ b/agatetrestle/src/gateway/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the splitting of server-sent events, of request priorities, of early answers and of the end of a process.
 
+mod buffer_budget;
 mod early;
 mod endings;
 mod losses;
--- a/agatetrestle/src/gateway/tests/early.rs
+++ b/agatetrestle/src/gateway/tests/early.rs
@@ -281,6 +281,7 @@
             clock: Clock::start(),
             limits: limits.clone(),
             body_buffer_bytes: 1 << 20,
+            response_buffer_bytes: 1 << 20,
             recorder: Rc::new(NoRecorder),
             executor: executor.clone(),
         });
--- a/agatetrestle/src/transport/client.rs
+++ b/agatetrestle/src/transport/client.rs
@@ -56,6 +56,8 @@
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 << 10;
 /// Limit of all that a server sends up to the end of a response head, interim responses included.
 const MAX_BYTES_BEFORE_RESPONSE: usize = 2 * MAX_RESPONSE_HEAD_BYTES;
+/// Limit of all that a server sends as one body with its chunk sizes, extensions and trailers.
+const MAX_BYTES_OF_RESPONSE: usize = 32 << 20;
 
 /// Why a request has no response.
 #[derive(Debug, Snafu)]
@@ -307,7 +309,7 @@
         limit.left.set(Some(MAX_BYTES_BEFORE_RESPONSE));
         let mut error = match self.connection.sender.try_send_request(request).await {
             Ok(response) => {
-                limit.left.set(None);
+                limit.left.set(Some(MAX_BYTES_OF_RESPONSE));
                 return Ok(response);
             }
             Err(error) => error,
--- a/agatetrestle/src/transport/connection_state.rs
+++ b/agatetrestle/src/transport/connection_state.rs
@@ -11,6 +11,7 @@
 use std::task::Context;
 use std::task::Poll;
 use std::task::Waker;
+use std::task::ready;
 
 use bytes::Bytes;
 use http::Request;
@@ -29,7 +30,7 @@
 
 /// Largest read. `hyper` sizes its buffer by what a read returns.
 const MAX_READ_BYTES: usize = 16 << 10;
-/// Bytes of response bodies that are buffered while the client does not read, besides the last piece.
+/// Size of the pieces of response bodies, and bytes of them beyond which none is buffered while the client does not read.
 const MAX_UNWRITTEN_BYTES: usize = 16 << 10;
 /// The lowest limit on heads that is applied.
 const MIN_HEAD_LIMIT_BYTES: usize = 8 << 10;
@@ -169,6 +170,8 @@
 pub(super) struct TrackedBody {
     pub(super) body: ResponseBody,
     pub(super) guard: ResponseGuard,
+    /// What is left of the last piece. The HTTP library copies what it buffers.
+    pub(super) rest: Bytes,
 }
 
 impl Body for TrackedBody {
@@ -183,16 +186,22 @@
         if !state.may_buffer(cx) {
             return Poll::Pending;
         }
-        let frame = Pin::new(&mut self.body).poll_frame(cx);
-        if let Poll::Ready(Some(Ok(frame))) = &frame {
-            let length = frame.data_ref().map_or(0, Bytes::len);
-            state.unwritten.update(|unwritten| unwritten + length);
+        if self.rest.is_empty() {
+            match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => self.rest = data,
+                    Err(other) => return Poll::Ready(Some(Ok(other))),
+                },
+                end => return Poll::Ready(end),
+            }
         }
-        frame
+        let length = self.rest.len().min(MAX_UNWRITTEN_BYTES);
+        state.unwritten.update(|unwritten| unwritten + length);
+        Poll::Ready(Some(Ok(Frame::data(self.rest.split_to(length)))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.rest.is_empty() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/agatetrestle/src/transport/counted.rs
+++ b/agatetrestle/src/transport/counted.rs
@@ -18,6 +18,9 @@
 /// Total number of bytes written to a stream.
 pub(super) type WriteCounter = Rc<Cell<u64>>;
 
+/// Largest read. The HTTP library sizes its buffer by what a read returns.
+const MAX_READ_BYTES: usize = 16 << 10;
+
 /// Limits what a peer may send before it has to come to an end, such as that of a response head.
 #[derive(Default)]
 pub(super) struct ReadLimit {
@@ -57,7 +60,8 @@
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
         ready!(self.turn.poll_start(cx));
-        let allowed = self.limit.left.get().map_or(buf.len(), |left| buf.len().min(left));
+        let allowed = buf.len().min(MAX_READ_BYTES);
+        let allowed = self.limit.left.get().map_or(allowed, |left| allowed.min(left));
         let outcome = Pin::new(&mut self.stream).poll_read(cx, &mut buf[..allowed]);
         self.turn.record(&outcome);
         if let Poll::Ready(Ok(count)) = &outcome {
--- a/agatetrestle/src/transport/server.rs
+++ b/agatetrestle/src/transport/server.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures::AsyncWriteExt;
 use futures::future::Either;
 use futures::future::LocalBoxFuture;
@@ -148,7 +149,7 @@
         let response = if is_too_large { refuse_head() } else { handler(request) };
         async move {
             let response = response.await;
-            Ok::<_, Infallible>(response.map(|body| TrackedBody { body, guard }))
+            Ok::<_, Infallible>(response.map(|body| TrackedBody { body, guard, rest: Bytes::new() }))
         }
     });
     let connection = http1::Builder::new()
