--- a/agatetrestle/src/gateway/durations.rs
+++ b/agatetrestle/src/gateway/durations.rs
@@ -1,4 +1,4 @@
-//! How long the requests of each route took lately, to tell whether another one can end before the process does.
+//! How long the requests of each route took recently, to tell whether another one can end before the process does.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
